--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds, then runs every test that is not listed in KNOWN-RED.txt.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh
+excluded=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+if [ -n "$excluded" ]; then
+  echo "known red, passed over (KNOWN-RED.txt):"
+  cat KNOWN-RED.txt
+fi
+ctest --test-dir build --output-on-failure --no-tests=error -j "${WISTERIA_TEST_JOBS:-4}" ${excluded:+-E "^($excluded)$"}
--- /dev/null
+++ b/source/agent/agent_process.cc
@@ -0,0 +1,168 @@
+#include "agent/agent_process.h"
+
+#include "common/last_reason.h"
+#include "common/log.h"
+#include "common/metrics.h"
+#include "settings/agent_settings.h"
+#include "wire/codec.h"
+
+namespace wisteriadale::agent {
+namespace {
+
+using common::log_channel;
+using common::log_level;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+// Routers learn from the last messages that the agent is leaving.
+constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
+
+/// Hands a decoded message of a router to the attempt host.
+struct message_handler {
+  core::attempt_host& host;
+  agent_process& process;
+  core::router_link link;
+
+  void operator()(const core::execute_message& message) const {
+    host.OnExecute(link, message);
+  }
+  void operator()(const core::cancel_message& message) const {
+    host.OnCancel(message);
+  }
+  void operator()(const core::resume_message& message) const {
+    host.OnResume(link, message);
+  }
+  void operator()(const core::revoke_message& message) const {
+    host.OnRevoke(link, message);
+  }
+  void operator()(const core::ping_message& message) const {
+    core::ping_message answer;
+    answer.sequence = message.sequence;
+    answer.answer = true;
+    answer.load = host.Load();
+    process.Send(link, answer);
+  }
+  template <typename other>
+  void operator()(const other&) const {}
+};
+
+}  // namespace
+
+std::optional<std::unique_ptr<agent_process>> agent_process::Create(
+    const settings::settings_document& settings) {
+  std::unique_ptr<agent_process> process(new agent_process());
+  agent_process* raw = process.get();
+  const uint64_t seed =
+      static_cast<uint64_t>(settings.Integer(settings::kRandomSeed));
+  process->random_ = std::make_unique<common::seeded_random>(
+      seed == 0 ? common::SystemSeed() : seed);
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  if (!loop) return std::nullopt;
+  process->loop_ = std::move(*loop);
+  process->target_ = std::make_unique<http_target>(
+      *process->loop_,
+      net::endpoint{
+          settings.Text(settings::kTargetAddress),
+          static_cast<uint16_t>(settings.Integer(settings::kTargetPort))});
+  core::attempt_host_options options;
+  // The incarnation must differ after a restart, whatever the seed.
+  constexpr uint64_t kPositive = 0x7fffffffffffffff;
+  options.incarnation = (common::SystemSeed() & kPositive) | 1;
+  options.concurrency_limit =
+      static_cast<uint32_t>(settings.Integer(settings::kConcurrencyLimit));
+  options.queue_limit =
+      static_cast<uint32_t>(settings.Integer(settings::kQueueLimit));
+  options.retention =
+      common::milliseconds(settings.Integer(settings::kRetentionMs));
+  options.orphan_limit =
+      common::milliseconds(settings.Integer(settings::kOrphanLimitMs));
+  process->host_ = std::make_unique<core::attempt_host>(
+      options, *process->target_, *process, process->clock_, *process->loop_);
+  process->hello_.name = settings.Text(settings::kName);
+  process->hello_.incarnation = options.incarnation;
+  process->hello_.data_centre = settings.Text(settings::kDataCentre);
+  net::http_server::options listen;
+  listen.address = settings.Text(settings::kListenAddress);
+  listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
+  std::optional<std::unique_ptr<net::http_server>> server =
+      net::http_server::Create(
+          *process->loop_, listen,
+          [raw](const net::http_request& request,
+                const std::shared_ptr<net::http_responder>& responder) {
+            raw->OnHttp(request, responder.get());
+          },
+          [raw](std::shared_ptr<net::channel> channel) {
+            raw->Accept(std::move(channel));
+          });
+  if (!server) return std::nullopt;
+  process->server_ = std::move(*server);
+  return process;
+}
+
+void agent_process::Run() {
+  loop_->OnStopSignal([this] { Stop(); });
+  common::Log(log_channel::kMain, log_level::kInfo,
+              "listening on port " + std::to_string(server_->port()));
+  loop_->Run();
+  common::Log(log_channel::kMain, log_level::kInfo, "stopped");
+}
+
+void agent_process::Stop() {
+  // A second signal changes nothing: the stop stays clean.
+  if (stopping_) return;
+  stopping_ = true;
+  host_->Drain(
+      [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
+  core::ping_message leaving;
+  leaving.answer = true;
+  leaving.load = host_->Load();
+  for (const auto& [link, channel] : links_) Send(link, leaving);
+}
+
+void agent_process::Accept(std::shared_ptr<net::channel> channel) {
+  const core::router_link link = next_link_++;
+  channel->OnMessage(
+      [this, link](std::string_view frame) { OnFrame(link, frame); });
+  channel->OnClosed([this, link] {
+    links_.erase(link);
+    host_->OnLinkClosed(link);
+  });
+  links_.emplace(link, std::move(channel));
+  Send(link, hello_);
+}
+
+void agent_process::OnFrame(core::router_link link, std::string_view frame) {
+  const std::optional<core::message> message = wire::Decode(frame);
+  if (!message) {
+    common::Metrics().Count("wisteria_bad_frames_total");
+    common::Log(log_channel::kNet, log_level::kWarning,
+                "bad frame: " + common::LastReason().text);
+    return;
+  }
+  std::visit(message_handler{*host_, *this, link}, *message);
+}
+
+void agent_process::Send(core::router_link link, const core::message& message) {
+  const auto found = links_.find(link);
+  if (found == links_.end()) return;
+  found->second->Send(wire::Encode(message));
+}
+
+void agent_process::OnHttp(const net::http_request& request,
+                           net::http_responder* responder) {
+  if (request.path == "/healthz") {
+    responder->Send(kStatusOk, "text/plain", "ok\n");
+  } else if (request.path == "/readyz") {
+    responder->Send(stopping_ ? kStatusUnavailable : kStatusOk, "text/plain",
+                    stopping_ ? "draining\n" : "ready\n");
+  } else if (request.path == "/metrics") {
+    responder->Send(kStatusOk, "text/plain; version=0.0.4",
+                    common::Metrics().PrometheusText());
+  } else {
+    responder->Send(kStatusNotFound, "text/plain", "not found\n");
+  }
+}
+
+}  // namespace wisteriadale::agent
--- /dev/null
+++ b/source/agent/agent_process.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "agent/http_target.h"
+#include "common/random.h"
+#include "core/agent/attempt_host.h"
+#include "net/http_server.h"
+#include "settings/settings_document.h"
+
+namespace wisteriadale::agent {
+
+/// Connects the attempt host with routers and the target.
+class agent_process final : public core::router_sender {
+ public:
+  /// @return the process, or nothing with LastReason set
+  static std::optional<std::unique_ptr<agent_process>> Create(
+      const settings::settings_document& settings);
+
+  /// Runs until a stop signal and until nothing is in flight.
+  void Run();
+
+  void Send(core::router_link link, const core::message& message) override;
+
+ private:
+  agent_process() = default;
+
+  void Accept(std::shared_ptr<net::channel> channel);
+  void OnFrame(core::router_link link, std::string_view frame);
+  void OnHttp(const net::http_request& request, net::http_responder* responder);
+  void Stop();
+
+  common::system_clock clock_;
+  std::unique_ptr<common::random_source> random_;
+  std::unique_ptr<net::event_loop> loop_;
+  std::unique_ptr<http_target> target_;
+  std::unique_ptr<core::attempt_host> host_;
+  std::unique_ptr<net::http_server> server_;
+  std::unordered_map<core::router_link, std::shared_ptr<net::channel>> links_;
+  core::router_link next_link_ = 1;
+  core::hello_message hello_;
+  bool stopping_ = false;
+};
+
+}  // namespace wisteriadale::agent
--- /dev/null
+++ b/source/agent/http_target.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "core/agent/target_port.h"
+#include "net/http_client.h"
+
+/// The process beside a target.
+namespace wisteriadale::agent {
+
+/// A target reached over HTTP. Its answer is a stream of JSON lines, the last
+/// of which says that the answer is whole.
+class http_target final : public core::target_port {
+ public:
+  http_target(net::event_loop& loop, net::endpoint target)
+      : loop_(loop), target_(std::move(target)) {}
+
+  void Run(const core::execute_message& execute,
+           core::target_observer* observer) override;
+  void Cancel(std::string_view attempt_id) override;
+
+ private:
+  struct run {
+    std::shared_ptr<net::http_transfer> transfer;
+    std::string pending;  ///< bytes after the last line end
+    core::target_observer* observer = nullptr;
+    bool whole = false;
+    core::target_result result;
+  };
+
+  void OnBytes(const std::string& attempt_id, std::string_view data);
+  static void OnLine(const std::string& attempt_id, run* current,
+                     std::string_view line);
+  void OnDone(const std::string& attempt_id, const net::http_result& result);
+
+  net::event_loop& loop_;
+  net::endpoint target_;
+  std::unordered_map<std::string, run> runs_;
+};
+
+}  // namespace wisteriadale::agent
--- /dev/null
+++ b/source/agent/main.cc
@@ -0,0 +1,24 @@
+#include <cstdio>
+
+#include "agent/agent_process.h"
+#include "common/last_reason.h"
+#include "settings/agent_settings.h"
+#include "settings/process_setup.h"
+
+int main(int argc, char** argv) {
+  using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+  const settings::process_start start =
+      settings::StartProcess(&argc, &argv, "wisteria-agent",
+                             "Runs beside a target and is the only way to it.",
+                             settings::AgentSettings());
+  if (!start.settings) return start.exit_code;
+  const std::optional<std::unique_ptr<agent::agent_process>> process =
+      agent::agent_process::Create(*start.settings);
+  if (!process) {
+    std::fprintf(stderr, "wisteria-agent: %s\n",
+                 common::LastReason().text.c_str());
+    return settings::kExitFailed;
+  }
+  (*process)->Run();
+  return settings::kExitOk;
+}
--- /dev/null
+++ b/source/core/agent/attempt_host.cc
@@ -0,0 +1,274 @@
+#include "core/agent/attempt_host.h"
+
+#include <algorithm>
+
+#include "common/invariant.h"
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+namespace {
+
+using common::result_code;
+
+constexpr double kLatencySmoothing = 0.1;
+
+}  // namespace
+
+void attempt_host::OnExecute(router_link link, const execute_message& execute) {
+  const auto known = attempts_.find(execute.attempt_id);
+  if (known != attempts_.end()) {
+    OnResume(link, {execute.attempt_id, execute.organisation, 0});
+    return;
+  }
+  if (!Admit(link, execute)) return;
+  attempt& entry = attempts_[execute.attempt_id];
+  entry.execute = execute;
+  entry.link = link;
+  entry.deadline = clock_.Now() + execute.remaining;
+  entry.stream = execute.stream_prefix;
+  if (!execute.operation_token.empty()) {
+    attempt_of_token_[execute.operation_token] = execute.attempt_id;
+  }
+  queue_.push_back(execute.attempt_id);
+  StartQueued();
+}
+
+bool attempt_host::Admit(router_link link, const execute_message& execute) {
+  const std::string& token = execute.operation_token;
+  if (revoked_.contains(execute.attempt_id) || revoked_.contains(token)) {
+    Refuse(link, execute, result_code::kOperationNotRun, "revoked");
+    return false;
+  }
+  if (!token.empty() && execute.expected_incarnation != options_.incarnation) {
+    Refuse(link, execute, result_code::kIncarnationMismatch,
+           "the agent restarted since the operation was reserved");
+    return false;
+  }
+  // One token runs once, whatever attempt id it arrives under.
+  if (!token.empty() && attempt_of_token_.contains(token)) {
+    Refuse(link, execute, result_code::kOperationInProgress,
+           "the token was dispatched before");
+    return false;
+  }
+  if (draining_) {
+    Refuse(link, execute, result_code::kDraining, "the target is leaving");
+    return false;
+  }
+  if (queue_.size() >= options_.queue_limit) {
+    Refuse(link, execute, result_code::kOverloaded, "the queue is full");
+    return false;
+  }
+  return true;
+}
+
+void attempt_host::Refuse(router_link link, const execute_message& execute,
+                          result_code code, std::string_view reason) {
+  common::Metrics().Count("wisteria_agent_refused_total",
+                          {{"code", common::Describe(code).name}});
+  outcome_message outcome;
+  outcome.attempt_id = execute.attempt_id;
+  outcome.organisation = execute.organisation;
+  outcome.code = code;
+  outcome.reason = reason;
+  outcome.begun = false;
+  outcome.load = Load();
+  routers_.Send(link, outcome);
+}
+
+void attempt_host::StartQueued() {
+  while (running_ < options_.concurrency_limit && !queue_.empty()) {
+    const std::string id = queue_.front();
+    queue_.pop_front();
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) continue;
+    attempt& entry = found->second;
+    if (clock_.Now() >= entry.deadline) {
+      End(&entry,
+          {result_code::kDeadlineExceeded, "expired in the queue", "", false});
+      continue;
+    }
+    Begin(&entry);
+  }
+}
+
+void attempt_host::Begin(attempt* entry) {
+  entry->state = phase::kRunning;
+  entry->started = clock_.Now();
+  entry->outcome.begun = true;
+  ++running_;
+  execute_message execute = entry->execute;
+  execute.remaining = std::chrono::duration_cast<common::milliseconds>(
+      entry->deadline - clock_.Now());
+  target_.Run(execute, this);
+}
+
+void attempt_host::OnTargetChunk(std::string_view attempt_id,
+                                 std::string_view data) {
+  const auto found = attempts_.find(std::string(attempt_id));
+  if (found == attempts_.end()) return;
+  attempt& entry = found->second;
+  chunk_message chunk;
+  chunk.attempt_id = attempt_id;
+  chunk.organisation = entry.execute.organisation;
+  chunk.offset = entry.stream.size();
+  chunk.data = data;
+  entry.stream.append(data);
+  routers_.Send(entry.link, chunk);
+}
+
+void attempt_host::OnTargetResult(std::string_view attempt_id,
+                                  const target_result& result) {
+  const auto found = attempts_.find(std::string(attempt_id));
+  if (found == attempts_.end()) return;
+  attempt& entry = found->second;
+  common::CheckInvariant(entry.state == phase::kRunning,
+                         "result_of_running_attempt", attempt_id);
+  --running_;
+  const double took =
+      static_cast<double>((clock_.Now() - entry.started).count());
+  entry.outcome.target_us = static_cast<uint64_t>(took);
+  latency_us_ += kLatencySmoothing * (took - latency_us_);
+  End(&entry, result);
+  StartQueued();
+}
+
+void attempt_host::End(attempt* entry, const target_result& result) {
+  entry->state = phase::kEnded;
+  outcome_message& outcome = entry->outcome;
+  outcome.attempt_id = entry->execute.attempt_id;
+  outcome.organisation = entry->execute.organisation;
+  outcome.code = result.code;
+  outcome.reason = result.reason;
+  outcome.result = result.result;
+  outcome.stream_bytes = entry->stream.size();
+  outcome.load = Load();
+  timers_.Cancel(entry->timer);
+  const std::string id = entry->execute.attempt_id;
+  entry->timer =
+      timers_.Schedule(options_.retention, [this, id] { Forget(id); });
+  routers_.Send(entry->link, outcome);
+  CheckDrained();
+}
+
+void attempt_host::OnCancel(const cancel_message& cancel) {
+  const auto found = attempts_.find(cancel.attempt_id);
+  if (found == attempts_.end()) {
+    // The execute may still be on its way over an older connection.
+    revoked_.insert(cancel.attempt_id);
+    return;
+  }
+  attempt& entry = found->second;
+  if (entry.state == phase::kEnded) return;
+  if (!entry.execute.operation_token.empty()) return;
+  if (entry.state == phase::kRunning) {
+    target_.Cancel(cancel.attempt_id);
+    --running_;
+  }
+  End(&entry, {result_code::kCancelled, "cancelled", "", false});
+  StartQueued();
+}
+
+void attempt_host::OnResume(router_link link, const resume_message& resume) {
+  const auto found = attempts_.find(resume.attempt_id);
+  if (found == attempts_.end()) {
+    // The execute may still be on its way over an older connection.
+    revoked_.insert(resume.attempt_id);
+    outcome_message outcome;
+    outcome.attempt_id = resume.attempt_id;
+    outcome.organisation = resume.organisation;
+    outcome.code = result_code::kTargetLost;
+    outcome.reason = "the attempt never arrived";
+    outcome.load = Load();
+    routers_.Send(link, outcome);
+    return;
+  }
+  attempt& entry = found->second;
+  if (entry.execute.organisation != resume.organisation) {
+    common::Metrics().Count("wisteria_results_foreign_total");
+    return;
+  }
+  entry.link = link;
+  if (entry.state != phase::kEnded) {
+    timers_.Cancel(entry.timer);
+    entry.timer = 0;
+  }
+  SendFrom(entry, resume.offset);
+}
+
+void attempt_host::SendFrom(const attempt& entry, uint64_t offset) {
+  if (offset < entry.stream.size()) {
+    chunk_message chunk;
+    chunk.attempt_id = entry.execute.attempt_id;
+    chunk.organisation = entry.execute.organisation;
+    chunk.offset = offset;
+    chunk.data = entry.stream.substr(offset);
+    routers_.Send(entry.link, chunk);
+  }
+  if (entry.state == phase::kEnded) routers_.Send(entry.link, entry.outcome);
+}
+
+void attempt_host::OnRevoke(router_link link, const revoke_message& revoke) {
+  revoke_answer_message answer;
+  answer.attempt_id = revoke.attempt_id;
+  answer.operation_token = revoke.operation_token;
+  const auto known = attempt_of_token_.find(revoke.operation_token);
+  if (known == attempt_of_token_.end()) {
+    revoked_.insert(revoke.operation_token);
+    routers_.Send(link, answer);
+    return;
+  }
+  const auto found = attempts_.find(known->second);
+  if (found != attempts_.end() && found->second.state == phase::kQueued) {
+    revoked_.insert(revoke.operation_token);
+    std::erase(queue_, known->second);
+    const std::string id = known->second;
+    Forget(id);
+    CheckDrained();
+  } else {
+    answer.begun = true;
+  }
+  routers_.Send(link, answer);
+}
+
+void attempt_host::OnLinkClosed(router_link link) {
+  for (auto& [id, entry] : attempts_) {
+    if (entry.link != link || entry.state == phase::kEnded) continue;
+    if (!entry.execute.operation_token.empty()) continue;
+    timers_.Cancel(entry.timer);
+    entry.timer = timers_.Schedule(options_.orphan_limit,
+                                   [this, id = id] { OnCancel({id}); });
+  }
+}
+
+void attempt_host::Forget(const std::string& attempt_id) {
+  const auto found = attempts_.find(attempt_id);
+  if (found == attempts_.end()) return;
+  timers_.Cancel(found->second.timer);
+  attempts_.erase(found);
+}
+
+void attempt_host::Drain(std::function<void()> on_drained) {
+  draining_ = true;
+  on_drained_ = std::move(on_drained);
+  CheckDrained();
+}
+
+void attempt_host::CheckDrained() {
+  if (!draining_ || !on_drained_) return;
+  if (running_ > 0 || !queue_.empty()) return;
+  const std::function<void()> action = std::move(on_drained_);
+  on_drained_ = nullptr;
+  timers_.Schedule(common::duration(0), action);
+}
+
+load_report attempt_host::Load() const {
+  load_report load;
+  load.in_flight = running_;
+  load.queued = static_cast<uint32_t>(queue_.size());
+  load.limit = options_.concurrency_limit;
+  load.latency_us = static_cast<uint32_t>(latency_us_);
+  load.accepting = !draining_;
+  return load;
+}
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/agent/attempt_host.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "common/clock.h"
+#include "core/agent/target_port.h"
+#include "core/messages.h"
+
+namespace wisteriadale::core {
+
+/// Names a connection of a router to an agent.
+using router_link = uint64_t;
+
+/// Sends an agent's messages back to routers.
+class router_sender {
+ public:
+  virtual ~router_sender() = default;
+  /// Messages to a link that has closed are dropped.
+  virtual void Send(router_link link, const message& message) = 0;
+};
+
+/// How an agent admits and keeps attempts.
+struct attempt_host_options {
+  uint64_t incarnation = 0;
+  uint32_t concurrency_limit = 8;
+  uint32_t queue_limit = 64;
+  common::duration retention = std::chrono::seconds(60);
+  common::duration orphan_limit = std::chrono::seconds(5);
+};
+
+/// The attempts on one target: admits, deduplicates, resumes and drains. It is
+/// the only way to the target.
+class attempt_host final : public target_observer {
+ public:
+  attempt_host(const attempt_host_options& options, target_port& target,
+               router_sender& routers, common::clock& clock,
+               common::timer_service& timers)
+      : options_(options),
+        target_(target),
+        routers_(routers),
+        clock_(clock),
+        timers_(timers) {}
+
+  void OnExecute(router_link link, const execute_message& execute);
+  void OnCancel(const cancel_message& cancel);
+  void OnResume(router_link link, const resume_message& resume);
+  void OnRevoke(router_link link, const revoke_message& revoke);
+  void OnLinkClosed(router_link link);
+
+  void OnTargetChunk(std::string_view attempt_id,
+                     std::string_view data) override;
+  void OnTargetResult(std::string_view attempt_id,
+                      const target_result& result) override;
+
+  /// Takes no new work from now on.
+  /// @param on_drained called once nothing is in flight
+  void Drain(std::function<void()> on_drained);
+
+  load_report Load() const;
+  bool draining() const { return draining_; }
+
+ private:
+  enum class phase { kQueued, kRunning, kEnded };
+
+  struct attempt {
+    execute_message execute;
+    router_link link = 0;
+    phase state = phase::kQueued;
+    common::time_point deadline;
+    common::time_point started;
+    std::string stream;  ///< all chunks so far, the prefix included
+    outcome_message outcome;
+    common::timer_id timer = 0;  ///< forgets or cancels the attempt
+  };
+
+  void Refuse(router_link link, const execute_message& execute,
+              common::result_code code, std::string_view reason);
+  bool Admit(router_link link, const execute_message& execute);
+  void StartQueued();
+  void Begin(attempt* entry);
+  void End(attempt* entry, const target_result& result);
+  void SendFrom(const attempt& entry, uint64_t offset);
+  void Forget(const std::string& attempt_id);
+  void CheckDrained();
+
+  attempt_host_options options_;
+  target_port& target_;
+  router_sender& routers_;
+  common::clock& clock_;
+  common::timer_service& timers_;
+  std::unordered_map<std::string, attempt> attempts_;
+  std::unordered_map<std::string, std::string> attempt_of_token_;
+  std::unordered_set<std::string> revoked_;  ///< tokens and attempt ids
+  std::deque<std::string> queue_;
+  uint32_t running_ = 0;
+  double latency_us_ = 0;
+  bool draining_ = false;
+  std::function<void()> on_drained_;
+};
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/agent/target_port.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "core/messages.h"
+
+namespace wisteriadale::core {
+
+/// How a run on the target ended.
+struct target_result {
+  common::result_code code = common::result_code::kOk;
+  std::string reason;
+  std::string result;    ///< JSON text
+  bool crashed = false;  ///< the target itself went away
+};
+
+/// Follows a run on the target.
+class target_observer {
+ public:
+  virtual ~target_observer() = default;
+  virtual void OnTargetChunk(std::string_view attempt_id,
+                             std::string_view data) = 0;
+  /// Called exactly once for each run that was not cancelled.
+  virtual void OnTargetResult(std::string_view attempt_id,
+                              const target_result& result) = 0;
+};
+
+/// The target beside an agent.
+class target_port {
+ public:
+  virtual ~target_port() = default;
+  virtual void Run(const execute_message& execute,
+                   target_observer* observer) = 0;
+  /// Cancels a run; nothing is reported for it afterwards.
+  virtual void Cancel(std::string_view attempt_id) = 0;
+};
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/operations/operation_log.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "common/clock.h"
+#include "common/random.h"
+#include "core/ports/table.h"
+
+namespace wisteriadale::core {
+
+enum class operation_state { kNone, kReserved, kDone, kNotRun };
+
+/// The row `operations/{organisation}/{key}`.
+struct operation_record {
+  operation_state state = operation_state::kNone;
+  std::string token;   ///< unique to one dispatch
+  std::string digest;  ///< of the caller's request
+  std::string request_id;
+  std::string target;
+  uint64_t incarnation = 0;  ///< of the target's agent
+  std::string router;
+  std::string result;  ///< JSON text, once done
+  int64_t changed_wall_us = 0;
+};
+
+std::string EncodeOperation(const operation_record& record);
+std::optional<operation_record> DecodeOperation(std::string_view text);
+/// @return the table key of an operation
+std::string OperationRowKey(std::string_view organisation,
+                            std::string_view key);
+
+/// What became of an attempt to reserve an operation.
+enum class reserve_status {
+  kReserved,     ///< ours to dispatch, once
+  kRecorded,     ///< done before; the record holds the result
+  kHeldByOther,  ///< reserved under another token
+  kKeyReused,    ///< the key belongs to another body
+  kNotKnown,     ///< the table did not answer and the row was never read
+  kNotReserved,  ///< the row was read and our write is known not to matter
+};
+
+struct reserve_answer {
+  reserve_status status = reserve_status::kNotKnown;
+  operation_record record;
+  uint64_t version = 0;
+};
+
+/// Reads and writes operation rows. Every write is conditional and carries a
+/// unique token, so a lost answer is settled by reading back.
+class operation_log {
+ public:
+  operation_log(table& rows, common::timer_service& timers,
+                common::clock& clock, common::random_source& random)
+      : rows_(rows), timers_(timers), clock_(clock), random_(random) {}
+
+  /// Reserves an operation for one dispatch.
+  /// @param wanted  digest, request, target, incarnation and router; the token
+  ///                is made here
+  /// @param give_up instant after which no more tries are made
+  void Reserve(std::string_view row_key, operation_record wanted,
+               common::time_point give_up,
+               std::function<void(const reserve_answer&)> handler);
+
+  /// Moves a row we reserved to kDone or kNotRun.
+  /// @param handler takes whether the row is known to hold the new state
+  void Settle(std::string_view row_key, operation_record record,
+              uint64_t version, common::time_point give_up,
+              std::function<void(bool)> handler);
+
+  /// Reads a row; nothing when the table does not answer.
+  void Look(std::string_view row_key,
+            std::function<void(std::optional<operation_record>)> handler);
+
+ private:
+  struct reservation;
+  struct settlement;
+
+  void TryReserve(const std::shared_ptr<reservation>& work);
+  void OnReserveAnswer(const std::shared_ptr<reservation>& work,
+                       const table_answer& answer);
+  void TrySettle(const std::shared_ptr<settlement>& work);
+
+  table& rows_;
+  common::timer_service& timers_;
+  common::clock& clock_;
+  common::random_source& random_;
+};
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/pipeline/request_executor.cc
@@ -0,0 +1,370 @@
+#include "core/pipeline/request_executor.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "common/invariant.h"
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+namespace {
+
+using common::result_code;
+using nlohmann::json;
+
+constexpr common::duration kRetryDelay = std::chrono::milliseconds(20);
+constexpr common::duration kSettleLimit = std::chrono::seconds(30);
+
+json ParseOrText(const std::string& text) {
+  json parsed = json::parse(text, nullptr, false);
+  return parsed.is_discarded() ? json(text) : parsed;
+}
+
+}  // namespace
+
+std::shared_ptr<request_executor> request_executor::Create(
+    executor_context& context, request_description description,
+    std::shared_ptr<request_sink> sink) {
+  return std::shared_ptr<request_executor>(
+      new request_executor(context, std::move(description), std::move(sink)));
+}
+
+void request_executor::Start() {
+  deadline_ = context_.clock.Now() + description_.deadline;
+  deadline_timer_ = context_.timers.Schedule(description_.deadline,
+                                             [self = shared_from_this()] {
+                                               self->deadline_timer_ = 0;
+                                               self->OnDeadline();
+                                             });
+  StartStage();
+}
+
+const stage_plan& request_executor::Stage() const {
+  return description_.plan.stages[stage_index_];
+}
+
+common::duration request_executor::Remaining() const {
+  return deadline_ - context_.clock.Now();
+}
+
+void request_executor::StartStage() {
+  stage_attempts_ = 0;
+  tried_targets_.clear();
+  stream_.clear();
+  stage_started_ = context_.clock.Now();
+  TryStage();
+}
+
+void request_executor::TryStage() {
+  if (ended_) return;
+  routing_request request;
+  request.pool = Stage().pool;
+  request.organisation = description_.organisation;
+  request.excluded = tried_targets_;
+  std::vector<target_view*> candidates = context_.targets.Candidates(request);
+  if (candidates.empty() && !tried_targets_.empty()) {
+    // Every target was tried once; a second round beats giving up.
+    request.excluded.clear();
+    candidates = context_.targets.Candidates(request);
+  }
+  if (candidates.empty()) {
+    RetryLater();
+    return;
+  }
+  const target_view* chosen = context_.routing.Choose(candidates, request);
+  if (Stage().idempotent) {
+    Dispatch(chosen->id, chosen->incarnation, "");
+  } else {
+    Reserve(chosen->id, chosen->incarnation);
+  }
+}
+
+void request_executor::Reserve(const std::string& target,
+                               uint64_t incarnation) {
+  operation_record wanted;
+  wanted.digest = description_.digest;
+  wanted.request_id = description_.id;
+  wanted.target = target;
+  wanted.incarnation = incarnation;
+  wanted.router = context_.router_name;
+  context_.operations.Reserve(
+      OperationRowKey(description_.organisation, description_.idempotency_key),
+      wanted, deadline_,
+      [self = shared_from_this()](const reserve_answer& answer) {
+        self->OnReserved(answer);
+      });
+}
+
+void request_executor::OnReserved(const reserve_answer& answer) {
+  if (answer.status == reserve_status::kReserved) {
+    reservation_ = answer.record;
+    reservation_version_ = answer.version;
+    if (ended_) {
+      // The deadline passed meanwhile; nothing was dispatched.
+      ReleaseReservation(result_code::kDeadlineExceeded, "");
+      return;
+    }
+    Dispatch(reservation_.target, reservation_.incarnation, reservation_.token);
+    return;
+  }
+  if (ended_) return;
+  switch (answer.status) {
+    case reserve_status::kRecorded:
+      operation_done_ = true;
+      StageDone(answer.record.result);
+      return;
+    case reserve_status::kKeyReused:
+      Fail(result_code::kKeyReused, "the key belongs to another body",
+           request_fate::kNotRun);
+      return;
+    case reserve_status::kHeldByOther:
+      // Another request under this key runs; its result will be ours.
+      RetryLater();
+      return;
+    case reserve_status::kNotReserved:
+      Fail(result_code::kPlatformUnavailable, "the operation was not reserved",
+           request_fate::kNotRun);
+      return;
+    default:
+      Fail(result_code::kOperationUnknown, "the table does not answer",
+           request_fate::kUnknown);
+      return;
+  }
+}
+
+void request_executor::Dispatch(const std::string& target, uint64_t incarnation,
+                                const std::string& token) {
+  execute_message execute;
+  execute.attempt_id = context_.random.HexId();
+  execute.request_id = description_.id;
+  execute.organisation = description_.organisation;
+  execute.organisation_weight = description_.organisation_weight;
+  execute.pipeline = description_.plan.name;
+  execute.stage = Stage().name;
+  execute.input = StageInput();
+  execute.digest = description_.digest;
+  execute.operation_token = token;
+  execute.expected_incarnation = token.empty() ? 0 : incarnation;
+  execute.remaining =
+      std::chrono::duration_cast<common::milliseconds>(Remaining());
+  execute.deferrable = description_.plan.deferrable;
+  execute.stream_prefix = stream_;
+  execute.configuration_version = description_.configuration_in_force->version;
+  execute.trace = common::ChildOf(description_.trace, context_.random);
+  if (!token.empty()) {
+    execute.operation_key = OperationRowKey(description_.organisation,
+                                            description_.idempotency_key);
+  }
+  ++stage_attempts_;
+  attempt_id_ = execute.attempt_id;
+  attempt_target_ = target;
+  attempt_trace_ = execute.trace;
+  attempt_started_wall_us_ = context_.clock.WallMicros();
+  tried_targets_.push_back(target);
+  const bool sent =
+      context_.attempts.Start(target, incarnation, execute, weak_from_this());
+  if (!sent) {
+    attempt_id_.clear();
+    if (!token.empty()) {
+      ReleaseReservation(result_code::kPeerLost, "the agent is not connected");
+    } else {
+      RetryLater();
+    }
+    return;
+  }
+  operation_dispatched_ = operation_dispatched_ || !token.empty();
+  target_view* view = context_.targets.Find(target);
+  if (view != nullptr) ++view->local_in_flight;
+}
+
+void request_executor::EndAttempt() {
+  target_view* view = context_.targets.Find(attempt_target_);
+  if (view != nullptr && view->local_in_flight > 0) --view->local_in_flight;
+  common::span_record span;
+  span.context = attempt_trace_;
+  span.name = "attempt " + Stage().name;
+  span.start_us = attempt_started_wall_us_;
+  span.end_us = context_.clock.WallMicros();
+  span.attributes = {{"target", attempt_target_},
+                     {"request_id", description_.id}};
+  common::EmitSpan(span);
+  attempt_id_.clear();
+}
+
+void request_executor::OnChunk(std::string_view attempt_id,
+                               std::string_view data) {
+  if (ended_ || attempt_id != attempt_id_) return;
+  stream_.append(data);
+  if (Stage().streamed) sink_->OnData(data);
+}
+
+void request_executor::OnOutcome(const outcome_message& outcome) {
+  if (outcome.attempt_id != attempt_id_) return;
+  EndAttempt();
+  if (outcome.code != result_code::kOk) {
+    StageFailed(outcome);
+    return;
+  }
+  common::Metrics().Observe(
+      "wisteria_stage_seconds", context_.clock.Now() - stage_started_,
+      {{"stage", Stage().name}, {"pool", Stage().pool}, {"outcome", "ok"}});
+  stage_report report;
+  report.stage = Stage().name;
+  report.target = attempt_target_;
+  report.attempts = stage_attempts_;
+  report.took = context_.clock.Now() - stage_started_;
+  report.target_us = outcome.target_us;
+  report.result = Stage().streamed ? json(stream_).dump() : outcome.result;
+  if (Stage().idempotent) {
+    reports_.push_back(report);
+    StageDone(report.result);
+    return;
+  }
+  operation_done_ = true;
+  reservation_.state = operation_state::kDone;
+  reservation_.result = outcome.result;
+  reports_.push_back(report);
+  context_.operations.Settle(
+      OperationRowKey(description_.organisation, description_.idempotency_key),
+      reservation_, reservation_version_, context_.clock.Now() + kSettleLimit,
+      [self = shared_from_this(), result = report.result](bool) {
+        self->StageDone(result);
+      });
+}
+
+void request_executor::StageDone(const std::string& result) {
+  if (ended_) return;
+  if (reports_.size() <= stage_index_) {
+    stage_report report;
+    report.stage = Stage().name;
+    report.target = "recorded";
+    report.result = result;
+    reports_.push_back(report);
+  }
+  ++stage_index_;
+  if (stage_index_ < description_.plan.stages.size()) {
+    StartStage();
+    return;
+  }
+  request_result done;
+  done.result = reports_.back().result;
+  Finish(std::move(done));
+}
+
+void request_executor::StageFailed(const outcome_message& outcome) {
+  common::Metrics().Count(
+      "wisteria_attempts_failed_total",
+      {{"stage", Stage().name}, {"code", common::Describe(outcome.code).name}});
+  if (!Stage().idempotent) {
+    if (!outcome.begun) {
+      ReleaseReservation(outcome.code, outcome.reason);
+      return;
+    }
+    Fail(result_code::kOperationUnknown, outcome.reason,
+         request_fate::kUnknown);
+    return;
+  }
+  const preset_policy& preset = description_.configuration_in_force->Preset();
+  const bool retryable = common::Describe(outcome.code).retryable;
+  if (!retryable || stage_attempts_ >= preset.max_attempts) {
+    Fail(outcome.code, outcome.reason, request_fate::kNotRun);
+    return;
+  }
+  TryStage();
+}
+
+void request_executor::ReleaseReservation(result_code code,
+                                          const std::string& reason) {
+  reservation_.state = operation_state::kNotRun;
+  context_.operations.Settle(
+      OperationRowKey(description_.organisation, description_.idempotency_key),
+      reservation_, reservation_version_, context_.clock.Now() + kSettleLimit,
+      [self = shared_from_this(), code, reason](bool settled) {
+        if (self->ended_) return;
+        self->operation_dispatched_ = false;
+        if (!settled || !common::Describe(code).retryable) {
+          self->Fail(code, reason, request_fate::kNotRun);
+          return;
+        }
+        self->RetryLater();
+      });
+}
+
+void request_executor::RetryLater() {
+  if (ended_) return;
+  if (Remaining() <= kRetryDelay) return;  // the deadline timer ends it
+  context_.timers.Cancel(retry_timer_);
+  retry_timer_ =
+      context_.timers.Schedule(kRetryDelay, [self = shared_from_this()] {
+        self->retry_timer_ = 0;
+        self->TryStage();
+      });
+}
+
+void request_executor::OnLost(std::string_view attempt_id) {
+  if (attempt_id != attempt_id_) return;
+  EndAttempt();
+  outcome_message outcome;
+  outcome.code = result_code::kTargetLost;
+  outcome.reason = "the agent went away";
+  outcome.begun = true;
+  StageFailed(outcome);
+}
+
+void request_executor::OnRevokeAnswer(const revoke_answer_message& answer) {
+  if (answer.attempt_id != attempt_id_) return;
+  if (answer.begun || !answer.known) return;  // its outcome will come
+  EndAttempt();
+  ReleaseReservation(result_code::kDeadlineExceeded, "revoked");
+}
+
+void request_executor::OnDeadline() {
+  if (ended_) return;
+  const bool operation = operation_dispatched_ && !operation_done_;
+  if (!operation) {
+    Fail(result_code::kDeadlineExceeded, "the deadline passed",
+         operation_done_ ? request_fate::kDone : request_fate::kNotRun);
+    return;
+  }
+  Fail(result_code::kOperationUnknown, "the operation did not end in time",
+       request_fate::kUnknown);
+}
+
+void request_executor::Abandon() {
+  if (ended_ || !Stage().idempotent) return;
+  Fail(result_code::kCancelled, "the caller went away", request_fate::kNotRun);
+}
+
+void request_executor::Fail(result_code code, const std::string& reason,
+                            request_fate fate) {
+  request_result result;
+  result.code = code;
+  result.reason = reason;
+  result.fate = fate;
+  Finish(std::move(result));
+}
+
+void request_executor::Finish(request_result result) {
+  common::CheckInvariant(!ended_, "request_ends_once", description_.id);
+  ended_ = true;
+  context_.timers.Cancel(deadline_timer_);
+  context_.timers.Cancel(retry_timer_);
+  if (!attempt_id_.empty() && Stage().idempotent) {
+    context_.attempts.Cancel(attempt_id_);
+    EndAttempt();
+  }
+  result.stages = reports_;
+  sink_->OnEnd(result);
+}
+
+std::string request_executor::StageInput() const {
+  json input = {{"request", ParseOrText(description_.body)}};
+  json results = json::object();
+  for (const stage_report& report : reports_) {
+    results[report.stage] = ParseOrText(report.result);
+  }
+  input["results"] = results;
+  return input.dump();
+}
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/pipeline/request_executor.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/random.h"
+#include "common/trace.h"
+#include "core/configuration/configuration.h"
+#include "core/operations/operation_log.h"
+#include "core/pipeline/attempt_table.h"
+#include "core/routing/target_table.h"
+
+namespace wisteriadale::core {
+
+/// An admitted request.
+struct request_description {
+  std::string id;
+  std::string organisation;
+  uint32_t organisation_weight = 1;
+  std::string body;             ///< JSON text
+  std::string digest;           ///< of pipeline and body
+  std::string idempotency_key;  ///< empty when the caller gave none
+  common::milliseconds deadline{0};
+  common::trace_context trace;
+  pipeline_plan plan;
+  std::shared_ptr<const configuration> configuration_in_force;
+};
+
+/// What a caller can rely on when a request has ended.
+enum class request_fate { kDone, kNotRun, kUnknown };
+
+/// A stage that has ended.
+struct stage_report {
+  std::string stage;
+  std::string target;
+  uint32_t attempts = 0;
+  common::duration took{0};
+  uint64_t target_us = 0;
+  std::string result;  ///< JSON text
+};
+
+/// How a request ended.
+struct request_result {
+  common::result_code code = common::result_code::kOk;
+  std::string reason;
+  request_fate fate = request_fate::kDone;
+  std::vector<stage_report> stages;
+  std::string result;     ///< JSON text of the last stage
+  bool replayed = false;  ///< the result was recorded by an earlier request
+};
+
+/// Where a request's answer goes.
+class request_sink {
+ public:
+  virtual ~request_sink() = default;
+  /// Part of a streamed stage, in order.
+  virtual void OnData(std::string_view data) = 0;
+  /// Called exactly once, last.
+  virtual void OnEnd(const request_result& result) = 0;
+};
+
+/// What all executors of a router share.
+struct executor_context {
+  common::clock& clock;
+  common::timer_service& timers;
+  common::random_source& random;
+  target_table& targets;
+  routing_policy& routing;
+  attempt_table& attempts;
+  operation_log& operations;
+  std::string router_name;
+};
+
+/// Runs the stages of one request under its deadline.
+class request_executor final
+    : public attempt_observer,
+      public std::enable_shared_from_this<request_executor> {
+ public:
+  /// @return the executor; Start begins the work
+  static std::shared_ptr<request_executor> Create(
+      executor_context& context, request_description description,
+      std::shared_ptr<request_sink> sink);
+
+  void Start();
+  /// The caller went away. Idempotent work is cancelled, other work goes on.
+  void Abandon();
+
+  void OnChunk(std::string_view attempt_id, std::string_view data) override;
+  void OnOutcome(const outcome_message& outcome) override;
+  void OnLost(std::string_view attempt_id) override;
+  void OnRevokeAnswer(const revoke_answer_message& answer) override;
+
+ private:
+  request_executor(executor_context& context, request_description description,
+                   std::shared_ptr<request_sink> sink)
+      : context_(context),
+        description_(std::move(description)),
+        sink_(std::move(sink)) {}
+
+  const stage_plan& Stage() const;
+  common::duration Remaining() const;
+  void StartStage();
+  void TryStage();
+  void Reserve(const std::string& target, uint64_t incarnation);
+  void OnReserved(const reserve_answer& answer);
+  void Dispatch(const std::string& target, uint64_t incarnation,
+                const std::string& token);
+  void StageDone(const std::string& result);
+  void StageFailed(const outcome_message& outcome);
+  void RetryLater();
+  void ReleaseReservation(common::result_code code, const std::string& reason);
+  void OnDeadline();
+  void EndAttempt();
+  void Fail(common::result_code code, const std::string& reason,
+            request_fate fate);
+  void Finish(request_result result);
+  std::string StageInput() const;
+
+  executor_context& context_;
+  request_description description_;
+  std::shared_ptr<request_sink> sink_;
+  common::time_point deadline_;
+  common::timer_id deadline_timer_ = 0;
+  common::timer_id retry_timer_ = 0;
+  size_t stage_index_ = 0;
+  uint32_t stage_attempts_ = 0;
+  common::time_point stage_started_;
+  std::vector<std::string> tried_targets_;
+  std::string attempt_id_;
+  std::string attempt_target_;
+  std::string stream_;  ///< of the stage that runs now
+  common::trace_context attempt_trace_;
+  int64_t attempt_started_wall_us_ = 0;
+  std::vector<stage_report> reports_;
+  operation_record reservation_;
+  uint64_t reservation_version_ = 0;
+  bool operation_dispatched_ = false;
+  bool operation_done_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/net/channel.cc
@@ -0,0 +1,227 @@
+#include "net/channel.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "net/http_server.h"
+#include "net/lws_protocols.h"
+
+namespace wisteriadale::net {
+namespace {
+
+constexpr size_t kMaxMessageBytes = 8 << 20;
+
+class lws_channel;
+
+// Keeps each channel alive while libwebsockets holds a pointer to it.
+std::unordered_map<lws_channel*, std::shared_ptr<lws_channel>>& Live() {
+  static std::unordered_map<lws_channel*, std::shared_ptr<lws_channel>> live;
+  return live;
+}
+
+class lws_channel final : public channel {
+ public:
+  lws_channel(lws* wsi, std::string peer) : wsi_(wsi), peer_(std::move(peer)) {}
+
+  void Send(std::string message) override {
+    if (wsi_ == nullptr || closing_) return;
+    outgoing_.push_back(std::move(message));
+    lws_callback_on_writable(wsi_);
+  }
+
+  void Close() override {
+    on_closed_ = nullptr;
+    on_message_ = nullptr;
+    closing_ = true;
+    if (wsi_ != nullptr) {
+      lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+  }
+
+  void OnMessage(std::function<void(std::string_view)> handler) override {
+    on_message_ = std::move(handler);
+  }
+
+  void OnClosed(std::function<void()> handler) override {
+    on_closed_ = std::move(handler);
+  }
+
+  size_t PendingMessages() const override { return outgoing_.size(); }
+  std::string peer() const override { return peer_; }
+
+  int Writable() {
+    while (!outgoing_.empty()) {
+      const std::string& message = outgoing_.front();
+      buffer_.resize(LWS_PRE + message.size());
+      std::copy(message.begin(), message.end(), buffer_.begin() + LWS_PRE);
+      const int sent = lws_write(wsi_, buffer_.data() + LWS_PRE, message.size(),
+                                 LWS_WRITE_BINARY);
+      if (sent < 0) return -1;
+      outgoing_.pop_front();
+      if (lws_send_pipe_choked(wsi_) != 0) break;
+    }
+    if (!outgoing_.empty()) lws_callback_on_writable(wsi_);
+    return 0;
+  }
+
+  int Receive(std::string_view data, bool last) {
+    if (incoming_.size() + data.size() > kMaxMessageBytes) return -1;
+    incoming_.append(data);
+    if (!last) return 0;
+    const std::string message = std::move(incoming_);
+    incoming_.clear();
+    // The handler may replace itself or close the channel.
+    const std::function<void(std::string_view)> handler = on_message_;
+    if (handler) handler(message);
+    return closing_ ? -1 : 0;
+  }
+
+  void Ended() {
+    wsi_ = nullptr;
+    outgoing_.clear();
+    const std::function<void()> handler = std::move(on_closed_);
+    on_closed_ = nullptr;
+    on_message_ = nullptr;
+    if (handler) handler();
+  }
+
+  void Attach(lws* wsi) { wsi_ = wsi; }
+
+  std::function<void(std::shared_ptr<channel>)> on_open;
+
+ private:
+  lws* wsi_;
+  std::string peer_;
+  bool closing_ = false;
+  std::deque<std::string> outgoing_;
+  std::vector<unsigned char> buffer_;
+  std::string incoming_;
+  std::function<void(std::string_view)> on_message_;
+  std::function<void()> on_closed_;
+};
+
+void Release(lws_channel* ended) {
+  const auto found = Live().find(ended);
+  if (found == Live().end()) return;
+  const std::shared_ptr<lws_channel> kept = std::move(found->second);
+  Live().erase(found);
+  kept->Ended();
+}
+
+void Accept(lws* wsi, lws_channel** slot) {
+  const http_server* server =
+      static_cast<http_server*>(lws_vhost_user(lws_get_vhost(wsi)));
+  char peer[64];
+  lws_get_peer_simple(wsi, peer, sizeof(peer));
+  const std::shared_ptr<lws_channel> accepted =
+      std::make_shared<lws_channel>(wsi, peer);
+  *slot = accepted.get();
+  Live().emplace(accepted.get(), accepted);
+  if (server->on_channel()) {
+    server->on_channel()(accepted);
+  } else {
+    accepted->Close();
+  }
+}
+
+void Opened(lws* wsi, lws_channel* current) {
+  current->Attach(wsi);
+  const std::function<void(std::shared_ptr<channel>)> handler =
+      std::move(current->on_open);
+  current->on_open = nullptr;
+  handler(Live().at(current));
+}
+
+void DialFailed(lws_channel* current) {
+  const std::function<void(std::shared_ptr<channel>)> handler =
+      std::move(current->on_open);
+  current->on_open = nullptr;
+  Release(current);
+  if (handler) handler(nullptr);
+}
+
+bool IsLast(lws* wsi) {
+  return lws_is_final_fragment(wsi) != 0 &&
+         lws_remaining_packet_payload(wsi) == 0;
+}
+
+}  // namespace
+
+int ChannelServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                          void* in, size_t length) {
+  lws_channel** slot = static_cast<lws_channel**>(user);
+  switch (reason) {
+    case LWS_CALLBACK_ESTABLISHED:
+      Accept(wsi, slot);
+      return 0;
+    case LWS_CALLBACK_RECEIVE:
+      return (*slot)->Receive({static_cast<const char*>(in), length},
+                              IsLast(wsi));
+    case LWS_CALLBACK_SERVER_WRITEABLE:
+      return (*slot)->Writable();
+    case LWS_CALLBACK_CLOSED:
+      Release(*slot);
+      *slot = nullptr;
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                          void* in, size_t length) {
+  lws_channel* current = static_cast<lws_channel*>(user);
+  switch (reason) {
+    case LWS_CALLBACK_CLIENT_ESTABLISHED:
+      Opened(wsi, current);
+      return 0;
+    case LWS_CALLBACK_CLIENT_RECEIVE:
+      return current->Receive({static_cast<const char*>(in), length},
+                              IsLast(wsi));
+    case LWS_CALLBACK_CLIENT_WRITEABLE:
+      return current->Writable();
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+      lws_set_wsi_user(wsi, nullptr);
+      if (current != nullptr) DialFailed(current);
+      return 0;
+    case LWS_CALLBACK_CLIENT_CLOSED:
+      lws_set_wsi_user(wsi, nullptr);
+      Release(current);
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+void DialChannel(event_loop& loop, const endpoint& to,
+                 std::function<void(std::shared_ptr<channel>)> on_open) {
+  const std::shared_ptr<lws_channel> dialled = std::make_shared<lws_channel>(
+      nullptr, to.address + ":" + std::to_string(to.port));
+  dialled->on_open = std::move(on_open);
+  Live().emplace(dialled.get(), dialled);
+  lws_client_connect_info info{};
+  info.context = loop.context();
+  info.vhost = loop.client_vhost();
+  info.address = to.address.c_str();
+  info.host = to.address.c_str();
+  info.origin = to.address.c_str();
+  info.port = to.port;
+  info.path = "/peer";
+  info.protocol = kChannelProtocol;
+  info.local_protocol_name = kChannelClientProtocol;
+  info.userdata = dialled.get();
+  if (loop.client_tls()) {
+    info.ssl_connection =
+        LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
+  }
+  if (lws_client_connect_via_info(&info) != nullptr) return;
+  // libwebsockets may or may not have reported the failure already.
+  if (!dialled->on_open) return;
+  loop.Schedule(common::duration(0), [raw = dialled.get(), dialled] {
+    if (dialled->on_open) DialFailed(raw);
+  });
+}
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/net/event_loop.cc
@@ -0,0 +1,171 @@
+#include "net/event_loop.h"
+
+#include <csignal>
+
+#include "common/last_reason.h"
+#include "common/log.h"
+#include "net/lws_protocols.h"
+
+namespace wisteriadale::net {
+namespace {
+
+constexpr unsigned kNetworkTimeoutSeconds = 60;
+constexpr unsigned kServiceBufferBytes = 16 * 1024;
+constexpr size_t kChannelReadBytes = size_t{16} * 1024;
+
+// Signal handlers may touch only these.
+volatile std::sig_atomic_t stop_signals = 0;
+lws_context* signal_context = nullptr;
+
+void HandleStopSignal(int) {
+  stop_signals = stop_signals + 1;
+  if (signal_context != nullptr) lws_cancel_service(signal_context);
+}
+
+void EmitLwsLog(int level, const char* line) {
+  std::string text(line);
+  while (!text.empty() && text.back() == '\n') text.pop_back();
+  const bool error = (level & LLL_ERR) != 0;
+  common::Log(common::log_channel::kNet,
+              error ? common::log_level::kWarning : common::log_level::kDebug,
+              text);
+}
+
+}  // namespace
+
+struct event_loop::timer {
+  /// Standard layout, as libwebsockets finds it from its first member.
+  struct slot {
+    lws_sorted_usec_list_t sul{};
+    event_loop* loop = nullptr;
+    common::timer_id id = 0;
+  };
+  slot scheduled;
+  std::function<void()> action;
+};
+
+const lws_protocols* ServerProtocols() {
+  static const lws_protocols kProtocols[] = {
+      {"http", HttpServerCallback, sizeof(void*), 0, 0, nullptr, 0},
+      {kChannelProtocol, ChannelServerCallback, sizeof(void*),
+       kChannelReadBytes, 0, nullptr, 0},
+      {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
+  return kProtocols;
+}
+
+const lws_protocols* ClientProtocols() {
+  static const lws_protocols kProtocols[] = {
+      {kHttpClientProtocol, HttpClientCallback, 0, 0, 0, nullptr, 0},
+      {kChannelClientProtocol, ChannelClientCallback, 0, kChannelReadBytes, 0,
+       nullptr, 0},
+      {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
+  return kProtocols;
+}
+
+std::optional<std::unique_ptr<event_loop>> event_loop::Create(
+    const options& chosen) {
+  lws_set_log_level(LLL_ERR | LLL_WARN, EmitLwsLog);
+  std::unique_ptr<event_loop> loop(new event_loop());
+  lws_context_creation_info info{};
+  info.options =
+      LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+  info.gid = -1;
+  info.uid = -1;
+  info.fd_limit_per_thread = static_cast<unsigned>(chosen.max_connections);
+  info.pt_serv_buf_size = kServiceBufferBytes;
+  info.timeout_secs = kNetworkTimeoutSeconds;
+  loop->context_ = lws_create_context(&info);
+  if (loop->context_ == nullptr) {
+    common::SetLastReason(common::result_code::kInternal,
+                          "libwebsockets gave no context");
+    return std::nullopt;
+  }
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.protocols = ClientProtocols();
+  info.vhost_name = "client";
+  const tls_options& tls = chosen.client_tls;
+  if (tls.enabled()) {
+    info.client_ssl_ca_filepath = tls.ca_file.c_str();
+    info.client_ssl_cert_filepath = tls.certificate_file.c_str();
+    info.client_ssl_private_key_filepath = tls.key_file.c_str();
+    loop->client_tls_ = true;
+  }
+  loop->client_vhost_ = lws_create_vhost(loop->context_, &info);
+  if (loop->client_vhost_ == nullptr) {
+    common::SetLastReason(common::result_code::kBadSettings,
+                          "the client side of TLS cannot be set up");
+    return std::nullopt;
+  }
+  return loop;
+}
+
+event_loop::~event_loop() {
+  if (signal_context == context_) signal_context = nullptr;
+  for (auto& [id, entry] : timers_) lws_sul_cancel(&entry->scheduled.sul);
+  timers_.clear();
+  if (context_ != nullptr) lws_context_destroy(context_);
+}
+
+void event_loop::Run() {
+  int handled_signals = 0;
+  while (!stopping_) {
+    if (lws_service(context_, 0) < 0) break;
+    while (handled_signals < stop_signals) {
+      ++handled_signals;
+      if (on_stop_signal_) on_stop_signal_();
+    }
+  }
+}
+
+void event_loop::Stop() {
+  stopping_ = true;
+  lws_cancel_service(context_);
+}
+
+void event_loop::OnStopSignal(std::function<void()> action) {
+  on_stop_signal_ = std::move(action);
+  signal_context = context_;
+  struct sigaction handler {};
+  handler.sa_handler = HandleStopSignal;
+  sigaction(SIGTERM, &handler, nullptr);
+  sigaction(SIGINT, &handler, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+common::timer_id event_loop::Schedule(common::duration delay,
+                                      std::function<void()> action) {
+  std::unique_ptr<timer> entry = std::make_unique<timer>();
+  entry->scheduled.loop = this;
+  entry->scheduled.id = next_timer_++;
+  entry->action = std::move(action);
+  // A delay of zero would not be scheduled at all.
+  const int64_t micros = std::max<int64_t>(1, delay.count());
+  lws_sul_schedule(
+      context_, 0, &entry->scheduled.sul,
+      [](lws_sorted_usec_list_t* sul) {
+        const timer::slot* fired = lws_container_of(sul, timer::slot, sul);
+        fired->loop->Fire(fired->id);
+      },
+      micros);
+  const common::timer_id id = entry->scheduled.id;
+  timers_.emplace(id, std::move(entry));
+  return id;
+}
+
+void event_loop::Cancel(common::timer_id id) {
+  const auto found = timers_.find(id);
+  if (found == timers_.end()) return;
+  lws_sul_cancel(&found->second->scheduled.sul);
+  timers_.erase(found);
+}
+
+void event_loop::Fire(common::timer_id id) {
+  const auto found = timers_.find(id);
+  if (found == timers_.end()) return;
+  // The action may schedule or cancel timers, this one included.
+  const std::unique_ptr<timer> entry = std::move(found->second);
+  timers_.erase(found);
+  entry->action();
+}
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/net/event_loop.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+#include "common/clock.h"
+
+struct lws_context;
+struct lws_vhost;
+
+/// HTTP, message channels and the event loop, on libwebsockets.
+namespace wisteriadale::net {
+
+/// TLS files; all empty means plain TCP.
+struct tls_options {
+  std::string certificate_file;
+  std::string key_file;
+  std::string ca_file;  ///< servers: client certificates are then required
+  bool enabled() const { return !certificate_file.empty() || !ca_file.empty(); }
+};
+
+/// The one loop of a process. Every callback of the process runs on the thread
+/// that calls Run.
+class event_loop final : public common::timer_service {
+ public:
+  struct options {
+    int max_connections = 4096;
+    tls_options client_tls;  ///< used by outgoing connections
+  };
+
+  /// @return the loop, or nothing with LastReason set
+  static std::optional<std::unique_ptr<event_loop>> Create(
+      const options& chosen);
+  ~event_loop() override;
+  event_loop(const event_loop&) = delete;
+  event_loop& operator=(const event_loop&) = delete;
+
+  /// Runs until Stop is called.
+  void Run();
+  void Stop();
+
+  /// Calls the action on the loop for each SIGTERM or SIGINT.
+  void OnStopSignal(std::function<void()> action);
+
+  common::timer_id Schedule(common::duration delay,
+                            std::function<void()> action) override;
+  void Cancel(common::timer_id id) override;
+
+  lws_context* context() const { return context_; }
+  /// @return the vhost that outgoing connections belong to
+  lws_vhost* client_vhost() const { return client_vhost_; }
+  bool client_tls() const { return client_tls_; }
+
+ private:
+  struct timer;
+
+  event_loop() = default;
+  void Fire(common::timer_id id);
+
+  lws_context* context_ = nullptr;
+  lws_vhost* client_vhost_ = nullptr;
+  bool client_tls_ = false;
+  bool stopping_ = false;
+  common::timer_id next_timer_ = 1;
+  std::unordered_map<common::timer_id, std::unique_ptr<timer>> timers_;
+  std::function<void()> on_stop_signal_;
+};
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/net/http_client.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/channel.h"
+#include "net/event_loop.h"
+#include "net/http_message.h"
+
+namespace wisteriadale::net {
+
+/// An outgoing request.
+struct http_call {
+  std::string method = "GET";
+  endpoint to;
+  std::string path;
+  std::vector<http_header> headers;
+  std::string body;
+  common::duration timeout = std::chrono::seconds(10);
+};
+
+/// How a call ended.
+struct http_result {
+  int status = 0;         ///< 0: no answer came
+  bool complete = false;  ///< the body arrived to its end
+  std::string body;       ///< empty when chunks were taken by a handler
+  std::string failure;    ///< why it is not complete
+};
+
+/// A call in progress.
+class http_transfer {
+ public:
+  virtual ~http_transfer() = default;
+  /// Drops the connection; no handler is called afterwards.
+  virtual void Cancel() = 0;
+};
+
+/// Starts a call.
+/// @param on_done  called exactly once, unless cancelled
+/// @param on_chunk when set, takes the body piece by piece
+std::shared_ptr<http_transfer> StartHttpCall(
+    event_loop& loop, http_call call,
+    std::function<void(const http_result&)> on_done,
+    std::function<void(std::string_view)> on_chunk = {});
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/net/http_server.cc
@@ -0,0 +1,387 @@
+#include "net/http_server.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include "common/last_reason.h"
+#include "net/lws_protocols.h"
+
+namespace wisteriadale::net {
+namespace {
+
+constexpr size_t kMaxHeaderBytes = 2048;
+constexpr size_t kWriteBytes = size_t{16} * 1024;
+constexpr size_t kMaxHeaderValue = 1024;
+
+/// A header that is collected from requests.
+struct collected_header {
+  std::string_view name;
+  int token;  ///< WSI_TOKEN_*, or kCustom
+};
+
+constexpr int kCustom = -1;
+constexpr std::array kCollected = {
+    collected_header{"authorization", WSI_TOKEN_HTTP_AUTHORIZATION},
+    collected_header{"accept", WSI_TOKEN_HTTP_ACCEPT},
+    collected_header{"content-type", WSI_TOKEN_HTTP_CONTENT_TYPE},
+    collected_header{"request-timeout-ms", kCustom},
+    collected_header{"idempotency-key", kCustom},
+    collected_header{"traceparent", kCustom},
+    collected_header{"fencing-number", kCustom},
+    collected_header{"wisteria-class", kCustom},
+};
+
+class exchange;
+
+/// Connection state that libwebsockets keeps; one pointer, zeroed at accept.
+struct server_slot {
+  std::shared_ptr<exchange>* current;
+};
+
+class exchange final : public http_responder {
+ public:
+  explicit exchange(lws* wsi) : wsi_(wsi) {}
+
+  void Send(int status, std::string_view content_type, std::string_view body,
+            std::span<const http_header> headers) override {
+    if (wsi_ == nullptr || started_) return;
+    status_ = status;
+    content_type_ = content_type;
+    headers_.assign(headers.begin(), headers.end());
+    pending_ = body;
+    started_ = true;
+    finished_ = true;
+    lws_callback_on_writable(wsi_);
+  }
+
+  void StartStream(int status, std::string_view content_type) override {
+    if (wsi_ == nullptr || started_) return;
+    status_ = status;
+    content_type_ = content_type;
+    chunked_ = true;
+    started_ = true;
+    lws_callback_on_writable(wsi_);
+  }
+
+  void Write(std::string_view data) override {
+    if (wsi_ == nullptr || !chunked_ || finished_ || data.empty()) return;
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    pending_.append(size).append(data).append("\r\n");
+    lws_callback_on_writable(wsi_);
+  }
+
+  void Finish() override {
+    if (wsi_ == nullptr || !chunked_ || finished_) return;
+    pending_.append("0\r\n\r\n");
+    finished_ = true;
+    lws_callback_on_writable(wsi_);
+  }
+
+  void Abort() override {
+    if (wsi_ == nullptr) return;
+    aborted_ = true;
+    lws_callback_on_writable(wsi_);
+  }
+
+  size_t PendingBytes() const override { return pending_.size() - written_; }
+
+  void OnClose(std::function<void()> action) override {
+    on_close_ = std::move(action);
+  }
+
+  /// The connection is gone.
+  void Detach() {
+    wsi_ = nullptr;
+    if (on_close_ && !(finished_ && done_)) {
+      const std::function<void()> action = std::move(on_close_);
+      on_close_ = nullptr;
+      action();
+    }
+  }
+
+  /// @return what the libwebsockets callback returns
+  int Writable() {
+    if (aborted_ && pending_.size() == written_) return -1;
+    if (!started_) return 0;
+    if (!headers_sent_) return WriteHeaders();
+    return WriteBody();
+  }
+
+  http_request request;
+  size_t body_limit = 0;
+
+ private:
+  int WriteHeaders() {
+    std::array<unsigned char, LWS_PRE + kMaxHeaderBytes> buffer;
+    unsigned char* start = buffer.data() + LWS_PRE;
+    unsigned char* p = start;
+    unsigned char* end = buffer.data() + buffer.size() - 1;
+    if (lws_add_http_header_status(wsi_, static_cast<unsigned>(status_), &p,
+                                   end) != 0) {
+      return -1;
+    }
+    if (!AddHeader("content-type:", content_type_, &p, end)) return -1;
+    for (const http_header& header : headers_) {
+      if (!AddHeader(header.name + ":", header.value, &p, end)) return -1;
+    }
+    if (chunked_) {
+      if (!AddHeader("transfer-encoding:", "chunked", &p, end)) return -1;
+      if (!AddHeader("cache-control:", "no-store", &p, end)) return -1;
+    } else if (lws_add_http_header_content_length(wsi_, pending_.size(), &p,
+                                                  end) != 0) {
+      return -1;
+    }
+    if (lws_finalize_write_http_header(wsi_, start, &p, end) != 0) return -1;
+    headers_sent_ = true;
+    if (finished_ && pending_.empty()) return Complete();
+    lws_callback_on_writable(wsi_);
+    return 0;
+  }
+
+  int WriteBody() {
+    const size_t left = pending_.size() - written_;
+    if (left == 0) return finished_ && !done_ ? Complete() : 0;
+    const size_t size = std::min(left, kWriteBytes);
+    const bool last = finished_ && size == left;
+    std::array<unsigned char, LWS_PRE + kWriteBytes> buffer;
+    std::copy_n(pending_.data() + written_, size, buffer.data() + LWS_PRE);
+    const int sent = lws_write(wsi_, buffer.data() + LWS_PRE, size,
+                               last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
+    if (sent < 0) return -1;
+    written_ += size;
+    if (last) return Complete();
+    if (written_ == pending_.size()) {
+      pending_.clear();
+      written_ = 0;
+    } else {
+      lws_callback_on_writable(wsi_);
+    }
+    return 0;
+  }
+
+  int Complete() {
+    done_ = true;
+    on_close_ = nullptr;
+    lws* wsi = wsi_;
+    wsi_ = nullptr;
+    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+  }
+
+  bool AddHeader(const std::string& name, std::string_view value,
+                 unsigned char** p, unsigned char* end) {
+    return lws_add_http_header_by_name(
+               wsi_, reinterpret_cast<const unsigned char*>(name.c_str()),
+               reinterpret_cast<const unsigned char*>(value.data()),
+               static_cast<int>(value.size()), p, end) == 0;
+  }
+
+  lws* wsi_;
+  int status_ = 0;
+  std::string content_type_;
+  std::vector<http_header> headers_;
+  std::string pending_;
+  size_t written_ = 0;
+  bool started_ = false;
+  bool chunked_ = false;
+  bool headers_sent_ = false;
+  bool finished_ = false;
+  bool aborted_ = false;
+  bool done_ = false;
+  std::function<void()> on_close_;
+};
+
+std::string MethodOf(lws* wsi) {
+  if (lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0) return "POST";
+  if (lws_hdr_total_length(wsi, WSI_TOKEN_PUT_URI) > 0) return "PUT";
+  if (lws_hdr_total_length(wsi, WSI_TOKEN_DELETE_URI) > 0) return "DELETE";
+  if (lws_hdr_total_length(wsi, WSI_TOKEN_GET_URI) > 0) return "GET";
+  return "OTHER";
+}
+
+std::string QueryOf(lws* wsi) {
+  std::string query;
+  char fragment[kMaxHeaderValue];
+  for (int n = 0;; ++n) {
+    const int length = lws_hdr_copy_fragment(wsi, fragment, sizeof(fragment),
+                                             WSI_TOKEN_HTTP_URI_ARGS, n);
+    if (length < 0) break;
+    if (!query.empty()) query.push_back('&');
+    query.append(fragment, static_cast<size_t>(length));
+  }
+  return query;
+}
+
+void CollectHeaders(lws* wsi, http_request* request) {
+  char value[kMaxHeaderValue];
+  for (const collected_header& header : kCollected) {
+    int length = 0;
+    if (header.token == kCustom) {
+      const std::string name = std::string(header.name) + ":";
+      length = lws_hdr_custom_copy(wsi, value, sizeof(value), name.c_str(),
+                                   static_cast<int>(name.size()));
+    } else {
+      length = lws_hdr_copy(wsi, value, sizeof(value),
+                            static_cast<lws_token_indexes>(header.token));
+    }
+    if (length <= 0) continue;
+    request->headers.push_back(
+        {std::string(header.name),
+         std::string(value, static_cast<size_t>(length))});
+  }
+}
+
+size_t ContentLength(lws* wsi) {
+  char value[32];
+  const int length =
+      lws_hdr_copy(wsi, value, sizeof(value), WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  return length <= 0 ? 0 : std::strtoull(value, nullptr, 10);
+}
+
+http_server* ServerOf(lws* wsi) {
+  return static_cast<http_server*>(lws_vhost_user(lws_get_vhost(wsi)));
+}
+
+void Dispatch(lws* wsi, const std::shared_ptr<exchange>& current) {
+  // The handler may take long to answer; its own deadline applies, not ours.
+  lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+  http_request request = std::move(current->request);
+  ServerOf(wsi)->on_request()(std::move(request), current);
+}
+
+void StartExchange(lws* wsi, server_slot* slot, std::string_view path) {
+  if (slot->current == nullptr) {
+    slot->current = new std::shared_ptr<exchange>();
+  }
+  *slot->current = std::make_shared<exchange>(wsi);
+  exchange& current = **slot->current;
+  current.body_limit = ServerOf(wsi)->max_body_bytes();
+  current.request.method = MethodOf(wsi);
+  current.request.path = path;
+  current.request.query = QueryOf(wsi);
+  CollectHeaders(wsi, &current.request);
+  char peer[64];
+  lws_get_peer_simple(wsi, peer, sizeof(peer));
+  current.request.peer = peer;
+  const size_t length = ContentLength(wsi);
+  current.request.body_too_large = length > current.body_limit;
+  if (length == 0) Dispatch(wsi, *slot->current);
+}
+
+void AppendBody(exchange* current, std::string_view data) {
+  if (current->request.body.size() + data.size() > current->body_limit) {
+    current->request.body_too_large = true;
+    current->request.body.clear();
+  }
+  if (current->request.body_too_large) return;
+  current->request.body.append(data);
+}
+
+void CloseSlot(server_slot* slot) {
+  if (slot->current == nullptr) return;
+  const std::shared_ptr<exchange> current = std::move(*slot->current);
+  delete slot->current;
+  slot->current = nullptr;
+  if (current) current->Detach();
+}
+
+}  // namespace
+
+int HttpServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                       void* in, size_t length) {
+  server_slot* slot = static_cast<server_slot*>(user);
+  const std::string_view data(static_cast<const char*>(in), length);
+  switch (reason) {
+    case LWS_CALLBACK_HTTP:
+      StartExchange(wsi, slot, data);
+      return 0;
+    case LWS_CALLBACK_HTTP_BODY:
+      if (slot->current != nullptr) AppendBody(slot->current->get(), data);
+      return 0;
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+      if (slot->current != nullptr && *slot->current &&
+          !(*slot->current)->request.method.empty()) {
+        Dispatch(wsi, *slot->current);
+      }
+      return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE: {
+      if (slot->current == nullptr || !*slot->current) return 0;
+      const std::shared_ptr<exchange> current = *slot->current;
+      return current->Writable();
+    }
+    case LWS_CALLBACK_CLOSED_HTTP:
+      if (slot != nullptr) CloseSlot(slot);
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+std::string_view http_request::Header(std::string_view name) const {
+  for (const http_header& header : headers) {
+    if (header.name == name) return header.value;
+  }
+  return {};
+}
+
+std::string http_request::QueryArgument(std::string_view name) const {
+  size_t start = 0;
+  while (start < query.size()) {
+    const size_t end = std::min(query.find('&', start), query.size());
+    const std::string_view pair =
+        std::string_view(query).substr(start, end - start);
+    const size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+      return std::string(pair.substr(equals + 1));
+    }
+    start = end + 1;
+  }
+  return {};
+}
+
+std::optional<std::unique_ptr<http_server>> http_server::Create(
+    event_loop& loop, const options& chosen, http_handler on_request,
+    channel_acceptor on_channel) {
+  std::unique_ptr<http_server> server(new http_server());
+  server->max_body_bytes_ = chosen.max_body_bytes;
+  server->on_request_ = std::move(on_request);
+  server->on_channel_ = std::move(on_channel);
+  server->vhost_name_ = chosen.address + ":" + std::to_string(chosen.port) +
+                        "/" + std::to_string(lws_now_usecs());
+  lws_context_creation_info info{};
+  info.port = chosen.port;
+  info.iface = chosen.address.c_str();
+  info.protocols = ServerProtocols();
+  info.vhost_name = server->vhost_name_.c_str();
+  info.user = server.get();
+  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+  info.keepalive_timeout = 60;
+  info.timeout_secs = 60;
+  if (chosen.tls.enabled()) {
+    info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    info.ssl_cert_filepath = chosen.tls.certificate_file.c_str();
+    info.ssl_private_key_filepath = chosen.tls.key_file.c_str();
+    info.alpn = "http/1.1";
+    if (!chosen.tls.ca_file.empty()) {
+      info.ssl_ca_filepath = chosen.tls.ca_file.c_str();
+      info.options |= LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT;
+    }
+  }
+  server->vhost_ = lws_create_vhost(loop.context(), &info);
+  if (server->vhost_ == nullptr) {
+    common::SetLastReason(common::result_code::kBadSettings,
+                          "cannot listen on " + chosen.address + ":" +
+                              std::to_string(chosen.port));
+    return std::nullopt;
+  }
+  server->port_ =
+      static_cast<uint16_t>(lws_get_vhost_listen_port(server->vhost_));
+  return server;
+}
+
+http_server::~http_server() {
+  if (vhost_ != nullptr) lws_vhost_destroy(vhost_);
+}
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/net/http_server.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+
+#include "net/channel.h"
+#include "net/event_loop.h"
+#include "net/http_message.h"
+
+namespace wisteriadale::net {
+
+/// The answer to one request. It may be filled later and in pieces; calls after
+/// the caller has gone are ignored.
+class http_responder {
+ public:
+  virtual ~http_responder() = default;
+  /// Sends a whole answer.
+  virtual void Send(int status, std::string_view content_type,
+                    std::string_view body,
+                    std::span<const http_header> headers) = 0;
+  void Send(int status, std::string_view content_type, std::string_view body) {
+    Send(status, content_type, body, {});
+  }
+  /// Starts a chunked answer, continued by Write and ended by Finish.
+  virtual void StartStream(int status, std::string_view content_type) = 0;
+  virtual void Write(std::string_view data) = 0;
+  virtual void Finish() = 0;
+  /// Ends a stream without the final chunk, so that it cannot pass for whole.
+  virtual void Abort() = 0;
+  /// @return bytes written but not yet taken by the network
+  virtual size_t PendingBytes() const = 0;
+  /// Calls the action once if the caller goes away before the answer's end.
+  virtual void OnClose(std::function<void()> action) = 0;
+};
+
+using http_handler =
+    std::function<void(http_request, std::shared_ptr<http_responder>)>;
+
+/// Listens for HTTP/1.1 requests and for message channels.
+class http_server {
+ public:
+  struct options {
+    std::string address = "127.0.0.1";
+    uint16_t port = 0;  ///< 0 takes a free one
+    size_t max_body_bytes = 1 << 20;
+    tls_options tls;
+  };
+
+  /// @param on_request handles each request, on the loop's thread
+  /// @param on_channel takes each accepted channel; empty refuses them
+  /// @return the server, or nothing with LastReason set
+  static std::optional<std::unique_ptr<http_server>> Create(
+      event_loop& loop, const options& chosen, http_handler on_request,
+      channel_acceptor on_channel = {});
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  uint16_t port() const { return port_; }
+  size_t max_body_bytes() const { return max_body_bytes_; }
+  const http_handler& on_request() const { return on_request_; }
+  const channel_acceptor& on_channel() const { return on_channel_; }
+
+ private:
+  http_server() = default;
+
+  lws_vhost* vhost_ = nullptr;
+  uint16_t port_ = 0;
+  size_t max_body_bytes_ = 0;
+  http_handler on_request_;
+  channel_acceptor on_channel_;
+  std::string vhost_name_;
+};
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/net/lws_protocols.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <libwebsockets.h>
+
+#include <functional>
+
+namespace wisteriadale::net {
+
+class http_server;
+
+inline constexpr char kChannelProtocol[] = "wisteria-peer";
+inline constexpr char kChannelClientProtocol[] = "wisteria-peer-client";
+inline constexpr char kHttpClientProtocol[] = "wisteria-http-client";
+
+int HttpServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                       void* in, size_t length);
+int ChannelServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                          void* in, size_t length);
+int HttpClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                       void* in, size_t length);
+int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
+                          void* in, size_t length);
+
+/// @return the protocols of vhosts that listen, ended by an empty entry
+const lws_protocols* ServerProtocols();
+/// @return the protocols of outgoing connections, ended by an empty entry
+const lws_protocols* ClientProtocols();
+
+}  // namespace wisteriadale::net
--- /dev/null
+++ b/source/router/agent_links.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/pipeline/attempt_table.h"
+#include "core/ports/vm_list.h"
+#include "core/routing/target_table.h"
+#include "net/channel.h"
+#include "net/event_loop.h"
+
+/// The process on an entry VM.
+namespace wisteriadale::router {
+
+/// Channels to the agents of all listed targets: dials, keeps them alive and
+/// hands their messages to the attempt table.
+class agent_links final : public core::agent_sender {
+ public:
+  agent_links(net::event_loop& loop, common::clock& clock,
+              core::target_table& targets, core::hello_message hello)
+      : loop_(loop),
+        clock_(clock),
+        targets_(targets),
+        hello_(std::move(hello)) {}
+
+  void SetAttempts(core::attempt_table* attempts) { attempts_ = attempts; }
+  /// Applies a VM list: dials new targets, marks leaving ones.
+  void Apply(const std::vector<core::vm_entry>& entries);
+  /// Sends pings and finds silent channels; schedules itself.
+  void Tick();
+
+  bool Send(std::string_view target, const core::message& message) override;
+
+ private:
+  struct link {
+    net::endpoint address;
+    std::shared_ptr<net::channel> channel;
+    bool dialling = false;
+    common::time_point last_heard;
+    uint64_t sequence = 0;
+  };
+
+  void Dial(const std::string& target);
+  void OnOpen(const std::string& target, std::shared_ptr<net::channel> channel);
+  void OnClosed(const std::string& target);
+  void OnFrame(const std::string& target, std::string_view frame);
+  void OnHello(const std::string& target, const core::hello_message& hello);
+
+  net::event_loop& loop_;
+  common::clock& clock_;
+  core::target_table& targets_;
+  core::hello_message hello_;
+  core::attempt_table* attempts_ = nullptr;
+  std::map<std::string, link, std::less<>> links_;
+};
+
+}  // namespace wisteriadale::router
--- /dev/null
+++ b/source/router/caller_api.cc
@@ -0,0 +1,340 @@
+#include "router/caller_api.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "common/digest.h"
+#include "common/log.h"
+#include "common/metrics.h"
+
+namespace wisteriadale::router {
+namespace {
+
+using common::result_code;
+using nlohmann::json;
+
+constexpr char kRequestPrefix[] = "/v1/pipelines/";
+constexpr char kRequestSuffix[] = "/requests";
+constexpr char kOperationPrefix[] = "/v1/operations/";
+constexpr char kBearer[] = "Bearer ";
+constexpr char kJson[] = "application/json";
+constexpr int kRetryAfterMs = 200;
+constexpr size_t kMaxKeyBytes = 256;
+
+std::string_view NameOf(core::request_fate fate) {
+  constexpr std::string_view kNames[] = {"done", "not_run", "unknown"};
+  return kNames[static_cast<int>(fate)];
+}
+
+json ErrorJson(result_code code, std::string_view detail,
+               std::string_view fate) {
+  const common::result_code_info& info = common::Describe(code);
+  json error = {{"code", static_cast<int>(code)},
+                {"name", info.name},
+                {"message", detail.empty() ? info.meaning : detail},
+                {"outcome", fate}};
+  if (info.retryable) error["retry_after_ms"] = kRetryAfterMs;
+  return {{"error", error}, {"complete", false}};
+}
+
+json StagesJson(const core::request_result& result) {
+  json stages = json::array();
+  for (const core::stage_report& stage : result.stages) {
+    stages.push_back({{"stage", stage.stage},
+                      {"target", stage.target},
+                      {"attempts", stage.attempts},
+                      {"took_us", stage.took.count()},
+                      {"target_us", stage.target_us}});
+  }
+  return stages;
+}
+
+std::string Event(std::string_view name, const json& data) {
+  return "event: " + std::string(name) + "\ndata: " +
+         data.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+}
+
+/// Whether a data part ends inside a UTF-8 sequence is left to the caller; the
+/// parts are JSON strings, so each is cut at a sequence's start.
+size_t CompleteUtf8(std::string_view text) {
+  size_t end = text.size();
+  for (size_t back = 1; back <= 3 && back <= text.size(); ++back) {
+    const unsigned char byte =
+        static_cast<unsigned char>(text[text.size() - back]);
+    if (byte < 0x80) break;
+    if (byte < 0xc0) continue;
+    size_t needed = 2;
+    if (byte >= 0xf0) {
+      needed = 4;
+    } else if (byte >= 0xe0) {
+      needed = 3;
+    }
+    if (needed > back) end = text.size() - back;
+    break;
+  }
+  return end;
+}
+
+}  // namespace
+
+/// Writes one request's answer, as JSON or as server-sent events.
+class answer_sink final : public core::request_sink {
+ public:
+  answer_sink(caller_api& api, std::shared_ptr<net::http_responder> responder,
+              core::request_description description, bool events)
+      : api_(api),
+        responder_(std::move(responder)),
+        description_(std::move(description)),
+        events_(events),
+        started_(api.context_.clock.Now()),
+        started_wall_us_(api.context_.clock.WallMicros()) {
+    if (events_) responder_->StartStream(200, "text/event-stream");
+  }
+
+  void OnData(std::string_view data) override {
+    if (!events_) return;
+    held_.append(data);
+    const size_t size = CompleteUtf8(held_);
+    if (size == 0) return;
+    responder_->Write(Event("token", {{"text", held_.substr(0, size)}}));
+    held_.erase(0, size);
+  }
+
+  void OnEnd(const core::request_result& result) override {
+    const bool ok = result.code == result_code::kOk;
+    json answer =
+        ok ? WholeJson(result)
+           : ErrorJson(result.code, result.reason, NameOf(result.fate));
+    answer["request_id"] = description_.id;
+    answer["stages"] = StagesJson(result);
+    const std::string text =
+        answer.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (events_) {
+      responder_->Write(Event(ok ? "complete" : "error", answer));
+      responder_->Finish();
+    } else {
+      responder_->Send(common::Describe(result.code).http_status, kJson, text);
+    }
+    Record(result);
+    api_.Ended();
+  }
+
+ private:
+  json WholeJson(const core::request_result& result) const {
+    json value = json::parse(result.result, nullptr, false);
+    if (value.is_discarded()) value = result.result;
+    return {{"complete", true},
+            {"result", value},
+            {"configuration_version",
+             description_.configuration_in_force->version}};
+  }
+
+  void Record(const core::request_result& result) const {
+    const std::string_view code = common::Describe(result.code).name;
+    common::Metrics().Count(
+        "wisteria_requests_total",
+        {{"pipeline", description_.plan.name}, {"code", code}});
+    common::Metrics().Observe("wisteria_request_seconds",
+                              api_.context_.clock.Now() - started_,
+                              {{"pipeline", description_.plan.name}});
+    common::Log(common::log_channel::kRequest, common::log_level::kDebug,
+                "ended: " + std::string(code),
+                {description_.id, description_.trace.trace_id});
+    common::span_record span;
+    span.context = description_.trace;
+    span.name = "request " + description_.plan.name;
+    span.start_us = started_wall_us_;
+    span.end_us = api_.context_.clock.WallMicros();
+    span.ok = result.code == result_code::kOk;
+    span.attributes = {{"request_id", description_.id},
+                       {"organisation", description_.organisation},
+                       {"code", std::string(code)}};
+    common::EmitSpan(span);
+  }
+
+  caller_api& api_;
+  std::shared_ptr<net::http_responder> responder_;
+  core::request_description description_;
+  bool events_;
+  common::time_point started_;
+  int64_t started_wall_us_;
+  std::string held_;  ///< bytes of an unfinished UTF-8 sequence
+};
+
+void SendError(net::http_responder* responder, result_code code,
+               std::string_view detail, std::string_view fate) {
+  responder->Send(common::Describe(code).http_status, kJson,
+                  ErrorJson(code, detail, fate).dump());
+}
+
+bool caller_api::Handle(const net::http_request& request,
+                        const std::shared_ptr<net::http_responder>& responder) {
+  if (request.path.starts_with(kRequestPrefix) &&
+      request.path.ends_with(kRequestSuffix)) {
+    StartRequest(request, responder);
+    return true;
+  }
+  if (request.path.starts_with(kOperationPrefix)) {
+    LookOperation(request, responder);
+    return true;
+  }
+  return false;
+}
+
+const core::organisation_entry* caller_api::Authenticate(
+    const core::configuration& configuration,
+    const net::http_request& request) const {
+  const std::string_view header = request.Header("authorization");
+  if (!header.starts_with(kBearer)) return nullptr;
+  const std::string digest =
+      common::Sha256Hex(header.substr(sizeof(kBearer) - 1));
+  const core::organisation_entry* found = nullptr;
+  for (const auto& [name, organisation] : configuration.organisations) {
+    if (common::EqualInConstantTime(organisation.key_sha256, digest)) {
+      found = &organisation;
+    }
+  }
+  return found;
+}
+
+void caller_api::StartRequest(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  const std::shared_ptr<const core::configuration> configuration =
+      watch_.current();
+  if (!configuration) {
+    SendError(responder.get(), result_code::kNotReady, "");
+    return;
+  }
+  if (!admitting_) {
+    SendError(responder.get(), result_code::kDraining, "");
+    return;
+  }
+  if (request.method != "POST") {
+    SendError(responder.get(), result_code::kMethodNotAllowed, "");
+    return;
+  }
+  if (request.body_too_large) {
+    SendError(responder.get(), result_code::kBodyTooLarge, "");
+    return;
+  }
+  const core::organisation_entry* organisation =
+      Authenticate(*configuration, request);
+  if (organisation == nullptr) {
+    SendError(responder.get(), result_code::kUnauthorised, "");
+    return;
+  }
+  const std::string_view name =
+      std::string_view(request.path)
+          .substr(sizeof(kRequestPrefix) - 1, request.path.size() -
+                                                  sizeof(kRequestPrefix) -
+                                                  sizeof(kRequestSuffix) + 2);
+  const core::pipeline_plan* plan = configuration->FindPipeline(name);
+  if (plan == nullptr) {
+    SendError(responder.get(), result_code::kUnknownPipeline, "");
+    return;
+  }
+  if (!json::accept(request.body)) {
+    SendError(responder.get(), result_code::kMalformedJson, "");
+    return;
+  }
+  core::request_description description;
+  description.deadline = plan->default_deadline;
+  const std::string_view timeout = request.Header("request-timeout-ms");
+  if (!timeout.empty()) {
+    int64_t wanted_ms = 0;
+    const std::from_chars_result parsed = std::from_chars(
+        timeout.data(), timeout.data() + timeout.size(), wanted_ms);
+    if (parsed.ec != std::errc() ||
+        parsed.ptr != timeout.data() + timeout.size() || wanted_ms <= 0 ||
+        wanted_ms > limits_.max_deadline_ms) {
+      SendError(responder.get(), result_code::kBadDeadline, "");
+      return;
+    }
+    description.deadline = common::milliseconds(wanted_ms);
+  }
+  description.idempotency_key = request.Header("idempotency-key");
+  if (plan->HasNonIdempotentStage() &&
+      (description.idempotency_key.empty() ||
+       description.idempotency_key.size() > kMaxKeyBytes)) {
+    SendError(responder.get(), result_code::kMissingIdempotencyKey, "");
+    return;
+  }
+  description.id = context_.random.HexId();
+  description.organisation = organisation->name;
+  description.organisation_weight = organisation->weight;
+  description.body = request.body;
+  description.digest = common::Sha256Hex(plan->name + "\n" + request.body);
+  description.plan = *plan;
+  description.configuration_in_force = configuration;
+  const common::trace_context parent =
+      common::ParseTraceparent(request.Header("traceparent"))
+          .value_or(common::trace_context());
+  description.trace = common::ChildOf(parent, context_.random);
+  const bool events = request.Header("accept").find("text/event-stream") !=
+                      std::string_view::npos;
+  ++in_flight_;
+  const std::shared_ptr<answer_sink> sink =
+      std::make_shared<answer_sink>(*this, responder, description, events);
+  const std::shared_ptr<core::request_executor> executor =
+      core::request_executor::Create(context_, description, sink);
+  responder->OnClose([weak = std::weak_ptr<core::request_executor>(executor)] {
+    const std::shared_ptr<core::request_executor> live = weak.lock();
+    if (live) live->Abandon();
+  });
+  executor->Start();
+}
+
+void caller_api::LookOperation(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  const std::shared_ptr<const core::configuration> configuration =
+      watch_.current();
+  const core::organisation_entry* organisation =
+      configuration ? Authenticate(*configuration, request) : nullptr;
+  if (organisation == nullptr) {
+    SendError(responder.get(), result_code::kUnauthorised, "");
+    return;
+  }
+  const std::string key = request.path.substr(sizeof(kOperationPrefix) - 1);
+  context_.operations.Look(
+      core::OperationRowKey(organisation->name, key),
+      [responder, key](const std::optional<core::operation_record>& record) {
+        if (!record) {
+          SendError(responder.get(), result_code::kPlatformUnavailable, "",
+                    "unknown");
+          return;
+        }
+        if (record->state == core::operation_state::kNone) {
+          SendError(responder.get(), result_code::kNotFound, "");
+          return;
+        }
+        constexpr std::string_view kOutcomes[] = {"not_run", "unknown", "done",
+                                                  "not_run"};
+        json answer = {{"key", key},
+                       {"outcome", kOutcomes[static_cast<int>(record->state)]},
+                       {"request_id", record->request_id}};
+        if (record->state == core::operation_state::kDone) {
+          answer["result"] = json::parse(record->result, nullptr, false);
+        }
+        responder->Send(200, kJson, answer.dump());
+      });
+}
+
+void caller_api::Ended() {
+  --in_flight_;
+  if (in_flight_ > 0 || !on_idle_) return;
+  const std::function<void()> action = std::move(on_idle_);
+  on_idle_ = nullptr;
+  action();
+}
+
+void caller_api::OnIdle(std::function<void()> action) {
+  if (in_flight_ == 0) {
+    action();
+    return;
+  }
+  on_idle_ = std::move(action);
+}
+
+}  // namespace wisteriadale::router
--- /dev/null
+++ b/source/router/main.cc
@@ -0,0 +1,24 @@
+#include <cstdio>
+
+#include "common/last_reason.h"
+#include "router/router_process.h"
+#include "settings/process_setup.h"
+#include "settings/router_settings.h"
+
+int main(int argc, char** argv) {
+  using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+  const settings::process_start start = settings::StartProcess(
+      &argc, &argv, "wisteria-router",
+      "Serves callers and operators and runs the stages of requests.",
+      settings::RouterSettings());
+  if (!start.settings) return start.exit_code;
+  const std::optional<std::unique_ptr<router::router_process>> process =
+      router::router_process::Create(*start.settings);
+  if (!process) {
+    std::fprintf(stderr, "wisteria-router: %s\n",
+                 common::LastReason().text.c_str());
+    return settings::kExitFailed;
+  }
+  (*process)->Run();
+  return settings::kExitOk;
+}
--- /dev/null
+++ b/source/router/router_process.cc
@@ -0,0 +1,147 @@
+#include "router/router_process.h"
+
+#include "common/log.h"
+#include "common/metrics.h"
+#include "settings/router_settings.h"
+
+namespace wisteriadale::router {
+namespace {
+
+using common::log_channel;
+using common::log_level;
+
+constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
+
+net::endpoint PlatformEndpoint(const settings::settings_document& settings) {
+  return {settings.Text(settings::kPlatformAddress),
+          static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+}
+
+}  // namespace
+
+std::optional<std::unique_ptr<router_process>> router_process::Create(
+    const settings::settings_document& settings) {
+  std::unique_ptr<router_process> process(new router_process());
+  router_process* raw = process.get();
+  const uint64_t seed =
+      static_cast<uint64_t>(settings.Integer(settings::kRandomSeed));
+  process->random_ = std::make_unique<common::seeded_random>(
+      seed == 0 ? common::SystemSeed() : seed);
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  if (!loop) return std::nullopt;
+  process->loop_ = std::move(*loop);
+  net::event_loop& events = *process->loop_;
+
+  platform::platform_options platform;
+  platform.address = PlatformEndpoint(settings);
+  platform.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  process->table_ = platform::MakeHttpTable(events, platform);
+  process->objects_ = platform::MakeHttpObjectStore(events, platform);
+  process->vms_ = platform::MakeHttpVmList(events, platform);
+
+  const std::string name = settings.Text(settings::kName);
+  const std::string data_centre = settings.Text(settings::kDataCentre);
+  core::hello_message hello;
+  hello.name = name;
+  hello.data_centre = data_centre;
+  hello.is_router = true;
+  constexpr double kRemotePenalty = 2.0;
+  process->routing_ = std::make_unique<core::two_choices>(
+      *process->random_, data_centre, kRemotePenalty);
+  process->links_ = std::make_unique<agent_links>(events, process->clock_,
+                                                  process->targets_, hello);
+  process->attempts_ = std::make_unique<core::attempt_table>(
+      *process->links_, events,
+      common::milliseconds(settings.Integer(settings::kReconnectLimitMs)));
+  process->links_->SetAttempts(process->attempts_.get());
+  process->operations_ = std::make_unique<core::operation_log>(
+      *process->table_, events, process->clock_, *process->random_);
+  process->executors_ = std::make_unique<core::executor_context>(
+      core::executor_context{process->clock_, events, *process->random_,
+                             process->targets_, *process->routing_,
+                             *process->attempts_, *process->operations_, name});
+  process->watch_ = std::make_unique<configuration_watch>(
+      *process->table_, *process->objects_, events,
+      common::milliseconds(settings.Integer(settings::kConfigurationPollMs)));
+  process->callers_ = std::make_unique<caller_api>(
+      *process->executors_, *process->watch_,
+      caller_limits{settings.Integer(settings::kMaxDeadlineMs)});
+  process->operators_ = std::make_unique<operator_api>(
+      process->targets_, *process->watch_, name,
+      settings.Text(settings::kOperatorKeySha256));
+  process->vm_list_period_ =
+      common::milliseconds(settings.Integer(settings::kVmListPollMs));
+  process->stop_grace_ =
+      common::milliseconds(settings.Integer(settings::kStopGraceMs));
+
+  net::http_server::options listen;
+  listen.address = settings.Text(settings::kListenAddress);
+  listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
+  listen.max_body_bytes =
+      static_cast<size_t>(settings.Integer(settings::kMaxBodyBytes));
+  std::optional<std::unique_ptr<net::http_server>> server =
+      net::http_server::Create(
+          events, listen,
+          [raw](const net::http_request& request,
+                const std::shared_ptr<net::http_responder>& responder) {
+            raw->OnHttp(request, responder);
+          });
+  if (!server) return std::nullopt;
+  process->server_ = std::move(*server);
+  return process;
+}
+
+void router_process::Run() {
+  loop_->OnStopSignal([this] { Stop(); });
+  watch_->Start();
+  PollVmList();
+  links_->Tick();
+  common::Log(log_channel::kMain, log_level::kInfo,
+              "listening on port " + std::to_string(server_->port()));
+  loop_->Run();
+  common::Log(log_channel::kMain, log_level::kInfo, "stopped");
+}
+
+void router_process::PollVmList() {
+  vms_->Fetch([this](std::optional<std::vector<core::vm_entry>> entries) {
+    if (entries) links_->Apply(*entries);
+    loop_->Schedule(vm_list_period_, [this] { PollVmList(); });
+  });
+}
+
+void router_process::Stop() {
+  // A second signal changes nothing: the stop stays clean.
+  if (stopping_) return;
+  stopping_ = true;
+  loop_->Schedule(stop_grace_, [this] {
+    callers_->StopAdmitting();
+    callers_->OnIdle(
+        [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
+  });
+}
+
+bool router_process::Ready() const {
+  return !stopping_ && watch_->current() != nullptr;
+}
+
+void router_process::OnHttp(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  if (callers_->Handle(request, responder)) return;
+  if (operators_->Handle(request, responder)) return;
+  if (request.path == "/healthz") {
+    responder->Send(200, "text/plain", "ok\n");
+  } else if (request.path == "/readyz") {
+    responder->Send(Ready() ? 200 : 503, "text/plain",
+                    Ready() ? "ready\n" : "not ready\n");
+  } else if (request.path == "/metrics") {
+    responder->Send(200, "text/plain; version=0.0.4",
+                    common::Metrics().PrometheusText());
+  } else {
+    SendError(responder.get(), common::result_code::kNotFound, "");
+  }
+}
+
+}  // namespace wisteriadale::router
--- /dev/null
+++ b/source/router/router_process.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/routing/two_choices.h"
+#include "net/http_server.h"
+#include "platform/http_platform.h"
+#include "router/agent_links.h"
+#include "router/caller_api.h"
+#include "router/configuration_watch.h"
+#include "router/operator_api.h"
+#include "settings/settings_document.h"
+
+namespace wisteriadale::router {
+
+/// Owns the components of a router and connects them.
+class router_process {
+ public:
+  /// @return the process, or nothing with LastReason set
+  static std::optional<std::unique_ptr<router_process>> Create(
+      const settings::settings_document& settings);
+
+  /// Runs until a stop signal and until nothing is in flight.
+  void Run();
+
+ private:
+  router_process() = default;
+
+  void OnHttp(const net::http_request& request,
+              const std::shared_ptr<net::http_responder>& responder);
+  void PollVmList();
+  void Stop();
+  bool Ready() const;
+
+  common::system_clock clock_;
+  std::unique_ptr<common::random_source> random_;
+  std::unique_ptr<net::event_loop> loop_;
+  std::unique_ptr<core::table> table_;
+  std::unique_ptr<core::object_store> objects_;
+  std::unique_ptr<core::vm_list> vms_;
+  core::target_table targets_;
+  std::unique_ptr<core::routing_policy> routing_;
+  std::unique_ptr<agent_links> links_;
+  std::unique_ptr<core::attempt_table> attempts_;
+  std::unique_ptr<core::operation_log> operations_;
+  std::unique_ptr<core::executor_context> executors_;
+  std::unique_ptr<configuration_watch> watch_;
+  std::unique_ptr<caller_api> callers_;
+  std::unique_ptr<operator_api> operators_;
+  std::unique_ptr<net::http_server> server_;
+  common::duration vm_list_period_{};
+  common::duration stop_grace_{};
+  bool stopping_ = false;
+};
+
+}  // namespace wisteriadale::router
--- /dev/null
+++ b/source/settings/agent_settings.cc
@@ -0,0 +1,65 @@
+#include "settings/agent_settings.h"
+
+#include <array>
+
+namespace wisteriadale::settings {
+
+const setting kTargetAddress = {
+    "/target/address",         setting_type::kText, "\"127.0.0.1\"", 1, 64,
+    "IP number of the target."};
+const setting kTargetPort = {"/target/port", setting_type::kInteger, "", 1,
+                             65535,          "Port of the target."};
+const setting kPool = {"/target/pool",
+                       setting_type::kText,
+                       "",
+                       1,
+                       64,
+                       "Pool that the target belongs to."};
+const setting kConcurrencyLimit = {"/limits/concurrency",
+                                   setting_type::kInteger,
+                                   "16",
+                                   1,
+                                   4096,
+                                   "Most attempts on the target at one time."};
+const setting kQueueLimit = {
+    "/limits/queue", setting_type::kInteger,    "64", 0,
+    65536,           "Most attempts that wait."};
+const setting kRetentionMs = {"/limits/retention_ms",
+                              setting_type::kInteger,
+                              "60000",
+                              100,
+                              3600000,
+                              "How long a finished attempt can be resumed."};
+const setting kOrphanLimitMs = {
+    "/limits/orphan_limit_ms",
+    setting_type::kInteger,
+    "5000",
+    100,
+    600000,
+    "How long an idempotent attempt runs on without its router."};
+
+setting_table AgentSettings() {
+  static const std::array kTable = {&kName,
+                                    &kDataCentre,
+                                    &kListenAddress,
+                                    &kListenPort,
+                                    &kPlatformAddress,
+                                    &kPlatformPort,
+                                    &kPlatformTimeoutMs,
+                                    &kLogLevel,
+                                    &kLogJson,
+                                    &kLogFile,
+                                    &kTraceFile,
+                                    &kRandomSeed,
+                                    &kInvariantsFatal,
+                                    &kTargetAddress,
+                                    &kTargetPort,
+                                    &kPool,
+                                    &kConcurrencyLimit,
+                                    &kQueueLimit,
+                                    &kRetentionMs,
+                                    &kOrphanLimitMs};
+  return kTable;
+}
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/agent_settings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "settings/common_settings.h"
+
+namespace wisteriadale::settings {
+
+extern const setting kTargetAddress;
+extern const setting kTargetPort;
+extern const setting kPool;
+extern const setting kConcurrencyLimit;
+extern const setting kQueueLimit;
+extern const setting kRetentionMs;
+extern const setting kOrphanLimitMs;
+
+/// @return every setting of the agent
+setting_table AgentSettings();
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/common_settings.cc
@@ -0,0 +1,80 @@
+#include "settings/common_settings.h"
+
+namespace wisteriadale::settings {
+namespace {
+
+constexpr double kMaxName = 64;
+constexpr double kMaxPort = 65535;
+constexpr double kMaxPath = 4096;
+
+}  // namespace
+
+const setting kName = {
+    "/name",  setting_type::kText,
+    "",       1,
+    kMaxName, "Name of the process, unique in the deployment."};
+const setting kDataCentre = {
+    "/data_centre", setting_type::kText,
+    "\"a\"",        1,
+    kMaxName,       "Data centre that the process runs in."};
+const setting kListenAddress = {"/listen/address", setting_type::kText,
+                                "\"127.0.0.1\"",   1,
+                                kMaxName,          "IP number to listen on."};
+const setting kListenPort = {"/listen/port",
+                             setting_type::kInteger,
+                             "0",
+                             0,
+                             kMaxPort,
+                             "Port to listen on; 0 takes a free one."};
+const setting kPlatformAddress = {"/platform/address",
+                                  setting_type::kText,
+                                  "\"127.0.0.1\"",
+                                  1,
+                                  kMaxName,
+                                  "IP number of the platform's services."};
+const setting kPlatformPort = {"/platform/port",
+                               setting_type::kInteger,
+                               "0",
+                               0,
+                               kMaxPort,
+                               "Port of the platform's services."};
+const setting kPlatformTimeoutMs = {
+    "/platform/timeout_ms",
+    setting_type::kInteger,
+    "2000",
+    10,
+    60000,
+    "How long an answer of the platform may take, in milliseconds."};
+const setting kLogLevel = {
+    "/log/level",
+    setting_type::kText,
+    "\"info\"",
+    4,
+    7,
+    "Lowest level written: debug, info, warning, error."};
+const setting kLogJson = {"/log/json", setting_type::kBoolean,
+                          "false",     0,
+                          1,           "Write one JSON object a line."};
+const setting kLogFile = {"/log/file", setting_type::kText,
+                          "\"\"",      0,
+                          kMaxPath,    "Log file; empty means standard error."};
+const setting kTraceFile = {
+    "/trace/file", setting_type::kText,
+    "\"\"",        0,
+    kMaxPath,      "File for spans as OTLP JSON; empty writes none."};
+const setting kRandomSeed = {
+    "/random_seed",
+    setting_type::kInteger,
+    "0",
+    0,
+    9007199254740991.0,
+    "Seed of the process; 0 takes one from the system."};
+const setting kInvariantsFatal = {
+    "/invariants_fatal",
+    setting_type::kBoolean,
+    "false",
+    0,
+    1,
+    "Abort when an invariant does not hold (for tests)."};
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/common_settings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "settings/settings_document.h"
+
+namespace wisteriadale::settings {
+
+// Settings that routers and agents share.
+extern const setting kName;
+extern const setting kDataCentre;
+extern const setting kListenAddress;
+extern const setting kListenPort;
+extern const setting kPlatformAddress;
+extern const setting kPlatformPort;
+extern const setting kPlatformTimeoutMs;
+extern const setting kLogLevel;
+extern const setting kLogJson;
+extern const setting kLogFile;
+extern const setting kTraceFile;
+extern const setting kRandomSeed;
+extern const setting kInvariantsFatal;
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/process_setup.cc
@@ -0,0 +1,76 @@
+#include "settings/process_setup.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <vector>
+
+#include "common/invariant.h"
+#include "common/last_reason.h"
+#include "common/log.h"
+#include "settings/common_settings.h"
+
+DEFINE_string(settings, "", "settings file (JSON); empty means defaults");
+DEFINE_string(set, "", "settings that go before the file: /pointer=value,...");
+DEFINE_bool(check, false, "check the settings, report every fault, and exit");
+DEFINE_bool(print_settings, false, "print the settings as a Markdown table");
+
+namespace wisteriadale::settings {
+namespace {
+
+std::vector<std::string> SplitOverrides(const std::string& text) {
+  std::vector<std::string> parts;
+  size_t start = 0;
+  while (start < text.size()) {
+    // A comma inside a value does not start a new pair.
+    const size_t end = std::min(text.find(",/", start), text.size());
+    parts.push_back(text.substr(start, end - start));
+    start = end + 1;
+  }
+  return parts;
+}
+
+void StartLog(const settings_document& settings) {
+  common::log_options options;
+  options.process = settings.Text(kName);
+  options.json = settings.Boolean(kLogJson);
+  options.file = settings.Text(kLogFile);
+  options.level = common::LogLevelFromName(settings.Text(kLogLevel))
+                      .value_or(common::log_level::kInfo);
+  common::StartLogging(options);
+  common::SetInvariantMode(settings.Boolean(kInvariantsFatal)
+                               ? common::invariant_mode::kFatal
+                               : common::invariant_mode::kCount);
+}
+
+}  // namespace
+
+process_start StartProcess(int* argc, char*** argv, const std::string& binary,
+                           const std::string& about, setting_table table) {
+  gflags::SetUsageMessage(about + "\n\n  " + binary +
+                          " --settings=FILE [--set=/pointer=value,...]");
+  gflags::SetVersionString(WISTERIADALE_VERSION);
+  gflags::ParseCommandLineFlags(argc, argv, true);
+  process_start start;
+  if (FLAGS_print_settings) {
+    std::fputs(SettingsMarkdown(table).c_str(), stdout);
+    return start;
+  }
+  start.settings =
+      settings_document::Load(FLAGS_settings, SplitOverrides(FLAGS_set), table);
+  if (!start.settings) {
+    std::fprintf(stderr, "%s: the settings have faults:\n%s\n", binary.c_str(),
+                 common::LastReason().text.c_str());
+    start.exit_code = kExitBadSettings;
+    return start;
+  }
+  if (FLAGS_check) {
+    std::puts("the settings are valid");
+    start.settings.reset();
+    return start;
+  }
+  StartLog(*start.settings);
+  return start;
+}
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/process_setup.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "settings/settings_document.h"
+
+namespace wisteriadale::settings {
+
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadSettings = 2;
+
+/// What the command line of a process led to.
+struct process_start {
+  std::optional<settings_document> settings;  ///< empty: exit at once
+  int exit_code = kExitOk;
+};
+
+/// Reads the command line and the settings, and starts logging.
+/// @param binary name of the program
+/// @param about  one sentence for --help
+/// @param table  settings that the program knows
+process_start StartProcess(int* argc, char*** argv, const std::string& binary,
+                           const std::string& about, setting_table table);
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/router_settings.cc
@@ -0,0 +1,75 @@
+#include "settings/router_settings.h"
+
+#include <array>
+
+namespace wisteriadale::settings {
+
+const setting kMaxBodyBytes = {"/http/max_body_bytes",
+                               setting_type::kInteger,
+                               "1048576",
+                               1024,
+                               67108864,
+                               "Largest body of a caller's request."};
+const setting kMaxDeadlineMs = {"/http/max_deadline_ms",
+                                setting_type::kInteger,
+                                "600000",
+                                100,
+                                3600000,
+                                "Largest deadline a caller may ask for."};
+const setting kConfigurationPollMs = {
+    "/configuration/poll_ms",
+    setting_type::kInteger,
+    "500",
+    50,
+    60000,
+    "Time between reads of the configuration's head row."};
+const setting kVmListPollMs = {"/vm_list/poll_ms",
+                               setting_type::kInteger,
+                               "1000",
+                               50,
+                               60000,
+                               "Time between reads of the VM list."};
+const setting kReconnectLimitMs = {
+    "/agents/reconnect_limit_ms",
+    setting_type::kInteger,
+    "2000",
+    10,
+    60000,
+    "How long an attempt waits for a new connection to its agent."};
+const setting kStopGraceMs = {
+    "/stop/grace_ms", setting_type::kInteger,
+    "1000",           0,
+    600000,           "Time between not being ready and taking no new work."};
+const setting kOperatorKeySha256 = {
+    "/operators/key_sha256",
+    setting_type::kText,
+    "\"\"",
+    0,
+    64,
+    "SHA-256 of the operators' key; empty admits operators without one."};
+
+setting_table RouterSettings() {
+  static const std::array kTable = {&kName,
+                                    &kDataCentre,
+                                    &kListenAddress,
+                                    &kListenPort,
+                                    &kPlatformAddress,
+                                    &kPlatformPort,
+                                    &kPlatformTimeoutMs,
+                                    &kLogLevel,
+                                    &kLogJson,
+                                    &kLogFile,
+                                    &kTraceFile,
+                                    &kRandomSeed,
+                                    &kInvariantsFatal,
+                                    &kMaxBodyBytes,
+                                    &kMaxDeadlineMs,
+                                    &kConfigurationPollMs,
+                                    &kVmListPollMs,
+                                    &kReconnectLimitMs,
+                                    &kStopGraceMs,
+                                    &kOperatorKeySha256};
+  return kTable;
+}
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/settings_document.cc
@@ -0,0 +1,238 @@
+#include "settings/settings_document.h"
+
+#include <algorithm>
+#include <fstream>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <sstream>
+
+#include "common/last_reason.h"
+
+namespace wisteriadale::settings {
+namespace {
+
+using nlohmann::json;
+
+json::json_pointer PointerOf(const setting& which) {
+  return json::json_pointer(std::string(which.pointer));
+}
+
+bool HasType(const json& value, setting_type type) {
+  switch (type) {
+    case setting_type::kInteger:
+      return value.is_number_integer();
+    case setting_type::kNumber:
+      return value.is_number();
+    case setting_type::kBoolean:
+      return value.is_boolean();
+    case setting_type::kText:
+      return value.is_string();
+    case setting_type::kList:
+      return value.is_array();
+  }
+  return false;
+}
+
+std::string_view NameOf(setting_type type) {
+  constexpr std::string_view kNames[] = {"an integer", "a number", "a boolean",
+                                         "a text", "a list"};
+  return kNames[static_cast<int>(type)];
+}
+
+/// @return the edit distance of two names
+size_t Distance(std::string_view a, std::string_view b) {
+  std::vector<size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0);
+  for (size_t i = 1; i <= a.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j <= b.size(); ++j) {
+      const size_t above = row[j];
+      const size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      row[j] = std::min({above + 1, row[j - 1] + 1, replaced});
+      diagonal = above;
+    }
+  }
+  return row[b.size()];
+}
+
+std::string_view Nearest(std::string_view pointer, setting_table table) {
+  std::string_view best;
+  size_t best_distance = std::numeric_limits<size_t>::max();
+  for (const setting* known : table) {
+    const size_t distance = Distance(pointer, known->pointer);
+    if (distance < best_distance) {
+      best_distance = distance;
+      best = known->pointer;
+    }
+  }
+  return best;
+}
+
+/// Visits every leaf; lists count as leaves.
+void CollectLeaves(const json& value, const std::string& pointer,
+                   std::vector<std::string>* leaves) {
+  if (!value.is_object()) {
+    leaves->push_back(pointer);
+    return;
+  }
+  for (const auto& [name, child] : value.items()) {
+    std::string child_pointer = pointer;
+    child_pointer.append("/").append(name);
+    CollectLeaves(child, child_pointer, leaves);
+  }
+}
+
+void CheckKnown(const json& document, setting_table table,
+                std::vector<settings_fault>* faults) {
+  std::vector<std::string> leaves;
+  CollectLeaves(document, "", &leaves);
+  for (const std::string& leaf : leaves) {
+    const bool known = std::any_of(
+        table.begin(), table.end(),
+        [&leaf](const setting* entry) { return entry->pointer == leaf; });
+    if (known || leaf.empty()) continue;
+    faults->push_back({leaf, "is not a setting; the nearest is " +
+                                 std::string(Nearest(leaf, table))});
+  }
+}
+
+void CheckValue(const setting& which, const json& value,
+                std::vector<settings_fault>* faults) {
+  const std::string pointer(which.pointer);
+  if (!HasType(value, which.type)) {
+    faults->push_back({pointer, "is not " + std::string(NameOf(which.type))});
+    return;
+  }
+  double measure = 0;
+  if (value.is_number()) {
+    measure = value.get<double>();
+  } else if (value.is_string()) {
+    measure = static_cast<double>(value.get<std::string>().size());
+  } else {
+    return;
+  }
+  if (measure >= which.minimum && measure <= which.maximum) return;
+  std::ostringstream text;
+  text << "is outside " << which.minimum << " to " << which.maximum;
+  faults->push_back({pointer, text.str()});
+}
+
+json ParseOverride(std::string_view text) {
+  json value = json::parse(text, nullptr, false);
+  return value.is_discarded() ? json(text) : value;
+}
+
+void ApplyOverrides(std::span<const std::string> overrides, json* document,
+                    std::vector<settings_fault>* faults) {
+  for (const std::string& pair : overrides) {
+    const size_t equals = pair.find('=');
+    if (equals == std::string::npos || pair.empty() || pair[0] != '/') {
+      faults->push_back({pair, "is not of the form /pointer=value"});
+      continue;
+    }
+    (*document)[json::json_pointer(pair.substr(0, equals))] =
+        ParseOverride(std::string_view(pair).substr(equals + 1));
+  }
+}
+
+std::string Join(const std::vector<settings_fault>& faults) {
+  std::string text;
+  for (const settings_fault& fault : faults) {
+    if (!text.empty()) text.append("\n");
+    text.append(fault.pointer).append(": ").append(fault.text);
+  }
+  return text;
+}
+
+}  // namespace
+
+struct settings_document::state {
+  json values;
+};
+
+std::optional<settings_document> settings_document::Load(
+    const std::string& path, std::span<const std::string> overrides,
+    setting_table table) {
+  if (path.empty()) return Parse("{}", overrides, table);
+  std::ifstream file(path);
+  if (!file) {
+    common::SetLastReason(common::result_code::kBadSettings,
+                          path + ": cannot be read");
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return Parse(text.str(), overrides, table);
+}
+
+std::optional<settings_document> settings_document::Parse(
+    std::string_view text, std::span<const std::string> overrides,
+    setting_table table) {
+  json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) {
+    common::SetLastReason(common::result_code::kBadSettings,
+                          "the file is not a JSON object");
+    return std::nullopt;
+  }
+  std::vector<settings_fault> faults;
+  ApplyOverrides(overrides, &document, &faults);
+  CheckKnown(document, table, &faults);
+  const std::shared_ptr<state> checked = std::make_shared<state>();
+  for (const setting* which : table) {
+    const json::json_pointer pointer = PointerOf(*which);
+    if (document.contains(pointer)) {
+      CheckValue(*which, document[pointer], &faults);
+      checked->values[pointer] = document[pointer];
+    } else if (which->default_json.empty()) {
+      faults.push_back({std::string(which->pointer), "is required"});
+    } else {
+      checked->values[pointer] = json::parse(which->default_json);
+    }
+  }
+  if (!faults.empty()) {
+    common::SetLastReason(common::result_code::kBadSettings, Join(faults));
+    return std::nullopt;
+  }
+  settings_document result;
+  result.state_ = checked;
+  return result;
+}
+
+int64_t settings_document::Integer(const setting& which) const {
+  return state_->values.at(PointerOf(which)).get<int64_t>();
+}
+
+double settings_document::Number(const setting& which) const {
+  return state_->values.at(PointerOf(which)).get<double>();
+}
+
+bool settings_document::Boolean(const setting& which) const {
+  return state_->values.at(PointerOf(which)).get<bool>();
+}
+
+std::string settings_document::Text(const setting& which) const {
+  return state_->values.at(PointerOf(which)).get<std::string>();
+}
+
+std::string settings_document::Json(const setting& which) const {
+  return state_->values.at(PointerOf(which)).dump();
+}
+
+std::string SettingsMarkdown(setting_table table) {
+  std::ostringstream out;
+  out << "| setting | type | default | bounds | meaning |\n"
+      << "|---|---|---|---|---|\n";
+  for (const setting* which : table) {
+    out << "| `" << which->pointer << "` | " << NameOf(which->type) << " | "
+        << (which->default_json.empty()
+                ? "required"
+                : "`" + std::string(which->default_json) + "`")
+        << " | " << which->minimum << " to " << which->maximum << " | "
+        << which->help << " |\n";
+  }
+  return out.str();
+}
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/standin_settings.cc
@@ -0,0 +1,29 @@
+#include "settings/standin_settings.h"
+
+#include <array>
+
+namespace wisteriadale::settings {
+
+const setting kStandinTargets = {
+    "/targets", setting_type::kList,
+    "[]",       0,
+    0,          "Targets to play: id, kind, port and their figures."};
+const setting kStandinVms = {"/vms", setting_type::kList,    "[]", 0,
+                             0,      "The VM list at start."};
+const setting kVmListLagMs = {"/vm_list_lag_ms",
+                              setting_type::kInteger,
+                              "0",
+                              0,
+                              600000,
+                              "Age of the VM list that is served."};
+
+setting_table StandinSettings() {
+  static const std::array kTable = {
+      &kName,       &kDataCentre,      &kListenAddress,  &kListenPort,
+      &kLogLevel,   &kLogJson,         &kLogFile,        &kTraceFile,
+      &kRandomSeed, &kInvariantsFatal, &kStandinTargets, &kStandinVms,
+      &kVmListLagMs};
+  return kTable;
+}
+
+}  // namespace wisteriadale::settings
--- /dev/null
+++ b/source/settings/standin_settings.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "settings/common_settings.h"
+
+namespace wisteriadale::settings {
+
+extern const setting kStandinTargets;
+extern const setting kStandinVms;
+extern const setting kVmListLagMs;
+
+/// @return every setting of the stand-in
+setting_table StandinSettings();
+
+}  // namespace wisteriadale::settings
