--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
-excluded=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+excluded=''
+if [ -f KNOWN-RED.txt ]; then
+  excluded=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
+fi
 if [ -n "$excluded" ]; then
   echo "known red, passed over (KNOWN-RED.txt):"
   cat KNOWN-RED.txt
