Add the long randomised run of the real core over fakes

wisteria-longrun drives request_executor, attempt_table, attempt_host and operation_log under virtual time: three routers, nine agents, crashes, pauses, drains, silent, stalled and broken connections, lost and late table writes, targets that fail, cut or crash, and callers that resend keys to other routers. Every answer is checked against the targets' ledger.

--- a/source/unit_tests/fakes/fake_table.h
+++ b/source/unit_tests/fakes/fake_table.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "common/clock.h"
 #include "common/random.h"
 #include "core/ports/table.h"
 
--- /dev/null
+++ b/source/unit_tests/longrun/agent_node.cc
@@ -0,0 +1,121 @@
+#include "unit_tests/longrun/agent_node.h"
+
+namespace wisteriadale::longrun {
+namespace {
+
+core::attempt_host_options OptionsOf(uint64_t incarnation) {
+  core::attempt_host_options options;
+  options.incarnation = incarnation;
+  options.concurrency_limit = 4;
+  options.queue_limit = 32;
+  options.retention = std::chrono::seconds(10);
+  return options;
+}
+
+/// Hands a router's message to the attempt host.
+struct message_handler {
+  core::attempt_host& host;
+  agent_node& node;
+  core::router_link link;
+
+  void operator()(const core::execute_message& message) const {
+    host.OnExecute(link, message);
+  }
+  void operator()(const core::cancel_message& message) const {
+    host.OnCancel(message);
+  }
+  void operator()(const core::resume_message& message) const {
+    host.OnResume(link, message);
+  }
+  void operator()(const core::revoke_message& message) const {
+    host.OnRevoke(link, message);
+  }
+  void operator()(const core::ping_message& message) const {
+    core::ping_message answer;
+    answer.sequence = message.sequence;
+    answer.answer = true;
+    answer.load = host.Load();
+    node.Send(link, answer);
+  }
+  template <typename other>
+  void operator()(const other&) const {}
+};
+
+}  // namespace
+
+agent_node::agent_node(std::string id, uint64_t incarnation,
+                       fakes::virtual_time& time, core::table& rows,
+                       fake_target& target)
+    : id_(std::move(id)),
+      process_(time),
+      rows_(rows, process_),
+      target_(target),
+      host_(OptionsOf(incarnation), *this, *this, process_, process_) {
+  hello_.name = id_;
+  hello_.incarnation = incarnation;
+}
+
+endpoint agent_node::Accept(const std::shared_ptr<connection>& link) {
+  const core::router_link id = next_link_++;
+  links_[id] = link;
+  const std::weak_ptr<agent_node> weak = weak_from_this();
+  endpoint end;
+  end.on_message = [weak, id](const core::message& message) {
+    const std::shared_ptr<agent_node> node = weak.lock();
+    if (!node) return;
+    node->process_.Event(
+        [raw = node.get(), id, message] { raw->OnMessage(id, message); })();
+  };
+  end.on_closed = [weak, id] {
+    const std::shared_ptr<agent_node> node = weak.lock();
+    if (!node) return;
+    node->process_.Event([raw = node.get(), id] {
+      raw->links_.erase(id);
+      raw->host_.OnLinkClosed(id);
+    })();
+  };
+  process_.Event([this, id] { Send(id, hello_); })();
+  return end;
+}
+
+void agent_node::OnMessage(core::router_link link,
+                           const core::message& message) {
+  std::visit(message_handler{host_, *this, link}, message);
+}
+
+void agent_node::Send(core::router_link link, const core::message& message) {
+  const auto found = links_.find(link);
+  if (found != links_.end()) found->second->SendToRouter(message);
+}
+
+void agent_node::Run(const core::execute_message& execute,
+                     core::target_observer*) {
+  target_.Run(execute, this);
+}
+
+void agent_node::Cancel(std::string_view attempt_id) {
+  target_.Cancel(attempt_id);
+}
+
+void agent_node::OnTargetChunk(std::string_view attempt_id,
+                               std::string_view data) {
+  process_.Event(
+      [this, id = std::string(attempt_id), part = std::string(data)] {
+        host_.OnTargetChunk(id, part);
+      })();
+}
+
+void agent_node::OnTargetResult(std::string_view attempt_id,
+                                const core::target_result& result) {
+  process_.Event([this, id = std::string(attempt_id), result] {
+    host_.OnTargetResult(id, result);
+  })();
+}
+
+void agent_node::Drain(std::function<void()> on_drained) {
+  process_.Event([this, on_drained = std::move(on_drained)] {
+    host_.Drain(on_drained);
+  })();
+}
+
+}  // namespace wisteriadale::longrun
--- /dev/null
+++ b/source/unit_tests/longrun/agent_node.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/agent/attempt_host.h"
+#include "unit_tests/fakes/process_table.h"
+#include "unit_tests/longrun/fake_target.h"
+#include "unit_tests/longrun/network.h"
+
+namespace wisteriadale::longrun {
+
+/// One incarnation of an agent: the real attempt host over fakes.
+class agent_node final : public core::router_sender,
+                         public core::target_port,
+                         public core::target_observer,
+                         public std::enable_shared_from_this<agent_node> {
+ public:
+  agent_node(std::string id, uint64_t incarnation, fakes::virtual_time& time,
+             core::table& rows, fake_target& target);
+  ~agent_node() override { target_.Detach(); }
+
+  /// Takes a router's connection and says hello.
+  endpoint Accept(const std::shared_ptr<connection>& link);
+
+  void Send(core::router_link link, const core::message& message) override;
+  void Run(const core::execute_message& execute,
+           core::target_observer* observer) override;
+  void Cancel(std::string_view attempt_id) override;
+  void OnTargetChunk(std::string_view attempt_id,
+                     std::string_view data) override;
+  void OnTargetResult(std::string_view attempt_id,
+                      const core::target_result& result) override;
+
+  /// @param on_drained runs as an event of this process
+  void Drain(std::function<void()> on_drained);
+  /// Connections that were not closed by their router.
+  const std::map<core::router_link, std::shared_ptr<connection>>& links()
+      const {
+    return links_;
+  }
+  fakes::process_time& process() { return process_; }
+  const core::attempt_host& host() const { return host_; }
+  fake_target& target() { return target_; }
+
+ private:
+  void OnMessage(core::router_link link, const core::message& message);
+
+  std::string id_;
+  fakes::process_time process_;
+  fakes::process_table rows_;
+  fake_target& target_;
+  core::hello_message hello_;
+  core::attempt_host host_;
+  std::map<core::router_link, std::shared_ptr<connection>> links_;
+  core::router_link next_link_ = 1;
+};
+
+}  // namespace wisteriadale::longrun
--- /dev/null
+++ b/source/unit_tests/longrun/ledger.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/clock.h"
+
+namespace wisteriadale::longrun {
+
+/// One run of a non-idempotent stage at a target.
+struct ledger_run {
+  std::string operation_key;
+  std::string token;
+  std::string request_id;
+  std::string target;
+  common::time_point at;
+};
+
+/// Every non-idempotent run of all targets. It is what callers' answers are
+/// checked against.
+class ledger {
+ public:
+  /// Adds a run. Two runs of one key, and a run of a request that was answered
+  /// "not run", break an invariant.
+  void Add(const ledger_run& run);
+  /// Notes that a caller was told that a request did not run.
+  /// @param asked when the request was sent
+  void ToldNotRun(const std::string& request_id,
+                  const std::string& operation_key, common::time_point asked);
+
+  bool Ran(const std::string& operation_key) const {
+    return runs_.contains(operation_key);
+  }
+  size_t size() const { return runs_.size(); }
+  /// @return answers "not run" given while another request under the same key
+  ///         ran at the same time
+  uint64_t concurrent_not_run() const { return concurrent_not_run_; }
+
+ private:
+  std::map<std::string, ledger_run> runs_;
+  std::set<std::string> told_not_run_;
+  uint64_t concurrent_not_run_ = 0;
+};
+
+}  // namespace wisteriadale::longrun
--- /dev/null
+++ b/source/unit_tests/longrun/router_node.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/pipeline/request_executor.h"
+#include "core/routing/two_choices.h"
+#include "unit_tests/fakes/process_table.h"
+#include "unit_tests/longrun/network.h"
+
+namespace wisteriadale::longrun {
+
+/// Opens a connection to the agent of a target; nothing while it is down. The
+/// router's end is given.
+using dialler = std::function<std::shared_ptr<connection>(
+    const std::string& target, const endpoint& router_end)>;
+
+/// A target that routers are told of.
+struct listed_target {
+  std::string id;
+  std::string pool;
+};
+
+/// One life of a router: the real core over fakes.
+class router_node final : public core::agent_sender,
+                          public std::enable_shared_from_this<router_node> {
+ public:
+  router_node(std::string name, fakes::virtual_time& time, core::table& rows,
+              common::random_source& random, dialler dial);
+
+  /// Begins to dial the targets and to ping them.
+  void Start(const std::vector<listed_target>& targets);
+  bool Send(std::string_view target, const core::message& message) override;
+  /// Closes or silences what is open; for a crash.
+  void DropLinks(bool silently);
+
+  core::executor_context& context() { return context_; }
+  core::attempt_table& attempts() { return attempts_; }
+  fakes::process_time& process() { return process_; }
+  const std::map<std::string, std::shared_ptr<connection>, std::less<>>& links()
+      const {
+    return links_;
+  }
+
+ private:
+  void Tick();
+  void Dial(const std::string& target);
+  void OnMessage(const std::string& target, const connection* link,
+                 const core::message& message);
+  void OnHello(const std::string& target, const core::hello_message& hello);
+  void OnClosed(const std::string& target, const connection* link);
+
+  fakes::process_time process_;
+  fakes::process_table rows_;
+  dialler dial_;
+  core::target_table targets_;
+  core::two_choices routing_;
+  core::attempt_table attempts_;
+  core::operation_log operations_;
+  core::executor_context context_;
+  std::map<std::string, std::shared_ptr<connection>, std::less<>> links_;
+  std::map<std::string, common::time_point, std::less<>> last_heard_;
+};
+
+}  // namespace wisteriadale::longrun
