--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -1,98 +1,73 @@
 #include <gflags/gflags.h>
 
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <string>
+#include <vector>
 
 #include "common/last_reason.h"
-#include "net/http_client.h"
+#include "ctl/commands.h"
+#include "settings/command_line.h"
 
-DEFINE_string(router, "127.0.0.1:8080", "address and port of a router");
-DEFINE_string(key, "", "operators' key");
-DEFINE_int64(expected_version, 0,
-             "version that `configuration apply` replaces");
+DEFINE_string(routers, "127.0.0.1:8080",
+              "routers to ask in turn: address:port,address:port");
+DEFINE_string(key_file, "", "file with the operators' key");
+DEFINE_string(output, "table", "table, or json for programs");
+DEFINE_int32(timeout_ms, 10000, "how long to wait for a router's answer");
 
 namespace wisteriadale::ctl {
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitUsage = 2;
-
-net::http_result Call(net::http_call call) {
-  net::http_result answer;
-  const std::optional<std::unique_ptr<net::event_loop>> loop =
-      net::event_loop::Create({});
-  if (!loop) return answer;
-  const size_t colon = FLAGS_router.rfind(':');
-  call.to.address = FLAGS_router.substr(0, colon);
-  call.to.port =
-      static_cast<uint16_t>(std::stoi(FLAGS_router.substr(colon + 1)));
-  if (!FLAGS_key.empty()) {
-    call.headers.push_back({"authorization", "Bearer " + FLAGS_key});
-  }
-  net::StartHttpCall(**loop, std::move(call),
-                     [&answer, &loop](const net::http_result& result) {
-                       answer = result;
-                       (*loop)->Stop();
-                     });
-  (*loop)->Run();
-  return answer;
-}
-
-int Print(const net::http_result& answer) {
-  std::printf("%s\n", answer.body.c_str());
-  if (!answer.failure.empty()) {
-    std::fprintf(stderr, "wisteriactl: %s\n", answer.failure.c_str());
+/// @return the key without its line end, or nothing when it cannot be read
+std::optional<std::string> ReadKey(const std::string& path) {
+  if (path.empty()) return std::string();
+  std::FILE* file = std::fopen(path.c_str(), "r");
+  if (file == nullptr) return std::nullopt;
+  char text[256] = {};
+  const size_t size = std::fread(text, 1, sizeof(text) - 1, file);
+  std::fclose(file);
+  std::string key(text, size);
+  while (!key.empty() && (key.back() == '\n' || key.back() == '\r')) {
+    key.pop_back();
   }
-  return answer.status == 200 ? kExitOk : kExitFailed;
+  return key;
 }
 
-int Get(const std::string& what) {
-  net::http_call call;
-  call.path = "/v1/operator/" + what;
-  return Print(Call(std::move(call)));
+int Complain(const std::string& text) {
+  std::fprintf(stderr, "wisteriactl: %s\n", text.c_str());
+  return static_cast<int>(exit_code::kUsage);
 }
 
-int ApplyConfiguration(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    std::fprintf(stderr, "wisteriactl: cannot read %s\n", path.c_str());
-    return kExitUsage;
+int Run(const std::vector<std::string>& words) {
+  if (FLAGS_output != "table" && FLAGS_output != "json") {
+    return Complain("--output is table or json");
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  net::http_call call;
-  call.method = "PUT";
-  call.path = "/v1/operator/configuration?expected_version=" +
-              std::to_string(FLAGS_expected_version);
-  call.body = text.str();
-  return Print(Call(std::move(call)));
-}
-
-int Run(int argc, char** argv) {
-  const std::string command = argc > 1 ? argv[1] : "";
-  const std::string verb = argc > 2 ? argv[2] : "";
-  if (command == "status" || command == "targets") return Get(command);
-  if (command == "configuration" && verb == "get") return Get(command);
-  if (command == "configuration" && verb == "apply" && argc > 3) {
-    return ApplyConfiguration(argv[3]);
-  }
-  std::fputs(
-      "usage: wisteriactl status | targets | configuration get |\n"
-      "       configuration apply FILE\n",
-      stderr);
-  return kExitUsage;
+  client_options options;
+  const std::optional<std::vector<net::endpoint>> routers =
+      ParseEndpoints(FLAGS_routers);
+  if (!routers) return Complain(common::LastReason().text);
+  options.routers = *routers;
+  const std::optional<std::string> key = ReadKey(FLAGS_key_file);
+  if (!key) return Complain("cannot read " + FLAGS_key_file);
+  options.key = *key;
+  options.timeout = common::milliseconds(FLAGS_timeout_ms);
+  std::optional<router_client> client =
+      router_client::Create(std::move(options));
+  if (!client) return Complain(common::LastReason().text);
+  const output_format format =
+      FLAGS_output == "json" ? output_format::kJson : output_format::kTable;
+  return static_cast<int>(RunCommand(words, *client, format));
 }
 
 }  // namespace
 }  // namespace wisteriadale::ctl
 
 int main(int argc, char** argv) {
-  gflags::SetVersionString(WISTERIADALE_VERSION);
-  gflags::SetUsageMessage(
-      "wisteriactl COMMAND: presets, configuration, status");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return wisteriadale::ctl::Run(argc, argv);
+  const std::string about =
+      "the operators' command line\n\n" + wisteriadale::ctl::CommandHelp();
+  if (!wisteriadale::settings::ParseCommandLine(&argc, &argv, "wisteriactl",
+                                                about)) {
+    return 0;
+  }
+  return wisteriadale::ctl::Run(
+      std::vector<std::string>(argv + 1, argv + argc));
 }
--- a/source/settings/process_setup.cc
+++ b/source/settings/process_setup.cc
@@ -8,6 +8,7 @@
 #include "common/invariant.h"
 #include "common/last_reason.h"
 #include "common/log.h"
+#include "settings/command_line.h"
 #include "settings/common_settings.h"
 
 DEFINE_string(settings, "", "settings file (JSON); empty means defaults");
@@ -47,11 +48,8 @@
 
 process_start StartProcess(int* argc, char*** argv, const std::string& binary,
                            const std::string& about, setting_table table) {
-  gflags::SetUsageMessage(about + "\n\n  " + binary +
-                          " --settings=FILE [--set=/pointer=value,...]");
-  gflags::SetVersionString(WISTERIADALE_VERSION);
-  gflags::ParseCommandLineFlags(argc, argv, true);
   process_start start;
+  if (!ParseCommandLine(argc, argv, binary, about)) return start;
   if (FLAGS_print_settings) {
     std::fputs(SettingsMarkdown(table).c_str(), stdout);
     return start;
