--- a/source/ctl/table_output.cc
+++ b/source/ctl/table_output.cc
@@ -33,6 +33,7 @@
   cells.reserve(rows.size());
   for (const json& row : rows) {
     std::vector<std::string> line;
+    line.reserve(header.size());
     for (const std::string& name : header) {
       line.push_back(row.contains(name) ? CellOf(row[name]) : "-");
     }
--- a/source/settings/settings_document.cc
+++ b/source/settings/settings_document.cc
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "common/last_reason.h"
+#include "settings/schema_check.h"
 
 namespace wisteriadale::settings {
 namespace {
@@ -18,22 +19,6 @@
   return json::json_pointer(std::string(which.pointer));
 }
 
-bool HasType(const json& value, setting_type type) {
-  switch (type) {
-    case setting_type::kInteger:
-      return value.is_number_integer();
-    case setting_type::kNumber:
-      return value.is_number();
-    case setting_type::kBoolean:
-      return value.is_boolean();
-    case setting_type::kText:
-      return value.is_string();
-    case setting_type::kList:
-      return value.is_array();
-  }
-  return false;
-}
-
 std::string_view NameOf(setting_type type) {
   constexpr std::string_view kNames[] = {"an integer", "a number", "a boolean",
                                          "a text", "a list"};
@@ -70,6 +55,13 @@
   return best;
 }
 
+const setting* FindSetting(std::string_view pointer, setting_table table) {
+  for (const setting* known : table) {
+    if (known->pointer == pointer) return known;
+  }
+  return nullptr;
+}
+
 /// Visits every leaf; lists count as leaves.
 void CollectLeaves(const json& value, const std::string& pointer,
                    std::vector<std::string>* leaves) {
@@ -89,51 +81,30 @@
   std::vector<std::string> leaves;
   CollectLeaves(document, "", &leaves);
   for (const std::string& leaf : leaves) {
-    const bool known = std::any_of(
-        table.begin(), table.end(),
-        [&leaf](const setting* entry) { return entry->pointer == leaf; });
-    if (known || leaf.empty()) continue;
+    if (leaf.empty() || FindSetting(leaf, table) != nullptr) continue;
     faults->push_back({leaf, "is not a setting; the nearest is " +
                                  std::string(Nearest(leaf, table))});
   }
 }
 
-void CheckValue(const setting& which, const json& value,
-                std::vector<settings_fault>* faults) {
-  const std::string pointer(which.pointer);
-  if (!HasType(value, which.type)) {
-    faults->push_back({pointer, "is not " + std::string(NameOf(which.type))});
-    return;
-  }
-  double measure = 0;
-  if (value.is_number()) {
-    measure = value.get<double>();
-  } else if (value.is_string()) {
-    measure = static_cast<double>(value.get<std::string>().size());
-  } else {
-    return;
-  }
-  if (measure >= which.minimum && measure <= which.maximum) return;
-  std::ostringstream text;
-  text << "is outside " << which.minimum << " to " << which.maximum;
-  faults->push_back({pointer, text.str()});
-}
-
-json ParseOverride(std::string_view text) {
+/// Numbers, booleans and lists are JSON; text needs no quotes.
+json ParseOverride(const setting* which, std::string_view text) {
+  if (which != nullptr && which->type == setting_type::kText) return text;
   json value = json::parse(text, nullptr, false);
   return value.is_discarded() ? json(text) : value;
 }
 
-void ApplyOverrides(std::span<const std::string> overrides, json* document,
-                    std::vector<settings_fault>* faults) {
+void ApplyOverrides(std::span<const std::string> overrides, setting_table table,
+                    json* document, std::vector<settings_fault>* faults) {
   for (const std::string& pair : overrides) {
     const size_t equals = pair.find('=');
     if (equals == std::string::npos || pair.empty() || pair[0] != '/') {
       faults->push_back({pair, "is not of the form /pointer=value"});
       continue;
     }
-    (*document)[json::json_pointer(pair.substr(0, equals))] =
-        ParseOverride(std::string_view(pair).substr(equals + 1));
+    const std::string pointer = pair.substr(0, equals);
+    (*document)[json::json_pointer(pointer)] = ParseOverride(
+        FindSetting(pointer, table), std::string_view(pair).substr(equals + 1));
   }
 }
 
@@ -177,13 +148,15 @@
     return std::nullopt;
   }
   std::vector<settings_fault> faults;
-  ApplyOverrides(overrides, &document, &faults);
+  ApplyOverrides(overrides, table, &document, &faults);
   CheckKnown(document, table, &faults);
+  for (settings_fault& fault : CheckSchema(SchemaOf(table), document)) {
+    faults.push_back(std::move(fault));
+  }
   const std::shared_ptr<state> checked = std::make_shared<state>();
   for (const setting* which : table) {
     const json::json_pointer pointer = PointerOf(*which);
     if (document.contains(pointer)) {
-      CheckValue(*which, document[pointer], &faults);
       checked->values[pointer] = document[pointer];
     } else if (which->default_json.empty()) {
       faults.push_back({std::string(which->pointer), "is required"});
