Carry target, authority, listen address and suspicion between processes

Cause: orders named no target and no authority, an agent unknown to the VM list could not say where it listens, and suspicion could not be told from conviction. Fields are added at the end of their messages only.

--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -29,6 +29,9 @@
   std::string data_centre;
   bool is_router = false;
   uint64_t configuration_version = 0;
+  std::string pool;     ///< of an agent's target
+  std::string address;  ///< where the sender listens, if it says
+  uint16_t port = 0;
 };
 
 /// Asks an agent to run one stage.
@@ -107,6 +110,7 @@
   bool answer = false;
   load_report load;
   uint64_t configuration_version = 0;
+  uint64_t quarantine_hash = 0;  ///< of the sender's convictions
 };
 
 /// An accepted configuration, passed on to peers and agents.
@@ -123,6 +127,8 @@
   uint64_t fencing_number = 0;
   std::string kind;  ///< load_model, unload_model, set_role, drain, ...
   std::string argument;
+  std::string target;     ///< target that the order is for
+  std::string authority;  ///< who gives it: a lease holder, or an operator
 };
 
 /// How an order ended.
@@ -133,11 +139,12 @@
   uint64_t fencing_number = 0;  ///< highest number the agent has seen
 };
 
-/// A digest convicted of crashing targets, spread like configuration.
+/// A digest suspected or convicted of crashing targets.
 struct conviction_message {
   std::string digest;
   int64_t expires_wall_us = 0;
   bool lifted = false;
+  bool suspect = false;  ///< not convicted: runs alone until that is known
 };
 
 /// Every message between the system's own processes.
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -53,6 +53,9 @@
     to.data_centre = from.data_centre;
     to.is_router = from.is_router;
     to.configuration_version = Signed(from.configuration_version);
+    to.pool = from.pool;
+    to.address = from.address;
+    to.port = from.port;
     frame->__set_hello_part(to);
   }
 
@@ -141,6 +144,7 @@
     to.answer = from.answer;
     to.load = ToWire(from.load);
     to.configuration_version = Signed(from.configuration_version);
+    to.quarantine_hash = Signed(from.quarantine_hash);
     frame->__set_ping_part(to);
   }
 
@@ -159,6 +163,8 @@
     to.fencing_number = Signed(from.fencing_number);
     to.kind = from.kind;
     to.argument = from.argument;
+    to.target = from.target;
+    to.authority = from.authority;
     frame->__set_order_part(to);
   }
 
@@ -176,6 +182,7 @@
     to.digest = from.digest;
     to.expires_wall_us = from.expires_wall_us;
     to.lifted = from.lifted;
+    to.suspect = from.suspect;
     frame->__set_conviction_part(to);
   }
 };
@@ -187,6 +194,9 @@
   to.data_centre = from.data_centre;
   to.is_router = from.is_router;
   to.configuration_version = Unsigned(from.configuration_version);
+  to.pool = from.pool;
+  to.address = from.address;
+  to.port = static_cast<uint16_t>(from.port);
   return to;
 }
 
@@ -236,6 +246,7 @@
   to.answer = from.answer;
   to.load = FromWire(from.load);
   to.configuration_version = Unsigned(from.configuration_version);
+  to.quarantine_hash = Unsigned(from.quarantine_hash);
   return to;
 }
 
@@ -280,13 +291,14 @@
   if (frame.__isset.order_part) {
     const generated::order& part = frame.order_part;
     return core::order_message{part.order_id, Unsigned(part.fencing_number),
-                               part.kind, part.argument};
+                               part.kind,     part.argument,
+                               part.target,   part.authority};
   }
   if (frame.__isset.order_answer_part) return FromWire(frame.order_answer_part);
   if (frame.__isset.conviction_part) {
     const generated::conviction& part = frame.conviction_part;
     return core::conviction_message{part.digest, part.expires_wall_us,
-                                    part.lifted};
+                                    part.lifted, part.suspect};
   }
   return std::nullopt;
 }
--- a/source/wire/messages.thrift
+++ b/source/wire/messages.thrift
@@ -23,6 +23,9 @@
   3: string data_centre
   4: bool is_router
   5: i64 configuration_version
+  6: string pool
+  7: string address
+  8: i32 port
 }
 
 struct execute {
@@ -93,6 +96,7 @@
   2: bool answer
   3: load_report load
   4: i64 configuration_version
+  5: i64 quarantine_hash
 }
 
 struct configuration {
@@ -107,6 +111,8 @@
   2: i64 fencing_number
   3: string kind
   4: string argument
+  5: string target
+  6: string authority
 }
 
 struct order_answer {
@@ -120,6 +126,7 @@
   1: string digest
   2: i64 expires_wall_us
   3: bool lifted
+  4: bool suspect
 }
 
 struct frame {
