--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,153 @@
+#!/usr/bin/env bash
+# Starts or stops a fleet of separate processes on loopback.
+#
+#   scripts/fleet.sh start DEPLOYMENT [ROUTERS]
+#   scripts/fleet.sh stop  DEPLOYMENT
+#
+# DEPLOYMENT is a folder of settings/, optionally with a fleet file:
+# `hekkeform` or `hekkeform/fleet-small`. Environment:
+#   WISTERIA_BASE_PORT  first port used (default 42000)
+#   WISTERIA_RUN_DIR    where process ids and logs go
+#   WISTERIA_BIN        folder of the programs (default build/bin)
+#   WISTERIA_ROUTER_SET, WISTERIA_AGENT_SET  further --set pairs
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+usage() {
+  sed -n '2,13s/^# \{0,1\}//p' "$0" >&2
+  exit 2
+}
+[ $# -ge 2 ] || usage
+verb=$1
+deployment=${2%%/*}
+fleet=fleet
+[ "$deployment" = "$2" ] || fleet=${2#*/}
+base=${WISTERIA_BASE_PORT:-42000}
+bin=${WISTERIA_BIN:-build/bin}
+run=${WISTERIA_RUN_DIR:-/tmp/wisteria-fleet-$deployment-$base}
+platform=$base
+wait_seconds=30
+
+# Writes the stand-in's settings: routers at base+1.., agents at base+100..,
+# targets at base+1000...
+expand() {
+  jq -c --argjson base "$base" --argjson wanted "${1:-0}" '
+    . as $f
+    | ($f.data_centres | length) as $centres
+    | (if $wanted > 0 then $wanted else $f.routers end) as $routers
+    | [ $f.pools[] | . as $p | range(.count) | . as $i
+        | $p + {id: "\($p.pool)-\($i + 1)", turn: $i} | del(.count) ]
+    | to_entries
+    | map(.value + {number: .key, data_centre: $f.data_centres[.value.turn % $centres]})
+    | { name: "standin",
+        listen: {port: $base},
+        targets: map(del(.turn, .number, .data_centre) + {port: ($base + 1000 + .number)}),
+        vms: ([ range($routers) | {name: "router-\(. + 1)", role: "router",
+                  data_centre: $f.data_centres[. % $centres],
+                  address: "127.0.0.1", port: ($base + 1 + .)} ]
+              + map({name: .id, role: "target", pool, data_centre,
+                     address: "127.0.0.1", port: ($base + 100 + .number)})) }
+  ' "settings/$deployment/$fleet.json"
+}
+
+# Starts a program; its process id goes to pids, its exit code to NAME.exit.
+launch() {  # name, program, arguments
+  local name=$1
+  shift
+  (
+    "$bin/$1" "${@:2}" &
+    pid=$!
+    echo "$pid $name" >>"$run/pids"
+    code=0
+    wait "$pid" || code=$?
+    echo "$code" >"$run/$name.exit"
+  ) >"$run/$name.log" 2>&1 </dev/null &
+}
+
+fail() {
+  echo "fleet.sh: $1" >&2
+  exit 1
+}
+
+wait_until() {  # what, command
+  local what=$1 deadline=$((SECONDS + wait_seconds))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $deadline ] || fail "timed out waiting for $what (logs in $run)"
+    sleep 0.05
+  done
+}
+
+get() { curl -sf --max-time 5 "http://127.0.0.1:$1$2"; }
+
+routers() { jq -r '.vms[] | select(.role == "router") | .port' "$run/standin.json"; }
+
+all_usable() {
+  local expected
+  expected=$(jq '.targets | length' "$run/standin.json")
+  [ "$(get "$1" /v1/operator/status | jq .usable_targets)" = "$expected" ]
+}
+
+start() {
+  mkdir -p "$run"
+  [ ! -s "$run/pids" ] || fail "already started (see $run/pids); stop it first"
+  rm -f "$run"/*.exit "$run"/*.log
+  : >"$run/pids"
+  expand "${1:-0}" >"$run/standin.json"
+  launch standin wisteria-standin "--settings=$run/standin.json"
+  wait_until "the platform" get "$platform" /vms
+  local name role centre pool port target
+  while IFS=$'\t' read -r name role centre pool port target; do
+    if [ "$role" = router ]; then
+      launch "$name" wisteria-router "--set=/name=$name,/data_centre=$centre,/listen/port=$port,/platform/port=$platform,/stop/grace_ms=200${WISTERIA_ROUTER_SET:+,$WISTERIA_ROUTER_SET}"
+    else
+      launch "$name" wisteria-agent "--set=/name=$name,/data_centre=$centre,/listen/port=$port,/platform/port=$platform,/target/pool=$pool,/target/port=$target${WISTERIA_AGENT_SET:+,$WISTERIA_AGENT_SET}"
+    fi
+  done < <(jq -r '(.targets | map({(.id): .port}) | add) as $ports
+    | .vms[] | [.name, .role, .data_centre, .pool // "-", .port, $ports[.name] // 0] | @tsv' "$run/standin.json")
+  local first
+  first=$(routers | head -1)
+  wait_until "router-1" get "$first" /healthz
+  "$bin/wisteriactl" --router="127.0.0.1:$first" configuration apply "settings/$deployment/configuration.json" >"$run/apply.log" 2>&1 ||
+    fail "the configuration was refused: $(cat "$run/apply.log")"
+  for port in $(routers); do
+    wait_until "the router on $port" get "$port" /readyz
+    wait_until "the targets of the router on $port" all_usable "$port"
+  done
+  echo "started $(wc -l <"$run/pids") processes of $deployment; routers: $(routers | tr '\n' ' ')"
+}
+
+# Ends the processes whose names match, by id, and waits for them.
+end() {  # pattern
+  local pid name
+  while read -r pid name; do
+    if [[ $name =~ $1 ]] && [ ! -e "$run/$name.exit" ]; then
+      kill -TERM "$pid" 2>/dev/null || true
+    fi
+  done <"$run/pids"
+  while read -r pid name; do
+    [[ $name =~ $1 ]] || continue
+    wait_until "$name ($pid) to stop" test -s "$run/$name.exit"
+  done <"$run/pids"
+}
+
+stop() {
+  [ -s "$run/pids" ] || fail "nothing was started here ($run)"
+  end '^router-'
+  end '-'
+  end '^standin$'
+  local count unclean=''
+  count=$(wc -l <"$run/pids")
+  for exit_file in "$run"/*.exit; do
+    [ "$(cat "$exit_file")" = 0 ] || unclean="$unclean $(basename "$exit_file" .exit)"
+  done
+  rm -f "$run/pids" "$run"/*.exit
+  [ -z "$unclean" ] || fail "exit codes other than 0:$unclean (logs in $run)"
+  echo "stopped $count processes of $deployment, all with exit code 0"
+}
+
+case $verb in
+  start) start "${3:-0}" ;;
+  stop) stop ;;
+  *) usage ;;
+esac
--- a/source/net/channel.cc
+++ b/source/net/channel.cc
@@ -23,7 +23,8 @@
 
 class lws_channel final : public channel {
  public:
-  lws_channel(lws* wsi, std::string peer) : wsi_(wsi), peer_(std::move(peer)) {}
+  lws_channel(const lws_context* context, lws* wsi, std::string peer)
+      : context_(context), wsi_(wsi), peer_(std::move(peer)) {}
 
   void Send(std::string message) override {
     if (wsi_ == nullptr || closing_) return;
@@ -89,9 +90,20 @@
 
   void Attach(lws* wsi) { wsi_ = wsi; }
 
+  bool BelongsTo(const lws_context* context) const {
+    return context_ == context;
+  }
+
+  void DropHandlers() {
+    on_open = nullptr;
+    on_message_ = nullptr;
+    on_closed_ = nullptr;
+  }
+
   std::function<void(std::shared_ptr<channel>)> on_open;
 
  private:
+  const lws_context* context_;
   lws* wsi_;
   std::string peer_;
   bool closing_ = false;
@@ -116,7 +128,7 @@
   char peer[64];
   lws_get_peer_simple(wsi, peer, sizeof(peer));
   const std::shared_ptr<lws_channel> accepted =
-      std::make_shared<lws_channel>(wsi, peer);
+      std::make_shared<lws_channel>(lws_get_context(wsi), wsi, peer);
   *slot = accepted.get();
   Live().emplace(accepted.get(), accepted);
   if (server->on_channel()) {
@@ -149,6 +161,12 @@
 
 }  // namespace
 
+void DropChannelHandlers(const lws_context* context) {
+  for (const auto& [raw, live] : Live()) {
+    if (live->BelongsTo(context)) live->DropHandlers();
+  }
+}
+
 int ChannelServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
                           void* in, size_t length) {
   lws_channel** slot = static_cast<lws_channel**>(user);
@@ -198,7 +216,7 @@
 void DialChannel(event_loop& loop, const endpoint& to,
                  std::function<void(std::shared_ptr<channel>)> on_open) {
   const std::shared_ptr<lws_channel> dialled = std::make_shared<lws_channel>(
-      nullptr, to.address + ":" + std::to_string(to.port));
+      loop.context(), nullptr, to.address + ":" + std::to_string(to.port));
   dialled->on_open = std::move(on_open);
   Live().emplace(dialled.get(), dialled);
   lws_client_connect_info info{};
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -103,6 +103,7 @@
   if (signal_context == context_) signal_context = nullptr;
   for (auto& [id, entry] : timers_) lws_sul_cancel(&entry->scheduled.sul);
   timers_.clear();
+  DropChannelHandlers(context_);
   if (context_ != nullptr) lws_context_destroy(context_);
 }
 
--- a/source/net/lws_protocols.h
+++ b/source/net/lws_protocols.h
@@ -21,6 +21,10 @@
 int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
                           void* in, size_t length);
 
+/// Calls no handler of a context's channels from now on; their owners may be
+/// gone when the context is destroyed.
+void DropChannelHandlers(const lws_context* context);
+
 /// @return the protocols of vhosts that listen, ended by an empty entry
 const lws_protocols* ServerProtocols();
 /// @return the protocols of outgoing connections, ended by an empty entry
