--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -47,7 +47,7 @@
 
 step "A small fleet starts"
 scripts/fleet.sh start $deployment
-"$ctl" --router="$router" status
+"$ctl" --routers="$router" status
 
 question='{"question": "How many rings does a spiral of 1.8 m need?"}'
 step "A sketch question is answered; its stages"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -108,7 +108,7 @@
   local first
   first=$(routers | head -1)
   wait_until "router-1" get "$first" /healthz
-  "$bin/wisteriactl" --router="127.0.0.1:$first" configuration apply "settings/$deployment/configuration.json" >"$run/apply.log" 2>&1 ||
+  "$bin/wisteriactl" --routers="127.0.0.1:$first" configuration apply "settings/$deployment/configuration.json" >"$run/apply.log" 2>&1 ||
     fail "the configuration was refused: $(cat "$run/apply.log")"
   for port in $(routers); do
     wait_until "the router on $port" get "$port" /readyz
--- /dev/null
+++ b/scripts/try.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# On a fresh Debian machine, as root: installs the packages, builds, and shows a
+# small fleet at work.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install.sh
+scripts/build.sh
+scripts/demo.sh
