Put interfaces between the executor, the agent and their policies

The executor chose, repeated and waited by constants of its own, and the agent held one queue and one number. Both now ask interfaces: routing_policy over a versioned target_pool (no copy of the pool for each choice), retry_policy, deadline_policy, concurrency_limit and attempt_queue, with the behaviour of before as their baselines (two_choices, fixed_retry, whole_deadline, fixed_limit, fifo_queue). policy_book makes the set that a preset names.

stage_attempts lets a stage have a second attempt; the first that streams or ends well cancels the other. Hedges and attempt timeouts stay off until a policy asks for them.

--- /dev/null
+++ b/source/core/admission/attempt_queue.cc
@@ -0,0 +1,53 @@
+#include "core/admission/attempt_queue.h"
+
+#include <algorithm>
+
+namespace wisteriadale::core {
+
+common::duration WaitBehind(size_t ahead, const queue_load& load) {
+  const uint32_t limit = std::max(load.limit, 1U);
+  if (load.running + ahead < limit) return common::duration::zero();
+  // Each end of a running attempt lets one more begin.
+  const size_t ends = load.running + ahead - limit + 1;
+  return load.service * static_cast<int64_t>(ends) / limit;
+}
+
+std::optional<queue_refusal> fifo_queue::Refusal(const queued_attempt&,
+                                                 const queue_load&) const {
+  if (waiting_.size() < bound_) return std::nullopt;
+  return queue_refusal{common::result_code::kOverloaded, "the queue is full"};
+}
+
+void fifo_queue::Push(queued_attempt attempt) {
+  waiting_.push_back(std::move(attempt));
+}
+
+std::optional<queued_attempt> fifo_queue::Pop(const queue_load&) {
+  if (waiting_.empty()) return std::nullopt;
+  queued_attempt first = std::move(waiting_.front());
+  waiting_.pop_front();
+  return first;
+}
+
+bool fifo_queue::Erase(std::string_view id) {
+  return std::erase_if(waiting_, [id](const queued_attempt& attempt) {
+           return attempt.id == id;
+         }) > 0;
+}
+
+std::vector<queued_attempt> fifo_queue::TakeExpired(common::time_point now) {
+  std::vector<queued_attempt> expired;
+  for (const queued_attempt& attempt : waiting_) {
+    if (attempt.deadline <= now) expired.push_back(attempt);
+  }
+  std::erase_if(waiting_, [now](const queued_attempt& attempt) {
+    return attempt.deadline <= now;
+  });
+  return expired;
+}
+
+common::duration fifo_queue::EstimatedWait(const queue_load& load) const {
+  return WaitBehind(waiting_.size(), load);
+}
+
+}  // namespace wisteriadale::core
--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -1,7 +1,5 @@
 #include "core/agent/attempt_host.h"
 
-#include <algorithm>
-
 #include "common/invariant.h"
 #include "common/metrics.h"
 
@@ -29,7 +27,7 @@
   if (!execute.operation_token.empty()) {
     attempt_of_token_[execute.operation_token] = execute.attempt_id;
   }
-  queue_.push_back(execute.attempt_id);
+  queue_->Push(Queued(entry));
   StartQueued();
 }
 
@@ -54,8 +52,14 @@
     Refuse(link, execute, result_code::kDraining, "the target is leaving");
     return false;
   }
-  if (queue_.size() >= options_.queue_limit) {
-    Refuse(link, execute, result_code::kOverloaded, "the queue is full");
+  SweepExpired();
+  attempt offered;
+  offered.execute = execute;
+  offered.deadline = clock_.Now() + execute.remaining;
+  const std::optional<queue_refusal> refusal =
+      queue_->Refusal(Queued(offered), QueueLoad());
+  if (refusal) {
+    Refuse(link, execute, refusal->code, refusal->reason);
     return false;
   }
   return true;
@@ -75,27 +79,97 @@
   routers_.Send(link, outcome);
 }
 
+void attempt_host::SetPolicies(std::unique_ptr<concurrency_limit> limit,
+                               std::unique_ptr<attempt_queue> queue) {
+  const queue_load load = QueueLoad();
+  while (std::optional<queued_attempt> waiting = queue_->Pop(load)) {
+    queue->Push(std::move(*waiting));
+  }
+  limit_ = std::move(limit);
+  queue_ = std::move(queue);
+  StartQueued();
+}
+
+queued_attempt attempt_host::Queued(const attempt& entry) {
+  queued_attempt queued;
+  queued.id = entry.execute.attempt_id;
+  queued.organisation = entry.execute.organisation;
+  queued.weight = entry.execute.organisation_weight;
+  queued.deadline = entry.deadline;
+  queued.deferrable = entry.execute.deferrable;
+  queued.alone = entry.execute.alone;
+  return queued;
+}
+
+queue_load attempt_host::QueueLoad() const {
+  queue_load load;
+  load.now = clock_.Now();
+  load.service = common::duration(static_cast<int64_t>(latency_us_));
+  load.running = running_;
+  load.limit = limit_->Limit();
+  return load;
+}
+
+size_t attempt_host::Waiting() const {
+  return queue_->size() + (alone_next_ ? 1 : 0);
+}
+
+std::optional<queued_attempt> attempt_host::NextQueued() {
+  if (alone_running_) return std::nullopt;
+  if (!alone_next_) {
+    if (running_ >= limit_->Limit()) return std::nullopt;
+    std::optional<queued_attempt> next = queue_->Pop(QueueLoad());
+    if (!next || !next->alone) return next;
+    alone_next_ = std::move(next);
+  }
+  // Nothing else begins until the target is idle for it.
+  if (running_ > 0) return std::nullopt;
+  std::optional<queued_attempt> next = std::move(alone_next_);
+  alone_next_.reset();
+  return next;
+}
+
 void attempt_host::StartQueued() {
-  while (running_ < options_.concurrency_limit && !queue_.empty()) {
-    const std::string id = queue_.front();
-    queue_.pop_front();
-    const auto found = attempts_.find(id);
+  if (starting_) return;
+  starting_ = true;
+  SweepExpired();
+  while (const std::optional<queued_attempt> next = NextQueued()) {
+    const auto found = attempts_.find(next->id);
     if (found == attempts_.end()) continue;
-    attempt& entry = found->second;
-    if (clock_.Now() >= entry.deadline) {
-      End(&entry,
-          {result_code::kDeadlineExceeded, "expired in the queue", "", false});
+    if (clock_.Now() >= found->second.deadline) {
+      Expire(next->id);
       continue;
     }
-    Begin(&entry);
+    alone_running_ = next->alone;
+    Begin(&found->second);
+  }
+  starting_ = false;
+}
+
+void attempt_host::SweepExpired() {
+  for (const queued_attempt& expired : queue_->TakeExpired(clock_.Now())) {
+    Expire(expired.id);
   }
 }
 
+void attempt_host::Expire(const std::string& attempt_id) {
+  const auto found = attempts_.find(attempt_id);
+  if (found == attempts_.end()) return;
+  End(&found->second,
+      {result_code::kDeadlineExceeded, "expired in the queue", "", false});
+}
+
+void attempt_host::Unqueue(const std::string& attempt_id) {
+  queue_->Erase(attempt_id);
+  if (alone_next_ && alone_next_->id == attempt_id) alone_next_.reset();
+}
+
 void attempt_host::Begin(attempt* entry) {
   entry->state = phase::kRunning;
   entry->started = clock_.Now();
   entry->outcome.begun = true;
   ++running_;
+  entry->beside = running_;
   execute_message execute = entry->execute;
   execute.remaining = std::chrono::duration_cast<common::milliseconds>(
       entry->deadline - clock_.Now());
@@ -124,10 +198,13 @@
   common::CheckInvariant(entry.state == phase::kRunning,
                          "result_of_running_attempt", attempt_id);
   --running_;
+  if (entry.execute.alone) alone_running_ = false;
   const double took =
       static_cast<double>((clock_.Now() - entry.started).count());
   entry.outcome.target_us = static_cast<uint64_t>(took);
   latency_us_ += kLatencySmoothing * (took - latency_us_);
+  limit_->OnResult(clock_.Now() - entry.started, entry.beside,
+                   result.code == result_code::kOk);
   End(&entry, result);
   StartQueued();
 }
@@ -163,6 +240,9 @@
   if (entry.state == phase::kRunning) {
     target_.Cancel(cancel.attempt_id);
     --running_;
+    if (entry.execute.alone) alone_running_ = false;
+  } else {
+    Unqueue(cancel.attempt_id);
   }
   End(&entry, {result_code::kCancelled, "cancelled", "", false});
   StartQueued();
@@ -220,7 +300,7 @@
   const auto found = attempts_.find(known->second);
   if (found != attempts_.end() && found->second.state == phase::kQueued) {
     revoked_.insert(revoke.operation_token);
-    std::erase(queue_, known->second);
+    Unqueue(known->second);
     const std::string id = known->second;
     Forget(id);
     CheckDrained();
@@ -255,7 +335,7 @@
 
 void attempt_host::CheckDrained() {
   if (!draining_ || !on_drained_) return;
-  if (running_ > 0 || !queue_.empty()) return;
+  if (running_ > 0 || Waiting() > 0) return;
   const std::function<void()> action = std::move(on_drained_);
   on_drained_ = nullptr;
   timers_.Schedule(common::duration(0), action);
@@ -264,8 +344,8 @@
 load_report attempt_host::Load() const {
   load_report load;
   load.in_flight = running_;
-  load.queued = static_cast<uint32_t>(queue_.size());
-  load.limit = options_.concurrency_limit;
+  load.queued = static_cast<uint32_t>(Waiting());
+  load.limit = limit_->Limit();
   load.latency_us = static_cast<uint32_t>(latency_us_);
   load.accepting = !draining_;
   return load;
--- a/source/core/agent/attempt_host.h
+++ b/source/core/agent/attempt_host.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
 #include "common/clock.h"
+#include "core/admission/attempt_queue.h"
+#include "core/admission/concurrency_limit.h"
 #include "core/agent/target_port.h"
 #include "core/messages.h"
 
@@ -45,7 +48,13 @@
         target_(target),
         routers_(routers),
         clock_(clock),
-        timers_(timers) {}
+        timers_(timers),
+        limit_(std::make_unique<fixed_limit>(options.concurrency_limit)),
+        queue_(std::make_unique<fifo_queue>(options.queue_limit)) {}
+
+  /// Replaces the policies. What waits moves to the new queue.
+  void SetPolicies(std::unique_ptr<concurrency_limit> limit,
+                   std::unique_ptr<attempt_queue> queue);
 
   void OnExecute(router_link link, const execute_message& execute);
   void OnCancel(const cancel_message& cancel);
@@ -74,7 +83,8 @@
     phase state = phase::kQueued;
     common::time_point deadline;
     common::time_point started;
-    std::string stream;  ///< all chunks so far, the prefix included
+    uint32_t beside = 0;  ///< attempts running when it began, itself included
+    std::string stream;   ///< all chunks so far, the prefix included
     outcome_message outcome;
     common::timer_id timer = 0;  ///< forgets or cancels the attempt
   };
@@ -83,6 +93,13 @@
               common::result_code code, std::string_view reason);
   bool Admit(router_link link, const execute_message& execute);
   void StartQueued();
+  std::optional<queued_attempt> NextQueued();
+  void SweepExpired();
+  void Expire(const std::string& attempt_id);
+  void Unqueue(const std::string& attempt_id);
+  static queued_attempt Queued(const attempt& entry);
+  queue_load QueueLoad() const;
+  size_t Waiting() const;
   void Begin(attempt* entry);
   void End(attempt* entry, const target_result& result);
   void SendFrom(const attempt& entry, uint64_t offset);
@@ -97,7 +114,11 @@
   std::unordered_map<std::string, attempt> attempts_;
   std::unordered_map<std::string, std::string> attempt_of_token_;
   std::unordered_set<std::string> revoked_;  ///< tokens and attempt ids
-  std::deque<std::string> queue_;
+  std::unique_ptr<concurrency_limit> limit_;
+  std::unique_ptr<attempt_queue> queue_;
+  std::optional<queued_attempt> alone_next_;  ///< waits for an idle target
+  bool alone_running_ = false;
+  bool starting_ = false;  ///< guards StartQueued against re-entry
   uint32_t running_ = 0;
   double latency_us_ = 0;
   bool draining_ = false;
--- a/source/core/configuration/configuration.h
+++ b/source/core/configuration/configuration.h
@@ -48,6 +48,7 @@
   double hedge_quantile = 0.95;  ///< hedge after this latency quantile
   double remote_penalty = 2.0;   ///< load factor for other data centres
   std::vector<std::string> drained_data_centres;
+  bool operator==(const preset_policy&) const = default;
 };
 
 /// An accepted configuration. Immutable; requests share the version they were
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -12,7 +12,6 @@
 using common::result_code;
 using nlohmann::json;
 
-constexpr common::duration kRetryDelay = std::chrono::milliseconds(20);
 constexpr common::duration kSettleLimit = std::chrono::seconds(30);
 
 json ParseOrText(const std::string& text) {
@@ -31,6 +30,8 @@
 
 void request_executor::Start() {
   deadline_ = context_.clock.Now() + description_.deadline;
+  policies_ =
+      context_.policies.For(description_.configuration_in_force->Preset());
   deadline_timer_ = context_.timers.Schedule(description_.deadline,
                                              [self = shared_from_this()] {
                                                self->deadline_timer_ = 0;
@@ -48,30 +49,38 @@
 }
 
 void request_executor::StartStage() {
-  stage_attempts_ = 0;
+  stage_key_ = description_.plan.name + "/" + Stage().name;
+  attempts_made_ = 0;
+  waits_ = 0;
   tried_targets_.clear();
   stream_.clear();
   stage_started_ = context_.clock.Now();
+  context_.timers.Cancel(hedge_timer_);
+  hedge_timer_ = 0;
   TryStage();
 }
 
-void request_executor::TryStage() {
-  if (ended_) return;
+target_view* request_executor::ChooseTarget() {
+  const target_pool* pool = context_.targets.Pool(Stage().pool);
+  if (pool == nullptr) return nullptr;
   routing_request request;
   request.pool = Stage().pool;
   request.organisation = description_.organisation;
   request.excluded = tried_targets_;
-  std::vector<target_view*> candidates = context_.targets.Candidates(request);
-  if (candidates.empty() && !tried_targets_.empty()) {
-    // Every target was tried once; a second round beats giving up.
-    request.excluded.clear();
-    candidates = context_.targets.Candidates(request);
-  }
-  if (candidates.empty()) {
+  target_view* chosen = policies_->routing->Choose(*pool, request);
+  if (chosen != nullptr || !running_.empty()) return chosen;
+  // Every target was tried once; a second round beats giving up.
+  request.excluded = {};
+  return policies_->routing->Choose(*pool, request);
+}
+
+void request_executor::TryStage() {
+  if (ended_) return;
+  const target_view* chosen = ChooseTarget();
+  if (chosen == nullptr) {
     RetryLater();
     return;
   }
-  const target_view* chosen = context_.routing.Choose(candidates, request);
   if (Stage().idempotent) {
     Dispatch(chosen->id, chosen->incarnation, "");
   } else {
@@ -133,7 +142,7 @@
 }
 
 void request_executor::Dispatch(const std::string& target, uint64_t incarnation,
-                                const std::string& token) {
+                                const std::string& token, bool hedge) {
   execute_message execute;
   execute.attempt_id = context_.random.HexId();
   execute.request_id = description_.id;
@@ -155,63 +164,137 @@
     execute.operation_key = OperationRowKey(description_.organisation,
                                             description_.idempotency_key);
   }
-  ++stage_attempts_;
-  attempt_id_ = execute.attempt_id;
-  attempt_target_ = target;
-  attempt_trace_ = execute.trace;
-  attempt_started_wall_us_ = context_.clock.WallMicros();
+  ++attempts_made_;
   tried_targets_.push_back(target);
   const bool sent =
       context_.attempts.Start(target, incarnation, execute, weak_from_this());
   if (!sent) {
-    attempt_id_.clear();
     if (!token.empty()) {
       ReleaseReservation(result_code::kPeerLost, "the agent is not connected");
-    } else {
+    } else if (running_.empty()) {
       RetryLater();
     }
     return;
   }
   operation_dispatched_ = operation_dispatched_ || !token.empty();
+  running_attempt started;
+  started.id = execute.attempt_id;
+  started.target = target;
+  started.trace = execute.trace;
+  started.started = context_.clock.Now();
+  started.progressed = started.started;
+  started.started_wall_us = context_.clock.WallMicros();
+  started.hedge = hedge;
+  running_attempt& attempt = running_.Add(std::move(started));
   target_view* view = context_.targets.Find(target);
   if (view != nullptr) ++view->local_in_flight;
+  if (!Stage().idempotent) return;
+  ArmTimeout(&attempt, policies_->deadlines->AttemptTimeout(
+                           description_.plan, stage_index_, Remaining()));
+  if (!hedge) ArmHedge();
+}
+
+void request_executor::ArmTimeout(running_attempt* attempt,
+                                  common::duration limit) {
+  // The deadline's own timer ends an attempt that may use all that remains.
+  if (limit >= Remaining()) return;
+  attempt->timeout_timer = context_.timers.Schedule(
+      attempt->progressed + limit - context_.clock.Now(),
+      [self = shared_from_this(), id = attempt->id, limit] {
+        self->OnAttemptTimeout(id, limit);
+      });
+}
+
+void request_executor::OnAttemptTimeout(const std::string& attempt_id,
+                                        common::duration limit) {
+  running_attempt* attempt = running_.Find(attempt_id);
+  if (ended_ || attempt == nullptr) return;
+  attempt->timeout_timer = 0;
+  if (attempt->progressed + limit > context_.clock.Now()) {
+    ArmTimeout(attempt, limit);
+    return;
+  }
+  common::Metrics().Count("wisteria_attempts_timed_out_total",
+                          {{"stage", Stage().name}});
+  context_.attempts.Cancel(attempt_id);
+  OnLost(attempt_id);
+}
+
+void request_executor::ArmHedge() {
+  context_.timers.Cancel(hedge_timer_);
+  hedge_timer_ = 0;
+  const std::optional<common::duration> delay =
+      policies_->retry->HedgeDelay(stage_key_);
+  if (!delay || *delay >= Remaining()) return;
+  hedge_timer_ = context_.timers.Schedule(*delay, [self = shared_from_this()] {
+    self->hedge_timer_ = 0;
+    self->OnHedgeDue();
+  });
+}
+
+void request_executor::OnHedgeDue() {
+  // A stream that has begun is never duplicated.
+  if (ended_ || running_.size() != 1 || !stream_.empty()) return;
+  const target_view* chosen = ChooseTarget();
+  if (chosen == nullptr) return;
+  if (!policies_->retry->TakeHedge(Question(result_code::kOk))) return;
+  common::Metrics().Count("wisteria_hedges_total", {{"stage", Stage().name}});
+  Dispatch(chosen->id, chosen->incarnation, "", true);
+}
+
+void request_executor::CancelOthers(std::string_view attempt_id) {
+  for (const std::string& other : running_.Others(attempt_id)) {
+    context_.attempts.Cancel(other);
+    EndAttempt(other);
+  }
 }
 
-void request_executor::EndAttempt() {
-  target_view* view = context_.targets.Find(attempt_target_);
+void request_executor::EndAttempt(const std::string& attempt_id) {
+  const running_attempt* attempt = running_.Find(attempt_id);
+  if (attempt == nullptr) return;
+  context_.timers.Cancel(attempt->timeout_timer);
+  target_view* view = context_.targets.Find(attempt->target);
   if (view != nullptr && view->local_in_flight > 0) --view->local_in_flight;
   common::span_record span;
-  span.context = attempt_trace_;
+  span.context = attempt->trace;
   span.name = "attempt " + Stage().name;
-  span.start_us = attempt_started_wall_us_;
+  span.start_us = attempt->started_wall_us;
   span.end_us = context_.clock.WallMicros();
-  span.attributes = {{"target", attempt_target_},
+  span.attributes = {{"target", attempt->target},
                      {"request_id", description_.id}};
   common::EmitSpan(span);
-  attempt_id_.clear();
+  running_.Remove(attempt_id);
 }
 
 void request_executor::OnChunk(std::string_view attempt_id,
                                std::string_view data) {
-  if (ended_ || attempt_id != attempt_id_) return;
+  running_attempt* attempt = running_.Find(attempt_id);
+  if (ended_ || attempt == nullptr) return;
+  attempt->progressed = context_.clock.Now();
+  // The first attempt that streams is the one whose stream is used.
+  if (running_.size() > 1) CancelOthers(attempt_id);
   stream_.append(data);
   if (Stage().streamed) sink_->OnData(data);
 }
 
 void request_executor::OnOutcome(const outcome_message& outcome) {
-  if (outcome.attempt_id != attempt_id_) return;
-  EndAttempt();
+  const running_attempt* attempt = running_.Find(outcome.attempt_id);
+  if (attempt == nullptr) return;
+  const std::string target = attempt->target;
+  EndAttempt(outcome.attempt_id);
   if (outcome.code != result_code::kOk) {
     StageFailed(outcome);
     return;
   }
+  CancelOthers(outcome.attempt_id);
+  policies_->retry->OnSuccess(description_.organisation, stage_key_);
   common::Metrics().Observe(
       "wisteria_stage_seconds", context_.clock.Now() - stage_started_,
       {{"stage", Stage().name}, {"pool", Stage().pool}, {"outcome", "ok"}});
   stage_report report;
   report.stage = Stage().name;
-  report.target = attempt_target_;
-  report.attempts = stage_attempts_;
+  report.target = target;
+  report.attempts = attempts_made_;
   report.took = context_.clock.Now() - stage_started_;
   report.target_us = outcome.target_us;
   report.result = Stage().streamed ? json(stream_).dump() : outcome.result;
@@ -264,13 +347,29 @@
          request_fate::kUnknown);
     return;
   }
-  const preset_policy& preset = description_.configuration_in_force->Preset();
-  const bool retryable = common::Describe(outcome.code).retryable;
-  if (!retryable || stage_attempts_ >= preset.max_attempts) {
+  if (!running_.empty()) return;  // the other attempt may still end well
+  std::optional<common::duration> delay;
+  if (common::Describe(outcome.code).retryable) {
+    delay = policies_->retry->Retry(Question(outcome.code));
+  }
+  if (!delay) {
     Fail(outcome.code, outcome.reason, request_fate::kNotRun);
     return;
   }
-  TryStage();
+  ++request_retries_;
+  RetryAfter(*delay);
+}
+
+retry_question request_executor::Question(result_code code) const {
+  retry_question question;
+  question.organisation = description_.organisation;
+  question.stage = stage_key_;
+  question.code = code;
+  question.stage_attempts = attempts_made_;
+  question.request_retries = request_retries_;
+  question.remaining = Remaining();
+  question.deferrable = description_.plan.deferrable;
+  return question;
 }
 
 void request_executor::ReleaseReservation(result_code code,
@@ -291,19 +390,26 @@
 }
 
 void request_executor::RetryLater() {
+  RetryAfter(policies_->retry->Wait(waits_++));
+}
+
+void request_executor::RetryAfter(common::duration delay) {
   if (ended_) return;
-  if (Remaining() <= kRetryDelay) return;  // the deadline timer ends it
+  if (delay == common::duration::zero()) {
+    TryStage();
+    return;
+  }
+  if (Remaining() <= delay) return;  // the deadline timer ends it
   context_.timers.Cancel(retry_timer_);
-  retry_timer_ =
-      context_.timers.Schedule(kRetryDelay, [self = shared_from_this()] {
-        self->retry_timer_ = 0;
-        self->TryStage();
-      });
+  retry_timer_ = context_.timers.Schedule(delay, [self = shared_from_this()] {
+    self->retry_timer_ = 0;
+    self->TryStage();
+  });
 }
 
 void request_executor::OnLost(std::string_view attempt_id) {
-  if (attempt_id != attempt_id_) return;
-  EndAttempt();
+  if (running_.Find(attempt_id) == nullptr) return;
+  EndAttempt(std::string(attempt_id));
   outcome_message outcome;
   outcome.code = result_code::kTargetLost;
   outcome.reason = "the agent went away";
@@ -312,9 +418,9 @@
 }
 
 void request_executor::OnRevokeAnswer(const revoke_answer_message& answer) {
-  if (answer.attempt_id != attempt_id_) return;
+  if (running_.Find(answer.attempt_id) == nullptr) return;
   if (answer.begun || !answer.known) return;  // its outcome will come
-  EndAttempt();
+  EndAttempt(answer.attempt_id);
   ReleaseReservation(result_code::kDeadlineExceeded, "revoked");
 }
 
@@ -349,9 +455,9 @@
   ended_ = true;
   context_.timers.Cancel(deadline_timer_);
   context_.timers.Cancel(retry_timer_);
-  if (!attempt_id_.empty() && Stage().idempotent) {
-    context_.attempts.Cancel(attempt_id_);
-    EndAttempt();
+  context_.timers.Cancel(hedge_timer_);
+  if (stage_index_ < description_.plan.stages.size() && Stage().idempotent) {
+    CancelOthers("");
   }
   result.stages = reports_;
   sink_->OnEnd(result);
--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -12,6 +12,8 @@
 #include "core/configuration/configuration.h"
 #include "core/operations/operation_log.h"
 #include "core/pipeline/attempt_table.h"
+#include "core/pipeline/stage_attempts.h"
+#include "core/policy/policy_book.h"
 #include "core/routing/target_table.h"
 
 namespace wisteriadale::core {
@@ -69,7 +71,7 @@
   common::timer_service& timers;
   common::random_source& random;
   target_table& targets;
-  routing_policy& routing;
+  policy_book& policies;
   attempt_table& attempts;
   operation_log& operations;
   std::string router_name;
@@ -105,16 +107,24 @@
   common::duration Remaining() const;
   void StartStage();
   void TryStage();
+  target_view* ChooseTarget();
   void Reserve(const std::string& target, uint64_t incarnation);
   void OnReserved(const reserve_answer& answer);
   void Dispatch(const std::string& target, uint64_t incarnation,
-                const std::string& token);
+                const std::string& token, bool hedge = false);
   void StageDone(const std::string& result);
   void StageFailed(const outcome_message& outcome);
   void RetryLater();
+  void RetryAfter(common::duration delay);
+  retry_question Question(common::result_code code) const;
+  void ArmHedge();
+  void OnHedgeDue();
+  void ArmTimeout(running_attempt* attempt, common::duration limit);
+  void OnAttemptTimeout(const std::string& attempt_id, common::duration limit);
+  void CancelOthers(std::string_view attempt_id);
   void ReleaseReservation(common::result_code code, const std::string& reason);
   void OnDeadline();
-  void EndAttempt();
+  void EndAttempt(const std::string& attempt_id);
   void Fail(common::result_code code, const std::string& reason,
             request_fate fate);
   void Finish(request_result result);
@@ -127,14 +137,16 @@
   common::timer_id deadline_timer_ = 0;
   common::timer_id retry_timer_ = 0;
   size_t stage_index_ = 0;
-  uint32_t stage_attempts_ = 0;
+  std::shared_ptr<policy_set> policies_;
+  std::string stage_key_;       ///< pipeline and stage that runs now
+  uint32_t attempts_made_ = 0;  ///< of the stage that runs now
+  uint32_t waits_ = 0;          ///< of the stage that runs now
+  uint32_t request_retries_ = 0;
   common::time_point stage_started_;
   std::vector<std::string> tried_targets_;
-  std::string attempt_id_;
-  std::string attempt_target_;
+  stage_attempts running_;
+  common::timer_id hedge_timer_ = 0;
   std::string stream_;  ///< of the stage that runs now
-  common::trace_context attempt_trace_;
-  int64_t attempt_started_wall_us_ = 0;
   std::vector<stage_report> reports_;
   operation_record reservation_;
   uint64_t reservation_version_ = 0;
--- /dev/null
+++ b/source/core/retry/fixed_retry.cc
@@ -0,0 +1,18 @@
+#include "core/retry/fixed_retry.h"
+
+namespace wisteriadale::core {
+namespace {
+
+constexpr common::duration kWait = std::chrono::milliseconds(20);
+
+}  // namespace
+
+std::optional<common::duration> fixed_retry::Retry(
+    const retry_question& question) {
+  if (question.stage_attempts >= max_attempts_) return std::nullopt;
+  return common::duration::zero();
+}
+
+common::duration fixed_retry::Wait(uint32_t) { return kWait; }
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/retry/fixed_retry.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/retry/retry_policy.h"
+
+namespace wisteriadale::core {
+
+/// Baseline: repeats at once up to a number of attempts, without a budget and
+/// without hedges. With one attempt it never repeats.
+class fixed_retry final : public retry_policy {
+ public:
+  explicit fixed_retry(uint32_t max_attempts) : max_attempts_(max_attempts) {}
+
+  std::optional<common::duration> Retry(
+      const retry_question& question) override;
+  common::duration Wait(uint32_t waits) override;
+  std::optional<common::duration> HedgeDelay(std::string_view) override {
+    return std::nullopt;
+  }
+  bool TakeHedge(const retry_question&) override { return false; }
+  void OnSuccess(std::string_view, std::string_view) override {}
+
+ private:
+  uint32_t max_attempts_;
+};
+
+}  // namespace wisteriadale::core
--- a/source/core/routing/target_table.cc
+++ b/source/core/routing/target_table.cc
@@ -1,6 +1,6 @@
 #include "core/routing/target_table.h"
 
-#include <algorithm>
+#include "common/digest.h"
 
 namespace wisteriadale::core {
 
@@ -12,9 +12,13 @@
   view->id = id;
   view->pool = pool;
   view->data_centre = data_centre;
+  view->hash = common::Hash64(id);
   target_view* raw = view.get();
   targets_.emplace(id, std::move(view));
-  pools_[std::string(pool)].push_back(raw);
+  target_pool& members = pools_[std::string(pool)];
+  members.name = pool;
+  members.version = ++version_;
+  members.members.push_back(raw);
   return raw;
 }
 
@@ -26,24 +30,15 @@
 void target_table::Erase(std::string_view id) {
   const auto found = targets_.find(id);
   if (found == targets_.end()) return;
-  std::vector<target_view*>& members = pools_[found->second->pool];
-  std::erase(members, found->second.get());
+  target_pool& pool = pools_[found->second->pool];
+  pool.version = ++version_;
+  std::erase(pool.members, found->second.get());
   targets_.erase(found);
 }
 
-std::vector<target_view*> target_table::Candidates(
-    const routing_request& request) {
-  std::vector<target_view*> result;
-  const auto members = pools_.find(request.pool);
-  if (members == pools_.end()) return result;
-  for (target_view* view : members->second) {
-    if (!view->Usable()) continue;
-    const bool excluded =
-        std::find(request.excluded.begin(), request.excluded.end(), view->id) !=
-        request.excluded.end();
-    if (!excluded) result.push_back(view);
-  }
-  return result;
+const target_pool* target_table::Pool(std::string_view name) const {
+  const auto found = pools_.find(name);
+  return found == pools_.end() ? nullptr : &found->second;
 }
 
 std::vector<const target_view*> target_table::All() const {
--- a/source/core/routing/two_choices.cc
+++ b/source/core/routing/two_choices.cc
@@ -1,20 +1,19 @@
 #include "core/routing/two_choices.h"
 
-#include <algorithm>
+#include "core/routing/sampling.h"
 
 namespace wisteriadale::core {
 
-target_view* two_choices::Choose(const std::vector<target_view*>& candidates,
-                                 const routing_request&) {
-  target_view* first = candidates[random_.Below(candidates.size())];
-  target_view* second = candidates[random_.Below(candidates.size())];
+target_view* two_choices::Choose(const target_pool& pool,
+                                 const routing_request& request) {
+  target_view* first = SampleAllowed(pool.members, request, random_);
+  if (first == nullptr) return nullptr;
+  target_view* second = SampleAllowed(pool.members, request, random_);
   return Cost(*second) < Cost(*first) ? second : first;
 }
 
 double two_choices::Cost(const target_view& view) const {
-  // Reports lag, so this router's own attempts are the floor.
-  const uint32_t reported = view.load.in_flight + view.load.queued;
-  const double work = std::max(reported, view.local_in_flight) + 1.0;
+  const double work = view.Outstanding() + 1.0;
   return view.data_centre == data_centre_ ? work : work * remote_penalty_;
 }
 
--- a/source/core/routing/two_choices.h
+++ b/source/core/routing/two_choices.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "core/routing/target_table.h"
+#include "common/random.h"
+#include "core/routing/routing_policy.h"
 
 namespace wisteriadale::core {
 
-/// Picks two random candidates and takes the one with less work, with a
-/// penalty for other data centres.
+/// Picks two random targets and takes the one with less work, with a penalty
+/// for other data centres.
 class two_choices final : public routing_policy {
  public:
   two_choices(common::random_source& random, std::string data_centre,
@@ -14,7 +15,7 @@
         data_centre_(std::move(data_centre)),
         remote_penalty_(remote_penalty) {}
 
-  target_view* Choose(const std::vector<target_view*>& candidates,
+  target_view* Choose(const target_pool& pool,
                       const routing_request& request) override;
 
  private:
--- a/source/router/agent_links.cc
+++ b/source/router/agent_links.cc
@@ -23,14 +23,14 @@
     attempts.OnChunk(target, message);
   }
   void operator()(const core::outcome_message& message) const {
-    if (view != nullptr) view->load = message.load;
+    if (view != nullptr) view->Report(message.load);
     attempts.OnOutcome(target, message);
   }
   void operator()(const core::revoke_answer_message& message) const {
     attempts.OnRevokeAnswer(target, message);
   }
   void operator()(const core::ping_message& message) const {
-    if (view != nullptr) view->load = message.load;
+    if (view != nullptr) view->Report(message.load);
   }
   template <typename other>
   void operator()(const other&) const {}
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -47,9 +47,9 @@
   hello.name = name;
   hello.data_centre = data_centre;
   hello.is_router = true;
-  constexpr double kRemotePenalty = 2.0;
-  process->routing_ = std::make_unique<core::two_choices>(
-      *process->random_, data_centre, kRemotePenalty);
+  process->policies_ =
+      std::make_unique<core::policy_book>(core::policy_environment{
+          process->clock_, *process->random_, name, data_centre});
   process->links_ = std::make_unique<agent_links>(events, process->clock_,
                                                   process->targets_, hello);
   process->attempts_ = std::make_unique<core::attempt_table>(
@@ -60,7 +60,7 @@
       *process->table_, events, process->clock_, *process->random_);
   process->executors_ = std::make_unique<core::executor_context>(
       core::executor_context{process->clock_, events, *process->random_,
-                             process->targets_, *process->routing_,
+                             process->targets_, *process->policies_,
                              *process->attempts_, *process->operations_, name});
   process->watch_ = std::make_unique<configuration_watch>(
       *process->table_, *process->objects_, events,
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "core/routing/two_choices.h"
+#include "core/policy/policy_book.h"
 #include "net/http_server.h"
 #include "platform/http_platform.h"
 #include "router/agent_links.h"
@@ -41,7 +41,7 @@
   std::unique_ptr<core::object_store> objects_;
   std::unique_ptr<core::vm_list> vms_;
   core::target_table targets_;
-  std::unique_ptr<core::routing_policy> routing_;
+  std::unique_ptr<core::policy_book> policies_;
   std::unique_ptr<agent_links> links_;
   std::unique_ptr<core::attempt_table> attempts_;
   std::unique_ptr<core::operation_log> operations_;
