--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -130,6 +130,7 @@
     host_->OnLinkClosed(link);
   });
   links_.emplace(link, std::move(channel));
+  hello_.token_window = host_->token_window();
   Send(link, hello_);
 }
 
--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -1,6 +1,9 @@
 #include "core/agent/attempt_host.h"
 
+#include <nlohmann/json.hpp>
+
 #include "common/invariant.h"
+#include "common/log.h"
 #include "common/metrics.h"
 
 namespace wisteriadale::core {
@@ -24,28 +27,46 @@
   entry.link = link;
   entry.deadline = clock_.Now() + execute.remaining;
   entry.stream = execute.stream_prefix;
-  if (!execute.operation_token.empty()) {
-    attempt_of_token_[execute.operation_token] = execute.attempt_id;
-  }
   queue_->Push(Queued(entry));
   StartQueued();
 }
 
-bool attempt_host::Admit(router_link link, const execute_message& execute) {
+bool attempt_host::AdmitToken(router_link link,
+                              const execute_message& execute) {
   const std::string& token = execute.operation_token;
-  if (revoked_.contains(execute.attempt_id) || revoked_.contains(token)) {
-    Refuse(link, execute, result_code::kOperationNotRun, "revoked");
-    return false;
-  }
-  if (!token.empty() && execute.expected_incarnation != options_.incarnation) {
+  if (execute.expected_incarnation != options_.incarnation) {
     Refuse(link, execute, result_code::kIncarnationMismatch,
            "the agent restarted since the operation was reserved");
     return false;
   }
-  // One token runs once, whatever attempt id it arrives under.
-  if (!token.empty() && attempt_of_token_.contains(token)) {
-    Refuse(link, execute, result_code::kOperationInProgress,
-           "the token was dispatched before");
+  switch (tokens_.StateOf(token, execute.token_window)) {
+    case token_state::kNew:
+      break;
+    case token_state::kNeverRuns:
+      Refuse(link, execute, result_code::kOperationNotRun, "revoked");
+      return false;
+    default:
+      // One token runs once, whatever attempt id it arrives under. Whether it
+      // ran is not this answer's to tell.
+      Refuse(link, execute, result_code::kOperationInProgress,
+             "the token was dispatched before", true);
+      return false;
+  }
+  if (!tokens_.Fresh(execute.token_window)) {
+    tokens_.Set(token, token_state::kNeverRuns);
+    Refuse(link, execute, result_code::kOperationNotRun,
+           "the operation was dispatched too late");
+    return false;
+  }
+  return true;
+}
+
+bool attempt_host::Admit(router_link link, const execute_message& execute) {
+  const std::string& token = execute.operation_token;
+  if (!token.empty() && !AdmitToken(link, execute)) return false;
+  const uint64_t window = tokens_.CurrentWindow();
+  if (tokens_.StateOf(execute.attempt_id, window) != token_state::kNew) {
+    Refuse(link, execute, result_code::kOperationNotRun, "given up before");
     return false;
   }
   if (draining_) {
@@ -62,11 +83,16 @@
     Refuse(link, execute, refusal->code, refusal->reason);
     return false;
   }
+  if (!token.empty() && !tokens_.Set(token, token_state::kQueued)) {
+    Refuse(link, execute, result_code::kOverloaded, "too many operations");
+    return false;
+  }
   return true;
 }
 
 void attempt_host::Refuse(router_link link, const execute_message& execute,
-                          result_code code, std::string_view reason) {
+                          result_code code, std::string_view reason,
+                          bool begun) {
   common::Metrics().Count("wisteria_agent_refused_total",
                           {{"code", common::Describe(code).name}});
   outcome_message outcome;
@@ -74,7 +100,7 @@
   outcome.organisation = execute.organisation;
   outcome.code = code;
   outcome.reason = reason;
-  outcome.begun = false;
+  outcome.begun = begun;
   outcome.load = Load();
   routers_.Send(link, outcome);
 }
@@ -166,6 +192,9 @@
 
 void attempt_host::Begin(attempt* entry) {
   entry->state = phase::kRunning;
+  if (!entry->execute.operation_token.empty()) {
+    tokens_.Set(entry->execute.operation_token, token_state::kBegun);
+  }
   entry->started = clock_.Now();
   entry->outcome.begun = true;
   ++running_;
@@ -219,19 +248,56 @@
   outcome.result = result.result;
   outcome.stream_bytes = entry->stream.size();
   outcome.load = Load();
+  routers_.Send(entry->link, outcome);
+  TellOperationEnd(*entry);
+  Retain(entry);
+  CheckDrained();
+}
+
+std::string attempt_host::OperationResult(const attempt& entry) {
+  if (!entry.outcome.result.empty() || entry.stream.empty()) {
+    return entry.outcome.result;
+  }
+  using nlohmann::json;
+  return json(entry.stream)
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void attempt_host::TellOperationEnd(const attempt& entry) {
+  const execute_message& execute = entry.execute;
+  if (execute.operation_token.empty()) return;
+  if (!entry.outcome.begun) {
+    tokens_.Set(execute.operation_token, token_state::kNeverRuns);
+  }
+  if (operation_observer_ == nullptr) return;
+  // A run that failed may have had its effect: its row stays in doubt.
+  const bool ran = entry.outcome.begun;
+  if (ran && entry.outcome.code != result_code::kOk) return;
+  operation_observer_->OnOperationEnded(execute, ran, OperationResult(entry));
+}
+
+void attempt_host::Retain(attempt* entry) {
   timers_.Cancel(entry->timer);
   const std::string id = entry->execute.attempt_id;
   entry->timer =
       timers_.Schedule(options_.retention, [this, id] { Forget(id); });
-  routers_.Send(entry->link, outcome);
-  CheckDrained();
+  entry->execute.input = std::string();
+  entry->execute.stream_prefix = std::string();
+  entry->retained = entry->stream.size() + entry->outcome.result.size();
+  retained_bytes_ += entry->retained;
+  ended_.push_back(id);
+  while (retained_bytes_ > options_.retained_bytes && ended_.size() > 1) {
+    const std::string oldest = ended_.front();
+    ended_.pop_front();
+    Forget(oldest);
+  }
 }
 
 void attempt_host::OnCancel(const cancel_message& cancel) {
   const auto found = attempts_.find(cancel.attempt_id);
   if (found == attempts_.end()) {
     // The execute may still be on its way over an older connection.
-    revoked_.insert(cancel.attempt_id);
+    tokens_.Set(cancel.attempt_id, token_state::kNeverRuns);
     return;
   }
   attempt& entry = found->second;
@@ -251,20 +317,15 @@
 void attempt_host::OnResume(router_link link, const resume_message& resume) {
   const auto found = attempts_.find(resume.attempt_id);
   if (found == attempts_.end()) {
-    // The execute may still be on its way over an older connection.
-    revoked_.insert(resume.attempt_id);
-    outcome_message outcome;
-    outcome.attempt_id = resume.attempt_id;
-    outcome.organisation = resume.organisation;
-    outcome.code = result_code::kTargetLost;
-    outcome.reason = "the attempt never arrived";
-    outcome.load = Load();
-    routers_.Send(link, outcome);
+    ResumeUnknown(link, resume);
     return;
   }
   attempt& entry = found->second;
   if (entry.execute.organisation != resume.organisation) {
     common::Metrics().Count("wisteria_results_foreign_total");
+    common::Log(common::log_channel::kRequest, common::log_level::kError,
+                "refused to resume attempt " + resume.attempt_id +
+                    " for another organisation");
     return;
   }
   entry.link = link;
@@ -275,6 +336,35 @@
   SendFrom(entry, resume.offset);
 }
 
+void attempt_host::ResumeUnknown(router_link link,
+                                 const resume_message& resume) {
+  outcome_message outcome;
+  outcome.attempt_id = resume.attempt_id;
+  outcome.organisation = resume.organisation;
+  outcome.code = result_code::kTargetLost;
+  outcome.reason = "the attempt never arrived";
+  outcome.load = Load();
+  // The execute may still be on its way over an older connection.
+  if (resume.operation_token.empty()) {
+    tokens_.Set(resume.attempt_id, token_state::kNeverRuns);
+  } else if (Revoke(resume.operation_token, resume.token_window) !=
+             token_state::kNeverRuns) {
+    outcome.code = result_code::kOperationInProgress;
+    outcome.reason = "the operation's end is not kept any more";
+    outcome.begun = true;
+  }
+  routers_.Send(link, outcome);
+}
+
+token_state attempt_host::Revoke(std::string_view token, uint64_t window) {
+  const token_state state = tokens_.StateOf(token, window);
+  if (state != token_state::kNew && state != token_state::kQueued) return state;
+  if (!tokens_.Set(token, token_state::kNeverRuns)) {
+    return token_state::kForgotten;
+  }
+  return token_state::kNeverRuns;
+}
+
 void attempt_host::SendFrom(const attempt& entry, uint64_t offset) {
   if (offset < entry.stream.size()) {
     chunk_message chunk;
@@ -288,26 +378,24 @@
 }
 
 void attempt_host::OnRevoke(router_link link, const revoke_message& revoke) {
+  const token_state state = Revoke(revoke.operation_token, revoke.token_window);
+  if (state == token_state::kNeverRuns) EndRevoked(revoke.operation_token);
   revoke_answer_message answer;
   answer.attempt_id = revoke.attempt_id;
   answer.operation_token = revoke.operation_token;
-  const auto known = attempt_of_token_.find(revoke.operation_token);
-  if (known == attempt_of_token_.end()) {
-    revoked_.insert(revoke.operation_token);
-    routers_.Send(link, answer);
+  answer.begun = state == token_state::kBegun;
+  answer.known = state != token_state::kForgotten;
+  routers_.Send(link, answer);
+}
+
+void attempt_host::EndRevoked(const std::string& token) {
+  for (auto& [id, entry] : attempts_) {
+    if (entry.state != phase::kQueued) continue;
+    if (entry.execute.operation_token != token) continue;
+    Unqueue(id);
+    End(&entry, {result_code::kOperationNotRun, "revoked", "", false});
     return;
   }
-  const auto found = attempts_.find(known->second);
-  if (found != attempts_.end() && found->second.state == phase::kQueued) {
-    revoked_.insert(revoke.operation_token);
-    Unqueue(known->second);
-    const std::string id = known->second;
-    Forget(id);
-    CheckDrained();
-  } else {
-    answer.begun = true;
-  }
-  routers_.Send(link, answer);
 }
 
 void attempt_host::OnLinkClosed(router_link link) {
@@ -324,7 +412,11 @@
   const auto found = attempts_.find(attempt_id);
   if (found == attempts_.end()) return;
   timers_.Cancel(found->second.timer);
+  retained_bytes_ -= found->second.retained;
   attempts_.erase(found);
+  while (!ended_.empty() && !attempts_.contains(ended_.front())) {
+    ended_.pop_front();
+  }
 }
 
 void attempt_host::Drain(std::function<void()> on_drained) {
@@ -348,6 +440,7 @@
   load.limit = limit_->Limit();
   load.latency_us = static_cast<uint32_t>(latency_us_);
   load.accepting = !draining_;
+  load.token_window = tokens_.CurrentWindow();
   return load;
 }
 
--- a/source/core/agent/attempt_host.h
+++ b/source/core/agent/attempt_host.h
@@ -1,18 +1,19 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "common/clock.h"
 #include "core/admission/attempt_queue.h"
 #include "core/admission/concurrency_limit.h"
 #include "core/agent/target_port.h"
+#include "core/agent/token_memory.h"
 #include "core/messages.h"
 
 namespace wisteriadale::core {
@@ -28,6 +29,17 @@
   virtual void Send(router_link link, const message& message) = 0;
 };
 
+/// Told how each operation on a target ended, so that its row learns of it even
+/// when the router that dispatched it is gone.
+class operation_end_observer {
+ public:
+  virtual ~operation_end_observer() = default;
+  /// @param ran    false: the token never ran and never will
+  /// @param result JSON text of the stage, when it ran
+  virtual void OnOperationEnded(const execute_message& execute, bool ran,
+                                std::string_view result) = 0;
+};
+
 /// How an agent admits and keeps attempts.
 struct attempt_host_options {
   uint64_t incarnation = 0;
@@ -35,6 +47,8 @@
   uint32_t queue_limit = 64;
   common::duration retention = std::chrono::seconds(60);
   common::duration orphan_limit = std::chrono::seconds(5);
+  size_t retained_bytes = 8 << 20;  ///< of ended attempts, for resumes
+  token_memory_options tokens;
 };
 
 /// The attempts on one target: admits, deduplicates, resumes and drains. It is
@@ -49,6 +63,7 @@
         routers_(routers),
         clock_(clock),
         timers_(timers),
+        tokens_(options.tokens, options.incarnation, clock),
         limit_(std::make_unique<fixed_limit>(options.concurrency_limit)),
         queue_(std::make_unique<fifo_queue>(options.queue_limit)) {}
 
@@ -56,6 +71,11 @@
   void SetPolicies(std::unique_ptr<concurrency_limit> limit,
                    std::unique_ptr<attempt_queue> queue);
 
+  /// @param observer told of ends from now on; not owned
+  void SetOperationObserver(operation_end_observer* observer) {
+    operation_observer_ = observer;
+  }
+
   void OnExecute(router_link link, const execute_message& execute);
   void OnCancel(const cancel_message& cancel);
   void OnResume(router_link link, const resume_message& resume);
@@ -73,6 +93,10 @@
 
   load_report Load() const;
   bool draining() const { return draining_; }
+  /// @return the window for tokens made now
+  uint64_t token_window() const { return tokens_.CurrentWindow(); }
+  /// @return bytes kept of ended attempts
+  size_t retained_bytes() const { return retained_bytes_; }
 
  private:
   enum class phase { kQueued, kRunning, kEnded };
@@ -86,12 +110,17 @@
     uint32_t beside = 0;  ///< attempts running when it began, itself included
     std::string stream;   ///< all chunks so far, the prefix included
     outcome_message outcome;
+    size_t retained = 0;         ///< bytes kept once it has ended
     common::timer_id timer = 0;  ///< forgets or cancels the attempt
   };
 
   void Refuse(router_link link, const execute_message& execute,
-              common::result_code code, std::string_view reason);
+              common::result_code code, std::string_view reason,
+              bool begun = false);
   bool Admit(router_link link, const execute_message& execute);
+  bool AdmitToken(router_link link, const execute_message& execute);
+  token_state Revoke(std::string_view token, uint64_t window);
+  void ResumeUnknown(router_link link, const resume_message& resume);
   void StartQueued();
   std::optional<queued_attempt> NextQueued();
   void SweepExpired();
@@ -103,6 +132,10 @@
   void Begin(attempt* entry);
   void End(attempt* entry, const target_result& result);
   void SendFrom(const attempt& entry, uint64_t offset);
+  static std::string OperationResult(const attempt& entry);
+  void TellOperationEnd(const attempt& entry);
+  void EndRevoked(const std::string& token);
+  void Retain(attempt* entry);
   void Forget(const std::string& attempt_id);
   void CheckDrained();
 
@@ -112,8 +145,10 @@
   common::clock& clock_;
   common::timer_service& timers_;
   std::unordered_map<std::string, attempt> attempts_;
-  std::unordered_map<std::string, std::string> attempt_of_token_;
-  std::unordered_set<std::string> revoked_;  ///< tokens and attempt ids
+  token_memory tokens_;  ///< and ids of attempts that were given up early
+  std::deque<std::string> ended_;  ///< ids, the one that ended first in front
+  size_t retained_bytes_ = 0;
+  operation_end_observer* operation_observer_ = nullptr;
   std::unique_ptr<concurrency_limit> limit_;
   std::unique_ptr<attempt_queue> queue_;
   std::optional<queued_attempt> alone_next_;  ///< waits for an idle target
--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -20,6 +20,7 @@
   uint32_t latency_us = 0;  ///< smoothed service time
   bool accepting = true;    ///< false once draining
   uint64_t configuration_version = 0;
+  uint64_t token_window = 0;  ///< the agent's, for new operation tokens
 };
 
 /// First message on a channel, in both directions.
@@ -32,6 +33,7 @@
   std::string pool;     ///< of an agent's target
   std::string address;  ///< where the sender listens, if it says
   uint16_t port = 0;
+  uint64_t token_window = 0;  ///< an agent\'s current token window
 };
 
 /// Asks an agent to run one stage.
@@ -45,6 +47,7 @@
   std::string digest;                 ///< of the caller's request
   std::string operation_token;        ///< empty for idempotent stages
   uint64_t expected_incarnation = 0;  ///< checked when a token is present
+  uint64_t token_window = 0;          ///< in which the token was made
   common::milliseconds remaining{0};
   bool deferrable = false;
   bool alone = false;  ///< suspect: nothing may run beside it
@@ -88,12 +91,15 @@
   std::string attempt_id;
   std::string organisation;
   uint64_t offset = 0;
+  std::string operation_token;  ///< of a non-idempotent attempt
+  uint64_t token_window = 0;
 };
 
 /// Asks that an operation token never runs, if it has not begun.
 struct revoke_message {
-  std::string attempt_id;
+  std::string attempt_id;  ///< empty when another router asks
   std::string operation_token;
+  uint64_t token_window = 0;
 };
 
 /// Answer to a revoke_message.
--- a/source/core/operations/operation_log.cc
+++ b/source/core/operations/operation_log.cc
@@ -1,5 +1,6 @@
 #include "core/operations/operation_log.h"
 
+#include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -10,7 +11,8 @@
 
 using nlohmann::json;
 
-constexpr common::duration kRetryDelay = std::chrono::milliseconds(50);
+constexpr common::duration kFirstRetryDelay = std::chrono::milliseconds(50);
+constexpr common::duration kLongestRetryDelay = std::chrono::milliseconds(800);
 constexpr const char* kStateNames[] = {"none", "reserved", "done", "not_run"};
 
 operation_state StateFromName(const std::string& name) {
@@ -20,6 +22,17 @@
   return operation_state::kNone;
 }
 
+operation_record RecordOf(const table_row& row) {
+  if (row.version == 0) return operation_record();
+  // Nothing is known of a row that cannot be read, so it is never written over.
+  operation_record unreadable;
+  unreadable.state = operation_state::kReserved;
+  operation_record record = DecodeOperation(row.value).value_or(unreadable);
+  if (record.state == operation_state::kNone) record = unreadable;
+  record.version = row.version;
+  return record;
+}
+
 }  // namespace
 
 struct operation_log::reservation {
@@ -27,16 +40,15 @@
   operation_record wanted;
   common::time_point give_up;
   std::function<void(const reserve_answer&)> handler;
-  uint64_t expected_version = 0;
-  bool row_read = false;
+  uint32_t tries = 0;
 };
 
 struct operation_log::settlement {
   std::string row_key;
   operation_record record;
-  uint64_t version = 0;
   common::time_point give_up;
-  std::function<void(bool)> handler;
+  std::function<void(const settle_answer&)> handler;
+  uint32_t tries = 0;
 };
 
 std::string EncodeOperation(const operation_record& record) {
@@ -46,10 +58,13 @@
                     {"request_id", record.request_id},
                     {"target", record.target},
                     {"incarnation", record.incarnation},
+                    {"token_window", record.token_window},
                     {"router", record.router},
                     {"result", record.result},
-                    {"changed_us", record.changed_wall_us}};
-  return row.dump();
+                    {"changed_us", record.changed_wall_us},
+                    {"settled_by", record.settled_by},
+                    {"note", record.note}};
+  return row.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<operation_record> DecodeOperation(std::string_view text) {
@@ -62,6 +77,9 @@
   record.request_id = row.value("request_id", "");
   record.target = row.value("target", "");
   record.incarnation = row.value("incarnation", uint64_t{0});
+  record.token_window = row.value("token_window", uint64_t{0});
+  record.settled_by = row.value("settled_by", "");
+  record.note = row.value("note", "");
   record.router = row.value("router", "");
   record.result = row.value("result", "");
   record.changed_wall_us = row.value("changed_us", int64_t{0});
@@ -88,15 +106,22 @@
   TryReserve(work);
 }
 
+common::duration operation_log::Backoff(uint32_t tries) {
+  constexpr uint32_t kMaxDoublings = 4;
+  const common::duration most =
+      std::min(kFirstRetryDelay * (1 << std::min(tries, kMaxDoublings)),
+               kLongestRetryDelay);
+  // Spread out, so that the end of an outage brings no stampede.
+  const uint64_t half = static_cast<uint64_t>(most.count()) / 2;
+  return most / 2 + common::duration(random_.Below(half));
+}
+
 void operation_log::TryReserve(const std::shared_ptr<reservation>& work) {
   if (clock_.Now() >= work->give_up) {
-    reserve_answer answer;
-    answer.status = work->row_read ? reserve_status::kNotReserved
-                                   : reserve_status::kNotKnown;
-    work->handler(answer);
+    work->handler(reserve_answer());
     return;
   }
-  rows_.Write(work->row_key, work->expected_version,
+  rows_.Write(work->row_key, work->wanted.version,
               EncodeOperation(work->wanted), table_priority::kOperations,
               [this, work](const table_answer& answer) {
                 OnReserveAnswer(work, answer);
@@ -105,35 +130,44 @@
 
 void operation_log::OnReserveAnswer(const std::shared_ptr<reservation>& work,
                                     const table_answer& answer) {
-  if (answer.status == table_status::kUnavailable ||
-      answer.status == table_status::kRefused) {
+  if (answer.status == table_status::kConflict) {
+    OnReserveConflict(work, RecordOf(answer.row));
+    return;
+  }
+  if (answer.status != table_status::kOk) {
     // The write may have taken effect. The same write is tried again: if the
     // first one is in, the conflict shows our own token.
-    timers_.Schedule(kRetryDelay, [this, work] { TryReserve(work); });
+    timers_.Schedule(Backoff(work->tries++),
+                     [this, work] { TryReserve(work); });
     return;
   }
-  work->row_read = true;
   reserve_answer reply;
-  reply.version = answer.row.version;
-  if (answer.status == table_status::kOk) {
-    reply.status = reserve_status::kReserved;
-    reply.record = work->wanted;
-    work->handler(reply);
+  reply.status = reserve_status::kReserved;
+  reply.record = work->wanted;
+  reply.record.version = answer.row.version;
+  work->handler(reply);
+}
+
+void operation_log::OnReserveConflict(const std::shared_ptr<reservation>& work,
+                                      const operation_record& held) {
+  const bool none = held.state == operation_state::kNone;
+  if (none || (held.state == operation_state::kNotRun &&
+               held.digest == work->wanted.digest)) {
+    // If the row was ours and another router had it revoked, the token is dead.
+    work->wanted.token = random_.HexId();
+    work->wanted.version = held.version;
+    TryReserve(work);
     return;
   }
-  const operation_record held =
-      DecodeOperation(answer.row.value).value_or(operation_record());
+  reserve_answer reply;
   reply.record = held;
-  if (held.token == work->wanted.token) {
+  if (held.token == work->wanted.token &&
+      held.state == operation_state::kReserved) {
     reply.status = reserve_status::kReserved;
-  } else if (held.digest != work->wanted.digest) {
+  } else if (!held.digest.empty() && held.digest != work->wanted.digest) {
     reply.status = reserve_status::kKeyReused;
   } else if (held.state == operation_state::kDone) {
     reply.status = reserve_status::kRecorded;
-  } else if (held.state == operation_state::kNotRun) {
-    work->expected_version = answer.row.version;
-    TryReserve(work);
-    return;
   } else {
     reply.status = reserve_status::kHeldByOther;
   }
@@ -141,13 +175,12 @@
 }
 
 void operation_log::Settle(std::string_view row_key, operation_record record,
-                           uint64_t version, common::time_point give_up,
-                           std::function<void(bool)> handler) {
+                           common::time_point give_up,
+                           std::function<void(const settle_answer&)> handler) {
   const std::shared_ptr<settlement> work = std::make_shared<settlement>();
   work->row_key = row_key;
   work->record = std::move(record);
   work->record.changed_wall_us = clock_.WallMicros();
-  work->version = version;
   work->give_up = give_up;
   work->handler = std::move(handler);
   TrySettle(work);
@@ -156,39 +189,50 @@
 void operation_log::TrySettle(const std::shared_ptr<settlement>& work) {
   if (clock_.Now() >= work->give_up) {
     common::Metrics().Count("wisteria_operations_unsettled_total");
-    work->handler(false);
+    work->handler(settle_answer());
+    return;
+  }
+  rows_.Write(work->row_key, work->record.version,
+              EncodeOperation(work->record), table_priority::kOperations,
+              [this, work](const table_answer& answer) {
+                OnSettleAnswer(work, answer);
+              });
+}
+
+void operation_log::OnSettleAnswer(const std::shared_ptr<settlement>& work,
+                                   const table_answer& answer) {
+  settle_answer reply;
+  if (answer.status == table_status::kOk) {
+    reply.status = settle_status::kSettled;
+    reply.record = work->record;
+    reply.record.version = answer.row.version;
+    work->handler(reply);
+    return;
+  }
+  if (answer.status == table_status::kConflict) {
+    reply.record = RecordOf(answer.row);
+    // A repeated write finds its own effect; so does one that another process
+    // made for the same token.
+    const bool same = reply.record.token == work->record.token &&
+                      reply.record.state == work->record.state;
+    reply.status = same ? settle_status::kSettled : settle_status::kChanged;
+    work->handler(reply);
     return;
   }
-  rows_.Write(
-      work->row_key, work->version, EncodeOperation(work->record),
-      table_priority::kOperations, [this, work](const table_answer& answer) {
-        if (answer.status == table_status::kOk) {
-          work->handler(true);
-          return;
-        }
-        if (answer.status == table_status::kConflict) {
-          const operation_record held =
-              DecodeOperation(answer.row.value).value_or(operation_record());
-          work->handler(held.token == work->record.token &&
-                        held.state == work->record.state);
-          return;
-        }
-        timers_.Schedule(kRetryDelay, [this, work] { TrySettle(work); });
-      });
+  timers_.Schedule(Backoff(work->tries++), [this, work] { TrySettle(work); });
 }
 
 void operation_log::Look(
     std::string_view row_key,
     std::function<void(std::optional<operation_record>)> handler) {
-  rows_.Read(
-      row_key, table_priority::kOperations,
-      [handler = std::move(handler)](const table_answer& answer) {
-        if (answer.status != table_status::kOk) {
-          handler(std::nullopt);
-          return;
-        }
-        handler(DecodeOperation(answer.row.value).value_or(operation_record()));
-      });
+  rows_.Read(row_key, table_priority::kOperations,
+             [handler = std::move(handler)](const table_answer& answer) {
+               if (answer.status != table_status::kOk) {
+                 handler(std::nullopt);
+                 return;
+               }
+               handler(RecordOf(answer.row));
+             });
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/operations/operation_log.h
+++ b/source/core/operations/operation_log.h
@@ -22,10 +22,14 @@
   std::string digest;  ///< of the caller's request
   std::string request_id;
   std::string target;
-  uint64_t incarnation = 0;  ///< of the target's agent
+  uint64_t incarnation = 0;   ///< of the target's agent
+  uint64_t token_window = 0;  ///< of the agent, when the token was made
   std::string router;
   std::string result;  ///< JSON text, once done
   int64_t changed_wall_us = 0;
+  std::string settled_by;  ///< operator who settled it by hand
+  std::string note;        ///< the operator's reason
+  uint64_t version = 0;    ///< of the row; not part of its text
 };
 
 std::string EncodeOperation(const operation_record& record);
@@ -40,14 +44,24 @@
   kRecorded,     ///< done before; the record holds the result
   kHeldByOther,  ///< reserved under another token
   kKeyReused,    ///< the key belongs to another body
-  kNotKnown,     ///< the table did not answer and the row was never read
-  kNotReserved,  ///< the row was read and our write is known not to matter
+  kNotKnown,     ///< the table did not answer in time
 };
 
 struct reserve_answer {
   reserve_status status = reserve_status::kNotKnown;
   operation_record record;
-  uint64_t version = 0;
+};
+
+/// What became of a Settle.
+enum class settle_status {
+  kSettled,   ///< the row is known to hold the new state
+  kChanged,   ///< the row changed before; the record shows it
+  kNotKnown,  ///< the table did not answer in time
+};
+
+struct settle_answer {
+  settle_status status = settle_status::kNotKnown;
+  operation_record record;
 };
 
 /// Reads and writes operation rows. Every write is conditional and carries a
@@ -59,18 +73,18 @@
       : rows_(rows), timers_(timers), clock_(clock), random_(random) {}
 
   /// Reserves an operation for one dispatch.
-  /// @param wanted  digest, request, target, incarnation and router; the token
-  ///                is made here
+  /// @param wanted  digest, request, target, incarnation, token window, router
+  ///                and the version of the row as last read (0: no row); the
+  ///                token is made here
   /// @param give_up instant after which no more tries are made
   void Reserve(std::string_view row_key, operation_record wanted,
                common::time_point give_up,
                std::function<void(const reserve_answer&)> handler);
 
-  /// Moves a row we reserved to kDone or kNotRun.
-  /// @param handler takes whether the row is known to hold the new state
+  /// Moves a row to kDone or kNotRun if it still has the record's version.
   void Settle(std::string_view row_key, operation_record record,
-              uint64_t version, common::time_point give_up,
-              std::function<void(bool)> handler);
+              common::time_point give_up,
+              std::function<void(const settle_answer&)> handler);
 
   /// Reads a row; nothing when the table does not answer.
   void Look(std::string_view row_key,
@@ -83,7 +97,12 @@
   void TryReserve(const std::shared_ptr<reservation>& work);
   void OnReserveAnswer(const std::shared_ptr<reservation>& work,
                        const table_answer& answer);
+  void OnReserveConflict(const std::shared_ptr<reservation>& work,
+                         const operation_record& held);
   void TrySettle(const std::shared_ptr<settlement>& work);
+  void OnSettleAnswer(const std::shared_ptr<settlement>& work,
+                      const table_answer& answer);
+  common::duration Backoff(uint32_t tries);
 
   table& rows_;
   common::timer_service& timers_;
--- /dev/null
+++ b/source/core/operations/operation_recorder.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "common/clock.h"
+#include "core/agent/attempt_host.h"
+#include "core/operations/operation_log.h"
+
+namespace wisteriadale::core {
+
+/// How an agent records the ends of operations.
+struct operation_recorder_options {
+  common::duration router_head_start = std::chrono::seconds(3);
+  common::duration give_up = std::chrono::minutes(10);
+  size_t max_pending = 4096;
+};
+
+/// Records the end of each operation that its router did not record in time, so
+/// that no result is lost with a router. Runs at the agent.
+class operation_recorder final : public operation_end_observer {
+ public:
+  operation_recorder(const operation_recorder_options& options,
+                     operation_log& operations, common::clock& clock,
+                     common::timer_service& timers)
+      : options_(options),
+        operations_(operations),
+        clock_(clock),
+        timers_(timers) {}
+
+  void OnOperationEnded(const execute_message& execute, bool ran,
+                        std::string_view result) override;
+
+  /// Records without waiting for routers, before the agent leaves.
+  /// @param limit   how long to try
+  /// @param on_done called once, when all is recorded or the time is over
+  void Flush(common::duration limit, std::function<void()> on_done);
+
+  size_t pending() const { return pending_.size(); }
+
+ private:
+  struct ended_operation {
+    std::string row_key;
+    std::string result;
+    bool ran = false;
+    common::time_point give_up;
+    common::timer_id timer = 0;
+    bool writing = false;
+  };
+
+  void Look(const std::string& token);
+  void OnRow(const std::string& token,
+             const std::optional<operation_record>& record);
+  void LookLater(const std::string& token, common::duration delay);
+  void Done(const std::string& token);
+
+  operation_recorder_options options_;
+  operation_log& operations_;
+  common::clock& clock_;
+  common::timer_service& timers_;
+  std::unordered_map<std::string, ended_operation> pending_;  ///< by token
+  std::function<void()> on_flushed_;
+  common::timer_id flush_timer_ = 0;
+};
+
+}  // namespace wisteriadale::core
--- a/source/core/pipeline/attempt_table.cc
+++ b/source/core/pipeline/attempt_table.cc
@@ -1,12 +1,22 @@
 #include "core/pipeline/attempt_table.h"
 
-#include <vector>
-
 #include "common/invariant.h"
 #include "common/log.h"
 #include "common/metrics.h"
 
 namespace wisteriadale::core {
+namespace {
+
+constexpr common::duration kRevokeLimit = std::chrono::milliseconds(300);
+// An agent that holds the stream sends its rest at the first resume.
+constexpr uint32_t kMaxIdleResumes = 4;
+
+token_fate FateOf(const revoke_answer_message& answer) {
+  if (!answer.known) return token_fate::kNotKnown;
+  return answer.begun ? token_fate::kBegun : token_fate::kNeverRuns;
+}
+
+}  // namespace
 
 bool attempt_table::Start(std::string_view target, uint64_t incarnation,
                           const execute_message& execute,
@@ -15,11 +25,14 @@
   attempt entry;
   entry.target = target;
   entry.organisation = execute.organisation;
+  entry.operation_token = execute.operation_token;
+  entry.token_window = execute.token_window;
   entry.incarnation = incarnation;
   entry.received = execute.stream_prefix.size();
   entry.observer = std::move(observer);
   const bool added = attempts_.emplace(execute.attempt_id, entry).second;
   common::CheckInvariant(added, "attempt_id_unique", execute.attempt_id);
+  by_target_[entry.target].insert(execute.attempt_id);
   return true;
 }
 
@@ -27,39 +40,66 @@
   const auto found = attempts_.find(std::string(attempt_id));
   if (found == attempts_.end()) return;
   sender_.Send(found->second.target, cancel_message{std::string(attempt_id)});
-  timers_.Cancel(found->second.lost_timer);
-  attempts_.erase(found);
+  Erase(std::string(attempt_id));
 }
 
-bool attempt_table::Revoke(std::string_view attempt_id,
-                           std::string_view token) {
-  const auto found = attempts_.find(std::string(attempt_id));
-  if (found == attempts_.end()) return false;
-  return sender_.Send(
-      found->second.target,
-      revoke_message{std::string(attempt_id), std::string(token)});
+void attempt_table::Revoke(std::string_view target, std::string_view token,
+                           uint64_t window,
+                           std::function<void(token_fate)> handler) {
+  const std::string name(token);
+  pending_revoke& pending = revokes_[name];
+  pending.handlers.push_back(std::move(handler));
+  sender_.Send(target, revoke_message{"", name, window});
+  if (pending.timer != 0) return;
+  pending.timer = timers_.Schedule(
+      kRevokeLimit, [this, name] { EndRevoke(name, token_fate::kNotKnown); });
+}
+
+void attempt_table::OnRevokeAnswer(std::string_view,
+                                   const revoke_answer_message& answer) {
+  EndRevoke(answer.operation_token, FateOf(answer));
+}
+
+void attempt_table::EndRevoke(const std::string& token, token_fate fate) {
+  const auto found = revokes_.find(token);
+  if (found == revokes_.end()) return;
+  const pending_revoke ended = std::move(found->second);
+  revokes_.erase(found);
+  timers_.Cancel(ended.timer);
+  for (const std::function<void(token_fate)>& handler : ended.handlers) {
+    handler(fate);
+  }
+}
+
+std::vector<std::string> attempt_table::AttemptsAt(
+    std::string_view target) const {
+  const auto found = by_target_.find(target);
+  if (found == by_target_.end()) return {};
+  return {found->second.begin(), found->second.end()};
 }
 
 void attempt_table::OnConnected(std::string_view target, uint64_t incarnation) {
-  std::vector<std::string> lost;
-  for (auto& [id, entry] : attempts_) {
-    if (entry.target != target) continue;
+  for (const std::string& id : AttemptsAt(target)) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) continue;
+    attempt& entry = found->second;
     timers_.Cancel(entry.lost_timer);
     entry.lost_timer = 0;
+    entry.resume_pending = false;
     // A restarted agent has forgotten the attempt.
     if (entry.incarnation != incarnation) {
-      lost.push_back(id);
+      Lose(id);
     } else {
-      Resume(id, entry);
+      Resume(id, &entry);
     }
   }
-  for (const std::string& id : lost) Lose(id);
 }
 
 void attempt_table::OnDisconnected(std::string_view target) {
-  for (auto& [id, entry] : attempts_) {
-    if (entry.target != target || entry.lost_timer != 0) continue;
-    entry.lost_timer = timers_.Schedule(reconnect_limit_, [this, id = id] {
+  for (const std::string& id : AttemptsAt(target)) {
+    attempt& entry = attempts_.at(id);
+    if (entry.lost_timer != 0) continue;
+    entry.lost_timer = timers_.Schedule(reconnect_limit_, [this, id] {
       const auto found = attempts_.find(id);
       if (found == attempts_.end()) return;
       found->second.lost_timer = 0;
@@ -73,9 +113,10 @@
   attempt* entry = Match(target, chunk.attempt_id, chunk.organisation);
   if (entry == nullptr) return;
   if (chunk.offset > entry->received) {
-    // A part is missing; the agent still holds it.
+    // A part is missing; the agent still holds it. One resume brings all that
+    // follows, so further parts out of order ask for nothing.
     common::Metrics().Count("wisteria_chunks_out_of_order_total");
-    Resume(chunk.attempt_id, *entry);
+    if (!entry->resume_pending) ResumeOrCut(chunk.attempt_id, entry);
     return;
   }
   const uint64_t end = chunk.offset + chunk.data.size();
@@ -86,6 +127,8 @@
   const std::string_view fresh =
       std::string_view(chunk.data).substr(entry->received - chunk.offset);
   entry->received = end;
+  entry->resume_pending = false;
+  entry->idle_resumes = 0;
   const std::shared_ptr<attempt_observer> observer = entry->observer.lock();
   if (observer) observer->OnChunk(chunk.attempt_id, fresh);
 }
@@ -94,28 +137,55 @@
                               const outcome_message& outcome) {
   attempt* entry = Match(target, outcome.attempt_id, outcome.organisation);
   if (entry == nullptr) return;
-  const bool whole = outcome.stream_bytes <= entry->received;
-  if (outcome.code == common::result_code::kOk && !whole) {
-    Resume(outcome.attempt_id, *entry);
-    return;
+  if (outcome.code == common::result_code::kOk) {
+    if (outcome.stream_bytes > entry->received) {
+      ResumeOrCut(outcome.attempt_id, entry);
+      return;
+    }
+    if (outcome.stream_bytes < entry->received) {
+      Cut(outcome.attempt_id);
+      return;
+    }
   }
   const std::shared_ptr<attempt_observer> observer = entry->observer.lock();
-  timers_.Cancel(entry->lost_timer);
-  attempts_.erase(outcome.attempt_id);
+  Erase(outcome.attempt_id);
   if (observer) observer->OnOutcome(outcome);
 }
 
-void attempt_table::OnRevokeAnswer(std::string_view target,
-                                   const revoke_answer_message& answer) {
-  const auto found = attempts_.find(answer.attempt_id);
-  if (found == attempts_.end() || found->second.target != target) return;
+void attempt_table::ResumeOrCut(const std::string& attempt_id, attempt* entry) {
+  if (entry->idle_resumes >= kMaxIdleResumes) {
+    Cut(attempt_id);
+    return;
+  }
+  ++entry->idle_resumes;
+  Resume(attempt_id, entry);
+}
+
+void attempt_table::Cut(const std::string& attempt_id) {
+  const auto found = attempts_.find(attempt_id);
+  if (found == attempts_.end()) return;
+  common::Metrics().Count("wisteria_answers_cut_total");
+  outcome_message cut;
+  cut.attempt_id = attempt_id;
+  cut.organisation = found->second.organisation;
+  cut.code = common::result_code::kAnswerCut;
+  cut.reason = "the stream does not match its stated length";
+  cut.begun = true;
   const std::shared_ptr<attempt_observer> observer =
       found->second.observer.lock();
-  if (answer.known && !answer.begun) {
-    timers_.Cancel(found->second.lost_timer);
-    attempts_.erase(found);
-  }
-  if (observer) observer->OnRevokeAnswer(answer);
+  sender_.Send(found->second.target, cancel_message{attempt_id});
+  Erase(attempt_id);
+  if (observer) observer->OnOutcome(cut);
+}
+
+void attempt_table::Erase(const std::string& attempt_id) {
+  const auto found = attempts_.find(attempt_id);
+  if (found == attempts_.end()) return;
+  timers_.Cancel(found->second.lost_timer);
+  const auto at = by_target_.find(found->second.target);
+  at->second.erase(attempt_id);
+  if (at->second.empty()) by_target_.erase(at);
+  attempts_.erase(found);
 }
 
 attempt_table::attempt* attempt_table::Match(std::string_view target,
@@ -142,15 +212,15 @@
   if (found == attempts_.end()) return;
   const std::shared_ptr<attempt_observer> observer =
       found->second.observer.lock();
-  timers_.Cancel(found->second.lost_timer);
-  attempts_.erase(found);
+  Erase(attempt_id);
   if (observer) observer->OnLost(attempt_id);
 }
 
-void attempt_table::Resume(const std::string& attempt_id,
-                           const attempt& entry) {
-  sender_.Send(entry.target,
-               resume_message{attempt_id, entry.organisation, entry.received});
+void attempt_table::Resume(const std::string& attempt_id, attempt* entry) {
+  entry->resume_pending = true;
+  sender_.Send(entry->target,
+               resume_message{attempt_id, entry->organisation, entry->received,
+                              entry->operation_token, entry->token_window});
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/pipeline/attempt_table.h
+++ b/source/core/pipeline/attempt_table.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "common/clock.h"
 #include "core/messages.h"
@@ -21,8 +25,6 @@
   virtual void OnOutcome(const outcome_message& outcome) = 0;
   /// The agent cannot tell any more what became of the attempt.
   virtual void OnLost(std::string_view attempt_id) = 0;
-  /// The agent answered a revoke.
-  virtual void OnRevokeAnswer(const revoke_answer_message& answer) = 0;
 };
 
 /// Sends messages to the agents of targets.
@@ -33,6 +35,13 @@
   virtual bool Send(std::string_view target, const message& message) = 0;
 };
 
+/// What an agent says of an operation token.
+enum class token_fate {
+  kNeverRuns,  ///< not begun, and it never will be
+  kBegun,
+  kNotKnown,  ///< no answer, or the agent cannot tell
+};
+
 /// The attempts that a router has in progress. It matches what agents send to
 /// attempts, drops what does not belong to one, puts streams in order and
 /// resumes attempts after a connection was dialled anew.
@@ -50,8 +59,10 @@
              std::weak_ptr<attempt_observer> observer);
   /// Stops following an idempotent attempt and tells the agent.
   void Cancel(std::string_view attempt_id);
-  /// Asks that a non-idempotent attempt never begins.
-  bool Revoke(std::string_view attempt_id, std::string_view token);
+  /// Asks that an operation token never runs, whichever router dispatched it.
+  /// @param handler called once, not inside this call
+  void Revoke(std::string_view target, std::string_view token, uint64_t window,
+              std::function<void(token_fate)> handler);
 
   /// A channel to the target's agent opened.
   void OnConnected(std::string_view target, uint64_t incarnation);
@@ -67,21 +78,37 @@
   struct attempt {
     std::string target;
     std::string organisation;
+    std::string operation_token;
+    uint64_t token_window = 0;
     uint64_t incarnation = 0;
-    uint64_t received = 0;  ///< bytes of the stream
+    uint64_t received = 0;        ///< bytes of the stream
+    uint32_t idle_resumes = 0;    ///< since a byte was received
+    bool resume_pending = false;  ///< asked, and nothing new came yet
     common::timer_id lost_timer = 0;
     std::weak_ptr<attempt_observer> observer;
   };
 
+  struct pending_revoke {
+    std::vector<std::function<void(token_fate)>> handlers;
+    common::timer_id timer = 0;
+  };
+
   attempt* Match(std::string_view target, const std::string& attempt_id,
                  std::string_view organisation);
   void Lose(const std::string& attempt_id);
-  void Resume(const std::string& attempt_id, const attempt& entry);
+  void Resume(const std::string& attempt_id, attempt* entry);
+  void ResumeOrCut(const std::string& attempt_id, attempt* entry);
+  void Cut(const std::string& attempt_id);
+  std::vector<std::string> AttemptsAt(std::string_view target) const;
+  void Erase(const std::string& attempt_id);
+  void EndRevoke(const std::string& token, token_fate fate);
 
   agent_sender& sender_;
   common::timer_service& timers_;
   common::duration reconnect_limit_;
   std::unordered_map<std::string, attempt> attempts_;
+  std::map<std::string, std::set<std::string>, std::less<>> by_target_;
+  std::unordered_map<std::string, pending_revoke> revokes_;  ///< by token
 };
 
 }  // namespace wisteriadale::core
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -12,8 +12,6 @@
 using common::result_code;
 using nlohmann::json;
 
-constexpr common::duration kSettleLimit = std::chrono::seconds(30);
-
 json ParseOrText(const std::string& text) {
   json parsed = json::parse(text, nullptr, false);
   return parsed.is_discarded() ? json(text) : parsed;
@@ -37,7 +35,17 @@
                                                self->deadline_timer_ = 0;
                                                self->OnDeadline();
                                              });
-  StartStage();
+  if (!description_.plan.HasNonIdempotentStage()) {
+    StartStage();
+    return;
+  }
+  // Nothing runs before the key is known to be free, or its result is known.
+  operation_ = std::make_shared<operation_run>(
+      operation_context{context_.clock, context_.timers, context_.attempts,
+                        context_.operations},
+      OperationRowKey(description_.organisation, description_.idempotency_key),
+      description_.digest, weak_from_this());
+  operation_->Open();
 }
 
 const stage_plan& request_executor::Stage() const {
@@ -76,73 +84,82 @@
 
 void request_executor::TryStage() {
   if (ended_) return;
+  if (!Stage().idempotent) {
+    TryOperation();
+    return;
+  }
   const target_view* chosen = ChooseTarget();
   if (chosen == nullptr) {
     RetryLater();
     return;
   }
-  if (Stage().idempotent) {
-    Dispatch(chosen->id, chosen->incarnation, "");
-  } else {
-    Reserve(chosen->id, chosen->incarnation);
-  }
+  Dispatch(chosen->id, chosen->incarnation, nullptr);
 }
 
-void request_executor::Reserve(const std::string& target,
-                               uint64_t incarnation) {
+void request_executor::TryOperation() {
+  if (operation_->done()) {
+    StageDone(operation_->result());
+    return;
+  }
+  if (!operation_->free()) return;  // the row is being watched
+  const target_view* chosen = ChooseTarget();
+  if (chosen == nullptr) {
+    RetryLater();
+    return;
+  }
   operation_record wanted;
-  wanted.digest = description_.digest;
   wanted.request_id = description_.id;
-  wanted.target = target;
-  wanted.incarnation = incarnation;
+  wanted.target = chosen->id;
+  wanted.incarnation = chosen->incarnation;
+  wanted.token_window = chosen->load.token_window;
   wanted.router = context_.router_name;
-  context_.operations.Reserve(
-      OperationRowKey(description_.organisation, description_.idempotency_key),
-      wanted, deadline_,
-      [self = shared_from_this()](const reserve_answer& answer) {
-        self->OnReserved(answer);
-      });
+  operation_->Reserve(std::move(wanted));
 }
 
-void request_executor::OnReserved(const reserve_answer& answer) {
-  if (answer.status == reserve_status::kReserved) {
-    reservation_ = answer.record;
-    reservation_version_ = answer.version;
-    if (ended_) {
-      // The deadline passed meanwhile; nothing was dispatched.
-      ReleaseReservation(result_code::kDeadlineExceeded, "");
-      return;
-    }
-    Dispatch(reservation_.target, reservation_.incarnation, reservation_.token);
+void request_executor::OnOperationFree() {
+  if (!opened_) {
+    opened_ = true;
+    StartStage();
     return;
   }
+  if (refusal_ != result_code::kOk && !common::Describe(refusal_).retryable) {
+    Fail(refusal_, "", request_fate::kNotRun);
+    return;
+  }
+  RetryLater();
+}
+
+void request_executor::OnOperationReserved(
+    const operation_record& reservation) {
+  Dispatch(reservation.target, reservation.incarnation, &reservation);
+}
+
+void request_executor::OnOperationRecorded(const std::string& result) {
   if (ended_) return;
-  switch (answer.status) {
-    case reserve_status::kRecorded:
-      operation_done_ = true;
-      StageDone(answer.record.result);
-      return;
-    case reserve_status::kKeyReused:
-      Fail(result_code::kKeyReused, "the key belongs to another body",
-           request_fate::kNotRun);
-      return;
-    case reserve_status::kHeldByOther:
-      // Another request under this key runs; its result will be ours.
-      RetryLater();
-      return;
-    case reserve_status::kNotReserved:
-      Fail(result_code::kPlatformUnavailable, "the operation was not reserved",
-           request_fate::kNotRun);
-      return;
-    default:
-      Fail(result_code::kOperationUnknown, "the table does not answer",
-           request_fate::kUnknown);
-      return;
+  if (opened_) {
+    StageDone(result);
+    return;
+  }
+  opened_ = true;
+  replayed_ = true;
+  const std::vector<stage_plan>& stages = description_.plan.stages;
+  // The recorded result is the whole answer unless more stages follow.
+  if (!stages.back().idempotent) {
+    stage_index_ = stages.size() - 1;
+    StageDone(result);
+    return;
   }
+  StartStage();
+}
+
+void request_executor::OnOperationRefused() {
+  Fail(result_code::kKeyReused, "the key belongs to another body",
+       request_fate::kNotRun);
 }
 
 void request_executor::Dispatch(const std::string& target, uint64_t incarnation,
-                                const std::string& token, bool hedge) {
+                                const operation_record* reservation,
+                                bool hedge) {
   execute_message execute;
   execute.attempt_id = context_.random.HexId();
   execute.request_id = description_.id;
@@ -152,15 +169,16 @@
   execute.stage = Stage().name;
   execute.input = StageInput();
   execute.digest = description_.digest;
-  execute.operation_token = token;
-  execute.expected_incarnation = token.empty() ? 0 : incarnation;
   execute.remaining =
       std::chrono::duration_cast<common::milliseconds>(Remaining());
   execute.deferrable = description_.plan.deferrable;
   execute.stream_prefix = stream_;
   execute.configuration_version = description_.configuration_in_force->version;
   execute.trace = common::ChildOf(description_.trace, context_.random);
-  if (!token.empty()) {
+  if (reservation != nullptr) {
+    execute.operation_token = reservation->token;
+    execute.expected_incarnation = incarnation;
+    execute.token_window = reservation->token_window;
     execute.operation_key = OperationRowKey(description_.organisation,
                                             description_.idempotency_key);
   }
@@ -169,14 +187,18 @@
   const bool sent =
       context_.attempts.Start(target, incarnation, execute, weak_from_this());
   if (!sent) {
-    if (!token.empty()) {
-      ReleaseReservation(result_code::kPeerLost, "the agent is not connected");
+    if (reservation != nullptr) {
+      refusal_ = result_code::kPeerLost;
+      operation_->NeverRuns();
     } else if (running_.empty()) {
       RetryLater();
     }
     return;
   }
-  operation_dispatched_ = operation_dispatched_ || !token.empty();
+  if (reservation != nullptr) {
+    operation_->Dispatched();
+    keep_alive_ = shared_from_this();
+  }
   running_attempt started;
   started.id = execute.attempt_id;
   started.target = target;
@@ -239,7 +261,7 @@
   if (chosen == nullptr) return;
   if (!policies_->retry->TakeHedge(Question(result_code::kOk))) return;
   common::Metrics().Count("wisteria_hedges_total", {{"stage", Stage().name}});
-  Dispatch(chosen->id, chosen->incarnation, "", true);
+  Dispatch(chosen->id, chosen->incarnation, nullptr, true);
 }
 
 void request_executor::CancelOthers(std::string_view attempt_id) {
@@ -264,6 +286,7 @@
                      {"request_id", description_.id}};
   common::EmitSpan(span);
   running_.Remove(attempt_id);
+  if (running_.empty()) keep_alive_.reset();
 }
 
 void request_executor::OnChunk(std::string_view attempt_id,
@@ -303,21 +326,15 @@
     StageDone(report.result);
     return;
   }
-  operation_done_ = true;
-  reservation_.state = operation_state::kDone;
-  reservation_.result = outcome.result;
-  reports_.push_back(report);
-  context_.operations.Settle(
-      OperationRowKey(description_.organisation, description_.idempotency_key),
-      reservation_, reservation_version_, context_.clock.Now() + kSettleLimit,
-      [self = shared_from_this(), result = report.result](bool) {
-        self->StageDone(result);
-      });
+  if (!ended_) reports_.push_back(report);
+  operation_->Ran(report.result);
 }
 
 void request_executor::StageDone(const std::string& result) {
   if (ended_) return;
-  if (reports_.size() <= stage_index_) {
+  const bool reported =
+      !reports_.empty() && reports_.back().stage == Stage().name;
+  if (!reported) {
     stage_report report;
     report.stage = Stage().name;
     report.target = "recorded";
@@ -331,6 +348,7 @@
   }
   request_result done;
   done.result = reports_.back().result;
+  done.replayed = replayed_;
   Finish(std::move(done));
 }
 
@@ -339,12 +357,7 @@
       "wisteria_attempts_failed_total",
       {{"stage", Stage().name}, {"code", common::Describe(outcome.code).name}});
   if (!Stage().idempotent) {
-    if (!outcome.begun) {
-      ReleaseReservation(outcome.code, outcome.reason);
-      return;
-    }
-    Fail(result_code::kOperationUnknown, outcome.reason,
-         request_fate::kUnknown);
+    OperationFailed(outcome);
     return;
   }
   if (!running_.empty()) return;  // the other attempt may still end well
@@ -353,13 +366,27 @@
     delay = policies_->retry->Retry(Question(outcome.code));
   }
   if (!delay) {
-    Fail(outcome.code, outcome.reason, request_fate::kNotRun);
+    EndUnfinished(outcome.code, outcome.reason);
     return;
   }
   ++request_retries_;
   RetryAfter(*delay);
 }
 
+void request_executor::OperationFailed(const outcome_message& outcome) {
+  if (!outcome.begun) {
+    refusal_ = outcome.code;
+    operation_->NeverRuns();
+    return;
+  }
+  if (ended_) return;
+  if (outcome.code == result_code::kOperationInProgress) {
+    operation_->Lost();
+    return;
+  }
+  Fail(result_code::kOperationUnknown, outcome.reason, request_fate::kUnknown);
+}
+
 retry_question request_executor::Question(result_code code) const {
   retry_question question;
   question.organisation = description_.organisation;
@@ -372,23 +399,6 @@
   return question;
 }
 
-void request_executor::ReleaseReservation(result_code code,
-                                          const std::string& reason) {
-  reservation_.state = operation_state::kNotRun;
-  context_.operations.Settle(
-      OperationRowKey(description_.organisation, description_.idempotency_key),
-      reservation_, reservation_version_, context_.clock.Now() + kSettleLimit,
-      [self = shared_from_this(), code, reason](bool settled) {
-        if (self->ended_) return;
-        self->operation_dispatched_ = false;
-        if (!settled || !common::Describe(code).retryable) {
-          self->Fail(code, reason, request_fate::kNotRun);
-          return;
-        }
-        self->RetryLater();
-      });
-}
-
 void request_executor::RetryLater() {
   RetryAfter(policies_->retry->Wait(waits_++));
 }
@@ -410,6 +420,10 @@
 void request_executor::OnLost(std::string_view attempt_id) {
   if (running_.Find(attempt_id) == nullptr) return;
   EndAttempt(std::string(attempt_id));
+  if (!Stage().idempotent) {
+    if (!ended_) operation_->Lost();
+    return;
+  }
   outcome_message outcome;
   outcome.code = result_code::kTargetLost;
   outcome.reason = "the agent went away";
@@ -417,28 +431,47 @@
   StageFailed(outcome);
 }
 
-void request_executor::OnRevokeAnswer(const revoke_answer_message& answer) {
-  if (running_.Find(answer.attempt_id) == nullptr) return;
-  if (answer.begun || !answer.known) return;  // its outcome will come
-  EndAttempt(answer.attempt_id);
-  ReleaseReservation(result_code::kDeadlineExceeded, "revoked");
-}
-
 void request_executor::OnDeadline() {
   if (ended_) return;
-  const bool operation = operation_dispatched_ && !operation_done_;
-  if (!operation) {
-    Fail(result_code::kDeadlineExceeded, "the deadline passed",
-         operation_done_ ? request_fate::kDone : request_fate::kNotRun);
+  if (operation_ && operation_->dispatched()) {
+    operation_->Stop([self = shared_from_this()](token_fate fate) {
+      self->OnStopped(fate);
+    });
     return;
   }
-  Fail(result_code::kOperationUnknown, "the operation did not end in time",
-       request_fate::kUnknown);
+  EndUnfinished(result_code::kDeadlineExceeded, "the deadline passed");
+}
+
+void request_executor::OnStopped(token_fate fate) {
+  // A result that came meanwhile is answered once it is recorded.
+  if (ended_ || operation_->done()) return;
+  if (operation_->dispatched() && fate == token_fate::kNeverRuns) {
+    for (const std::string& id : running_.Others("")) {
+      context_.attempts.Cancel(id);
+      EndAttempt(id);
+    }
+    operation_->NeverRuns();
+  }
+  EndUnfinished(result_code::kDeadlineExceeded, "the deadline passed");
 }
 
 void request_executor::Abandon() {
   if (ended_ || !Stage().idempotent) return;
-  Fail(result_code::kCancelled, "the caller went away", request_fate::kNotRun);
+  EndUnfinished(result_code::kCancelled, "the caller went away");
+}
+
+void request_executor::EndUnfinished(result_code code,
+                                     const std::string& reason) {
+  if (!operation_) {
+    Fail(code, reason, request_fate::kNotRun);
+    return;
+  }
+  StopWork();
+  operation_->Confirm([self = shared_from_this(), code,
+                       reason](request_fate fate) {
+    const bool unknown = fate == request_fate::kUnknown;
+    self->Fail(unknown ? result_code::kOperationUnknown : code, reason, fate);
+  });
 }
 
 void request_executor::Fail(result_code code, const std::string& reason,
@@ -451,7 +484,14 @@
 }
 
 void request_executor::Finish(request_result result) {
-  common::CheckInvariant(!ended_, "request_ends_once", description_.id);
+  common::CheckInvariant(!answered_, "request_ends_once", description_.id);
+  answered_ = true;
+  if (!ended_) StopWork();
+  result.stages = reports_;
+  sink_->OnEnd(result);
+}
+
+void request_executor::StopWork() {
   ended_ = true;
   context_.timers.Cancel(deadline_timer_);
   context_.timers.Cancel(retry_timer_);
@@ -459,8 +499,7 @@
   if (stage_index_ < description_.plan.stages.size() && Stage().idempotent) {
     CancelOthers("");
   }
-  result.stages = reports_;
-  sink_->OnEnd(result);
+  if (operation_) operation_->Detach();
 }
 
 std::string request_executor::StageInput() const {
--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -12,6 +12,7 @@
 #include "core/configuration/configuration.h"
 #include "core/operations/operation_log.h"
 #include "core/pipeline/attempt_table.h"
+#include "core/pipeline/operation_run.h"
 #include "core/pipeline/stage_attempts.h"
 #include "core/policy/policy_book.h"
 #include "core/routing/target_table.h"
@@ -32,9 +33,6 @@
   std::shared_ptr<const configuration> configuration_in_force;
 };
 
-/// What a caller can rely on when a request has ended.
-enum class request_fate { kDone, kNotRun, kUnknown };
-
 /// A stage that has ended.
 struct stage_report {
   std::string stage;
@@ -80,6 +78,7 @@
 /// Runs the stages of one request under its deadline.
 class request_executor final
     : public attempt_observer,
+      public operation_observer,
       public std::enable_shared_from_this<request_executor> {
  public:
   /// @return the executor; Start begins the work
@@ -94,7 +93,10 @@
   void OnChunk(std::string_view attempt_id, std::string_view data) override;
   void OnOutcome(const outcome_message& outcome) override;
   void OnLost(std::string_view attempt_id) override;
-  void OnRevokeAnswer(const revoke_answer_message& answer) override;
+  void OnOperationFree() override;
+  void OnOperationReserved(const operation_record& reservation) override;
+  void OnOperationRecorded(const std::string& result) override;
+  void OnOperationRefused() override;
 
  private:
   request_executor(executor_context& context, request_description description,
@@ -108,10 +110,9 @@
   void StartStage();
   void TryStage();
   target_view* ChooseTarget();
-  void Reserve(const std::string& target, uint64_t incarnation);
-  void OnReserved(const reserve_answer& answer);
+  void TryOperation();
   void Dispatch(const std::string& target, uint64_t incarnation,
-                const std::string& token, bool hedge = false);
+                const operation_record* reservation, bool hedge = false);
   void StageDone(const std::string& result);
   void StageFailed(const outcome_message& outcome);
   void RetryLater();
@@ -122,8 +123,11 @@
   void ArmTimeout(running_attempt* attempt, common::duration limit);
   void OnAttemptTimeout(const std::string& attempt_id, common::duration limit);
   void CancelOthers(std::string_view attempt_id);
-  void ReleaseReservation(common::result_code code, const std::string& reason);
+  void OperationFailed(const outcome_message& outcome);
   void OnDeadline();
+  void OnStopped(token_fate fate);
+  void EndUnfinished(common::result_code code, const std::string& reason);
+  void StopWork();
   void EndAttempt(const std::string& attempt_id);
   void Fail(common::result_code code, const std::string& reason,
             request_fate fate);
@@ -148,11 +152,15 @@
   common::timer_id hedge_timer_ = 0;
   std::string stream_;  ///< of the stage that runs now
   std::vector<stage_report> reports_;
-  operation_record reservation_;
-  uint64_t reservation_version_ = 0;
-  bool operation_dispatched_ = false;
-  bool operation_done_ = false;
-  bool ended_ = false;
+  std::shared_ptr<operation_run> operation_;  ///< none without such a stage
+  common::result_code refusal_ =
+      common::result_code::kOk;  ///< why it was not begun
+  bool opened_ = false;          ///< the operation's row was read
+  bool replayed_ = false;        ///< the operation was done before
+  bool ended_ = false;           ///< no more work is started
+  bool answered_ = false;
+  /// While a dispatched operation may still end, its executor stays.
+  std::shared_ptr<request_executor> keep_alive_;
 };
 
 }  // namespace wisteriadale::core
--- a/source/router/agent_links.cc
+++ b/source/router/agent_links.cc
@@ -129,6 +129,7 @@
   view->connected = true;
   view->incarnation = hello.incarnation;
   view->load.accepting = true;
+  view->load.token_window = hello.token_window;
   attempts_->OnConnected(target, hello.incarnation);
 }
 
--- a/source/unit_tests/longrun/agent_node.cc
+++ b/source/unit_tests/longrun/agent_node.cc
@@ -3,12 +3,17 @@
 namespace wisteriadale::longrun {
 namespace {
 
+constexpr common::duration kFlushLimit = std::chrono::seconds(10);
+
 core::attempt_host_options OptionsOf(uint64_t incarnation) {
   core::attempt_host_options options;
   options.incarnation = incarnation;
   options.concurrency_limit = 4;
   options.queue_limit = 32;
   options.retention = std::chrono::seconds(10);
+  // Short, so that stalled messages outlive them.
+  options.tokens.window = std::chrono::seconds(10);
+  options.tokens.windows_kept = 4;
   return options;
 }
 
@@ -45,12 +50,15 @@
 
 agent_node::agent_node(std::string id, uint64_t incarnation,
                        fakes::virtual_time& time, core::table& rows,
-                       fake_target& target)
+                       common::random_source& random, fake_target& target)
     : id_(std::move(id)),
       process_(time),
       rows_(rows, process_),
       target_(target),
-      host_(OptionsOf(incarnation), *this, *this, process_, process_) {
+      host_(OptionsOf(incarnation), *this, *this, process_, process_),
+      operations_(rows_, process_, process_, random),
+      recorder_({}, operations_, process_, process_) {
+  host_.SetOperationObserver(&recorder_);
   hello_.name = id_;
   hello_.incarnation = incarnation;
 }
@@ -74,7 +82,10 @@
       raw->host_.OnLinkClosed(id);
     })();
   };
-  process_.Event([this, id] { Send(id, hello_); })();
+  process_.Event([this, id] {
+    hello_.token_window = host_.token_window();
+    Send(id, hello_);
+  })();
   return end;
 }
 
@@ -114,7 +125,8 @@
 
 void agent_node::Drain(std::function<void()> on_drained) {
   process_.Event([this, on_drained = std::move(on_drained)] {
-    host_.Drain(on_drained);
+    host_.Drain(
+        [this, on_drained] { recorder_.Flush(kFlushLimit, on_drained); });
   })();
 }
 
--- a/source/unit_tests/longrun/agent_node.h
+++ b/source/unit_tests/longrun/agent_node.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/agent/attempt_host.h"
+#include "core/operations/operation_recorder.h"
 #include "unit_tests/fakes/process_table.h"
 #include "unit_tests/longrun/fake_target.h"
 #include "unit_tests/longrun/network.h"
@@ -18,7 +19,8 @@
                          public std::enable_shared_from_this<agent_node> {
  public:
   agent_node(std::string id, uint64_t incarnation, fakes::virtual_time& time,
-             core::table& rows, fake_target& target);
+             core::table& rows, common::random_source& random,
+             fake_target& target);
   ~agent_node() override { target_.Detach(); }
 
   /// Takes a router's connection and says hello.
@@ -53,6 +55,8 @@
   fake_target& target_;
   core::hello_message hello_;
   core::attempt_host host_;
+  core::operation_log operations_;
+  core::operation_recorder recorder_;
   std::map<core::router_link, std::shared_ptr<connection>> links_;
   core::router_link next_link_ = 1;
 };
--- a/source/unit_tests/longrun/callers.cc
+++ b/source/unit_tests/longrun/callers.cc
@@ -121,6 +121,7 @@
   description.body = other_body ? "{\"order\":\"other\"}" : of->body;
   description.digest =
       common::Sha256Hex(of->pipeline + "\n" + description.body);
+  what->digest = description.digest;
   description.idempotency_key = of->key;
   description.deadline = kDeadline;
   description.plan = configuration_->pipelines.at(of->pipeline);
@@ -177,8 +178,9 @@
   }
   if (result.fate == request_fate::kNotRun) {
     ++counts_.not_run;
-    if (keyed && !what->body_differs) {
-      ledger_.ToldNotRun(what->request_id, what->row_key, what->at);
+    if (keyed) {
+      ledger_.ToldNotRun(what->request_id, what->row_key, what->digest,
+                         what->at);
     }
   } else if (result.fate == request_fate::kUnknown) {
     ++counts_.unknown;
--- a/source/unit_tests/longrun/callers.h
+++ b/source/unit_tests/longrun/callers.h
@@ -56,6 +56,7 @@
     std::shared_ptr<order> of;
     std::string request_id;
     std::string row_key;  ///< empty when unkeyed
+    std::string digest;
     common::time_point at;
     const router_node* router = nullptr;
     std::weak_ptr<core::request_executor> executor;
--- a/source/unit_tests/longrun/fake_target.cc
+++ b/source/unit_tests/longrun/fake_target.cc
@@ -48,7 +48,7 @@
   current.serial = next_serial_++;
   if (!execute.operation_token.empty()) {
     ledger_.Add({execute.operation_key, execute.operation_token,
-                 execute.request_id, id_, time_.Now()});
+                 execute.request_id, execute.digest, id_, time_.Now()});
   }
   if (execute.stage == kEngineStage) {
     current.text = EngineText(BodyOf(execute));
--- a/source/unit_tests/longrun/ledger.cc
+++ b/source/unit_tests/longrun/ledger.cc
@@ -17,10 +17,11 @@
 
 void ledger::ToldNotRun(const std::string& request_id,
                         const std::string& operation_key,
-                        common::time_point asked) {
+                        const std::string& digest, common::time_point asked) {
   told_not_run_.insert(request_id);
   const auto found = runs_.find(operation_key);
-  if (found == runs_.end()) return;
+  // What ran under the key for another body is not this request's.
+  if (found == runs_.end() || found->second.digest != digest) return;
   const bool own = found->second.request_id == request_id;
   const bool earlier = found->second.at < asked;
   common::CheckInvariant(!own && !earlier, "not_run_is_true",
--- a/source/unit_tests/longrun/ledger.h
+++ b/source/unit_tests/longrun/ledger.h
@@ -15,6 +15,7 @@
   std::string operation_key;
   std::string token;
   std::string request_id;
+  std::string digest;  ///< of the caller's body
   std::string target;
   common::time_point at;
 };
@@ -29,7 +30,8 @@
   /// Notes that a caller was told that a request did not run.
   /// @param asked when the request was sent
   void ToldNotRun(const std::string& request_id,
-                  const std::string& operation_key, common::time_point asked);
+                  const std::string& operation_key, const std::string& digest,
+                  common::time_point asked);
 
   bool Ran(const std::string& operation_key) const {
     return runs_.contains(operation_key);
--- a/source/unit_tests/longrun/world.cc
+++ b/source/unit_tests/longrun/world.cc
@@ -60,8 +60,11 @@
 
 void world::StartAgent(site* where) {
   where->draining = false;
-  where->agent = std::make_shared<agent_node>(
-      where->listed.id, next_incarnation_++, time_, table_, *where->target);
+  where->agent =
+      std::make_shared<agent_node>(where->listed.id, next_incarnation_, time_,
+                                   table_, random_, *where->target);
+  // Incarnations are random numbers in the product, and so far apart.
+  next_incarnation_ += uint64_t{1} << 32;
 }
 
 std::shared_ptr<connection> world::Dial(const std::string& target,
--- a/source/unit_tests/wire/codec_test.cc
+++ b/source/unit_tests/wire/codec_test.cc
@@ -32,3 +32,14 @@
     CHECK(!wire::Decode(std::string_view(frame).substr(0, size)).has_value());
   }
 }
+
+TEST(Codec, ResumeAndRevokeCarryTheTokenAndItsWindow) {
+  const std::optional<core::message> resume = wire::Decode(
+      wire::Encode(core::resume_message{"a1", "parks", 12, "t1", 7}));
+  const core::resume_message& resumed = std::get<core::resume_message>(*resume);
+  STRCMP_EQUAL("t1", resumed.operation_token.c_str());
+  CHECK(resumed.offset == 12 && resumed.token_window == 7);
+  const std::optional<core::message> revoke =
+      wire::Decode(wire::Encode(core::revoke_message{"a1", "t1", 7}));
+  CHECK(std::get<core::revoke_message>(*revoke).token_window == 7);
+}
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -23,6 +23,7 @@
   to.latency_us = static_cast<int32_t>(from.latency_us);
   to.accepting = from.accepting;
   to.configuration_version = Signed(from.configuration_version);
+  to.token_window = Signed(from.token_window);
   return to;
 }
 
@@ -34,6 +35,7 @@
   to.latency_us = static_cast<uint32_t>(from.latency_us);
   to.accepting = from.accepting;
   to.configuration_version = Unsigned(from.configuration_version);
+  to.token_window = Unsigned(from.token_window);
   return to;
 }
 
@@ -56,6 +58,7 @@
     to.pool = from.pool;
     to.address = from.address;
     to.port = from.port;
+    to.token_window = Signed(from.token_window);
     frame->__set_hello_part(to);
   }
 
@@ -70,6 +73,7 @@
     to.digest = from.digest;
     to.operation_token = from.operation_token;
     to.expected_incarnation = Signed(from.expected_incarnation);
+    to.token_window = Signed(from.token_window);
     to.remaining_ms = from.remaining.count();
     to.deferrable = from.deferrable;
     to.alone = from.alone;
@@ -119,6 +123,8 @@
     to.attempt_id = from.attempt_id;
     to.organisation = from.organisation;
     to.offset = Signed(from.offset);
+    to.operation_token = from.operation_token;
+    to.token_window = Signed(from.token_window);
     frame->__set_resume_part(to);
   }
 
@@ -126,6 +132,7 @@
     generated::revoke to;
     to.attempt_id = from.attempt_id;
     to.operation_token = from.operation_token;
+    to.token_window = Signed(from.token_window);
     frame->__set_revoke_part(to);
   }
 
@@ -197,6 +204,7 @@
   to.pool = from.pool;
   to.address = from.address;
   to.port = static_cast<uint16_t>(from.port);
+  to.token_window = Unsigned(from.token_window);
   return to;
 }
 
@@ -211,6 +219,7 @@
   to.digest = from.digest;
   to.operation_token = from.operation_token;
   to.expected_incarnation = Unsigned(from.expected_incarnation);
+  to.token_window = Unsigned(from.token_window);
   to.remaining = common::milliseconds(from.remaining_ms);
   to.deferrable = from.deferrable;
   to.alone = from.alone;
@@ -270,11 +279,13 @@
   if (frame.__isset.resume_part) {
     const generated::resume& part = frame.resume_part;
     return core::resume_message{part.attempt_id, part.organisation,
-                                Unsigned(part.offset)};
+                                Unsigned(part.offset), part.operation_token,
+                                Unsigned(part.token_window)};
   }
   if (frame.__isset.revoke_part) {
     const generated::revoke& part = frame.revoke_part;
-    return core::revoke_message{part.attempt_id, part.operation_token};
+    return core::revoke_message{part.attempt_id, part.operation_token,
+                                Unsigned(part.token_window)};
   }
   if (frame.__isset.revoke_answer_part) {
     const generated::revoke_answer& part = frame.revoke_answer_part;
--- a/source/wire/messages.thrift
+++ b/source/wire/messages.thrift
@@ -9,6 +9,7 @@
   4: i32 latency_us
   5: bool accepting
   6: i64 configuration_version
+  7: i64 token_window
 }
 
 struct trace_context {
@@ -26,6 +27,7 @@
   6: string pool
   7: string address
   8: i32 port
+  9: i64 token_window
 }
 
 struct execute {
@@ -47,6 +49,7 @@
   16: trace_context trace
   17: string operation_key
   18: binary stream_prefix
+  19: i64 token_window
 }
 
 struct chunk {
@@ -77,11 +80,14 @@
   1: string attempt_id
   2: string organisation
   3: i64 offset
+  4: string operation_token
+  5: i64 token_window
 }
 
 struct revoke {
   1: string attempt_id
   2: string operation_token
+  3: i64 token_window
 }
 
 struct revoke_answer {
