--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -15,6 +15,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
+// A table that is down does not keep a drained agent for longer.
+constexpr common::duration kRecordLimit = std::chrono::seconds(10);
 // Routers learn from the last messages that the agent is leaving.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
@@ -80,6 +82,7 @@
       common::milliseconds(settings.Integer(settings::kOrphanLimitMs));
   process->host_ = std::make_unique<core::attempt_host>(
       options, *process->target_, *process, process->clock_, *process->loop_);
+  process->SetRecorder(settings);
   process->hello_.name = settings.Text(settings::kName);
   process->hello_.incarnation = options.incarnation;
   process->hello_.data_centre = settings.Text(settings::kDataCentre);
@@ -101,6 +104,21 @@
   return process;
 }
 
+void agent_process::SetRecorder(const settings::settings_document& settings) {
+  platform::platform_options platform;
+  platform.address = {
+      settings.Text(settings::kPlatformAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+  platform.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  table_ = platform::MakeHttpTable(*loop_, platform);
+  operations_ =
+      std::make_unique<core::operation_log>(*table_, *loop_, clock_, *random_);
+  recorder_ = std::make_unique<core::operation_recorder>(
+      core::operation_recorder_options(), *operations_, clock_, *loop_);
+  host_->SetOperationObserver(recorder_.get());
+}
+
 void agent_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
   common::Log(log_channel::kMain, log_level::kInfo,
@@ -113,8 +131,11 @@
   // A second signal changes nothing: the stop stays clean.
   if (stopping_) return;
   stopping_ = true;
-  host_->Drain(
-      [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
+  host_->Drain([this] {
+    recorder_->Flush(kRecordLimit, [this] {
+      loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); });
+    });
+  });
   core::ping_message leaving;
   leaving.answer = true;
   leaving.load = host_->Load();
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -7,7 +7,9 @@
 #include "agent/http_target.h"
 #include "common/random.h"
 #include "core/agent/attempt_host.h"
+#include "core/operations/operation_recorder.h"
 #include "net/http_server.h"
+#include "platform/http_platform.h"
 #include "settings/settings_document.h"
 
 namespace wisteriadale::agent {
@@ -27,6 +29,7 @@
  private:
   agent_process() = default;
 
+  void SetRecorder(const settings::settings_document& settings);
   void Accept(std::shared_ptr<net::channel> channel);
   void OnFrame(core::router_link link, std::string_view frame);
   void OnHttp(const net::http_request& request, net::http_responder* responder);
@@ -36,6 +39,9 @@
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<http_target> target_;
+  std::unique_ptr<core::table> table_;
+  std::unique_ptr<core::operation_log> operations_;
+  std::unique_ptr<core::operation_recorder> recorder_;
   std::unique_ptr<core::attempt_host> host_;
   std::unique_ptr<net::http_server> server_;
   std::unordered_map<core::router_link, std::shared_ptr<net::channel>> links_;
--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -33,7 +33,7 @@
   std::string pool;     ///< of an agent's target
   std::string address;  ///< where the sender listens, if it says
   uint16_t port = 0;
-  uint64_t token_window = 0;  ///< an agent\'s current token window
+  uint64_t token_window = 0;  ///< an agent's current token window
 };
 
 /// Asks an agent to run one stage.
