--- /dev/null
+++ b/source/unit_tests/core/agent/attempt_host_test.cc
@@ -0,0 +1,184 @@
+#include "core/agent/attempt_host.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <vector>
+
+#include "common/metrics.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+class recording_sender final : public core::router_sender {
+ public:
+  void Send(core::router_link, const core::message& message) override {
+    sent.push_back(message);
+  }
+  /// @return the last message of a type; fails the test when there is none
+  template <typename wanted>
+  wanted Last() const {
+    for (auto at = sent.rbegin(); at != sent.rend(); ++at) {
+      if (const wanted* found = std::get_if<wanted>(&*at)) return *found;
+    }
+    FAIL("no such message was sent");
+    return {};
+  }
+  std::vector<core::message> sent;
+};
+
+class manual_target final : public core::target_port {
+ public:
+  void Run(const core::execute_message& execute,
+           core::target_observer*) override {
+    ++runs[execute.operation_token];
+  }
+  void Cancel(std::string_view) override {}
+  std::map<std::string, int> runs;
+};
+
+class recording_observer final : public core::operation_end_observer {
+ public:
+  void OnOperationEnded(const core::execute_message& execute, bool ran,
+                        std::string_view) override {
+    ended[execute.operation_token] = ran;
+  }
+  std::map<std::string, bool> ended;
+};
+
+core::attempt_host_options Options() {
+  core::attempt_host_options options;
+  options.incarnation = 77;
+  options.concurrency_limit = 1;
+  options.retention = std::chrono::seconds(5);
+  options.retained_bytes = 100;
+  options.tokens.window = std::chrono::seconds(10);
+  options.tokens.windows_kept = 3;
+  return options;
+}
+
+}  // namespace
+
+TEST_GROUP(AttemptHost) {
+  fakes::virtual_time time;
+  recording_sender routers;
+  manual_target target;
+  recording_observer ends;
+  core::attempt_host host{Options(), target, routers, time, time};
+
+  void setup() override { host.SetOperationObserver(&ends); }
+
+  core::execute_message Operation(const std::string& token) const {
+    core::execute_message execute;
+    execute.attempt_id = "attempt-" + token;
+    execute.organisation = "parks";
+    execute.operation_token = token;
+    execute.expected_incarnation = 77;
+    execute.token_window = host.token_window();
+    execute.remaining = std::chrono::milliseconds(2000);
+    return execute;
+  }
+  core::revoke_answer_message Revoke(const core::execute_message& execute) {
+    host.OnRevoke(1, {"", execute.operation_token, execute.token_window});
+    return routers.Last<core::revoke_answer_message>();
+  }
+};
+
+TEST(AttemptHost, AnExecuteThatArrivesAfterItsRevokeDoesNotRun) {
+  const core::execute_message late = Operation("t");
+  const core::revoke_answer_message answer = Revoke(late);
+  CHECK(answer.known && !answer.begun);
+  host.OnExecute(1, late);
+  CHECK(target.runs.empty());
+  CHECK(!routers.Last<core::outcome_message>().begun);
+}
+
+TEST(AttemptHost, AnExecuteOfAnEarlierWindowDoesNotRun) {
+  const core::execute_message late = Operation("t");
+  time.Advance(std::chrono::seconds(21));
+  host.OnExecute(1, late);
+  CHECK(target.runs.empty());
+}
+
+TEST(AttemptHost, OneTokenRunsOnceUnderTwoAttempts) {
+  core::execute_message execute = Operation("t");
+  host.OnExecute(1, execute);
+  execute.attempt_id = "another";
+  host.OnExecute(2, execute);
+  host.OnTargetResult("attempt-t", {});
+  CHECK_EQUAL(1, target.runs.at("t"));
+}
+
+TEST(AttemptHost, AnEndedAndForgottenAttemptIsNotCalledNeverBegun) {
+  const core::execute_message execute = Operation("t");
+  host.OnExecute(1, execute);
+  host.OnTargetResult(execute.attempt_id, {});
+  time.Advance(std::chrono::seconds(6));
+  CHECK(Revoke(execute).begun);
+  host.OnResume(1, {execute.attempt_id, "parks", 0, "t", execute.token_window});
+  CHECK(routers.Last<core::outcome_message>().begun);
+  time.Advance(std::chrono::seconds(60));
+  CHECK(!Revoke(execute).known);
+  host.OnResume(1, {execute.attempt_id, "parks", 0, "t", execute.token_window});
+  CHECK(routers.Last<core::outcome_message>().begun);
+}
+
+TEST(AttemptHost, ARestartedAgentCannotTell) {
+  core::execute_message execute = Operation("t");
+  execute.token_window = 3;  // of an incarnation that is gone
+  CHECK(!Revoke(execute).known);
+}
+
+TEST(AttemptHost, AnotherRoutersRevokeEndsAQueuedAttempt) {
+  host.OnExecute(1, Operation("first"));
+  host.OnExecute(1, Operation("queued"));
+  const core::revoke_answer_message answer = Revoke(Operation("queued"));
+  CHECK(answer.known && !answer.begun);
+  const core::outcome_message outcome = routers.Last<core::outcome_message>();
+  STRCMP_EQUAL("attempt-queued", outcome.attempt_id.c_str());
+  CHECK(!outcome.begun);
+  CHECK(!ends.ended.at("queued"));
+  host.OnTargetResult("attempt-first", {});
+  CHECK(ends.ended.at("first"));
+  CHECK_EQUAL(1, target.runs.size());
+}
+
+TEST(AttemptHost, WhatIsKeptOfEndedAttemptsIsBounded) {
+  for (int i = 0; i < 20; ++i) {
+    const core::execute_message execute = Operation("t" + std::to_string(i));
+    host.OnExecute(1, execute);
+    core::target_result result;
+    result.result = std::string(30, 'x');
+    host.OnTargetResult(execute.attempt_id, result);
+    CHECK(host.retained_bytes() <= 100);
+  }
+  time.Advance(std::chrono::seconds(6));
+  CHECK_EQUAL(0, host.retained_bytes());
+}
+
+TEST(AttemptHost, AnotherOrganisationCannotResume) {
+  const core::execute_message execute = Operation("t");
+  host.OnExecute(1, execute);
+  host.OnTargetResult(execute.attempt_id, {});
+  const size_t before = routers.sent.size();
+  host.OnResume(2, {execute.attempt_id, "schools", 0});
+  CHECK_EQUAL(before, routers.sent.size());
+  CHECK(common::Metrics().Counter("wisteria_results_foreign_total") > 0);
+}
+
+TEST(AttemptHost, ADrainWaitsForWhatRunsAndTakesNothingNew) {
+  host.OnExecute(1, Operation("running"));
+  bool drained = false;
+  host.Drain([&drained] { drained = true; });
+  time.Advance(std::chrono::seconds(1));
+  CHECK(!drained);
+  host.OnExecute(1, Operation("late"));
+  CHECK(routers.Last<core::outcome_message>().code ==
+        common::result_code::kDraining);
+  host.OnTargetResult("attempt-running", {});
+  time.Advance(std::chrono::seconds(1));
+  CHECK(drained);
+  CHECK_EQUAL(1, target.runs.size());
+}
--- a/source/unit_tests/core/operations/operation_log_test.cc
+++ b/source/unit_tests/core/operations/operation_log_test.cc
@@ -42,3 +42,45 @@
   rows.down = true;
   CHECK(Reserve("d").status == core::reserve_status::kNotKnown);
 }
+
+TEST(OperationLog, ATokenThatWasRevokedMeanwhileIsNotReserved) {
+  rows.lost_answer_share = 1;
+  core::operation_record wanted;
+  wanted.digest = "d";
+  core::reserve_answer given;
+  log.Reserve("operations/parks/k", wanted,
+              time.Now() + std::chrono::seconds(9),
+              [&given](const core::reserve_answer& answer) { given = answer; });
+  // The write is in, its answer lost; another router has the token revoked.
+  rows.lost_answer_share = 0;
+  core::table_row& row = rows.rows.at("operations/parks/k");
+  core::operation_record freed = *core::DecodeOperation(row.value);
+  freed.state = core::operation_state::kNotRun;
+  row.value = core::EncodeOperation(freed);
+  ++row.version;
+  time.Advance(std::chrono::seconds(5));
+  CHECK(given.status == core::reserve_status::kReserved);
+  CHECK(given.record.token != freed.token);
+}
+
+TEST(OperationLog, ARowThatCannotBeReadIsNotWrittenOver) {
+  rows.rows["operations/parks/k"] = {"operations/parks/k", "not JSON", 4};
+  CHECK(Reserve("d").status == core::reserve_status::kHeldByOther);
+  STRCMP_EQUAL("not JSON", rows.rows["operations/parks/k"].value.c_str());
+}
+
+TEST(OperationLog, ASettleOfARowThatMovedOnChangesNothing) {
+  const core::reserve_answer held = Reserve("d");
+  core::operation_record theirs = held.record;
+  theirs.token = "another";
+  rows.rows["operations/parks/k"] = {"operations/parks/k",
+                                     core::EncodeOperation(theirs), 3};
+  core::operation_record mine = held.record;
+  mine.state = core::operation_state::kDone;
+  core::settle_answer given;
+  log.Settle("operations/parks/k", mine, time.Now() + std::chrono::seconds(2),
+             [&given](const core::settle_answer& answer) { given = answer; });
+  time.Advance(std::chrono::seconds(1));
+  CHECK(given.status == core::settle_status::kChanged);
+  CHECK(rows.rows["operations/parks/k"].version == 3);
+}
