--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,12 +7,15 @@
 
 in_use() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
 
+# Below the ports that the system gives to outgoing connections.
 free_base() {
-  local base
-  for base in 42000 44000 40000; do
-    in_use "$base" || in_use $((base + 1)) || { echo "$base" && return; }
+  local try base
+  for try in 1 2 3 4 5 6 7 8 9 10; do
+    base=$((14000 + (($$ + try) % 12) * 1500))
+    in_use "$base" || in_use $((base + 1)) || in_use $((base + 100)) ||
+      in_use $((base + 1000)) || { echo "$base" && return; }
   done
-  echo "demo.sh: the ports 40000, 42000 and 44000 are in use" >&2
+  echo "demo.sh: found no free range of ports" >&2
   exit 1
 }
 
--- a/source/unit_tests/wire/codec_property_test.cc
+++ b/source/unit_tests/wire/codec_property_test.cc
@@ -99,7 +99,7 @@
 TEST(CodecProperties, MutatedFramesEndInAMessageOrAReasonAndCostNoMemory) {
   common::seeded_random random(kSeed);
   // A frame of some hundred bytes may claim to hold gigabytes.
-  constexpr int64_t kAllowedGrowthKilobytes = 64 * 1024;
+  constexpr int64_t kAllowedGrowthKilobytes = int64_t{64} * 1024;
   const int64_t before = PeakMemoryKilobytes();
   int refused = 0;
   for (int i = 0; i < 50000; ++i) {
