Add the scenario runner, its first scripts, and the end of a loop's handlers

Found by planned_stop: a router ended by signal 11 after "stopped" was logged. Cause: components are destroyed before the loop, and the context, when destroyed, called the closed handlers of channels, which refer to them. Ruled out: the second SIGTERM (the crash needs none). The loop now drops the handlers of channels and calls first.

A channel handshake that never completes is given up (Channel tests).

--- /dev/null
+++ b/scenarios/end_to_end.lua
@@ -0,0 +1,47 @@
+-- A pipeline of four stages answers whole, as JSON and as events, and a booking
+-- sent twice with one key through two routers is recorded once.
+local fleet = require("fleet")
+
+local deployment = fleet.start{routers = 2}
+
+local answer = deployment:ask("answer", {sketch = "a peacock"})
+expect_equal(200, answer.status, "answer: " .. answer.body)
+expect(answer.json.complete, "a whole answer")
+expect_equal(4, #answer.json.stages, "stages")
+
+local events = deployment:ask("answer", {sketch = "a peacock"},
+                              {events = true, router = 2})
+expect(events.complete, "the stream arrived whole")
+local text = ""
+for data in events.body:gmatch("event: token\ndata: ([^\n]*)\n\n") do
+  text = text .. decode(data).text
+end
+local last = decode(events.body:match("event: complete\ndata: ([^\n]*)\n\n$"))
+expect(last.complete, "the last event marks the whole answer")
+expect_equal(last.result, text, "streamed text")
+expect_equal(answer.json.result, text, "the same text through both routers")
+
+local order = {frame = "cone", count = 2}
+local first = deployment:ask("booking", order, {key = "order-1"})
+expect_equal(200, first.status, "first booking: " .. first.body)
+local second = deployment:ask("booking", order, {key = "order-1", router = 2})
+expect_equal(200, second.status, "second booking: " .. second.body)
+expect_equal(encode(first.json.result), encode(second.json.result),
+             "both callers get the one result")
+expect_equal(1, deployment:runs("order-1"), "runs in the ledger")
+
+local together = {}
+for i = 1, 6 do
+  together[i] = deployment:send("booking", order,
+                                {key = "order-2", router = 1 + i % 2})
+end
+for i = 1, 6 do
+  expect_equal(200, together[i]:wait().status, "booking sent at once")
+end
+expect_equal(1, deployment:runs("order-2"), "runs of the shared key")
+
+local other = deployment:ask("booking", {frame = "spiral"}, {key = "order-1"})
+expect_equal(422, other.status, "another body under the key")
+expect_equal(1, deployment:runs("order-1"), "runs after the refused body")
+
+deployment:stop()
--- /dev/null
+++ b/scenarios/planned_stop.lua
@@ -0,0 +1,68 @@
+-- SIGTERM to a router and to an agent during streams cuts no request off, and a
+-- second signal changes nothing.
+local fleet = require("fleet")
+
+local kStreams = 6
+
+local deployment = fleet.start{routers = 2, copies = 2,
+                               engine = {tokens = 60, token_us = 20000}}
+
+local function start_streams(router)
+  local streams = {}
+  for i = 1, kStreams do
+    streams[i] = deployment:send("answer", {sketch = i},
+                                 {router = router, events = true})
+  end
+  for _, stream in ipairs(streams) do
+    wait_until(function() return stream:body():find("event: token", 1, true) end,
+               5000, "first token")
+  end
+  return streams
+end
+
+local function expect_whole(streams)
+  for _, stream in ipairs(streams) do
+    local answer = stream:wait()
+    expect(answer.complete, "the stream was not cut: " .. answer.failure)
+    expect(answer.body:find("event: complete", 1, true),
+           "the answer is whole: " .. answer.body:sub(-300))
+  end
+end
+
+-- A router, with a second signal while it drains.
+local streams = start_streams(1)
+deployment.routers[1]:stop()
+wait_until(function()
+  return http{port = deployment.router_ports[1], path = "/readyz",
+              timeout_ms = 1000}.status ~= 200
+end, 3000, "not ready")
+deployment.routers[1]:stop()
+expect_whole(streams)
+expect_equal(0, deployment.routers[1]:wait(), "exit code of the router")
+
+-- An agent: its streams end whole, and new ones go to its twin.
+streams = start_streams(2)
+deployment.agents["generate-1"]:stop()
+deployment.agents["generate-1"]:stop()
+wait_until(function()
+  return deployment:status(2).usable_targets == #deployment.vms - 1
+end, 3000, "the leaving target is out of use")
+local later = deployment:ask("answer", {sketch = "later"}, {router = 2})
+expect_equal(200, later.status, "request during the drain: " .. later.body)
+expect_equal("generate-2", later.json.stages[4].target, "the other engine")
+expect_whole(streams)
+expect_equal(0, deployment.agents["generate-1"]:wait(), "exit code of the agent")
+
+-- A booking is finished before its agent ends.
+local booking = deployment:send("booking", {frame = "cone"},
+                                {key = "planned", router = 2})
+wait_until(function() return deployment:runs("planned") == 1 or booking:done()
+           end, 3000, "booking on the target")
+deployment.agents["orders-1"]:stop()
+deployment.agents["orders-2"]:stop()
+expect_equal(200, booking:wait().status, "booking during the drain")
+expect_equal(0, deployment.agents["orders-1"]:wait(), "exit code")
+expect_equal(0, deployment.agents["orders-2"]:wait(), "exit code")
+expect_equal(1, deployment:runs("planned"), "runs in the ledger")
+
+deployment:stop()
--- a/source/net/channel.cc
+++ b/source/net/channel.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <deque>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "common/metrics.h"
 #include "net/http_server.h"
 #include "net/lws_protocols.h"
 
@@ -23,7 +25,8 @@
 
 class lws_channel final : public channel {
  public:
-  lws_channel(lws* wsi, std::string peer) : wsi_(wsi), peer_(std::move(peer)) {}
+  lws_channel(lws_context* context, lws* wsi, std::string peer)
+      : context_(context), wsi_(wsi), peer_(std::move(peer)) {}
 
   void Send(std::string message) override {
     if (wsi_ == nullptr || closing_) return;
@@ -89,10 +92,27 @@
 
   void Attach(lws* wsi) { wsi_ = wsi; }
 
+  /// Remembers the connection whose handshake is on its way.
+  void SetDialling(lws* wsi) { dialling_ = wsi; }
+  lws* TakeDialling() { return std::exchange(dialling_, nullptr); }
+
+  /// Calls no handler any more.
+  void DropHandlers() {
+    on_closed_ = nullptr;
+    on_message_ = nullptr;
+    on_open = nullptr;
+  }
+
+  const lws_context* context() const { return context_; }
+
+  /// While a dial is in progress: takes its result.
   std::function<void(std::shared_ptr<channel>)> on_open;
+  common::timer_id dial_timer = 0;
 
  private:
+  const lws_context* context_;
   lws* wsi_;
+  lws* dialling_ = nullptr;
   std::string peer_;
   bool closing_ = false;
   std::deque<std::string> outgoing_;
@@ -116,7 +136,7 @@
   char peer[64];
   lws_get_peer_simple(wsi, peer, sizeof(peer));
   const std::shared_ptr<lws_channel> accepted =
-      std::make_shared<lws_channel>(wsi, peer);
+      std::make_shared<lws_channel>(lws_get_context(wsi), wsi, peer);
   *slot = accepted.get();
   Live().emplace(accepted.get(), accepted);
   if (server->on_channel()) {
@@ -126,20 +146,44 @@
   }
 }
 
+event_loop& LoopOf(lws* wsi) {
+  return *static_cast<event_loop*>(lws_context_user(lws_get_context(wsi)));
+}
+
+/// Ends a dial, whichever way it went.
+void AnswerDial(event_loop& loop, lws_channel* dialled,
+                const std::shared_ptr<channel>& result) {
+  loop.Cancel(dialled->dial_timer);
+  dialled->dial_timer = 0;
+  const std::function<void(std::shared_ptr<channel>)> handler =
+      std::move(dialled->on_open);
+  dialled->on_open = nullptr;
+  if (handler) handler(result);
+}
+
 void Opened(lws* wsi, lws_channel* current) {
+  // The dial may have been given up while the handshake was on its way.
+  if (!current->on_open) return;
   current->Attach(wsi);
-  const std::function<void(std::shared_ptr<channel>)> handler =
-      std::move(current->on_open);
-  current->on_open = nullptr;
-  handler(Live().at(current));
+  AnswerDial(LoopOf(wsi), current, Live().at(current));
 }
 
-void DialFailed(lws_channel* current) {
-  const std::function<void(std::shared_ptr<channel>)> handler =
-      std::move(current->on_open);
-  current->on_open = nullptr;
-  Release(current);
-  if (handler) handler(nullptr);
+void DialFailed(event_loop& loop, lws_channel* current) {
+  const auto found = Live().find(current);
+  if (found == Live().end()) return;
+  const std::shared_ptr<lws_channel> kept = std::move(found->second);
+  Live().erase(found);
+  AnswerDial(loop, current, nullptr);
+}
+
+/// Ends a dial whose handshake does not complete.
+void GiveUpDial(event_loop& loop, lws_channel* current) {
+  lws* wsi = current->TakeDialling();
+  if (wsi != nullptr) {
+    lws_set_wsi_user(wsi, nullptr);
+    lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  }
+  DialFailed(loop, current);
 }
 
 bool IsLast(lws* wsi) {
@@ -175,16 +219,18 @@
   lws_channel* current = static_cast<lws_channel*>(user);
   switch (reason) {
     case LWS_CALLBACK_CLIENT_ESTABLISHED:
+      if (current == nullptr) return -1;
       Opened(wsi, current);
       return 0;
     case LWS_CALLBACK_CLIENT_RECEIVE:
+      if (current == nullptr) return -1;
       return current->Receive({static_cast<const char*>(in), length},
                               IsLast(wsi));
     case LWS_CALLBACK_CLIENT_WRITEABLE:
-      return current->Writable();
+      return current == nullptr ? -1 : current->Writable();
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       lws_set_wsi_user(wsi, nullptr);
-      if (current != nullptr) DialFailed(current);
+      if (current != nullptr) DialFailed(LoopOf(wsi), current);
       return 0;
     case LWS_CALLBACK_CLIENT_CLOSED:
       lws_set_wsi_user(wsi, nullptr);
@@ -198,7 +244,7 @@
 void DialChannel(event_loop& loop, const endpoint& to,
                  std::function<void(std::shared_ptr<channel>)> on_open) {
   const std::shared_ptr<lws_channel> dialled = std::make_shared<lws_channel>(
-      nullptr, to.address + ":" + std::to_string(to.port));
+      loop.context(), nullptr, to.address + ":" + std::to_string(to.port));
   dialled->on_open = std::move(on_open);
   Live().emplace(dialled.get(), dialled);
   lws_client_connect_info info{};
@@ -216,12 +262,26 @@
     info.ssl_connection =
         LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
   }
-  if (lws_client_connect_via_info(&info) != nullptr) return;
-  // libwebsockets may or may not have reported the failure already.
-  if (!dialled->on_open) return;
-  loop.Schedule(common::duration(0), [raw = dialled.get(), dialled] {
-    if (dialled->on_open) DialFailed(raw);
+  lws_channel* raw = dialled.get();
+  dialled->dial_timer = loop.Schedule(loop.dial_timeout(), [&loop, raw] {
+    raw->dial_timer = 0;
+    common::Metrics().Count("wisteria_dials_timed_out_total");
+    GiveUpDial(loop, raw);
   });
+  lws* wsi = lws_client_connect_via_info(&info);
+  if (wsi != nullptr) {
+    dialled->SetDialling(wsi);
+    return;
+  }
+  // libwebsockets may or may not have reported the failure already.
+  loop.Schedule(common::duration(0),
+                [&loop, raw, dialled] { DialFailed(loop, raw); });
+}
+
+void DropChannelHandlers(const lws_context* context) {
+  for (const auto& [raw, live] : Live()) {
+    if (live->context() == context) live->DropHandlers();
+  }
 }
 
 }  // namespace wisteriadale::net
--- a/source/net/channel.h
+++ b/source/net/channel.h
@@ -35,8 +35,9 @@
   bool operator==(const endpoint&) const = default;
 };
 
-/// Dials a channel.
-/// @param on_open called with the open channel, or with null when the
+/// Dials a channel. A handshake that does not complete within the loop's dial
+/// timeout is given up.
+/// @param on_open called once, with the open channel, or with null when the
 /// connection cannot be made
 void DialChannel(event_loop& loop, const endpoint& to,
                  std::function<void(std::shared_ptr<channel>)> on_open);
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -66,9 +66,11 @@
     const options& chosen) {
   lws_set_log_level(LLL_ERR | LLL_WARN, EmitLwsLog);
   std::unique_ptr<event_loop> loop(new event_loop());
+  loop->dial_timeout_ = chosen.dial_timeout;
   lws_context_creation_info info{};
   info.options =
       LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+  info.user = loop.get();
   info.gid = -1;
   info.uid = -1;
   info.fd_limit_per_thread = static_cast<unsigned>(chosen.max_connections);
@@ -103,11 +105,16 @@
   if (signal_context == context_) signal_context = nullptr;
   for (auto& [id, entry] : timers_) lws_sul_cancel(&entry->scheduled.sul);
   timers_.clear();
-  if (context_ != nullptr) lws_context_destroy(context_);
+  if (context_ == nullptr) return;
+  // The components behind the handlers are destroyed before the loop.
+  DropChannelHandlers(context_);
+  DropCallHandlers(context_);
+  lws_context_destroy(context_);
 }
 
 void event_loop::Run() {
   int handled_signals = 0;
+  stopping_ = false;
   while (!stopping_) {
     if (lws_service(context_, 0) < 0) break;
     while (handled_signals < stop_signals) {
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -28,6 +28,8 @@
   struct options {
     int max_connections = 4096;
     tls_options client_tls;  ///< used by outgoing connections
+    /// From the start of a dial to the end of a channel's handshake.
+    common::duration dial_timeout = std::chrono::milliseconds(1000);
   };
 
   /// @return the loop, or nothing with LastReason set
@@ -37,7 +39,7 @@
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  /// Runs until Stop is called.
+  /// Runs until Stop is called during the run; it may run again afterwards.
   void Run();
   void Stop();
 
@@ -52,6 +54,7 @@
   /// @return the vhost that outgoing connections belong to
   lws_vhost* client_vhost() const { return client_vhost_; }
   bool client_tls() const { return client_tls_; }
+  common::duration dial_timeout() const { return dial_timeout_; }
 
  private:
   struct timer;
@@ -62,6 +65,7 @@
   lws_context* context_ = nullptr;
   lws_vhost* client_vhost_ = nullptr;
   bool client_tls_ = false;
+  common::duration dial_timeout_{};
   bool stopping_ = false;
   common::timer_id next_timer_ = 1;
   std::unordered_map<common::timer_id, std::unique_ptr<timer>> timers_;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -131,6 +131,17 @@
 
   void Forget() { wsi_ = nullptr; }
 
+  /// Calls no handler any more and leaves the connection to its context.
+  void Drop() {
+    ended_ = true;
+    on_done_ = nullptr;
+    on_chunk_ = nullptr;
+    if (wsi_ != nullptr) lws_set_wsi_user(wsi_, nullptr);
+    wsi_ = nullptr;
+  }
+
+  const lws_context* context() const { return loop_.context(); }
+
  private:
   bool AddHeader(const std::string& name, std::string_view value,
                  unsigned char** p, unsigned char* end) {
@@ -199,6 +210,17 @@
   }
 }
 
+void DropCallHandlers(const lws_context* context) {
+  for (auto at = Live().begin(); at != Live().end();) {
+    if (at->second->context() != context) {
+      ++at;
+      continue;
+    }
+    at->second->Drop();
+    at = Live().erase(at);
+  }
+}
+
 std::shared_ptr<http_transfer> StartHttpCall(
     event_loop& loop, http_call call,
     std::function<void(const http_result&)> on_done,
--- a/source/net/lws_protocols.h
+++ b/source/net/lws_protocols.h
@@ -26,4 +26,9 @@
 /// @return the protocols of outgoing connections, ended by an empty entry
 const lws_protocols* ClientProtocols();
 
+/// Drops the handlers of all channels and calls of a context that is about to
+/// be destroyed: what they refer to may be gone.
+void DropChannelHandlers(const lws_context* context);
+void DropCallHandlers(const lws_context* context);
+
 }  // namespace wisteriadale::net
--- /dev/null
+++ b/source/unit_tests/net/channel_test.cc
@@ -0,0 +1,80 @@
+#include "net/channel.h"
+
+#include "net/http_server.h"
+#include "unit_tests/net/loopback.h"
+
+// Last, as its macros replace operator new.
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr common::duration kDialTimeout = std::chrono::milliseconds(100);
+constexpr common::duration kLimit = std::chrono::seconds(3);
+
+std::unique_ptr<net::event_loop> MakeLoop() {
+  net::event_loop::options options;
+  options.dial_timeout = kDialTimeout;
+  return std::move(*net::event_loop::Create(options));
+}
+
+}  // namespace
+
+TEST_GROUP(Channel){};
+
+TEST(Channel, HandshakeThatNeverCompletesIsGivenUp) {
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  const fakes::raw_socket mute;
+  int answers = 0;
+  bool opened = false;
+  net::DialChannel(*loop, {"127.0.0.1", mute.Listen()},
+                   [&](const std::shared_ptr<net::channel>& channel) {
+                     ++answers;
+                     opened = channel != nullptr;
+                   });
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] { return answers > 0; }));
+  CHECK(!opened);
+  LONGS_EQUAL(1, answers);
+}
+
+TEST(Channel, RefusedDialAnswersOnce) {
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  uint16_t closed_port = 0;
+  {
+    const fakes::raw_socket closed;
+    closed_port = closed.Listen();
+  }
+  int answers = 0;
+  net::DialChannel(
+      *loop, {"127.0.0.1", closed_port},
+      [&](const std::shared_ptr<net::channel>&) { ++answers; });
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] { return answers > 0; }));
+  fakes::RunUntil(*loop, 2 * kDialTimeout, [] { return false; });
+  LONGS_EQUAL(1, answers);
+}
+
+TEST(Channel, HandlersAreNotCalledWhenTheLoopEnds) {
+  int closed = 0;
+  {
+    const std::unique_ptr<net::event_loop> loop = MakeLoop();
+    std::shared_ptr<net::channel> accepted;
+    std::shared_ptr<net::channel> dialled;
+    const std::optional<std::unique_ptr<net::http_server>> server =
+        net::http_server::Create(
+            *loop, {},
+            [](const net::http_request&,
+               const std::shared_ptr<net::http_responder>&) {},
+            [&](std::shared_ptr<net::channel> channel) {
+              accepted = std::move(channel);
+            });
+    CHECK(server.has_value());
+    net::DialChannel(*loop, {"127.0.0.1", (*server)->port()},
+                     [&](std::shared_ptr<net::channel> channel) {
+                       dialled = std::move(channel);
+                     });
+    CHECK(fakes::RunUntil(*loop, kLimit, [&] { return accepted && dialled; }));
+    dialled->OnClosed([&] { ++closed; });
+  }
+  LONGS_EQUAL(0, closed);
+}
--- /dev/null
+++ b/source/unit_tests/net/loopback.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "net/event_loop.h"
+
+namespace wisteriadale::fakes {
+
+/// Runs a loop until a condition holds or a limit has passed.
+template <typename condition>
+bool RunUntil(net::event_loop& loop, common::duration limit, condition holds) {
+  constexpr common::duration kStep = std::chrono::milliseconds(2);
+  for (common::duration passed{}; passed < limit; passed += kStep) {
+    if (holds()) return true;
+    loop.Schedule(kStep, [&loop] { loop.Stop(); });
+    loop.Run();
+  }
+  return holds();
+}
+
+/// A TCP socket on loopback, as a client or as a listener that never answers.
+class raw_socket {
+ public:
+  raw_socket() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {}
+  ~raw_socket() { close(fd_); }
+  raw_socket(const raw_socket&) = delete;
+  raw_socket& operator=(const raw_socket&) = delete;
+
+  /// @return the port on which connections are taken and never read
+  uint16_t Listen() const {
+    sockaddr_in address = Loopback(0);
+    sockaddr* plain = reinterpret_cast<sockaddr*>(&address);
+    bind(fd_, plain, sizeof(address));
+    constexpr int kBacklog = 16;
+    listen(fd_, kBacklog);
+    socklen_t size = sizeof(address);
+    getsockname(fd_, plain, &size);
+    return ntohs(address.sin_port);
+  }
+
+  void Connect(uint16_t port) const {
+    const int small_window = 4096;
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &small_window, sizeof(small_window));
+    const sockaddr_in address = Loopback(port);
+    connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
+
+  void Send(std::string_view data) const {
+    send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+  }
+
+  void Shutdown() const { shutdown(fd_, SHUT_WR); }
+
+  /// Reads what has arrived.
+  /// @return all bytes since the connection began
+  const std::string& Read() {
+    char piece[4096];
+    while (true) {
+      const ssize_t size = recv(fd_, piece, sizeof(piece), MSG_DONTWAIT);
+      if (size == 0) closed_ = true;
+      if (size < 0 && errno != EAGAIN) closed_ = true;
+      if (size <= 0) return received_;
+      received_.append(piece, static_cast<size_t>(size));
+    }
+  }
+
+  /// @return whether the peer closed the connection
+  bool Closed() {
+    Read();
+    return closed_;
+  }
+
+ private:
+  static sockaddr_in Loopback(uint16_t port) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    return address;
+  }
+
+  int fd_;
+  std::string received_;
+  bool closed_ = false;
+};
+
+}  // namespace wisteriadale::fakes
--- /dev/null
+++ b/source/unit_tests/scenario/child_process.cc
@@ -0,0 +1,85 @@
+#include "unit_tests/scenario/child_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+#include "common/last_reason.h"
+
+namespace wisteriadale::scenario {
+namespace {
+
+constexpr int kLogMode = 0644;
+constexpr int kCannotExecute = 127;
+
+/// Runs in the child; never returns.
+[[noreturn]] void Execute(const std::vector<std::string>& command,
+                          const std::string& log_file, pid_t runner) {
+  // The child must not outlive a runner that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != runner) _exit(kCannotExecute);
+  const int log = open(log_file.c_str(),
+                       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
+  if (log < 0) _exit(kCannotExecute);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  execv(arguments[0], arguments.data());
+  _exit(kCannotExecute);
+}
+
+}  // namespace
+
+std::optional<std::unique_ptr<child_process>> child_process::Start(
+    const std::string& program, const std::vector<std::string>& arguments,
+    const std::string& log_file) {
+  std::vector<std::string> command = {program};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  const pid_t runner = getpid();
+  const pid_t pid = fork();
+  if (pid == 0) Execute(command, log_file, runner);
+  if (pid < 0) {
+    common::SetLastReason(common::result_code::kInternal, "fork failed");
+    return std::nullopt;
+  }
+  return std::unique_ptr<child_process>(new child_process(pid, log_file));
+}
+
+child_process::~child_process() {
+  if (ExitCode()) return;
+  kill(pid_, SIGKILL);
+  int status = 0;
+  waitpid(pid_, &status, 0);
+}
+
+void child_process::Signal(int number) const {
+  if (!exit_code_) kill(pid_, number);
+}
+
+std::optional<int> child_process::ExitCode() {
+  if (exit_code_) return exit_code_;
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return exit_code_;
+}
+
+int64_t child_process::ResidentKilobytes() const {
+  std::ifstream statm("/proc/" + std::to_string(pid_) + "/statm");
+  int64_t total_pages = 0;
+  int64_t resident_pages = 0;
+  statm >> total_pages >> resident_pages;
+  constexpr int64_t kKilobyte = 1024;
+  return resident_pages * (sysconf(_SC_PAGESIZE) / kKilobyte);
+}
+
+}  // namespace wisteriadale::scenario
--- /dev/null
+++ b/source/unit_tests/scenario/child_process.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Runs scripted scenarios against real processes.
+namespace wisteriadale::scenario {
+
+/// A process of the system under test. It never outlives its object, nor the
+/// runner.
+class child_process {
+ public:
+  /// @param program   path of the binary
+  /// @param arguments without the program's name
+  /// @param log_file  takes standard output and standard error
+  /// @return the process, or nothing with LastReason set
+  static std::optional<std::unique_ptr<child_process>> Start(
+      const std::string& program, const std::vector<std::string>& arguments,
+      const std::string& log_file);
+  ~child_process();
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
+
+  void Signal(int number) const;
+  /// @return the exit code, minus the number of the signal that ended the
+  /// process, or nothing while it runs
+  std::optional<int> ExitCode();
+  /// @return resident memory in kilobytes; 0 when it cannot be read
+  int64_t ResidentKilobytes() const;
+  const std::string& log_file() const { return log_file_; }
+
+ private:
+  child_process(pid_t pid, std::string log_file)
+      : pid_(pid), log_file_(std::move(log_file)) {}
+
+  pid_t pid_;
+  std::string log_file_;
+  std::optional<int> exit_code_;
+};
+
+}  // namespace wisteriadale::scenario
--- /dev/null
+++ b/source/unit_tests/scenario/tcp_relay.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace wisteriadale::scenario {
+
+/// Which way the bytes of a connection stop.
+enum class relay_direction { kToServer, kToClient, kBoth };
+
+/// Passes TCP connections on to a loopback port, on a thread of its own. Open
+/// connections can be silenced while new ones work.
+class tcp_relay {
+ public:
+  /// @return the relay, or nothing with LastReason set
+  static std::optional<std::unique_ptr<tcp_relay>> Create(uint16_t listen_port,
+                                                          uint16_t to_port);
+  ~tcp_relay();
+  tcp_relay(const tcp_relay&) = delete;
+  tcp_relay& operator=(const tcp_relay&) = delete;
+
+  /// Neither bytes nor closes pass any more on the connections open now.
+  void Silence(relay_direction direction);
+  /// Closes the connections open now.
+  void Cut();
+  /// While refusing, new connections are closed at once.
+  void Refuse(bool refuse);
+  /// @return connections accepted so far
+  uint64_t accepted() const { return accepted_; }
+
+ private:
+  struct link;
+
+  tcp_relay(int listener, uint16_t to_port);
+  void Run();
+  void Accept();
+
+  int listener_;
+  uint16_t to_port_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<uint64_t> accepted_ = 0;
+  std::mutex mutex_;  ///< guards the members below
+  bool refusing_ = false;
+  std::list<std::unique_ptr<link>> links_;
+  std::thread thread_;
+};
+
+}  // namespace wisteriadale::scenario
