Spread configurations down a tree and settle lost applies

Cause: every router polled the head row by itself, agents never learnt of a version, an apply whose answer was lost could not be settled, and the decision sat in the router's folder where virtual time cannot reach it.

--- a/source/core/configuration/configuration.cc
+++ b/source/core/configuration/configuration.cc
@@ -1,9 +1,11 @@
 #include "core/configuration/configuration.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "common/digest.h"
 #include "common/last_reason.h"
+#include "core/configuration/configuration_schema.h"
 
 namespace wisteriadale::core {
 namespace {
@@ -24,39 +26,34 @@
   std::string text_;
 };
 
-stage_plan ReadStage(const json& from, const std::string& pointer,
-                     fault_list* faults) {
+stage_plan ReadStage(const json& from) {
   stage_plan stage;
-  if (!from.is_object()) {
-    faults->Add(pointer, "is not an object");
-    return stage;
-  }
   stage.name = from.value("name", "");
   stage.pool = from.value("pool", "");
   stage.idempotent = from.value("idempotent", true);
   stage.streamed = from.value("streamed", false);
-  if (stage.name.empty()) faults->Add(pointer + "/name", "is missing");
-  if (stage.pool.empty()) faults->Add(pointer + "/pool", "is missing");
   return stage;
 }
 
 pipeline_plan ReadPipeline(const std::string& name, const json& from,
                            fault_list* faults) {
-  const std::string pointer = "/pipelines/" + name;
+  const std::string pointer = "/pipelines/" + name + "/stages";
   pipeline_plan plan;
   plan.name = name;
   plan.default_deadline = common::milliseconds(from.value("deadline_ms", 5000));
   plan.deferrable = from.value("deferrable", false);
-  const json stages = from.value("stages", json::array());
-  if (stages.empty()) faults->Add(pointer + "/stages", "has no stage");
   int non_idempotent = 0;
-  for (size_t i = 0; i < stages.size(); ++i) {
-    const std::string at = pointer + "/stages/" + std::to_string(i);
-    plan.stages.push_back(ReadStage(stages[i], at, faults));
+  for (const json& stage : from.value("stages", json::array())) {
+    plan.stages.push_back(ReadStage(stage));
+    const std::string& added = plan.stages.back().name;
     if (!plan.stages.back().idempotent) ++non_idempotent;
+    const auto same = std::count_if(
+        plan.stages.begin(), plan.stages.end(),
+        [&added](const stage_plan& other) { return other.name == added; });
+    if (same == 2) faults->Add(pointer, "has two stages named " + added);
   }
   if (non_idempotent > 1) {
-    faults->Add(pointer + "/stages", "has more than one non-idempotent stage");
+    faults->Add(pointer, "has more than one non-idempotent stage");
   }
   return plan;
 }
@@ -75,6 +72,19 @@
   return preset;
 }
 
+/// Two organisations with one key could not be told apart.
+void CheckKeys(const configuration& checked, fault_list* faults) {
+  std::map<std::string, std::string> owner_of_key;
+  for (const auto& [name, organisation] : checked.organisations) {
+    if (organisation.key_sha256.empty()) continue;
+    const auto [owner, added] =
+        owner_of_key.emplace(organisation.key_sha256, name);
+    if (added) continue;
+    faults->Add("/organisations/" + name + "/key_sha256",
+                "is also the key of " + owner->second);
+  }
+}
+
 void ReadAll(const json& from, configuration* to, fault_list* faults) {
   to->preset = from.value("preset", "");
   const json presets = from.value("presets", json::object());
@@ -88,7 +98,6 @@
   for (const auto& [name, plan] : pipelines.items()) {
     to->pipelines.emplace(name, ReadPipeline(name, plan, faults));
   }
-  if (to->pipelines.empty()) faults->Add("/pipelines", "has no pipeline");
   const json organisations = from.value("organisations", json::object());
   for (const auto& [name, entry] : organisations.items()) {
     organisation_entry organisation;
@@ -97,6 +106,7 @@
     organisation.weight = entry.value("weight", 1U);
     to->organisations.emplace(name, organisation);
   }
+  CheckKeys(*to, faults);
 }
 
 }  // namespace
@@ -119,18 +129,21 @@
 
 std::optional<std::shared_ptr<const configuration>> ParseConfiguration(
     std::string_view document, uint64_t version) {
-  const json parsed = json::parse(document, nullptr, false);
-  if (!parsed.is_object()) {
+  fault_list faults;
+  for (const configuration_fault& fault : CheckConfigurationSchema(document)) {
+    faults.Add(fault.pointer, fault.text);
+  }
+  if (!faults.empty()) {
     common::SetLastReason(common::result_code::kBadConfiguration,
-                          "the document is not a JSON object");
+                          faults.text());
     return std::nullopt;
   }
+  const json parsed = json::parse(document, nullptr, false);
   const std::shared_ptr<configuration> result =
       std::make_shared<configuration>();
   result->version = version;
   result->document = document;
   result->digest = common::Sha256Hex(document);
-  fault_list faults;
   // A value of the wrong type is reported by an exception of the library.
   try {
     ReadAll(parsed, result.get(), &faults);
@@ -145,4 +158,28 @@
   return result;
 }
 
+std::string AgentPart(const configuration& from) {
+  const json whole = json::parse(from.document, nullptr, false);
+  json part = {{"preset", from.preset}};
+  part["presets"][from.preset] =
+      whole.value("presets", json::object()).value(from.preset, json::object());
+  return part.dump();
+}
+
+std::optional<agent_configuration> ParseAgentPart(std::string_view part,
+                                                  uint64_t version) {
+  const json parsed = json::parse(part, nullptr, false);
+  // A value of the wrong type is reported by an exception of the library.
+  try {
+    agent_configuration result;
+    result.version = version;
+    const std::string preset = parsed.at("preset");
+    result.preset = ReadPreset(preset, parsed.at("presets").at(preset));
+    return result;
+  } catch (const json::exception& error) {
+    common::SetLastReason(common::result_code::kBadConfiguration, error.what());
+    return std::nullopt;
+  }
+}
+
 }  // namespace wisteriadale::core
--- a/source/core/configuration/configuration.h
+++ b/source/core/configuration/configuration.h
@@ -66,6 +66,20 @@
   const preset_policy& Preset() const;
 };
 
+/// The part of a configuration that agents need.
+struct agent_configuration {
+  uint64_t version = 0;
+  preset_policy preset;  ///< the one in force
+};
+
+/// @return the part for agents, as JSON text; it does not grow with the number
+/// of organisations
+std::string AgentPart(const configuration& from);
+
+/// @return the part that AgentPart wrote, or nothing with LastReason set
+std::optional<agent_configuration> ParseAgentPart(std::string_view part,
+                                                  uint64_t version);
+
 /// Reads a configuration document.
 /// @param document JSON text
 /// @param version  the version under which it was accepted
--- /dev/null
+++ b/source/core/configuration/configuration_schema.cc
@@ -0,0 +1,177 @@
+#include "core/configuration/configuration_schema.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include "common/nearest_name.h"
+
+namespace wisteriadale::core {
+namespace {
+
+using nlohmann::json;
+
+// Keys that `properties` does not list are unknown, except where
+// `additionalProperties` describes entries with names of the operator's choice.
+constexpr std::string_view kSchema = R"({
+  "type": "object",
+  "required": ["preset", "presets", "pipelines"],
+  "properties": {
+    "preset": {"type": "string"},
+    "presets": {
+      "type": "object",
+      "minProperties": 1,
+      "additionalProperties": {
+        "type": "object",
+        "properties": {
+          "routing": {"type": "string"},
+          "max_attempts": {"type": "integer", "minimum": 1, "maximum": 16},
+          "retry_ratio": {"type": "number", "minimum": 0, "maximum": 1},
+          "hedging": {"type": "boolean"},
+          "hedge_quantile": {"type": "number", "minimum": 0, "maximum": 1},
+          "remote_penalty": {"type": "number", "minimum": 1, "maximum": 1000},
+          "drained_data_centres": {
+            "type": "array",
+            "items": {"type": "string", "minLength": 1}
+          }
+        }
+      }
+    },
+    "pipelines": {
+      "type": "object",
+      "minProperties": 1,
+      "additionalProperties": {
+        "type": "object",
+        "required": ["stages"],
+        "properties": {
+          "deadline_ms": {"type": "integer", "minimum": 1, "maximum": 3600000},
+          "deferrable": {"type": "boolean"},
+          "stages": {
+            "type": "array",
+            "minItems": 1,
+            "items": {
+              "type": "object",
+              "required": ["name", "pool"],
+              "properties": {
+                "name": {"type": "string", "minLength": 1},
+                "pool": {"type": "string", "minLength": 1},
+                "idempotent": {"type": "boolean"},
+                "streamed": {"type": "boolean"}
+              }
+            }
+          }
+        }
+      }
+    },
+    "organisations": {
+      "type": "object",
+      "additionalProperties": {
+        "type": "object",
+        "properties": {
+          "key_sha256": {"type": "string", "pattern": "^([0-9a-f]{64})?$"},
+          "weight": {"type": "integer", "minimum": 1, "maximum": 1000000}
+        }
+      }
+    }
+  }
+})";
+
+struct compiled_schema {
+  compiled_schema() : text(json::parse(kSchema)) {
+    valijson::SchemaParser parser;
+    const valijson::adapters::NlohmannJsonAdapter adapter(text);
+    parser.populateSchema(adapter, compiled);
+  }
+
+  json text;
+  valijson::Schema compiled;
+};
+
+const compiled_schema& Schema() {
+  static const compiled_schema kCompiled;
+  return kCompiled;
+}
+
+std::string UnknownKey(const std::string& key, const json& properties) {
+  std::vector<std::string_view> known;
+  for (const auto& [name, unused] : properties.items()) known.push_back(name);
+  return "is not a known key; the nearest is " +
+         std::string(common::NearestName(key, known));
+}
+
+void FindUnknownKeys(const json& value, const json& schema,
+                     const std::string& pointer,
+                     std::vector<configuration_fault>* faults) {
+  if (value.is_array() && schema.contains("items")) {
+    for (size_t i = 0; i < value.size(); ++i) {
+      std::string at = pointer;
+      at.append("/").append(std::to_string(i));
+      FindUnknownKeys(value[i], schema["items"], at, faults);
+    }
+  }
+  if (!value.is_object()) return;
+  const json properties = schema.value("properties", json::object());
+  for (const auto& [key, child] : value.items()) {
+    std::string at = pointer;
+    at.append("/").append(key);
+    if (properties.contains(key)) {
+      FindUnknownKeys(child, properties[key], at, faults);
+    } else if (schema.contains("additionalProperties")) {
+      FindUnknownKeys(child, schema["additionalProperties"], at, faults);
+    } else if (!properties.empty()) {
+      faults->push_back({at, UnknownKey(key, properties)});
+    }
+  }
+}
+
+/// @param context path of the library, such as <root>, [pipelines], [0]
+std::string PointerOf(const std::vector<std::string>& context) {
+  std::string pointer;
+  for (size_t i = 1; i < context.size(); ++i) {
+    std::string part = context[i];
+    std::erase_if(part,
+                  [](char c) { return c == '[' || c == ']' || c == '"'; });
+    pointer.append("/").append(part);
+  }
+  return pointer;
+}
+
+/// The library reports a fault again for each object around it.
+void DropEnclosing(std::vector<configuration_fault>* faults) {
+  const std::vector<configuration_fault> all = *faults;
+  std::erase_if(*faults, [&all](const configuration_fault& outer) {
+    return std::any_of(all.begin(), all.end(),
+                       [&outer](const configuration_fault& inner) {
+                         return inner.pointer.starts_with(outer.pointer + "/");
+                       }) &&
+           outer.text.starts_with("Failed to validate");
+  });
+}
+
+}  // namespace
+
+std::string_view ConfigurationSchema() { return kSchema; }
+
+std::vector<configuration_fault> CheckConfigurationSchema(
+    std::string_view document) {
+  const json parsed = json::parse(document, nullptr, false);
+  if (!parsed.is_object()) return {{"", "the document is not a JSON object"}};
+  std::vector<configuration_fault> faults;
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  const valijson::adapters::NlohmannJsonAdapter adapter(parsed);
+  validator.validate(Schema().compiled, adapter, &results);
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    faults.push_back({PointerOf(error.context), error.description});
+  }
+  DropEnclosing(&faults);
+  FindUnknownKeys(parsed, Schema().text, "", &faults);
+  return faults;
+}
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/configuration/configuration_spread.cc
@@ -0,0 +1,279 @@
+#include "core/configuration/configuration_spread.h"
+
+#include <algorithm>
+
+#include "common/digest.h"
+#include "common/log.h"
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+namespace {
+
+using common::log_channel;
+using common::log_level;
+
+// A peer that did not answer is asked again after this time.
+constexpr common::duration kAskAgain = std::chrono::milliseconds(500);
+constexpr uint64_t kReaderSeed = 1;
+constexpr uint64_t kFeederSeed = 2;
+
+void SortByRendezvous(std::vector<std::string>* names, uint64_t seed) {
+  std::sort(names->begin(), names->end(),
+            [seed](const std::string& a, const std::string& b) {
+              const uint64_t hash_a = common::Hash64(a, seed);
+              const uint64_t hash_b = common::Hash64(b, seed);
+              return hash_a != hash_b ? hash_a < hash_b : a < b;
+            });
+}
+
+}  // namespace
+
+configuration_spread::configuration_spread(spread_options options,
+                                           configuration_store& store,
+                                           configuration_holder& holder,
+                                           control_network& network,
+                                           common::timer_service& timers,
+                                           common::clock& clock)
+    : options_(std::move(options)),
+      store_(store),
+      holder_(holder),
+      network_(network),
+      timers_(timers),
+      clock_(clock) {}
+
+void configuration_spread::Start() {
+  started_ = clock_.Now();
+  Tick();
+}
+
+void configuration_spread::Tick() {
+  if ((IsReader() || !ready_) && !reading_) {
+    reading_ = true;
+    store_.ReadHead([this](const std::optional<configuration_head>& head) {
+      reading_ = false;
+      OnHead(head);
+    });
+  }
+  AskPeers();
+  CheckReady();
+  timers_.Schedule(options_.poll_period, [this] { Tick(); });
+}
+
+void configuration_spread::OnHead(
+    const std::optional<configuration_head>& head) {
+  if (!head) return;
+  const uint64_t version = head->entry.version;
+  highest_heard_ = std::max(highest_heard_, version);
+  if (version <= holder_.version()) {
+    table_answered_ = true;
+    CheckReady();
+    return;
+  }
+  store_.ReadDocument(
+      head->entry.digest,
+      [this, version](const std::optional<std::string>& document) {
+        if (!document) return;
+        table_answered_ = true;
+        Adopt(*document, version, origin::kPolled);
+      });
+}
+
+void configuration_spread::OnAccepted(const std::string& document,
+                                      uint64_t version) {
+  Adopt(document, version, origin::kAccepted);
+}
+
+void configuration_spread::Adopt(const std::string& document, uint64_t version,
+                                 origin from) {
+  const uint64_t before = holder_.version();
+  if (!holder_.Adopt(document, version)) return;
+  if (holder_.version() != before) {
+    highest_heard_ = std::max(highest_heard_, holder_.version());
+    changed_ = clock_.Now();
+    agent_part_ = AgentPart(*holder_.current());
+    PushToRouters(from);
+    PushToAgents();
+  }
+  CheckReady();
+}
+
+std::vector<std::string> configuration_spread::LiveRouters(
+    bool own_data_centre_only) const {
+  std::vector<std::string> names = {options_.name};
+  for (const auto& [name, entry] : peers_) {
+    if (!entry.connected) continue;
+    if (own_data_centre_only && entry.data_centre != options_.data_centre) {
+      continue;
+    }
+    names.push_back(name);
+  }
+  return names;
+}
+
+bool configuration_spread::IsReader() const {
+  std::vector<std::string> names = LiveRouters(true);
+  SortByRendezvous(&names, kReaderSeed);
+  const auto own = std::find(names.begin(), names.end(), options_.name);
+  return own - names.begin() < static_cast<int64_t>(options_.readers);
+}
+
+void configuration_spread::PushToRouters(origin from) {
+  std::vector<std::string> order = LiveRouters(false);
+  SortByRendezvous(&order, holder_.version());
+  const auto own = std::find(order.begin(), order.end(), options_.name);
+  const size_t position = static_cast<size_t>(own - order.begin());
+  if (from == origin::kAccepted && position != 0) SendDocument(order.front());
+  if (from == origin::kPolled && position != 0) Announce(order.front());
+  // The children of a position hear the document from it, and an announcement
+  // from the position after it, which covers a parent that is gone.
+  for (size_t child = 1; child < order.size(); ++child) {
+    if (child == position) continue;
+    const size_t parent = (child - 1) / options_.fan_out;
+    if (parent == position) SendDocument(order[child]);
+    if (parent + 1 == position) Announce(order[child]);
+  }
+}
+
+void configuration_spread::SendDocument(std::string_view router) {
+  const std::shared_ptr<const configuration>& current = holder_.current();
+  configuration_message message;
+  message.version = current->version;
+  message.digest = current->digest;
+  message.document = current->document;
+  common::Metrics().Count("wisteria_configuration_documents_sent_total");
+  network_.SendToRouter(router, message);
+}
+
+void configuration_spread::Announce(std::string_view router) {
+  ping_message ping;
+  ping.answer = true;
+  ping.configuration_version = holder_.version();
+  network_.SendToRouter(router, ping);
+}
+
+void configuration_spread::OnRouterListed(std::string_view router,
+                                          std::string_view data_centre) {
+  peers_[std::string(router)].data_centre = data_centre;
+}
+
+void configuration_spread::OnRouterGone(std::string_view router) {
+  const auto found = peers_.find(router);
+  if (found != peers_.end()) peers_.erase(found);
+}
+
+void configuration_spread::OnRouterConnected(std::string_view router,
+                                             std::string_view data_centre,
+                                             uint64_t version) {
+  peer& entry = peers_[std::string(router)];
+  entry.data_centre = data_centre;
+  entry.connected = true;
+  entry.asked = 0;
+  OnRouterVersion(router, version);
+}
+
+void configuration_spread::OnRouterDisconnected(std::string_view router) {
+  const auto found = peers_.find(router);
+  if (found != peers_.end()) found->second.connected = false;
+}
+
+void configuration_spread::OnRouterVersion(std::string_view router,
+                                           uint64_t version) {
+  const auto found = peers_.find(router);
+  if (found == peers_.end()) return;
+  found->second.heard = true;
+  found->second.version = version;
+  highest_heard_ = std::max(highest_heard_, version);
+  Ask(found->first, &found->second);
+  CheckReady();
+}
+
+void configuration_spread::AskPeers() {
+  for (auto& [name, entry] : peers_) Ask(name, &entry);
+}
+
+void configuration_spread::Ask(const std::string& router, peer* asked) {
+  if (!asked->connected || asked->version <= holder_.version()) return;
+  const common::time_point now = clock_.Now();
+  if (asked->asked >= asked->version && now - asked->asked_at < kAskAgain) {
+    return;
+  }
+  asked->asked = asked->version;
+  asked->asked_at = now;
+  configuration_message request;
+  request.version = asked->version;
+  network_.SendToRouter(router, request);
+}
+
+void configuration_spread::OnConfiguration(
+    std::string_view router, const configuration_message& message) {
+  if (message.document.empty()) {
+    if (holder_.version() >= message.version) SendDocument(router);
+    return;
+  }
+  if (common::Sha256Hex(message.document) != message.digest) {
+    common::Metrics().Count("wisteria_bad_frames_total");
+    return;
+  }
+  Adopt(message.document, message.version, origin::kPeer);
+}
+
+void configuration_spread::OnAgentVersion(std::string_view target,
+                                          uint64_t version) {
+  agent& entry = agents_[std::string(target)];
+  entry.version = version;
+  if (version >= holder_.version()) return;
+  const common::time_point now = clock_.Now();
+  const bool mine = IsFeederOf(target) && entry.pushed < holder_.version();
+  const bool late = now - changed_ >= options_.agent_lag &&
+                    now - entry.pushed_at >= options_.agent_lag;
+  if (mine || late) PushToAgent(std::string(target), &entry);
+}
+
+void configuration_spread::OnAgentDisconnected(std::string_view target) {
+  const auto found = agents_.find(target);
+  if (found != agents_.end()) agents_.erase(found);
+}
+
+bool configuration_spread::IsFeederOf(std::string_view target) const {
+  std::vector<std::string> names = LiveRouters(false);
+  SortByRendezvous(&names, common::Hash64(target, kFeederSeed));
+  return names.front() == options_.name;
+}
+
+void configuration_spread::PushToAgents() {
+  for (auto& [target, entry] : agents_) {
+    if (entry.version >= holder_.version() || !IsFeederOf(target)) continue;
+    PushToAgent(target, &entry);
+  }
+}
+
+void configuration_spread::PushToAgent(const std::string& target, agent* to) {
+  to->pushed = holder_.version();
+  to->pushed_at = clock_.Now();
+  configuration_message message;
+  message.version = holder_.version();
+  message.digest = holder_.current()->digest;
+  message.document = agent_part_;
+  common::Metrics().Count("wisteria_configuration_agent_parts_sent_total");
+  network_.SendToAgent(target, message);
+}
+
+void configuration_spread::CheckReady() {
+  if (ready_ || !holder_.current()) return;
+  bool peers_answered = true;
+  for (const auto& [name, entry] : peers_) {
+    peers_answered = peers_answered && entry.heard;
+  }
+  const bool highest =
+      table_answered_ && peers_answered && holder_.version() >= highest_heard_;
+  const bool waited = clock_.Now() - started_ >= options_.start_wait;
+  if (!highest && !waited) return;
+  ready_ = true;
+  if (!highest) {
+    common::Log(log_channel::kConfiguration, log_level::kWarning,
+                "ready with version " + std::to_string(holder_.version()) +
+                    " although the table or a peer did not answer");
+  }
+}
+
+}  // namespace wisteriadale::core
--- a/source/settings/settings_document.cc
+++ b/source/settings/settings_document.cc
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <fstream>
-#include <limits>
 #include <nlohmann/json.hpp>
-#include <numeric>
 #include <sstream>
 
 #include "common/last_reason.h"
+#include "common/nearest_name.h"
 
 namespace wisteriadale::settings {
 namespace {
@@ -40,34 +39,10 @@
   return kNames[static_cast<int>(type)];
 }
 
-/// @return the edit distance of two names
-size_t Distance(std::string_view a, std::string_view b) {
-  std::vector<size_t> row(b.size() + 1);
-  std::iota(row.begin(), row.end(), 0);
-  for (size_t i = 1; i <= a.size(); ++i) {
-    size_t diagonal = row[0];
-    row[0] = i;
-    for (size_t j = 1; j <= b.size(); ++j) {
-      const size_t above = row[j];
-      const size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      row[j] = std::min({above + 1, row[j - 1] + 1, replaced});
-      diagonal = above;
-    }
-  }
-  return row[b.size()];
-}
-
 std::string_view Nearest(std::string_view pointer, setting_table table) {
-  std::string_view best;
-  size_t best_distance = std::numeric_limits<size_t>::max();
-  for (const setting* known : table) {
-    const size_t distance = Distance(pointer, known->pointer);
-    if (distance < best_distance) {
-      best_distance = distance;
-      best = known->pointer;
-    }
-  }
-  return best;
+  std::vector<std::string_view> known;
+  for (const setting* entry : table) known.push_back(entry->pointer);
+  return common::NearestName(pointer, known);
 }
 
 /// Visits every leaf; lists count as leaves.
--- /dev/null
+++ b/source/unit_tests/core/configuration/configuration_cluster.h
@@ -0,0 +1,269 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/configuration/configuration_spread.h"
+#include "unit_tests/fakes/fake_objects.h"
+#include "unit_tests/fakes/fake_table.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+namespace wisteriadale::fakes {
+
+/// A table that only some routers can reach.
+class gated_table final : public core::table {
+ public:
+  gated_table(fake_table& rows, common::timer_service& timers)
+      : rows_(rows), timers_(timers) {}
+
+  bool reachable = true;
+  uint64_t reads = 0;
+
+  void Read(std::string_view key, core::table_priority priority,
+            core::table_handler handler) override {
+    ++reads;
+    if (!reachable) return Fail(std::move(handler));
+    rows_.Read(key, priority, std::move(handler));
+  }
+  void Write(std::string_view key, uint64_t expected_version,
+             std::string_view value, core::table_priority priority,
+             core::table_handler handler) override {
+    if (!reachable) return Fail(std::move(handler));
+    rows_.Write(key, expected_version, value, priority, std::move(handler));
+  }
+  void List(std::string_view prefix, uint32_t limit,
+            core::table_priority priority,
+            core::table_list_handler handler) override {
+    rows_.List(prefix, limit, priority, std::move(handler));
+  }
+
+ private:
+  void Fail(core::table_handler handler) {
+    timers_.Schedule(std::chrono::milliseconds(200),
+                     [handler = std::move(handler)] { handler({}); });
+  }
+
+  fake_table& rows_;
+  common::timer_service& timers_;
+};
+
+/// Routers and agents that spread configurations over channels with a delay.
+class configuration_cluster {
+ public:
+  struct router final : public core::control_network {
+    router(configuration_cluster& cluster, const core::spread_options& options)
+        : owner(cluster),
+          name(options.name),
+          rows(cluster.rows, cluster.time),
+          store(rows, cluster.objects, cluster.time, cluster.time,
+                cluster.random),
+          spread(options, store, holder, *this, cluster.time, cluster.time) {}
+
+    void SendToRouter(std::string_view to,
+                      const core::message& message) override {
+      owner.Deliver(name, std::string(to), message);
+    }
+    void SendToAgent(std::string_view to,
+                     const core::message& message) override {
+      owner.DeliverToAgent(std::string(to), message);
+    }
+
+    configuration_cluster& owner;
+    std::string name;
+    gated_table rows;
+    core::configuration_holder holder;
+    core::configuration_store store;
+    core::configuration_spread spread;
+    bool alive = true;
+    bool paused = false;
+    std::vector<std::pair<std::string, core::message>> held;
+  };
+
+  struct agent {
+    std::string name;
+    uint64_t version = 0;
+    uint64_t received = 0;
+    bool stepped_down = false;
+  };
+
+  static std::string Document(const std::string& preset) {
+    return R"({"preset":")" + preset +
+           R"(","presets":{"calm":{},"peak":{},"works":{}},)"
+           R"("pipelines":{"q":{"stages":[{"name":"s","pool":"p"}]}}})";
+  }
+
+  router& Add(const std::string& name, const std::string& data_centre) {
+    core::spread_options options;
+    options.name = name;
+    options.data_centre = data_centre;
+    routers.push_back(std::make_unique<router>(*this, options));
+    data_centre_of[name] = data_centre;
+    return *routers.back();
+  }
+
+  router& Get(const std::string& name) {
+    for (const std::unique_ptr<router>& entry : routers) {
+      if (entry->name == name) return *entry;
+    }
+    return *routers.front();
+  }
+
+  void Connect(router& a, router& b) {
+    if (Cut(a.name, b.name)) return;
+    a.spread.OnRouterConnected(b.name, data_centre_of[b.name],
+                               b.holder.version());
+    b.spread.OnRouterConnected(a.name, data_centre_of[a.name],
+                               a.holder.version());
+  }
+
+  void ConnectAll() {
+    for (const std::unique_ptr<router>& a : routers) {
+      for (const std::unique_ptr<router>& b : routers) {
+        if (a->name < b->name) Connect(*a, *b);
+      }
+    }
+  }
+
+  /// Pings pass between all live processes until the time is over.
+  void Run(common::duration by) {
+    constexpr common::duration kPingPeriod = std::chrono::milliseconds(250);
+    for (common::duration passed{0}; passed < by; passed += kPingPeriod) {
+      for (const std::unique_ptr<router>& from : routers) Ping(*from);
+      time.Advance(kPingPeriod);
+    }
+  }
+
+  void Kill(router& victim) {
+    victim.alive = false;
+    victim.rows.reachable = false;
+    for (const std::unique_ptr<router>& other : routers) {
+      other->spread.OnRouterDisconnected(victim.name);
+    }
+  }
+
+  void Cutoff(const std::string& data_centre) {
+    cut_data_centre = data_centre;
+    for (const std::unique_ptr<router>& entry : routers) {
+      if (data_centre_of[entry->name] == data_centre) {
+        entry->rows.reachable = false;
+      }
+      for (const std::unique_ptr<router>& other : routers) {
+        if (Cut(entry->name, other->name)) {
+          entry->spread.OnRouterDisconnected(other->name);
+        }
+      }
+    }
+  }
+
+  void Heal() {
+    cut_data_centre.clear();
+    for (const std::unique_ptr<router>& entry : routers) {
+      entry->rows.reachable = true;
+    }
+    ConnectAll();
+  }
+
+  core::apply_answer Apply(router& at, const std::string& preset,
+                           uint64_t expected, const std::string& token = "") {
+    core::apply_answer result;
+    StartApply(at, preset, expected, token, &result);
+    time.Advance(std::chrono::milliseconds(10));
+    return result;
+  }
+
+  void StartApply(router& at, const std::string& preset, uint64_t expected,
+                  const std::string& token, core::apply_answer* result) {
+    core::apply_request request;
+    request.document = Document(preset);
+    request.expected_version = expected;
+    request.token = token;
+    request.who = at.name;
+    at.store.Apply(request, preset,
+                   [&at, result, document = request.document](
+                       const core::apply_answer& answer) {
+                     *result = answer;
+                     if (!at.alive) return;
+                     if (answer.status != core::apply_status::kAccepted) return;
+                     at.spread.OnAccepted(document, answer.version);
+                   });
+  }
+
+  void Deliver(const std::string& from, const std::string& to,
+               const core::message& message) {
+    ++messages;
+    if (!Get(from).alive || Cut(from, to)) return;
+    time.Schedule(delay, [this, from, to, message] {
+      router& receiver = Get(to);
+      if (receiver.paused) {
+        receiver.held.emplace_back(from, message);
+        return;
+      }
+      Receive(receiver, from, message);
+    });
+  }
+
+  void Wake(router& sleeper) {
+    sleeper.paused = false;
+    for (const auto& [from, message] : sleeper.held) {
+      Receive(sleeper, from, message);
+    }
+    sleeper.held.clear();
+  }
+
+  virtual_time time;
+  common::seeded_random random{1};
+  fake_table rows{time, random};
+  fake_objects objects{time};
+  common::duration delay = std::chrono::milliseconds(1);
+  std::vector<std::unique_ptr<router>> routers;
+  std::vector<std::unique_ptr<agent>> agents;
+  std::map<std::string, std::string> data_centre_of;
+  std::string cut_data_centre;
+  uint64_t messages = 0;
+
+ private:
+  bool Cut(const std::string& a, const std::string& b) {
+    if (cut_data_centre.empty()) return false;
+    return (data_centre_of[a] == cut_data_centre) !=
+           (data_centre_of[b] == cut_data_centre);
+  }
+
+  static void Receive(router& receiver, const std::string& from,
+                      const core::message& message) {
+    if (!receiver.alive) return;
+    if (const auto* ping = std::get_if<core::ping_message>(&message)) {
+      receiver.spread.OnRouterVersion(from, ping->configuration_version);
+    }
+    if (const auto* whole =
+            std::get_if<core::configuration_message>(&message)) {
+      receiver.spread.OnConfiguration(from, *whole);
+    }
+  }
+
+  void Ping(router& from) {
+    if (!from.alive || from.paused) return;
+    core::ping_message ping;
+    ping.configuration_version = from.holder.version();
+    for (const std::unique_ptr<router>& to : routers) {
+      if (to.get() != &from) Deliver(from.name, to->name, ping);
+    }
+    for (const std::unique_ptr<agent>& target : agents) {
+      from.spread.OnAgentVersion(target->name, target->version);
+    }
+  }
+
+  void DeliverToAgent(const std::string& to, const core::message& message) {
+    const auto* part = std::get_if<core::configuration_message>(&message);
+    if (part == nullptr) return;
+    for (const std::unique_ptr<agent>& entry : agents) {
+      if (entry->name != to) continue;
+      ++entry->received;
+      entry->version = std::max(entry->version, part->version);
+    }
+  }
+};
+
+}  // namespace wisteriadale::fakes
--- /dev/null
+++ b/source/unit_tests/core/configuration/configuration_store_test.cc
@@ -0,0 +1,94 @@
+#include "core/configuration/configuration_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "unit_tests/fakes/fake_objects.h"
+#include "unit_tests/fakes/fake_table.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using namespace std::chrono_literals;
+
+TEST_GROUP(ConfigurationStore) {
+  fakes::virtual_time time;
+  common::seeded_random random{1};
+  fakes::fake_table rows{time, random};
+  fakes::fake_objects objects{time};
+  core::configuration_store store{rows, objects, time, time, random};
+
+  core::apply_answer Apply(const std::string& document, uint64_t expected,
+                           const std::string& token) {
+    core::apply_answer result;
+    store.Apply(
+        {document, expected, token, "kari"}, "calm",
+        [&result](const core::apply_answer& answer) { result = answer; });
+    time.Advance(10s);
+    return result;
+  }
+
+  core::apply_answer Look(const std::string& token, uint64_t expected) {
+    core::apply_answer result;
+    store.Look(token, expected, [&result](const core::apply_answer& answer) {
+      result = answer;
+    });
+    time.Advance(10s);
+    return result;
+  }
+};
+
+TEST(ConfigurationStore, LostAnswerIsSettledByReadingBack) {
+  rows.lost_answer_share = 1;
+  const core::apply_answer answer = Apply("{}", 0, "t");
+  CHECK(answer.status == core::apply_status::kAccepted);
+  CHECK_EQUAL(1, answer.version);
+}
+
+TEST(ConfigurationStore, RepeatedApplyWithOneTokenIsAcceptedOnce) {
+  CHECK_EQUAL(1, Apply("{}", 0, "t").version);
+  CHECK_EQUAL(1, Apply("{}", 0, "t").version);
+  CHECK_EQUAL(1, rows.RowOf("configuration/head").version);
+}
+
+TEST(ConfigurationStore, LostApplyCanBeLookedUpAfterLaterChanges) {
+  rows.lost_answer_share = 1;
+  store.Apply({"{}", 0, "t", "kari"}, "calm", [](const core::apply_answer&) {});
+  time.Advance(50ms);  // the caller's router is gone from here on
+  rows.lost_answer_share = 0;
+  CHECK_EQUAL(2, Apply("{\"a\":1}", 1, "u").version);
+  CHECK(Look("t", 0).status == core::apply_status::kAccepted);
+  CHECK_EQUAL(1, Look("t", 0).version);
+  CHECK(Look("never", 0).status == core::apply_status::kLost);
+  CHECK(Look("later", 2).status == core::apply_status::kPending);
+  rows.down = true;
+  CHECK(Look("t", 0).status == core::apply_status::kUnknown);
+}
+
+TEST(ConfigurationStore, WriteThatTakesEffectLateIsNotCalledLost) {
+  rows.late_write_share = 1;
+  rows.late_by = 20s;
+  CHECK(Apply("{}", 0, "t").status == core::apply_status::kPending);
+  time.Advance(20s);
+  CHECK(Look("t", 0).status == core::apply_status::kAccepted);
+}
+
+TEST(ConfigurationStore, HistoryNamesWhoAndWhenNewestFirst) {
+  Apply("{}", 0, "t1");
+  Apply("{\"a\":1}", 1, "t2");
+  std::vector<core::configuration_entry> entries;
+  store.History(
+      10,
+      [&entries](std::optional<std::vector<core::configuration_entry>> answer) {
+        entries = answer.value();
+      });
+  time.Advance(1s);
+  CHECK_EQUAL(2, entries.size());
+  CHECK_EQUAL(2, entries[0].version);
+  CHECK_EQUAL(std::string("kari"), entries[0].who);
+  CHECK(entries[0].wall_us > entries[1].wall_us);
+}
+
+TEST(ConfigurationStore, ObjectStoreDownChangesNothing) {
+  objects.down = true;
+  CHECK(Apply("{}", 0, "t").status == core::apply_status::kUnknown);
+  CHECK_EQUAL(0, rows.RowOf("configuration/head").version);
+}
