--- a/source/core/configuration/configuration_schema.cc
+++ b/source/core/configuration/configuration_schema.cc
@@ -1,14 +1,9 @@
 #include "core/configuration/configuration_schema.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
 
 #include "common/nearest_name.h"
+#include "settings/schema_check.h"
 
 namespace wisteriadale::core {
 namespace {
@@ -80,20 +75,9 @@
   }
 })";
 
-struct compiled_schema {
-  compiled_schema() : text(json::parse(kSchema)) {
-    valijson::SchemaParser parser;
-    const valijson::adapters::NlohmannJsonAdapter adapter(text);
-    parser.populateSchema(adapter, compiled);
-  }
-
-  json text;
-  valijson::Schema compiled;
-};
-
-const compiled_schema& Schema() {
-  static const compiled_schema kCompiled;
-  return kCompiled;
+const json& Schema() {
+  static const json kParsed = json::parse(kSchema);
+  return kParsed;
 }
 
 std::string UnknownKey(const std::string& key, const json& properties) {
@@ -128,30 +112,6 @@
   }
 }
 
-/// @param context path of the library, such as <root>, [pipelines], [0]
-std::string PointerOf(const std::vector<std::string>& context) {
-  std::string pointer;
-  for (size_t i = 1; i < context.size(); ++i) {
-    std::string part = context[i];
-    std::erase_if(part,
-                  [](char c) { return c == '[' || c == ']' || c == '"'; });
-    pointer.append("/").append(part);
-  }
-  return pointer;
-}
-
-/// The library reports a fault again for each object around it.
-void DropEnclosing(std::vector<configuration_fault>* faults) {
-  const std::vector<configuration_fault> all = *faults;
-  std::erase_if(*faults, [&all](const configuration_fault& outer) {
-    return std::any_of(all.begin(), all.end(),
-                       [&outer](const configuration_fault& inner) {
-                         return inner.pointer.starts_with(outer.pointer + "/");
-                       }) &&
-           outer.text.starts_with("Failed to validate");
-  });
-}
-
 }  // namespace
 
 std::string_view ConfigurationSchema() { return kSchema; }
@@ -161,16 +121,11 @@
   const json parsed = json::parse(document, nullptr, false);
   if (!parsed.is_object()) return {{"", "the document is not a JSON object"}};
   std::vector<configuration_fault> faults;
-  valijson::Validator validator;
-  valijson::ValidationResults results;
-  const valijson::adapters::NlohmannJsonAdapter adapter(parsed);
-  validator.validate(Schema().compiled, adapter, &results);
-  valijson::ValidationResults::Error error;
-  while (results.popError(error)) {
-    faults.push_back({PointerOf(error.context), error.description});
+  for (const settings::settings_fault& fault :
+       settings::CheckSchema(Schema(), parsed)) {
+    faults.push_back({fault.pointer, fault.text});
   }
-  DropEnclosing(&faults);
-  FindUnknownKeys(parsed, Schema().text, "", &faults);
+  FindUnknownKeys(parsed, Schema(), "", &faults);
   return faults;
 }
 
