--- /dev/null
+++ b/source/core/control_traffic.cc
@@ -0,0 +1,36 @@
+#include "core/control_traffic.h"
+
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+namespace {
+
+struct control_test {
+  bool operator()(const hello_message&) const { return true; }
+  bool operator()(const ping_message&) const { return true; }
+  bool operator()(const configuration_message&) const { return true; }
+  bool operator()(const order_message&) const { return true; }
+  bool operator()(const order_answer_message&) const { return true; }
+  bool operator()(const conviction_message&) const { return true; }
+  template <typename other>
+  bool operator()(const other&) const {
+    return false;
+  }
+};
+
+}  // namespace
+
+bool IsControl(const message& message) {
+  return std::visit(control_test{}, message);
+}
+
+void CountControl(std::string_view direction, const message& message,
+                  size_t bytes) {
+  if (!IsControl(message)) return;
+  common::Metrics().Count("wisteria_control_messages_total",
+                          {{"direction", direction}});
+  common::Metrics().Count("wisteria_control_bytes_total",
+                          {{"direction", direction}}, bytes);
+}
+
+}  // namespace wisteriadale::core
