--- a/source/unit_tests/longrun/router_node.cc
+++ b/source/unit_tests/longrun/router_node.cc
@@ -34,17 +34,17 @@
 
 }  // namespace
 
-router_node::router_node(std::string name, fakes::virtual_time& time,
+router_node::router_node(const std::string& name, fakes::virtual_time& time,
                          core::table& rows, common::random_source& random,
                          dialler dial)
     : process_(time),
       rows_(rows, process_),
       dial_(std::move(dial)),
-      routing_(random, "", 1.0),
+      policies_({process_, random, name, ""}),
       attempts_(*this, process_, kReconnectLimit),
       operations_(rows_, process_, process_, random),
-      context_{process_, process_,  random,      targets_,
-               routing_, attempts_, operations_, std::move(name)} {}
+      context_{process_,  process_,  random,      targets_,
+               policies_, attempts_, operations_, name} {}
 
 void router_node::Start(const std::vector<listed_target>& targets) {
   for (const listed_target& target : targets) {
--- a/source/unit_tests/longrun/router_node.h
+++ b/source/unit_tests/longrun/router_node.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "core/pipeline/request_executor.h"
-#include "core/routing/two_choices.h"
+#include "core/policy/policy_book.h"
 #include "unit_tests/fakes/process_table.h"
 #include "unit_tests/longrun/network.h"
 
@@ -27,8 +27,8 @@
 class router_node final : public core::agent_sender,
                           public std::enable_shared_from_this<router_node> {
  public:
-  router_node(std::string name, fakes::virtual_time& time, core::table& rows,
-              common::random_source& random, dialler dial);
+  router_node(const std::string& name, fakes::virtual_time& time,
+              core::table& rows, common::random_source& random, dialler dial);
 
   /// Begins to dial the targets and to ping them.
   void Start(const std::vector<listed_target>& targets);
@@ -56,7 +56,7 @@
   fakes::process_table rows_;
   dialler dial_;
   core::target_table targets_;
-  core::two_choices routing_;
+  core::policy_book policies_;
   core::attempt_table attempts_;
   core::operation_log operations_;
   core::executor_context context_;
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -36,7 +36,7 @@
   uint16_t Listen() const {
     sockaddr_in address = Loopback(0);
     sockaddr* plain = reinterpret_cast<sockaddr*>(&address);
-    bind(fd_, plain, sizeof(address));
+    if (bind(fd_, plain, sizeof(address)) != 0) return 0;
     constexpr int kBacklog = 16;
     listen(fd_, kBacklog);
     socklen_t size = sizeof(address);
@@ -44,11 +44,12 @@
     return ntohs(address.sin_port);
   }
 
-  void Connect(uint16_t port) const {
+  bool Connect(uint16_t port) const {
     const int small_window = 4096;
     setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &small_window, sizeof(small_window));
     const sockaddr_in address = Loopback(port);
-    connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    return connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                   sizeof(address)) == 0;
   }
 
   void Send(std::string_view data) const {
