--- a/source/unit_tests/net/channel_test.cc
+++ b/source/unit_tests/net/channel_test.cc
@@ -46,9 +46,8 @@
     closed_port = closed.Listen();
   }
   int answers = 0;
-  net::DialChannel(
-      *loop, {"127.0.0.1", closed_port},
-      [&](const std::shared_ptr<net::channel>&) { ++answers; });
+  net::DialChannel(*loop, {"127.0.0.1", closed_port},
+                   [&](const std::shared_ptr<net::channel>&) { ++answers; });
   CHECK(fakes::RunUntil(*loop, kLimit, [&] { return answers > 0; }));
   fakes::RunUntil(*loop, 2 * kDialTimeout, [] { return false; });
   LONGS_EQUAL(1, answers);
--- a/source/unit_tests/scenario/tcp_relay.cc
+++ b/source/unit_tests/scenario/tcp_relay.cc
@@ -187,8 +187,10 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       for (const std::unique_ptr<link>& open : links_) {
         served.push_back(open.get());
-        const poll_events client = link::Events(open->to_server, open->to_client);
-        const poll_events server = link::Events(open->to_client, open->to_server);
+        const poll_events client =
+            link::Events(open->to_server, open->to_client);
+        const poll_events server =
+            link::Events(open->to_client, open->to_server);
         // A negative descriptor is skipped: hang-ups of silent sides too.
         polled.push_back({client == 0 ? -1 : open->to_server.from, client, 0});
         polled.push_back({server == 0 ? -1 : open->to_server.to, server, 0});
