--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -21,6 +21,10 @@
   std::vector<http_header> headers;
   std::string body;
   bool body_too_large = false;
+  bool body_timed_out = false;   ///< it did not arrive within the bound
+  bool length_missing = false;   ///< a body without a valid Content-Length
+  bool header_too_long = false;  ///< a collected header was left out
+
 
   /// @param name lower-case header name, one of those that are collected
   /// @return the header's value, or an empty view
