--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -19,7 +19,12 @@
   std::string path;
   std::vector<http_header> headers;
   std::string body;
+  /// For the whole call.
   common::duration timeout = std::chrono::seconds(10);
+  /// Until the answer's headers have come; 0: only `timeout` applies.
+  common::duration first_byte_timeout{0};
+  /// Between two pieces of the body; 0: only `timeout` applies.
+  common::duration idle_timeout{0};
 };
 
 /// How a call ended.
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -32,13 +32,14 @@
   raw_socket(const raw_socket&) = delete;
   raw_socket& operator=(const raw_socket&) = delete;
 
-  /// @return the port on which connections are taken and never read
+  /// @return the port on which connections are taken and never read; 0 when
+  /// there is none
   uint16_t Listen() const {
     sockaddr_in address = Loopback(0);
     sockaddr* plain = reinterpret_cast<sockaddr*>(&address);
-    if (bind(fd_, plain, sizeof(address)) != 0) return 0;
     constexpr int kBacklog = 16;
-    listen(fd_, kBacklog);
+    if (bind(fd_, plain, sizeof(address)) != 0) return 0;
+    if (listen(fd_, kBacklog) != 0) return 0;
     socklen_t size = sizeof(address);
     getsockname(fd_, plain, &size);
     return ntohs(address.sin_port);
@@ -48,8 +49,8 @@
     const int small_window = 4096;
     setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &small_window, sizeof(small_window));
     const sockaddr_in address = Loopback(port);
-    return connect(fd_, reinterpret_cast<const sockaddr*>(&address),
-                   sizeof(address)) == 0;
+    const sockaddr* plain = reinterpret_cast<const sockaddr*>(&address);
+    return connect(fd_, plain, sizeof(address)) == 0;
   }
 
   void Send(std::string_view data) const {
