Share, bound and adapt what an agent runs

Two faults found by the tests: the smoothed service time started from zero, so a new agent promised ten times its speed, and failed runs counted as quick.

Baselines fixed and fifo stay, chosen by the agent's settings.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -3,6 +3,7 @@
 #include "common/last_reason.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "core/policy/agent_policy.h"
 #include "settings/agent_settings.h"
 #include "wire/codec.h"
 
@@ -80,6 +81,7 @@
       common::milliseconds(settings.Integer(settings::kOrphanLimitMs));
   process->host_ = std::make_unique<core::attempt_host>(
       options, *process->target_, *process, process->clock_, *process->loop_);
+  if (!process->SetPolicies(settings)) return std::nullopt;
   process->hello_.name = settings.Text(settings::kName);
   process->hello_.incarnation = options.incarnation;
   process->hello_.data_centre = settings.Text(settings::kDataCentre);
@@ -101,6 +103,27 @@
   return process;
 }
 
+bool agent_process::SetPolicies(const settings::settings_document& settings) {
+  core::agent_policy wanted;
+  wanted.limit = settings.Text(settings::kConcurrencyPolicy);
+  wanted.queue = settings.Text(settings::kQueuePolicy);
+  wanted.concurrency.maximum =
+      static_cast<uint32_t>(settings.Integer(settings::kConcurrencyLimit));
+  wanted.concurrency.initial = wanted.concurrency.maximum;
+  wanted.concurrency.tolerance = settings.Number(settings::kLatencyTolerance);
+  wanted.bounds.bound =
+      static_cast<size_t>(settings.Integer(settings::kQueueLimit));
+  wanted.bounds.deferrable_bound =
+      static_cast<size_t>(settings.Integer(settings::kDeferrableQueueLimit));
+  std::optional<std::unique_ptr<core::concurrency_limit>> limit =
+      core::MakeConcurrencyLimit(wanted);
+  std::optional<std::unique_ptr<core::attempt_queue>> queue =
+      core::MakeAttemptQueue(wanted);
+  if (!limit || !queue) return false;
+  host_->SetPolicies(std::move(*limit), std::move(*queue));
+  return true;
+}
+
 void agent_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
   common::Log(log_channel::kMain, log_level::kInfo,
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -27,6 +27,8 @@
  private:
   agent_process() = default;
 
+  /// @return false, with LastReason set, when a policy has no such name
+  bool SetPolicies(const settings::settings_document& settings);
   void Accept(std::shared_ptr<net::channel> channel);
   void OnFrame(core::router_link link, std::string_view frame);
   void OnHttp(const net::http_request& request, net::http_responder* responder);
--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -1,5 +1,7 @@
 #include "core/agent/attempt_host.h"
 
+#include <algorithm>
+
 #include "common/invariant.h"
 #include "common/metrics.h"
 
@@ -9,6 +11,7 @@
 using common::result_code;
 
 constexpr double kLatencySmoothing = 0.1;
+constexpr int64_t kMaxReportedWaitUs = 2000000000;
 
 }  // namespace
 
@@ -202,7 +205,12 @@
   const double took =
       static_cast<double>((clock_.Now() - entry.started).count());
   entry.outcome.target_us = static_cast<uint64_t>(took);
-  latency_us_ += kLatencySmoothing * (took - latency_us_);
+  // A target that fails fast must not look quick.
+  if (result.code == result_code::kOk) {
+    latency_us_ = latency_us_ == 0
+                      ? took
+                      : latency_us_ + kLatencySmoothing * (took - latency_us_);
+  }
   limit_->OnResult(clock_.Now() - entry.started, entry.beside,
                    result.code == result_code::kOk);
   End(&entry, result);
@@ -347,6 +355,9 @@
   load.queued = static_cast<uint32_t>(Waiting());
   load.limit = limit_->Limit();
   load.latency_us = static_cast<uint32_t>(latency_us_);
+  const common::duration wait = queue_->EstimatedWait(QueueLoad());
+  load.queue_wait_us = static_cast<uint32_t>(
+      std::clamp<int64_t>(wait.count(), 0, kMaxReportedWaitUs));
   load.accepting = !draining_;
   return load;
 }
--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -16,9 +16,10 @@
 struct load_report {
   uint32_t in_flight = 0;
   uint32_t queued = 0;
-  uint32_t limit = 0;       ///< current concurrency limit
-  uint32_t latency_us = 0;  ///< smoothed service time
-  bool accepting = true;    ///< false once draining
+  uint32_t limit = 0;          ///< current concurrency limit
+  uint32_t latency_us = 0;     ///< smoothed service time
+  uint32_t queue_wait_us = 0;  ///< wait that a new attempt is likely to have
+  bool accepting = true;       ///< false once draining
   uint64_t configuration_version = 0;
 };
 
--- a/source/settings/agent_settings.cc
+++ b/source/settings/agent_settings.cc
@@ -24,6 +24,34 @@
 const setting kQueueLimit = {
     "/limits/queue", setting_type::kInteger,    "64", 0,
     65536,           "Most attempts that wait."};
+const setting kConcurrencyPolicy = {
+    "/limits/concurrency_policy",
+    setting_type::kText,
+    "\"adaptive\"",
+    1,
+    32,
+    "adaptive (to latency, up to the hard limit) or fixed."};
+const setting kLatencyTolerance = {
+    "/limits/latency_tolerance",
+    setting_type::kNumber,
+    "2.0",
+    1.05,
+    100,
+    "Time on the target, relative to its time when little runs, above which "
+    "the adaptive limit goes down."};
+const setting kQueuePolicy = {
+    "/limits/queue_policy",
+    setting_type::kText,
+    "\"fair\"",
+    1,
+    32,
+    "fair (shares by organisation, deadlines, deferrable work) or fifo."};
+const setting kDeferrableQueueLimit = {"/limits/deferrable_queue",
+                                       setting_type::kInteger,
+                                       "8192",
+                                       1,
+                                       1048576,
+                                       "Most deferrable attempts that wait."};
 const setting kRetentionMs = {"/limits/retention_ms",
                               setting_type::kInteger,
                               "60000",
@@ -57,6 +85,10 @@
                                     &kPool,
                                     &kConcurrencyLimit,
                                     &kQueueLimit,
+                                    &kConcurrencyPolicy,
+                                    &kLatencyTolerance,
+                                    &kQueuePolicy,
+                                    &kDeferrableQueueLimit,
                                     &kRetentionMs,
                                     &kOrphanLimitMs};
   return kTable;
--- a/source/settings/agent_settings.h
+++ b/source/settings/agent_settings.h
@@ -9,6 +9,10 @@
 extern const setting kPool;
 extern const setting kConcurrencyLimit;
 extern const setting kQueueLimit;
+extern const setting kConcurrencyPolicy;
+extern const setting kLatencyTolerance;
+extern const setting kQueuePolicy;
+extern const setting kDeferrableQueueLimit;
 extern const setting kRetentionMs;
 extern const setting kOrphanLimitMs;
 
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -21,6 +21,7 @@
   to.queued = static_cast<int32_t>(from.queued);
   to.limit = static_cast<int32_t>(from.limit);
   to.latency_us = static_cast<int32_t>(from.latency_us);
+  to.queue_wait_us = static_cast<int32_t>(from.queue_wait_us);
   to.accepting = from.accepting;
   to.configuration_version = Signed(from.configuration_version);
   return to;
@@ -32,6 +33,7 @@
   to.queued = static_cast<uint32_t>(from.queued);
   to.limit = static_cast<uint32_t>(from.limit);
   to.latency_us = static_cast<uint32_t>(from.latency_us);
+  to.queue_wait_us = static_cast<uint32_t>(from.queue_wait_us);
   to.accepting = from.accepting;
   to.configuration_version = Unsigned(from.configuration_version);
   return to;
--- a/source/wire/messages.thrift
+++ b/source/wire/messages.thrift
@@ -9,6 +9,7 @@
   4: i32 latency_us
   5: bool accepting
   6: i64 configuration_version
+  7: i32 queue_wait_us
 }
 
 struct trace_context {
