--- a/source/net/lws_protocols.h
+++ b/source/net/lws_protocols.h
@@ -21,13 +21,14 @@
 int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
                           void* in, size_t length);
 
-/// Calls no handler of a context's channels from now on; their owners may be
-/// gone when the context is destroyed.
-void DropChannelHandlers(const lws_context* context);
-
 /// @return the protocols of vhosts that listen, ended by an empty entry
 const lws_protocols* ServerProtocols();
 /// @return the protocols of outgoing connections, ended by an empty entry
 const lws_protocols* ClientProtocols();
 
+/// Drops the handlers of all channels and calls of a context that is about to
+/// be destroyed: what they refer to may be gone.
+void DropChannelHandlers(const lws_context* context);
+void DropCallHandlers(const lws_context* context);
+
 }  // namespace wisteriadale::net
