--- a/source/unit_tests/fakes/virtual_time.h
+++ b/source/unit_tests/fakes/virtual_time.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <utility>
@@ -37,13 +38,14 @@
     const common::time_point end = now_ + by;
     while (!queue_.empty() && queue_.begin()->first.first <= end) {
       const auto first = queue_.begin();
-      now_ = first->first.first;
+      // Timers that fell due during a pause run late; time never goes back.
+      now_ = std::max(now_, first->first.first);
       const std::function<void()> action = std::move(first->second);
       due_.erase(first->first.second);
       queue_.erase(first);
       action();
     }
-    now_ = end;
+    now_ = std::max(now_, end);
   }
 
   /// Lets time pass without running timers, as when a process is paused.
