Give the stand-in's targets stated formulas, faults and counters

Engines batch continuously (engine.h states the time of a step), hold a limited prompt cache with late and gappy events, take orders under fencing numbers and load weights at the store's rate; stages and plain services are pools of servers. Faults are set per target, pool or data centre; the platform gains late writes, a frozen or empty VM list and a batch of conditional writes. /control/counts gives target time, busy and wasted. Keys may be escaped twice, since libwebsockets decodes a path once.

Fault found with cut_after_tokens (net/http_server.cc): an aborted stream with bytes still to write was never closed, since nothing asked for another writable callback.

Not mended, in net/http_client: http_result::complete is true for a chunked answer that ended without its last chunk (curl on the same answer: exit 18). The agent's http_target goes by the line that says done, so it is not misled; the platform's answers carry a length.

The demo takes random free ports and starts anew when others take them; fleet.sh fails at once when a process of its own ends.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,25 +4,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=hekkeform/fleet-small
-
-in_use() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
-
-free_base() {
-  local base
-  for base in 42000 44000 40000; do
-    in_use "$base" || in_use $((base + 1)) || { echo "$base" && return; }
-  done
-  echo "demo.sh: the ports 40000, 42000 and 44000 are in use" >&2
-  exit 1
-}
-
-WISTERIA_BASE_PORT=${WISTERIA_BASE_PORT:-$(free_base)}
-export WISTERIA_BASE_PORT
 WISTERIA_RUN_DIR=$(mktemp -d)
 export WISTERIA_RUN_DIR
-platform=http://127.0.0.1:$WISTERIA_BASE_PORT
-router=127.0.0.1:$((WISTERIA_BASE_PORT + 1))
-other_router=127.0.0.1:$((WISTERIA_BASE_PORT + 2))
+start_tries=5
 ctl="${WISTERIA_BIN:-build/bin}/wisteriactl"
 
 step() { printf '\n== %s\n' "$1"; }
@@ -40,14 +24,28 @@
 }
 trap clean_up EXIT
 
+# Starts the fleet on ports that are free; others may take them meanwhile.
+start() {
+  local try
+  for ((try = 1; try <= start_tries; ++try)); do
+    export WISTERIA_BASE_PORT=$((40000 + RANDOM % 40 * 100 + 10 * (RANDOM % 9)))
+    scripts/fleet.sh start $deployment && return
+    scripts/fleet.sh stop $deployment >/dev/null 2>&1 || true
+  done
+  fail "the fleet did not start"
+}
+
 ask() {  # router, pipeline, body, further curl arguments
   curl -sS --max-time 20 "http://$1/v1/pipelines/$2/requests" \
     -H 'Authorization: Bearer demo-molde-kommune' -d "$3" "${@:4}"
 }
 
 step "A small fleet starts"
-scripts/fleet.sh start $deployment
-"$ctl" --router="$router" status
+start
+platform=http://127.0.0.1:$WISTERIA_BASE_PORT
+router=127.0.0.1:$((WISTERIA_BASE_PORT + 1))
+other_router=127.0.0.1:$((WISTERIA_BASE_PORT + 2))
+"$ctl" --routers="$router" status
 
 question='{"question": "How many rings does a spiral of 1.8 m need?"}'
 step "A sketch question is answered; its stages"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -41,7 +41,7 @@
     | map(.value + {number: .key, data_centre: $f.data_centres[.value.turn % $centres]})
     | { name: "standin",
         listen: {port: $base},
-        targets: map(del(.turn, .number, .data_centre) + {port: ($base + 1000 + .number)}),
+        targets: map(del(.turn, .number) + {port: ($base + 1000 + .number)}),
         vms: ([ range($routers) | {name: "router-\(. + 1)", role: "router",
                   data_centre: $f.data_centres[. % $centres],
                   address: "127.0.0.1", port: ($base + 1 + .)} ]
@@ -73,11 +73,15 @@
   local what=$1 deadline=$((SECONDS + wait_seconds))
   shift
   until "$@" >/dev/null 2>&1; do
+    all_running || fail "a process ended (logs in $run)"
     [ $SECONDS -lt $deadline ] || fail "timed out waiting for $what (logs in $run)"
     sleep 0.05
   done
 }
 
+# Whether every process started here runs, unless they are being stopped.
+all_running() { [ "$verb" = stop ] || ! compgen -G "$run/*.exit" >/dev/null; }
+
 get() { curl -sf --max-time 5 "http://127.0.0.1:$1$2"; }
 
 routers() { jq -r '.vms[] | select(.role == "router") | .port' "$run/standin.json"; }
@@ -108,12 +112,13 @@
   local first
   first=$(routers | head -1)
   wait_until "router-1" get "$first" /healthz
-  "$bin/wisteriactl" --router="127.0.0.1:$first" configuration apply "settings/$deployment/configuration.json" >"$run/apply.log" 2>&1 ||
+  "$bin/wisteriactl" --routers="127.0.0.1:$first" configuration apply "settings/$deployment/configuration.json" 0 >"$run/apply.log" 2>&1 ||
     fail "the configuration was refused: $(cat "$run/apply.log")"
   for port in $(routers); do
     wait_until "the router on $port" get "$port" /readyz
     wait_until "the targets of the router on $port" all_usable "$port"
   done
+  all_running || fail "a process ended (logs in $run)"
   echo "started $(wc -l <"$run/pids") processes of $deployment; routers: $(routers | tr '\n' ' ')"
 }
 
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -155,6 +155,7 @@
     if (written_ == pending_.size()) {
       pending_.clear();
       written_ = 0;
+      if (aborted_) return -1;
     } else {
       lws_callback_on_writable(wsi_);
     }
--- a/source/settings/standin_settings.cc
+++ b/source/settings/standin_settings.cc
@@ -16,13 +16,36 @@
                               0,
                               600000,
                               "Age of the VM list that is served."};
+const setting kWeightBytes = {"/weights/bytes",
+                              setting_type::kNumber,
+                              "20000000",
+                              1,
+                              1e15,
+                              "Size of the weights of each model."};
+const setting kWeightBytesPerSecond = {
+    "/weights/bytes_per_second",
+    setting_type::kNumber,
+    "100000000",
+    1,
+    1e15,
+    "Rate of the weight store, over all targets together."};
 
 setting_table StandinSettings() {
-  static const std::array kTable = {
-      &kName,       &kDataCentre,      &kListenAddress,  &kListenPort,
-      &kLogLevel,   &kLogJson,         &kLogFile,        &kTraceFile,
-      &kRandomSeed, &kInvariantsFatal, &kStandinTargets, &kStandinVms,
-      &kVmListLagMs};
+  static const std::array kTable = {&kName,
+                                    &kDataCentre,
+                                    &kListenAddress,
+                                    &kListenPort,
+                                    &kLogLevel,
+                                    &kLogJson,
+                                    &kLogFile,
+                                    &kTraceFile,
+                                    &kRandomSeed,
+                                    &kInvariantsFatal,
+                                    &kStandinTargets,
+                                    &kStandinVms,
+                                    &kVmListLagMs,
+                                    &kWeightBytes,
+                                    &kWeightBytesPerSecond};
   return kTable;
 }
 
--- a/source/settings/standin_settings.h
+++ b/source/settings/standin_settings.h
@@ -7,6 +7,8 @@
 extern const setting kStandinTargets;
 extern const setting kStandinVms;
 extern const setting kVmListLagMs;
+extern const setting kWeightBytes;
+extern const setting kWeightBytesPerSecond;
 
 /// @return every setting of the stand-in
 setting_table StandinSettings();
--- /dev/null
+++ b/source/standin/engine.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <list>
+
+#include "standin/prefix_cache.h"
+#include "standin/worker.h"
+
+namespace wisteriadale::standin {
+
+/// A model engine with continuous batching. Between two steps, queued jobs
+/// join the batch, highest priority first and then in order of arrival, up to
+/// batch_limit. A step gives each sequence of the batch one token and takes
+///
+///   slow_factor * (step_us + step_sequence_us * n + sum of p(j))
+///
+/// with n sequences, and p(j) for each job j that joined at this step:
+/// prefill_us, or prefill_us * cached_prefill when its prefix is cached. Each
+/// sequence is charged the n-th part of the step.
+class engine final : public worker {
+ public:
+  engine(const target_options& options, const target_faults& faults,
+         target_counts& counts, prefix_cache& cache,
+         common::timer_service& timers)
+      : options_(options),
+        faults_(faults),
+        counts_(counts),
+        cache_(cache),
+        timers_(timers) {}
+
+  void Submit(job work) override;
+  void Remove(uint64_t id) override;
+  size_t running() const override { return batch_.size(); }
+  size_t queued() const override { return queue_.size(); }
+
+ private:
+  void StartStep();
+  void EndStep();
+  /// @return the prefill time of the jobs that joined
+  double Join();
+
+  const target_options& options_;
+  const target_faults& faults_;
+  target_counts& counts_;
+  prefix_cache& cache_;
+  common::timer_service& timers_;
+  std::list<job> queue_;
+  std::list<job> batch_;
+  bool stepping_ = false;
+};
+
+}  // namespace wisteriadale::standin
--- a/source/standin/platform_service.cc
+++ b/source/standin/platform_service.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "standin/fault_documents.h"
+
 namespace wisteriadale::standin {
 namespace {
 
@@ -10,27 +12,51 @@
 constexpr char kJson[] = "application/json";
 constexpr char kTablePrefix[] = "/table/";
 constexpr char kObjectPrefix[] = "/objects/";
+constexpr char kControlPrefix[] = "/control/";
+constexpr char kWeightPrefix[] = "/weights/";
+constexpr char kBatchPath[] = "/table-batch";
 
 json RowJson(const std::string& key, const std::string& value,
              uint64_t version) {
   return {{"key", key}, {"value", value}, {"version", version}};
 }
 
+/// Decodes what is still escaped; libwebsockets decodes a path only once, and
+/// merges its empty and dotted parts, so clients escape such keys twice.
+std::string Unescape(std::string_view text) {
+  constexpr int kHexadecimal = 16;
+  std::string plain;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escaped =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+        std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+    if (!escaped) {
+      plain.push_back(text[i]);
+      continue;
+    }
+    const std::string digits(text.substr(i + 1, 2));
+    plain.push_back(
+        static_cast<char>(std::stoi(digits, nullptr, kHexadecimal)));
+    i += 2;
+  }
+  return plain;
+}
+
 }  // namespace
 
 std::optional<std::unique_ptr<platform_service>> platform_service::Create(
-    net::event_loop& loop, const std::string& address, uint16_t port,
-    common::random_source& random, ledger& operations) {
+    const target_surroundings& around, const platform_options& options) {
   std::unique_ptr<platform_service> service(
-      new platform_service(loop, random, operations));
+      new platform_service(around, options));
   platform_service* raw = service.get();
   net::http_server::options listen;
-  listen.address = address;
-  listen.port = port;
+  listen.address = options.address;
+  listen.port = options.port;
   listen.max_body_bytes = 64 << 20;
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
-          loop, listen,
+          around.loop, listen,
           [raw](const net::http_request& request,
                 const std::shared_ptr<net::http_responder>& responder) {
             raw->OnHttp(request, responder);
@@ -43,13 +69,21 @@
 void platform_service::OnHttp(
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
-  const bool control = request.path.starts_with("/control/");
-  if (control || faults_.delay_ms == 0) {
+  if (request.path.starts_with(kControlPrefix)) {
+    ServeControl(request, responder.get());
+    return;
+  }
+  if (faults_.down) {
+    responder->Abort();
+    return;
+  }
+  if (faults_.delay_ms == 0) {
     Serve(request, responder);
     return;
   }
-  loop_.Schedule(common::milliseconds(faults_.delay_ms),
-                 [this, request, responder] { Serve(request, responder); });
+  around_.loop.Schedule(
+      common::milliseconds(faults_.delay_ms),
+      [this, request, responder] { Serve(request, responder); });
 }
 
 void platform_service::Serve(
@@ -60,21 +94,29 @@
   } else if (request.path.starts_with(kObjectPrefix)) {
     ServeObjects(request, responder.get());
   } else if (request.path == "/vms") {
-    if (faults_.vm_list_down) {
-      responder->Abort();
-      return;
-    }
-    responder->Send(200, kJson, "{\"vms\":" + vms_json_ + "}");
-  } else if (request.path == "/control/vms") {
-    vms_json_ = request.body;
+    ServeVms(responder.get());
+  } else if (request.path.starts_with(kWeightPrefix)) {
+    ServeWeights(responder);
+  } else {
+    responder->Send(404, kJson, "{}");
+  }
+}
+
+void platform_service::ServeControl(const net::http_request& request,
+                                    net::http_responder* responder) {
+  const std::string_view what =
+      std::string_view(request.path).substr(sizeof(kControlPrefix) - 1);
+  if (what == "vms") {
+    ChangeVms(request.body);
     responder->Send(200, kJson, "{}");
-  } else if (request.path == "/control/ledger") {
-    ServeLedger(responder.get());
-  } else if (request.path == "/control/faults") {
-    SetFaults(request, responder.get());
-  } else if (request.path == "/control/counts") {
-    responder->Send(200, kJson,
-                    json{{"reads", reads_}, {"writes", writes_}}.dump());
+  } else if (what == "faults") {
+    SetFaults(request, responder);
+  } else if (what == "ledger") {
+    SendLedger(responder);
+  } else if (what == "orders") {
+    SendOrders(responder);
+  } else if (what == "counts") {
+    SendCounts(responder);
   } else {
     responder->Send(404, kJson, "{}");
   }
@@ -87,60 +129,111 @@
     responder->Abort();
     return;
   }
-  if (request.path == "/table") {
-    ++reads_;
-    ListRows(request, responder.get());
-    return;
-  }
-  const std::string key = request.path.substr(sizeof(kTablePrefix) - 1);
-  if (request.method == "PUT") {
+  if (request.method == "PUT" || request.path == kBatchPath) {
     ++writes_;
-    WriteRow(key, request, responder);
+    ServeWrites(request, responder);
     return;
   }
   ++reads_;
-  const auto found = rows_.find(key);
-  if (found == rows_.end()) {
-    responder->Send(404, kJson, "{}");
+  if (request.path == "/table") {
+    ListRows(request, responder.get());
     return;
   }
-  responder->Send(
-      200, kJson,
-      RowJson(key, found->second.value, found->second.version).dump());
+  const std::string key =
+      Unescape(request.path.substr(sizeof(kTablePrefix) - 1));
+  responder->Send(rows_.contains(key) ? 200 : 404, kJson, RowText(key));
 }
 
-void platform_service::WriteRow(
-    const std::string& key, const net::http_request& request,
+void platform_service::ServeWrites(
+    const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
   const json body = json::parse(request.body, nullptr, false);
-  if (!body.is_object()) {
+  const auto read = [](const json& from, const std::string& key) {
+    return write{key, from.value("value", ""),
+                 from.value("expected_version", uint64_t{0})};
+  };
+  if (body.is_object() && request.method == "PUT") {
+    const std::string key =
+        Unescape(request.path.substr(sizeof(kTablePrefix) - 1));
+    Perform(
+        [this, wanted = read(body, key)](net::http_responder* answer) {
+          const int status = Apply(wanted) ? 200 : 409;
+          answer->Send(status, kJson, RowText(wanted.key));
+        },
+        responder);
+    return;
+  }
+  if (!body.is_object() || !body.contains("writes") ||
+      !body["writes"].is_array()) {
     responder->Send(400, kJson, "{}");
     return;
   }
-  const uint64_t expected = body.value("expected_version", uint64_t{0});
-  const auto found = rows_.find(key);
-  const uint64_t version = found == rows_.end() ? 0 : found->second.version;
-  if (expected != version) {
-    responder->Send(
-        409, kJson,
-        RowJson(key, found == rows_.end() ? "" : found->second.value, version)
-            .dump());
+  std::vector<write> writes;
+  for (const json& from : body["writes"]) {
+    writes.push_back(read(from, from.value("key", "")));
+  }
+  Perform(
+      [this, writes](net::http_responder* answer) {
+        json rows = json::array();
+        for (const write& wanted : writes) {
+          const bool written = Apply(wanted);
+          json answered = json::parse(RowText(wanted.key));
+          answered["status"] = written ? "ok" : "conflict";
+          rows.push_back(answered);
+        }
+        answer->Send(200, kJson, json{{"rows", rows}}.dump());
+      },
+      responder);
+}
+
+void platform_service::Perform(
+    std::function<void(net::http_responder*)> apply,
+    const std::shared_ptr<net::http_responder>& responder) {
+  if (around_.random.Uniform() < faults_.late_write_share) {
+    // The answer goes to a connection that is closed already.
+    around_.loop.Schedule(
+        common::milliseconds(faults_.late_write_ms),
+        [apply = std::move(apply), responder] { apply(responder.get()); });
+    responder->Abort();
     return;
   }
-  row& changed = rows_[key];
-  changed.value = body.value("value", "");
-  changed.version = version + 1;
-  if (random_.Uniform() < faults_.lose_answer_share) {
+  if (around_.random.Uniform() < faults_.lose_answer_share) {
     responder->Abort();
+    class no_answer final : public net::http_responder {
+     public:
+      void Send(int, std::string_view, std::string_view,
+                std::span<const net::http_header>) override {}
+      void StartStream(int, std::string_view) override {}
+      void Write(std::string_view) override {}
+      void Finish() override {}
+      void Abort() override {}
+      size_t PendingBytes() const override { return 0; }
+      void OnClose(std::function<void()>) override {}
+    };
+    no_answer nobody;
+    apply(&nobody);
     return;
   }
-  responder->Send(200, kJson,
-                  RowJson(key, changed.value, changed.version).dump());
+  apply(responder.get());
+}
+
+bool platform_service::Apply(const write& wanted) {
+  const auto found = rows_.find(wanted.key);
+  const uint64_t version = found == rows_.end() ? 0 : found->second.version;
+  if (wanted.expected_version != version) return false;
+  rows_[wanted.key] = {wanted.value, version + 1};
+  return true;
+}
+
+std::string platform_service::RowText(const std::string& key) const {
+  const auto found = rows_.find(key);
+  if (found == rows_.end()) return RowJson(key, "", 0).dump();
+  return RowJson(key, found->second.value, found->second.version).dump();
 }
 
 void platform_service::ListRows(const net::http_request& request,
                                 net::http_responder* responder) const {
-  const std::string prefix = request.QueryArgument("prefix");
+  const std::string prefix = Unescape(request.QueryArgument("prefix"));
   const std::string limit_text = request.QueryArgument("limit");
   const size_t limit = std::strtoull(limit_text.c_str(), nullptr, 10);
   json rows = json::array();
@@ -159,7 +252,8 @@
     responder->Abort();
     return;
   }
-  const std::string name = request.path.substr(sizeof(kObjectPrefix) - 1);
+  const std::string name =
+      Unescape(request.path.substr(sizeof(kObjectPrefix) - 1));
   if (request.method == "PUT") {
     ++writes_;
     objects_[name] = request.body;
@@ -175,9 +269,37 @@
   responder->Send(200, "application/octet-stream", found->second);
 }
 
-void platform_service::ServeLedger(net::http_responder* responder) const {
+void platform_service::ServeVms(net::http_responder* responder) const {
+  if (faults_.vm_list_down) {
+    responder->Abort();
+    return;
+  }
+  responder->Send(
+      200, kJson,
+      "{\"vms\":" + (faults_.vm_list_empty ? "[]" : vms_json_) + "}");
+}
+
+void platform_service::ServeWeights(
+    const std::shared_ptr<net::http_responder>& responder) {
+  around_.weights.Load([this, responder] {
+    responder->Send(200, kJson,
+                    json{{"bytes", around_.weights.bytes()}}.dump());
+  });
+}
+
+void platform_service::ChangeVms(const std::string& vms_json) {
+  if (faults_.vm_list_frozen) return;
+  if (options_.vm_list_lag_ms == 0) {
+    vms_json_ = vms_json;
+    return;
+  }
+  around_.loop.Schedule(common::milliseconds(options_.vm_list_lag_ms),
+                        [this, vms_json] { vms_json_ = vms_json; });
+}
+
+void platform_service::SendLedger(net::http_responder* responder) const {
   json entries = json::array();
-  for (const ledger_entry& entry : operations_.entries()) {
+  for (const ledger_entry& entry : around_.operations.entries()) {
     entries.push_back({{"operation_key", entry.operation_key},
                        {"operation_token", entry.operation_token},
                        {"target", entry.target}});
@@ -185,19 +307,56 @@
   responder->Send(200, kJson, json{{"operations", entries}}.dump());
 }
 
+void platform_service::SendOrders(net::http_responder* responder) const {
+  json entries = json::array();
+  for (const order_entry& entry : around_.orders.entries()) {
+    entries.push_back({{"target", entry.target},
+                       {"order_id", entry.order_id},
+                       {"fencing_number", entry.fencing_number},
+                       {"kind", entry.kind},
+                       {"argument", entry.argument},
+                       {"authority", entry.authority},
+                       {"accepted", entry.accepted}});
+  }
+  responder->Send(200, kJson, json{{"orders", entries}}.dump());
+}
+
+void platform_service::SendCounts(net::http_responder* responder) const {
+  json targets = json::array();
+  for (const target_service* target : targets_) {
+    const target_counts& counts = target->counts();
+    targets.push_back({{"id", target->options().id},
+                       {"pool", target->options().pool},
+                       {"requests", counts.requests},
+                       {"answered", counts.answered},
+                       {"failed", counts.failed},
+                       {"abandoned", counts.abandoned},
+                       {"crashes", counts.crashes},
+                       {"cache_hits", counts.cache_hits},
+                       {"busy_us", counts.busy_us},
+                       {"wasted_us", counts.wasted_us}});
+  }
+  responder->Send(
+      200, kJson,
+      json{{"reads", reads_}, {"writes", writes_}, {"targets", targets}}
+          .dump());
+}
+
 void platform_service::SetFaults(const net::http_request& request,
                                  net::http_responder* responder) {
-  const json body = json::parse(request.body, nullptr, false);
-  if (!body.is_object()) {
-    responder->Send(400, kJson, "{}");
+  const std::optional<fault_document> wanted = ParseFaults(request.body);
+  if (!wanted) {
+    responder->Send(400, kJson, "{\"error\":\"not a fault document\"}");
     return;
   }
-  faults_.table_down = body.value("table_down", false);
-  faults_.objects_down = body.value("objects_down", false);
-  faults_.vm_list_down = body.value("vm_list_down", false);
-  faults_.delay_ms = body.value("delay_ms", int64_t{0});
-  faults_.lose_answer_share = body.value("lose_answer_share", 0.0);
-  responder->Send(200, kJson, "{}");
+  if (!wanted->about_targets) faults_ = wanted->of_platform;
+  size_t changed = 0;
+  for (target_service* target : targets_) {
+    if (!wanted->ends_all && !wanted->Selects(target->options())) continue;
+    target->SetFaults(wanted->of_targets);
+    ++changed;
+  }
+  responder->Send(200, kJson, json{{"targets", changed}}.dump());
 }
 
 }  // namespace wisteriadale::standin
--- a/source/standin/target_service.cc
+++ b/source/standin/target_service.cc
@@ -1,43 +1,64 @@
 #include "standin/target_service.h"
 
-#include <array>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "common/digest.h"
+#include "standin/engine.h"
+#include "standin/server_pool.h"
 
 namespace wisteriadale::standin {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, 16> kWords = {
-    "the ",   "spiral ", "frame ", "needs ",  "four ", "rings ",
-    "of ",    "steel ",  "rod ",   "welded ", "at ",   "each ",
-    "joint ", "before ", "zinc ",  "coating "};
+constexpr char kJson[] = "application/json";
+constexpr char kLines[] = "application/x-ndjson";
+constexpr int kDeferrablePriority = -1;
+
+/// @return the service time of a call, fixed by its input
+common::duration ServiceTime(int64_t mean_us, const std::string& input) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  const double spread =
+      0.5 + static_cast<double>(common::Hash64(input)) / kRange;
+  return common::duration(
+      static_cast<int64_t>(static_cast<double>(mean_us) * spread));
+}
 
 }  // namespace
 
 struct target_service::run {
+  uint64_t id = 0;
   std::shared_ptr<net::http_responder> responder;
-  std::string text;
+  std::string input;
+  std::string prefix_key;
+  std::string text;  ///< of an engine
   size_t position = 0;
-  bool closed = false;
+  uint32_t written_tokens = 0;
+  json result;  ///< of a stage or plain service
 };
 
-std::string GeneratedText(const std::string& input, uint32_t tokens) {
-  common::seeded_random random(common::Hash64(input));
-  std::string text;
-  for (uint32_t i = 0; i < tokens; ++i) {
-    text.append(kWords[random.Below(kWords.size())]);
+target_service::target_service(const target_surroundings& around,
+                               const target_options& options)
+    : around_(around),
+      options_(options),
+      cache_(options.cache_entries, options.event_gap_share, around.clock,
+             around.random) {
+  if (options_.kind == "engine") {
+    worker_ = std::make_unique<engine>(options_, faults_, counts_, cache_,
+                                       around_.loop);
+  } else {
+    worker_ =
+        std::make_unique<server_pool>(options_, faults_, counts_, around_.loop);
   }
-  return text;
 }
 
+target_service::~target_service() = default;
+
 std::optional<std::unique_ptr<target_service>> target_service::Create(
-    net::event_loop& loop, const std::string& address,
-    const target_options& options, ledger& operations) {
-  std::unique_ptr<target_service> service(
-      new target_service(loop, options, operations));
+    const target_surroundings& around, const std::string& address,
+    const target_options& options) {
+  std::unique_ptr<target_service> service(new target_service(around, options));
   target_service* raw = service.get();
   net::http_server::options listen;
   listen.address = address;
@@ -45,72 +66,240 @@
   listen.max_body_bytes = 8 << 20;
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
-          loop, listen,
+          around.loop, listen,
           [raw](const net::http_request& request,
                 const std::shared_ptr<net::http_responder>& responder) {
-            raw->OnRun(request, responder);
+            raw->OnHttp(request, responder);
           });
   if (!server) return std::nullopt;
   service->server_ = std::move(*server);
+  service->PublishLoad();
   return service;
 }
 
+void target_service::SetFaults(const target_faults& faults) {
+  faults_ = faults;
+  if (faults_.down) DropRuns();
+}
+
+void target_service::OnHttp(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  if (faults_.down || crashed_) {
+    responder->Abort();
+    return;
+  }
+  if (faults_.silent) return;
+  if (request.path == "/run") {
+    OnRun(request, responder);
+  } else if (request.path == "/order") {
+    OnOrder(request, responder);
+  } else if (request.path == "/healthz") {
+    responder->Send(200, kJson, json{{"ok", true}, {"models", models_}}.dump());
+  } else if (request.path == "/events") {
+    SendEvents(request, responder.get());
+  } else if (request.path == "/load" && options_.kind != "stage") {
+    responder->Send(
+        200, kJson,
+        json{{"running", published_.running}, {"queued", published_.queued}}
+            .dump());
+  } else {
+    responder->Send(404, kJson, "{}");
+  }
+}
+
 void target_service::OnRun(
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
   const json body = json::parse(request.body, nullptr, false);
   if (!body.is_object()) {
-    responder->Send(400, "application/json", "{\"error\":\"not JSON\"}");
+    responder->Send(400, kJson, "{\"error\":\"not JSON\"}");
+    return;
+  }
+  ++counts_.requests;
+  if (!faults_.crash_marker.empty() &&
+      request.body.find(faults_.crash_marker) != std::string::npos) {
+    responder->Abort();
+    Crash();
+    return;
+  }
+  if (around_.random.Uniform() < faults_.fail_share) {
+    ++counts_.failed;
+    responder->Send(500, kJson, "{\"error\":\"the stage failed\"}");
     return;
   }
   const std::string token = body.value("operation_token", "");
   if (!token.empty()) {
-    operations_.Add({body.value("operation_key", ""), token, options_.id});
+    around_.operations.Add(
+        {body.value("operation_key", ""), token, options_.id});
   }
-  ++running_;
   const std::shared_ptr<run> current = std::make_shared<run>();
+  current->id = next_run_++;
   current->responder = responder;
-  responder->OnClose([this, current] {
-    current->closed = true;
-    --running_;
+  current->input = body.value("input", json::object()).dump();
+  current->prefix_key = body.value("prefix_key", "");
+  current->position = body.value("stream_prefix", "").size();
+  current->result = {{"stage", body.value("stage", "")},
+                     {"target", options_.id},
+                     {"digest", InputMark(current->input)}};
+  if (!token.empty()) current->result["recorded_as"] = token.substr(0, 8);
+  runs_.emplace(current->id, current);
+  responder->OnClose([this, id = current->id] {
+    ++counts_.abandoned;
+    worker_->Remove(id);
+    runs_.erase(id);
   });
-  responder->StartStream(200, "application/x-ndjson");
-  const std::string input = body.value("input", json::object()).dump();
+  responder->StartStream(200, kLines);
+  if (faults_.hang) return;
+  StartJob(current, body.value("deferrable", false), body.value("priority", 0));
+}
+
+void target_service::StartJob(const std::shared_ptr<run>& current,
+                              bool deferrable, int priority) {
+  job work;
+  work.id = current->id;
+  work.priority = deferrable ? kDeferrablePriority : priority;
+  work.prefix_key = current->prefix_key;
+  work.service = ServiceTime(options_.service_us, current->input);
+  work.on_end = [this, current] { FinishRun(current); };
   if (options_.kind == "engine") {
-    current->text = GeneratedText(input, options_.tokens);
-    current->position = body.value("stream_prefix", "").size();
-    NextToken(current);
+    current->text = GeneratedText(current->input, options_.tokens);
+    const size_t left = std::min(current->position, current->text.size());
+    const auto start =
+        current->text.begin() + static_cast<std::ptrdiff_t>(left);
+    work.steps =
+        static_cast<uint32_t>(std::count(start, current->text.end(), ' '));
+    work.on_step = [this, current] { WriteToken(current); };
+    if (work.steps == 0) {
+      FinishRun(current);
+      return;
+    }
+  }
+  worker_->Submit(std::move(work));
+}
+
+void target_service::WriteToken(const std::shared_ptr<run>& current) {
+  const size_t end = current->text.find(' ', current->position);
+  if (end == std::string::npos || faults_.silent) return;
+  const std::string token =
+      current->text.substr(current->position, end - current->position + 1);
+  current->position = end + 1;
+  current->responder->Write(json{{"chunk", token}}.dump() + "\n");
+  ++current->written_tokens;
+  if (current->written_tokens != faults_.cut_after_tokens) return;
+  ++counts_.failed;
+  worker_->Remove(current->id);
+  current->responder->OnClose({});
+  current->responder->Abort();
+  runs_.erase(current->id);
+}
+
+void target_service::FinishRun(const std::shared_ptr<run>& current) {
+  // The last token may have been cut off.
+  if (runs_.erase(current->id) == 0 || faults_.silent) return;
+  ++counts_.answered;
+  json line = {{"done", true}};
+  if (options_.kind != "engine") line["result"] = current->result;
+  current->responder->Write(line.dump() + "\n");
+  current->responder->Finish();
+}
+
+void target_service::DropRuns() {
+  const std::unordered_map<uint64_t, std::shared_ptr<run>> dropped =
+      std::move(runs_);
+  runs_.clear();
+  for (const auto& [id, current] : dropped) {
+    worker_->Remove(id);
+    current->responder->OnClose({});
+    current->responder->Abort();
+  }
+  counts_.failed += dropped.size();
+  cache_.Clear();
+}
+
+void target_service::Crash() {
+  ++counts_.crashes;
+  crashed_ = true;
+  DropRuns();
+  around_.loop.Schedule(common::milliseconds(faults_.crash_ms),
+                        [this] { crashed_ = false; });
+}
+
+void target_service::PublishLoad() {
+  published_ = sampled_;
+  sampled_ = {worker_->running(), worker_->queued()};
+  around_.loop.Schedule(common::milliseconds(options_.load_lag_ms),
+                        [this] { PublishLoad(); });
+}
+
+void target_service::SendEvents(const net::http_request& request,
+                                net::http_responder* responder) const {
+  const std::string after = request.QueryArgument("after");
+  json events = json::array();
+  for (const cache_event& event :
+       cache_.Events(std::strtoull(after.c_str(), nullptr, 10),
+                     common::milliseconds(options_.event_lag_ms))) {
+    events.push_back({{"sequence", event.sequence},
+                      {"kind", event.stored ? "stored" : "evicted"},
+                      {"prefix_key", event.prefix_key}});
+  }
+  responder->Send(200, kJson, json{{"events", events}}.dump());
+}
+
+void target_service::OnOrder(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    responder->Send(400, kJson, "{\"error\":\"not JSON\"}");
     return;
   }
-  json result = {{"stage", body.value("stage", "")},
-                 {"target", options_.id},
-                 {"digest", common::Sha256Hex(input).substr(0, 16)}};
-  if (!token.empty()) result["recorded_as"] = token.substr(0, 8);
-  loop_.Schedule(common::duration(options_.service_us),
-                 [this, current, result] {
-                   if (current->closed) return;
-                   --running_;
-                   current->responder->Write(
-                       json{{"done", true}, {"result", result}}.dump() + "\n");
-                   current->responder->Finish();
-                 });
+  order_entry order;
+  order.target = options_.id;
+  order.order_id = body.value("order_id", "");
+  order.fencing_number = body.value("fencing_number", uint64_t{0});
+  order.kind = body.value("kind", "");
+  order.argument = body.value("argument", "");
+  order.authority = body.value("authority", "");
+  const bool stale =
+      options_.checks_fencing && order.fencing_number < highest_fencing_number_;
+  const bool foreign =
+      options_.checks_authority && order.authority != options_.authority;
+  order.accepted = !stale && !foreign;
+  around_.orders.Add(order);
+  if (foreign) {
+    responder->Send(403, kJson, "{\"error\":\"not from the controller\"}");
+  } else if (stale) {
+    responder->Send(409, kJson,
+                    json{{"error", "an older fencing number"},
+                         {"fencing_number", highest_fencing_number_}}
+                        .dump());
+  } else {
+    highest_fencing_number_ =
+        std::max(highest_fencing_number_, order.fencing_number);
+    CarryOut(order, responder);
+  }
 }
 
-void target_service::NextToken(const std::shared_ptr<run>& current) {
-  if (current->closed) return;
-  if (current->position >= current->text.size()) {
-    --running_;
-    current->responder->Write("{\"done\":true}\n");
-    current->responder->Finish();
+void target_service::CarryOut(
+    const order_entry& order,
+    const std::shared_ptr<net::http_responder>& responder) {
+  const auto answer = [this, id = order.order_id, responder] {
+    responder->Send(
+        200, kJson,
+        json{{"order_id", id}, {"models", models_}, {"role", role_}}.dump());
+  };
+  if (order.kind == "load_model" || order.kind == "load_adapter" ||
+      order.kind == "load_version") {
+    around_.weights.Load([this, answer, model = order.argument] {
+      models_.insert(model);
+      answer();
+    });
     return;
   }
-  const size_t end = current->text.find(' ', current->position);
-  const size_t size = end - current->position + 1;
-  const std::string token = current->text.substr(current->position, size);
-  current->position += size;
-  current->responder->Write(json{{"chunk", token}}.dump() + "\n");
-  loop_.Schedule(common::duration(options_.token_us),
-                 [this, current] { NextToken(current); });
+  if (order.kind == "unload_model") models_.erase(order.argument);
+  if (order.kind == "set_role") role_ = order.argument;
+  answer();
 }
 
 }  // namespace wisteriadale::standin
--- a/source/standin/target_service.h
+++ b/source/standin/target_service.h
@@ -1,71 +1,104 @@
 #pragma once
 
-#include <cstdint>
-#include <functional>
 #include <memory>
+#include <set>
 #include <string>
-#include <vector>
+#include <string_view>
+#include <unordered_map>
 
 #include "common/random.h"
 #include "net/http_server.h"
+#include "standin/prefix_cache.h"
+#include "standin/records.h"
+#include "standin/weight_store.h"
+#include "standin/worker.h"
 
-/// Stand-ins for the platform and the targets, for tests and measurements.
 namespace wisteriadale::standin {
 
-/// How a target that the stand-in plays behaves.
-struct target_options {
-  std::string id;
-  std::string kind;  ///< engine, stage or plain
-  uint16_t port = 0;
-  uint32_t tokens = 24;       ///< of an engine's answer
-  int64_t token_us = 3000;    ///< time for a token at low load
-  int64_t service_us = 2000;  ///< time for a stage or plain call
+/// What the targets of a stand-in share.
+struct target_surroundings {
+  net::event_loop& loop;
+  common::clock& clock;
+  common::random_source& random;
+  ledger& operations;
+  order_log& orders;
+  weight_store& weights;
 };
 
-/// One run of a non-idempotent operation, as the target saw it.
-struct ledger_entry {
-  std::string operation_key;
-  std::string operation_token;
-  std::string target;
-};
-
-/// Every operation that ran, over all targets of a stand-in.
-class ledger {
- public:
-  void Add(ledger_entry entry) { entries_.push_back(std::move(entry)); }
-  const std::vector<ledger_entry>& entries() const { return entries_; }
-
- private:
-  std::vector<ledger_entry> entries_;
-};
-
-/// Plays one target over HTTP.
+/// Plays one target over HTTP: an engine (engine.h), or a stage worker or a
+/// plain service (server_pool.h). A call of a pool takes service_us times a
+/// factor between 0.5 and 1.5, fixed by its input.
+///
+///   POST /run      runs a stage; answers lines of JSON
+///   POST /order    takes an order, answers when it is carried out
+///   GET  /load     a load report, load_lag_ms to twice that old
+///   GET  /events   cache events after ?after=, late and with gaps
+///   GET  /healthz  answers while the target is not down
+///
+/// A target that is down or has crashed still listens, and drops each
+/// connection without an answer.
 class target_service {
  public:
   static std::optional<std::unique_ptr<target_service>> Create(
-      net::event_loop& loop, const std::string& address,
-      const target_options& options, ledger& operations);
+      const target_surroundings& around, const std::string& address,
+      const target_options& options);
+  ~target_service();
+
+  void SetFaults(const target_faults& faults);
+  const target_options& options() const { return options_; }
+  uint16_t port() const { return server_->port(); }
+  const target_counts& counts() const { return counts_; }
 
  private:
   struct run;
+  struct load {
+    size_t running = 0;
+    size_t queued = 0;
+  };
 
-  target_service(net::event_loop& loop, const target_options& options,
-                 ledger& operations)
-      : loop_(loop), options_(options), operations_(operations) {}
+  target_service(const target_surroundings& around,
+                 const target_options& options);
 
+  void OnHttp(const net::http_request& request,
+              const std::shared_ptr<net::http_responder>& responder);
   void OnRun(const net::http_request& request,
              const std::shared_ptr<net::http_responder>& responder);
-  void NextToken(const std::shared_ptr<run>& current);
+  void OnOrder(const net::http_request& request,
+               const std::shared_ptr<net::http_responder>& responder);
+  void CarryOut(const order_entry& order,
+                const std::shared_ptr<net::http_responder>& responder);
+  void SendEvents(const net::http_request& request,
+                  net::http_responder* responder) const;
+  void StartJob(const std::shared_ptr<run>& current, bool deferrable,
+                int priority);
+  void WriteToken(const std::shared_ptr<run>& current);
+  void FinishRun(const std::shared_ptr<run>& current);
+  void DropRuns();
+  void Crash();
+  void PublishLoad();
 
-  net::event_loop& loop_;
+  target_surroundings around_;
   target_options options_;
-  ledger& operations_;
-  uint32_t running_ = 0;
+  target_faults faults_;
+  target_counts counts_;
+  prefix_cache cache_;
+  std::unique_ptr<worker> worker_;
+  std::unordered_map<uint64_t, std::shared_ptr<run>> runs_;
+  uint64_t next_run_ = 1;
+  bool crashed_ = false;
+  load sampled_;
+  load published_;
+  uint64_t highest_fencing_number_ = 0;
+  std::set<std::string> models_;
+  std::string role_;
   std::unique_ptr<net::http_server> server_;
 };
 
 /// @return the text that an engine generates for an input, the same on every
 /// target, so that a stream can be continued elsewhere
-std::string GeneratedText(const std::string& input, uint32_t tokens);
+std::string GeneratedText(std::string_view input, uint32_t tokens);
+
+/// @return the mark of an input in the results of stages and plain services
+std::string InputMark(std::string_view input);
 
 }  // namespace wisteriadale::standin
