--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -24,11 +24,12 @@
 }
 trap clean_up EXIT
 
-# Starts the fleet on ports that are free; others may take them meanwhile.
+# Starts the fleet on ports below those that the system gives to outgoing
+# connections, and tries others when a port is taken.
 start() {
   local try
   for ((try = 1; try <= start_tries; ++try)); do
-    export WISTERIA_BASE_PORT=$((40000 + RANDOM % 40 * 100 + 10 * (RANDOM % 9)))
+    export WISTERIA_BASE_PORT=$((14000 + RANDOM % 12 * 1500 + RANDOM % 9 * 10))
     scripts/fleet.sh start $deployment && return
     scripts/fleet.sh stop $deployment >/dev/null 2>&1 || true
   done
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -12,6 +12,8 @@
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
+constexpr int32_t kMaxListEntries = 1024;
+
 int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
 uint64_t Unsigned(int64_t value) { return static_cast<uint64_t>(value); }
 
@@ -53,6 +55,9 @@
     to.data_centre = from.data_centre;
     to.is_router = from.is_router;
     to.configuration_version = Signed(from.configuration_version);
+    to.pool = from.pool;
+    to.address = from.address;
+    to.port = from.port;
     frame->__set_hello_part(to);
   }
 
@@ -141,6 +146,7 @@
     to.answer = from.answer;
     to.load = ToWire(from.load);
     to.configuration_version = Signed(from.configuration_version);
+    to.quarantine_hash = Signed(from.quarantine_hash);
     frame->__set_ping_part(to);
   }
 
@@ -159,6 +165,8 @@
     to.fencing_number = Signed(from.fencing_number);
     to.kind = from.kind;
     to.argument = from.argument;
+    to.target = from.target;
+    to.authority = from.authority;
     frame->__set_order_part(to);
   }
 
@@ -176,6 +184,7 @@
     to.digest = from.digest;
     to.expires_wall_us = from.expires_wall_us;
     to.lifted = from.lifted;
+    to.suspect = from.suspect;
     frame->__set_conviction_part(to);
   }
 };
@@ -187,6 +196,9 @@
   to.data_centre = from.data_centre;
   to.is_router = from.is_router;
   to.configuration_version = Unsigned(from.configuration_version);
+  to.pool = from.pool;
+  to.address = from.address;
+  to.port = static_cast<uint16_t>(from.port);
   return to;
 }
 
@@ -236,6 +248,7 @@
   to.answer = from.answer;
   to.load = FromWire(from.load);
   to.configuration_version = Unsigned(from.configuration_version);
+  to.quarantine_hash = Unsigned(from.quarantine_hash);
   return to;
 }
 
@@ -280,13 +293,14 @@
   if (frame.__isset.order_part) {
     const generated::order& part = frame.order_part;
     return core::order_message{part.order_id, Unsigned(part.fencing_number),
-                               part.kind, part.argument};
+                               part.kind,     part.argument,
+                               part.target,   part.authority};
   }
   if (frame.__isset.order_answer_part) return FromWire(frame.order_answer_part);
   if (frame.__isset.conviction_part) {
     const generated::conviction& part = frame.conviction_part;
     return core::conviction_message{part.digest, part.expires_wall_us,
-                                    part.lifted};
+                                    part.lifted, part.suspect};
   }
   return std::nullopt;
 }
@@ -304,15 +318,17 @@
 }
 
 std::optional<core::message> Decode(std::string_view frame) {
-  const std::shared_ptr<TMemoryBuffer> buffer =
-      std::make_shared<TMemoryBuffer>();
   generated::frame parsed;
   // Thrift reports malformed input by exceptions; they end here.
   try {
-    buffer->resetBuffer(
-        reinterpret_cast<uint8_t*>(const_cast<char*>(frame.data())),
-        static_cast<uint32_t>(frame.size()), TMemoryBuffer::OBSERVE);
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    const std::shared_ptr<TMemoryBuffer> buffer =
+        std::make_shared<TMemoryBuffer>(
+            reinterpret_cast<uint8_t*>(const_cast<char*>(frame.data())),
+            static_cast<uint32_t>(frame.size()), TMemoryBuffer::OBSERVE);
+    // A frame may claim sizes that it does not hold; memory is not taken for
+    // them.
+    TCompactProtocolT<TMemoryBuffer> protocol(
+        buffer, static_cast<int32_t>(frame.size()), kMaxListEntries);
     parsed.read(&protocol);
   } catch (const std::exception& error) {
     common::SetLastReason(common::result_code::kBadFrame, error.what());
