--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -189,6 +189,7 @@
       pending_.clear();
       written_ = 0;
       lws_set_timeout(wsi_, NO_PENDING_TIMEOUT, 0);
+      if (aborted_) return -1;
     } else {
       ExpectProgress();
       lws_callback_on_writable(wsi_);
