--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -130,9 +130,11 @@
  private:
   /// From now on the caller has to take bytes within the bound.
   void ExpectProgress() {
-    lws_set_timeout_us(wsi_, PENDING_TIMEOUT_HTTP_CONTENT,
-                       static_cast<lws_usec_t>(
-                           limits_.send_stall_limit.count()));
+    const int64_t seconds =
+        std::chrono::ceil<std::chrono::seconds>(limits_.send_stall_limit)
+            .count();
+    lws_set_timeout(wsi_, PENDING_TIMEOUT_HTTP_CONTENT,
+                    static_cast<int>(seconds));
   }
 
   /// Cuts the answer off: its final chunk is never written.
