Route over a rendezvous subset with affinity, slow start and ejection

two_choices looked at the whole pool, at distance as a constant factor, and at nothing that a target had done before. It now works on the router's subset (target_subset: each target picks its routers by rendezvous hashing, so none is left without, and a change moves one place), stays in its data centre below spill_at, counts what it sent since a late load report, lets new targets take up their share over slow_start, keeps a prefix with its target while that is not much busier than the mean (prefix_hints: hints that age; a gap in a target's cache events ends those from before it), and leaves out targets that outlier_detector ejected for failures or latency, a third of a pool at most. round_robin, random and least_outstanding stay as baselines by name; the schema refuses other names. The set of policies follows the preset of each new request; what is measured outlives it.

--- a/source/core/configuration/configuration.cc
+++ b/source/core/configuration/configuration.cc
@@ -32,6 +32,8 @@
   stage.pool = from.value("pool", "");
   stage.idempotent = from.value("idempotent", true);
   stage.streamed = from.value("streamed", false);
+  // Engines stream, and engines keep prompt prefixes.
+  stage.prefix_affinity = from.value("prefix_affinity", stage.streamed);
   return stage;
 }
 
@@ -61,12 +63,30 @@
 preset_policy ReadPreset(const std::string& name, const json& from) {
   preset_policy preset;
   preset.name = name;
-  preset.routing = from.value("routing", preset.routing);
-  preset.max_attempts = from.value("max_attempts", preset.max_attempts);
-  preset.retry_ratio = from.value("retry_ratio", preset.retry_ratio);
-  preset.hedging = from.value("hedging", preset.hedging);
-  preset.hedge_quantile = from.value("hedge_quantile", preset.hedge_quantile);
-  preset.remote_penalty = from.value("remote_penalty", preset.remote_penalty);
+  const auto read = [&from](const char* key, auto* field) {
+    *field = from.value(key, *field);
+  };
+  read("routing", &preset.routing);
+  read("subset_size", &preset.subset_size);
+  read("spill_at", &preset.spill_at);
+  read("remote_penalty", &preset.remote_penalty);
+  read("prefix_affinity", &preset.prefix_affinity);
+  read("affinity_bound", &preset.affinity_bound);
+  read("ejection_share", &preset.ejection_share);
+  read("retry", &preset.retry);
+  read("max_attempts", &preset.max_attempts);
+  read("max_request_retries", &preset.max_request_retries);
+  read("retry_ratio", &preset.retry_ratio);
+  read("hedging", &preset.hedging);
+  read("hedge_quantile", &preset.hedge_quantile);
+  read("deadlines", &preset.deadlines);
+  read("finish_quantile", &preset.finish_quantile);
+  read("timeout_quantile", &preset.timeout_quantile);
+  read("timeout_factor", &preset.timeout_factor);
+  read("admission", &preset.admission);
+  read("organisation_rate", &preset.organisation_rate);
+  preset.slow_start = common::milliseconds(
+      from.value("slow_start_ms", preset.slow_start.count()));
   preset.drained_data_centres =
       from.value("drained_data_centres", std::vector<std::string>());
   return preset;
--- a/source/core/configuration/configuration.h
+++ b/source/core/configuration/configuration.h
@@ -18,6 +18,7 @@
   std::string pool;
   bool idempotent = true;
   bool streamed = false;  ///< its result reaches the caller piece by piece
+  bool prefix_affinity = false;  ///< its targets keep prompt prefixes
 };
 
 /// The stages that a request runs, in order.
@@ -41,12 +42,36 @@
 /// What a preset changes.
 struct preset_policy {
   std::string name;
+
+  /// two_choices, or a baseline: round_robin, random, least_outstanding
   std::string routing = "two_choices";
-  uint32_t max_attempts = 3;  ///< for each idempotent stage
-  double retry_ratio = 0.1;   ///< retries as a share of successes
+  uint32_t subset_size = 64;    ///< targets of a pool that a router works with
+  double spill_at = 0.5;        ///< local load from which others are looked at
+  double remote_penalty = 1.5;  ///< load factor for other data centres
+  bool prefix_affinity = true;
+  double affinity_bound = 1.25;  ///< over the mean load
+  common::milliseconds slow_start{10000};
+  double ejection_share = 0.34;  ///< of a pool that may be ejected; 0: none
+
+  /// budget, or a baseline: none, immediate
+  std::string retry = "budget";
+  uint32_t max_attempts = 3;         ///< for each idempotent stage
+  uint32_t max_request_retries = 4;  ///< over all stages of a request
+  double retry_ratio = 0.1;          ///< retries as a share of successes
   bool hedging = false;
   double hedge_quantile = 0.95;  ///< hedge after this latency quantile
-  double remote_penalty = 2.0;   ///< load factor for other data centres
+
+  /// quantiles, or a baseline: whole
+  std::string deadlines = "quantiles";
+  double finish_quantile = 0.5;    ///< that must fit in what remains
+  double timeout_quantile = 0.99;  ///< of an attempt without progress
+  double timeout_factor = 3.0;
+
+  /// early, or a baseline: open
+  std::string admission = "early";
+  double organisation_rate = 0;  ///< requests a second for each unit of weight,
+                                 ///< over all routers; 0: no quota
+
   std::vector<std::string> drained_data_centres;
   bool operator==(const preset_policy&) const = default;
 };
--- a/source/core/configuration/configuration_schema.cc
+++ b/source/core/configuration/configuration_schema.cc
@@ -23,12 +23,32 @@
       "additionalProperties": {
         "type": "object",
         "properties": {
-          "routing": {"type": "string"},
+          "routing": {"enum": ["two_choices", "round_robin", "random",
+                               "least_outstanding"]},
+          "subset_size": {"type": "integer", "minimum": 1, "maximum": 4096},
+          "spill_at": {"type": "number", "minimum": 0, "maximum": 1000},
+          "remote_penalty": {"type": "number", "minimum": 1, "maximum": 1000},
+          "prefix_affinity": {"type": "boolean"},
+          "affinity_bound": {"type": "number", "minimum": 1, "maximum": 100},
+          "slow_start_ms": {"type": "integer", "minimum": 0,
+                            "maximum": 600000},
+          "ejection_share": {"type": "number", "minimum": 0, "maximum": 0.5},
+          "retry": {"enum": ["budget", "none", "immediate"]},
           "max_attempts": {"type": "integer", "minimum": 1, "maximum": 16},
+          "max_request_retries": {"type": "integer", "minimum": 0,
+                                  "maximum": 64},
           "retry_ratio": {"type": "number", "minimum": 0, "maximum": 1},
           "hedging": {"type": "boolean"},
-          "hedge_quantile": {"type": "number", "minimum": 0, "maximum": 1},
-          "remote_penalty": {"type": "number", "minimum": 1, "maximum": 1000},
+          "hedge_quantile": {"type": "number", "minimum": 0.5,
+                             "maximum": 0.999},
+          "deadlines": {"enum": ["quantiles", "whole"]},
+          "finish_quantile": {"type": "number", "minimum": 0, "maximum": 1},
+          "timeout_quantile": {"type": "number", "minimum": 0.5,
+                               "maximum": 1},
+          "timeout_factor": {"type": "number", "minimum": 1, "maximum": 100},
+          "admission": {"enum": ["early", "open"]},
+          "organisation_rate": {"type": "number", "minimum": 0,
+                                "maximum": 1000000},
           "drained_data_centres": {
             "type": "array",
             "items": {"type": "string", "minLength": 1}
@@ -55,7 +75,8 @@
                 "name": {"type": "string", "minLength": 1},
                 "pool": {"type": "string", "minLength": 1},
                 "idempotent": {"type": "boolean"},
-                "streamed": {"type": "boolean"}
+                "streamed": {"type": "boolean"},
+                "prefix_affinity": {"type": "boolean"}
               }
             }
           }
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "common/digest.h"
 #include "common/invariant.h"
 #include "common/metrics.h"
 
@@ -14,6 +15,21 @@
 
 constexpr common::duration kSettleLimit = std::chrono::seconds(30);
 
+/// Bytes at the start of a body that make requests share a prompt prefix.
+constexpr size_t kPrefixBytes = 256;
+
+/// @return the key under which engines are likely to share a prompt prefix
+std::string PrefixKey(const request_description& description) {
+  const json body = json::parse(description.body, nullptr, false);
+  std::string text = description.body.substr(0, kPrefixBytes);
+  if (body.is_object() && body.contains("conversation")) {
+    text = body["conversation"].dump();
+  }
+  return common::Sha256Hex(description.plan.name + "\n" +
+                           description.organisation + "\n" + text)
+      .substr(0, 16);
+}
+
 json ParseOrText(const std::string& text) {
   json parsed = json::parse(text, nullptr, false);
   return parsed.is_discarded() ? json(text) : parsed;
@@ -37,6 +53,7 @@
                                                self->deadline_timer_ = 0;
                                                self->OnDeadline();
                                              });
+  prefix_key_ = PrefixKey(description_);
   StartStage();
 }
 
@@ -67,6 +84,7 @@
   request.pool = Stage().pool;
   request.organisation = description_.organisation;
   request.excluded = tried_targets_;
+  if (Stage().prefix_affinity) request.prefix_key = prefix_key_;
   target_view* chosen = policies_->routing->Choose(*pool, request);
   if (chosen != nullptr || !running_.empty()) return chosen;
   // Every target was tried once; a second round beats giving up.
@@ -158,6 +176,7 @@
       std::chrono::duration_cast<common::milliseconds>(Remaining());
   execute.deferrable = description_.plan.deferrable;
   execute.stream_prefix = stream_;
+  if (Stage().prefix_affinity) execute.prefix_key = prefix_key_;
   execute.configuration_version = description_.configuration_in_force->version;
   execute.trace = common::ChildOf(description_.trace, context_.random);
   if (!token.empty()) {
@@ -249,6 +268,13 @@
   }
 }
 
+void request_executor::NoteAttempt(const running_attempt& attempt,
+                                   result_code code) {
+  policies_->OnAttempt(context_.targets, Stage().pool, attempt.target,
+                       stage_key_, code,
+                       context_.clock.Now() - attempt.started);
+}
+
 void request_executor::EndAttempt(const std::string& attempt_id) {
   const running_attempt* attempt = running_.Find(attempt_id);
   if (attempt == nullptr) return;
@@ -281,6 +307,7 @@
   const running_attempt* attempt = running_.Find(outcome.attempt_id);
   if (attempt == nullptr) return;
   const std::string target = attempt->target;
+  NoteAttempt(*attempt, outcome.code);
   EndAttempt(outcome.attempt_id);
   if (outcome.code != result_code::kOk) {
     StageFailed(outcome);
@@ -408,7 +435,9 @@
 }
 
 void request_executor::OnLost(std::string_view attempt_id) {
-  if (running_.Find(attempt_id) == nullptr) return;
+  const running_attempt* attempt = running_.Find(attempt_id);
+  if (attempt == nullptr) return;
+  NoteAttempt(*attempt, result_code::kTargetLost);
   EndAttempt(std::string(attempt_id));
   outcome_message outcome;
   outcome.code = result_code::kTargetLost;
--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -124,6 +124,7 @@
   void CancelOthers(std::string_view attempt_id);
   void ReleaseReservation(common::result_code code, const std::string& reason);
   void OnDeadline();
+  void NoteAttempt(const running_attempt& attempt, common::result_code code);
   void EndAttempt(const std::string& attempt_id);
   void Fail(common::result_code code, const std::string& reason,
             request_fate fate);
@@ -138,6 +139,7 @@
   common::timer_id retry_timer_ = 0;
   size_t stage_index_ = 0;
   std::shared_ptr<policy_set> policies_;
+  std::string prefix_key_;
   std::string stage_key_;       ///< pipeline and stage that runs now
   uint32_t attempts_made_ = 0;  ///< of the stage that runs now
   uint32_t waits_ = 0;          ///< of the stage that runs now
--- a/source/core/policy/policy_book.cc
+++ b/source/core/policy/policy_book.cc
@@ -1,16 +1,50 @@
 #include "core/policy/policy_book.h"
 
+#include "common/invariant.h"
 #include "common/last_reason.h"
 #include "core/retry/fixed_retry.h"
+#include "core/routing/baselines.h"
 #include "core/routing/two_choices.h"
 
 namespace wisteriadale::core {
+namespace {
+
+constexpr common::duration kHintAge = std::chrono::seconds(60);
+constexpr size_t kHints = 65536;
+
+two_choices_options RoutingOptions(const preset_policy& preset,
+                                   const policy_state& state) {
+  two_choices_options options;
+  options.data_centre = state.self.data_centre;
+  options.spill_at = preset.spill_at;
+  options.remote_penalty = preset.remote_penalty;
+  options.prefix_affinity = preset.prefix_affinity;
+  options.affinity_bound = preset.affinity_bound;
+  options.slow_start = preset.slow_start;
+  return options;
+}
+
+outlier_options OutlierOptions(const preset_policy& preset) {
+  outlier_options options;
+  options.largest_share = preset.ejection_share;
+  return options;
+}
+
+}  // namespace
 
 std::optional<std::unique_ptr<routing_policy>> MakeRoutingPolicy(
-    const preset_policy& preset, const policy_environment& environment) {
+    const preset_policy& preset, policy_state& state, target_subset& subset) {
   if (preset.routing == "two_choices") {
-    return std::make_unique<two_choices>(
-        environment.random, environment.data_centre, preset.remote_penalty);
+    return std::make_unique<two_choices>(state.clock, state.random, subset,
+                                         state.hints,
+                                         RoutingOptions(preset, state));
+  }
+  if (preset.routing == "round_robin") return std::make_unique<round_robin>();
+  if (preset.routing == "random") {
+    return std::make_unique<random_choice>(state.random);
+  }
+  if (preset.routing == "least_outstanding") {
+    return std::make_unique<least_outstanding>(state.random);
   }
   common::SetLastReason(common::result_code::kBadConfiguration,
                         "unknown routing policy " + preset.routing);
@@ -18,24 +52,75 @@
 }
 
 std::optional<std::unique_ptr<retry_policy>> MakeRetryPolicy(
-    const preset_policy& preset, const policy_environment&) {
-  return std::make_unique<fixed_retry>(preset.max_attempts);
+    const preset_policy& preset) {
+  constexpr uint32_t kImmediateAttempts = 4;
+  if (preset.retry == "none") return std::make_unique<fixed_retry>(1);
+  if (preset.retry == "immediate") {
+    return std::make_unique<fixed_retry>(kImmediateAttempts);
+  }
+  if (preset.retry == "budget") {
+    return std::make_unique<fixed_retry>(preset.max_attempts);
+  }
+  common::SetLastReason(common::result_code::kBadConfiguration,
+                        "unknown retry policy " + preset.retry);
+  return std::nullopt;
 }
 
-std::shared_ptr<policy_set> policy_book::For(const preset_policy& preset) {
-  if (current_ && current_->preset == preset) return current_;
+policy_state::policy_state(common::clock& time, common::random_source& source,
+                           const router_entry& router)
+    : clock(time),
+      random(source),
+      self(router),
+      hints(time, kHintAge, kHints) {}
+
+policy_set::policy_set(const preset_policy& preset, policy_state& state)
+    : preset_(preset),
+      state_(state),
+      subset_(state.self, preset.subset_size),
+      outliers_(state.clock, OutlierOptions(preset)) {
+  subset_.SetRouters(state.routers);
+}
+
+std::optional<std::shared_ptr<policy_set>> policy_set::Create(
+    const preset_policy& preset, policy_state& state) {
+  const std::shared_ptr<policy_set> set(new policy_set(preset, state));
   std::optional<std::unique_ptr<routing_policy>> routing =
-      MakeRoutingPolicy(preset, environment_);
-  std::optional<std::unique_ptr<retry_policy>> retry =
-      MakeRetryPolicy(preset, environment_);
-  // ParseConfiguration refuses names that no factory knows.
-  if (!routing || !retry) return current_;
-  current_ = std::make_shared<policy_set>();
-  current_->preset = preset;
-  current_->routing = std::move(*routing);
-  current_->retry = std::move(*retry);
-  current_->deadlines = std::make_unique<whole_deadline>();
+      MakeRoutingPolicy(preset, state, set->subset_);
+  if (!routing) return std::nullopt;
+  std::optional<std::unique_ptr<retry_policy>> retry = MakeRetryPolicy(preset);
+  if (!retry) return std::nullopt;
+  set->routing = std::move(*routing);
+  set->retry = std::move(*retry);
+  set->deadlines = std::make_unique<whole_deadline>();
+  return set;
+}
+
+void policy_set::OnAttempt(target_table& targets, std::string_view pool,
+                           std::string_view target, std::string_view stage,
+                           common::result_code code, common::duration took) {
+  if (code == common::result_code::kOk) state_.latencies.Add(stage, took);
+  const target_pool* members = targets.Pool(pool);
+  target_view* view = targets.Find(target);
+  if (members == nullptr || view == nullptr) return;
+  if (preset_.ejection_share <= 0) return;
+  outliers_.OnOutcome(*members, view, code, took);
+}
+
+std::shared_ptr<policy_set> policy_book::For(const preset_policy& preset) {
+  if (current_ && current_->preset() == preset) return current_;
+  std::optional<std::shared_ptr<policy_set>> made =
+      policy_set::Create(preset, state_);
+  // The configuration's check refuses names that no factory knows.
+  common::CheckInvariant(made.has_value(), "preset_names_known_policies",
+                         common::LastReason().text);
+  if (made) current_ = std::move(*made);
   return current_;
 }
 
+void policy_book::SetRouters(std::vector<router_entry> routers) {
+  if (routers == state_.routers) return;
+  state_.routers = std::move(routers);
+  if (current_) current_->SetRouters(state_.routers);
+}
+
 }  // namespace wisteriadale::core
--- a/source/core/policy/policy_book.h
+++ b/source/core/policy/policy_book.h
@@ -3,53 +3,92 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/random.h"
 #include "core/admission/deadline_policy.h"
+#include "core/admission/stage_latencies.h"
 #include "core/configuration/configuration.h"
 #include "core/retry/retry_policy.h"
+#include "core/routing/outlier_detector.h"
+#include "core/routing/prefix_hints.h"
 #include "core/routing/routing_policy.h"
+#include "core/routing/target_subset.h"
+#include "core/routing/target_table.h"
 
 namespace wisteriadale::core {
 
+/// What the policies of a router measure and share. It outlives a preset.
+struct policy_state {
+  policy_state(common::clock& time, common::random_source& source,
+               const router_entry& router);
+
+  common::clock& clock;
+  common::random_source& random;
+  router_entry self;
+  std::vector<router_entry> routers;
+  prefix_hints hints;
+  stage_latencies latencies;
+};
+
 /// The policies of one preset. A request keeps the set it started with.
-struct policy_set {
-  preset_policy preset;
+class policy_set {
+ public:
+  /// @return the policies that a preset names, or nothing with LastReason set
+  static std::optional<std::shared_ptr<policy_set>> Create(
+      const preset_policy& preset, policy_state& state);
+
+  const preset_policy& preset() const { return preset_; }
+  /// Tells which routers share the targets.
+  void SetRouters(const std::vector<router_entry>& routers) {
+    subset_.SetRouters(routers);
+  }
+  /// An attempt ended on a target.
+  void OnAttempt(target_table& targets, std::string_view pool,
+                 std::string_view target, std::string_view stage,
+                 common::result_code code, common::duration took);
+
   std::unique_ptr<routing_policy> routing;
   std::unique_ptr<retry_policy> retry;
   std::unique_ptr<deadline_policy> deadlines;
-};
 
-/// What the policies of a router share.
-struct policy_environment {
-  common::clock& clock;
-  common::random_source& random;
-  std::string router_name;
-  std::string data_centre;
+ private:
+  policy_set(const preset_policy& preset, policy_state& state);
+
+  preset_policy preset_;
+  policy_state& state_;
+  target_subset subset_;
+  outlier_detector outliers_;
 };
 
+/// @param subset kept alive by the caller
+/// @return the routing policy of a preset, or nothing with LastReason set
+std::optional<std::unique_ptr<routing_policy>> MakeRoutingPolicy(
+    const preset_policy& preset, policy_state& state, target_subset& subset);
+
+/// @return the retry policy of a preset, or nothing with LastReason set
+std::optional<std::unique_ptr<retry_policy>> MakeRetryPolicy(
+    const preset_policy& preset);
+
 /// Makes the policies that a preset names, and keeps what they measure across
 /// changes of the preset.
 class policy_book {
  public:
-  explicit policy_book(policy_environment environment)
-      : environment_(std::move(environment)) {}
+  policy_book(common::clock& clock, common::random_source& random,
+              const router_entry& self)
+      : state_(clock, random, self) {}
 
   /// @return the policies for a preset
   std::shared_ptr<policy_set> For(const preset_policy& preset);
+  /// Tells which routers share the targets.
+  void SetRouters(std::vector<router_entry> routers);
+  policy_state& state() { return state_; }
 
  private:
-  policy_environment environment_;
+  policy_state state_;
   std::shared_ptr<policy_set> current_;
 };
 
-/// @return the routing policy of that name, or nothing with LastReason set
-std::optional<std::unique_ptr<routing_policy>> MakeRoutingPolicy(
-    const preset_policy& preset, const policy_environment& environment);
-
-/// @return the retry policy that the preset names, or nothing with LastReason
-std::optional<std::unique_ptr<retry_policy>> MakeRetryPolicy(
-    const preset_policy& preset, const policy_environment& environment);
-
 }  // namespace wisteriadale::core
--- a/source/core/routing/target_view.h
+++ b/source/core/routing/target_view.h
@@ -11,6 +11,16 @@
 
 namespace wisteriadale::core {
 
+/// How a target has answered this router, kept by outlier_detector.
+struct target_health {
+  double failure_rate = 0;  ///< smoothed share of failed attempts
+  double latency_us = 0;    ///< smoothed time of attempts that ended well
+  uint32_t samples = 0;     ///< since it was last ejected
+  uint32_t slow_row = 0;    ///< samples in a row that were far over the pool's
+  uint32_t ejections = 0;   ///< in a row
+  common::time_point ejected_until;
+};
+
 /// What a router knows of one target.
 struct target_view {
   std::string id;
@@ -25,6 +35,10 @@
   uint32_t local_in_flight = 0;  ///< attempts of this router
   uint32_t local_at_report = 0;  ///< local_in_flight when load was received
 
+  target_health health;
+  uint64_t seen_incarnation = 0;       ///< the one available_since is about
+  common::time_point available_since;  ///< new, or back from an ejection
+
   /// @return whether new work may be sent
   bool Usable() const {
     return connected && !listed_leaving && !drained && load.accepting;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -47,9 +47,9 @@
   hello.name = name;
   hello.data_centre = data_centre;
   hello.is_router = true;
-  process->policies_ =
-      std::make_unique<core::policy_book>(core::policy_environment{
-          process->clock_, *process->random_, name, data_centre});
+  process->policies_ = std::make_unique<core::policy_book>(
+      process->clock_, *process->random_,
+      core::router_entry{name, data_centre});
   process->links_ = std::make_unique<agent_links>(events, process->clock_,
                                                   process->targets_, hello);
   process->attempts_ = std::make_unique<core::attempt_table>(
@@ -106,7 +106,10 @@
 
 void router_process::PollVmList() {
   vms_->Fetch([this](std::optional<std::vector<core::vm_entry>> entries) {
-    if (entries) links_->Apply(*entries);
+    if (entries) {
+      links_->Apply(*entries);
+      policies_->SetRouters(core::LiveRouters(*entries));
+    }
     loop_->Schedule(vm_list_period_, [this] { PollVmList(); });
   });
 }
--- a/source/unit_tests/longrun/router_node.cc
+++ b/source/unit_tests/longrun/router_node.cc
@@ -40,11 +40,11 @@
     : process_(time),
       rows_(rows, process_),
       dial_(std::move(dial)),
-      routing_(random, "", 1.0),
+      policies_(process_, random, {name, ""}),
       attempts_(*this, process_, kReconnectLimit),
       operations_(rows_, process_, process_, random),
-      context_{process_, process_,  random,      targets_,
-               routing_, attempts_, operations_, std::move(name)} {}
+      context_{process_,  process_,  random,      targets_,
+               policies_, attempts_, operations_, std::move(name)} {}
 
 void router_node::Start(const std::vector<listed_target>& targets) {
   for (const listed_target& target : targets) {
--- a/source/unit_tests/longrun/router_node.h
+++ b/source/unit_tests/longrun/router_node.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "core/pipeline/request_executor.h"
-#include "core/routing/two_choices.h"
+#include "core/policy/policy_book.h"
 #include "unit_tests/fakes/process_table.h"
 #include "unit_tests/longrun/network.h"
 
@@ -56,7 +56,7 @@
   fakes::process_table rows_;
   dialler dial_;
   core::target_table targets_;
-  core::two_choices routing_;
+  core::policy_book policies_;
   core::attempt_table attempts_;
   core::operation_log operations_;
   core::executor_context context_;
