--- a/source/unit_tests/longrun/router_node.cc
+++ b/source/unit_tests/longrun/router_node.cc
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-router_node::router_node(std::string name, fakes::virtual_time& time,
+router_node::router_node(const std::string& name, fakes::virtual_time& time,
                          core::table& rows, common::random_source& random,
                          dialler dial)
     : process_(time),
@@ -44,7 +44,7 @@
       attempts_(*this, process_, kReconnectLimit),
       operations_(rows_, process_, process_, random),
       context_{process_,  process_,  random,      targets_,
-               policies_, attempts_, operations_, std::move(name)} {}
+               policies_, attempts_, operations_, name} {}
 
 void router_node::Start(const std::vector<listed_target>& targets) {
   for (const listed_target& target : targets) {
--- a/source/unit_tests/longrun/router_node.h
+++ b/source/unit_tests/longrun/router_node.h
@@ -27,8 +27,8 @@
 class router_node final : public core::agent_sender,
                           public std::enable_shared_from_this<router_node> {
  public:
-  router_node(std::string name, fakes::virtual_time& time, core::table& rows,
-              common::random_source& random, dialler dial);
+  router_node(const std::string& name, fakes::virtual_time& time,
+              core::table& rows, common::random_source& random, dialler dial);
 
   /// Begins to dial the targets and to ping them.
   void Start(const std::vector<listed_target>& targets);
