--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -29,6 +29,8 @@
  private:
   agent_process() = default;
 
+  /// @return false, with LastReason set, when a policy has no such name
+  bool SetPolicies(const settings::settings_document& settings);
   void SetRecorder(const settings::settings_document& settings);
   void Accept(std::shared_ptr<net::channel> channel);
   void OnFrame(core::router_link link, std::string_view frame);
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "common/digest.h"
 #include "common/invariant.h"
 #include "common/metrics.h"
 
@@ -12,6 +13,21 @@
 using common::result_code;
 using nlohmann::json;
 
+/// Bytes at the start of a body that make requests share a prompt prefix.
+constexpr size_t kPrefixBytes = 256;
+
+/// @return the key under which engines are likely to share a prompt prefix
+std::string PrefixKey(const request_description& description) {
+  const json body = json::parse(description.body, nullptr, false);
+  std::string text = description.body.substr(0, kPrefixBytes);
+  if (body.is_object() && body.contains("conversation")) {
+    text = body["conversation"].dump();
+  }
+  return common::Sha256Hex(description.plan.name + "\n" +
+                           description.organisation + "\n" + text)
+      .substr(0, 16);
+}
+
 json ParseOrText(const std::string& text) {
   json parsed = json::parse(text, nullptr, false);
   return parsed.is_discarded() ? json(text) : parsed;
@@ -35,6 +51,7 @@
                                                self->deadline_timer_ = 0;
                                                self->OnDeadline();
                                              });
+  prefix_key_ = PrefixKey(description_);
   if (!description_.plan.HasNonIdempotentStage()) {
     StartStage();
     return;
@@ -75,6 +92,7 @@
   request.pool = Stage().pool;
   request.organisation = description_.organisation;
   request.excluded = tried_targets_;
+  if (Stage().prefix_affinity) request.prefix_key = prefix_key_;
   target_view* chosen = policies_->routing->Choose(*pool, request);
   if (chosen != nullptr || !running_.empty()) return chosen;
   // Every target was tried once; a second round beats giving up.
@@ -173,6 +191,7 @@
       std::chrono::duration_cast<common::milliseconds>(Remaining());
   execute.deferrable = description_.plan.deferrable;
   execute.stream_prefix = stream_;
+  if (Stage().prefix_affinity) execute.prefix_key = prefix_key_;
   execute.configuration_version = description_.configuration_in_force->version;
   execute.trace = common::ChildOf(description_.trace, context_.random);
   if (reservation != nullptr) {
@@ -271,6 +290,13 @@
   }
 }
 
+void request_executor::NoteAttempt(const running_attempt& attempt,
+                                   result_code code) {
+  policies_->OnAttempt(context_.targets, Stage().pool, attempt.target,
+                       stage_key_, code,
+                       context_.clock.Now() - attempt.started);
+}
+
 void request_executor::EndAttempt(const std::string& attempt_id) {
   const running_attempt* attempt = running_.Find(attempt_id);
   if (attempt == nullptr) return;
@@ -304,6 +330,7 @@
   const running_attempt* attempt = running_.Find(outcome.attempt_id);
   if (attempt == nullptr) return;
   const std::string target = attempt->target;
+  NoteAttempt(*attempt, outcome.code);
   EndAttempt(outcome.attempt_id);
   if (outcome.code != result_code::kOk) {
     StageFailed(outcome);
@@ -418,7 +445,9 @@
 }
 
 void request_executor::OnLost(std::string_view attempt_id) {
-  if (running_.Find(attempt_id) == nullptr) return;
+  const running_attempt* attempt = running_.Find(attempt_id);
+  if (attempt == nullptr) return;
+  NoteAttempt(*attempt, result_code::kTargetLost);
   EndAttempt(std::string(attempt_id));
   if (!Stage().idempotent) {
     if (!ended_) operation_->Lost();
--- a/source/wire/messages.thrift
+++ b/source/wire/messages.thrift
@@ -9,7 +9,8 @@
   4: i32 latency_us
   5: bool accepting
   6: i64 configuration_version
-  7: i64 token_window
+  7: i32 queue_wait_us
+  8: i64 token_window
 }
 
 struct trace_context {
