--- a/source/unit_tests/longrun/agent_node.h
+++ b/source/unit_tests/longrun/agent_node.h
@@ -45,6 +45,7 @@
   fakes::process_time& process() { return process_; }
   const core::attempt_host& host() const { return host_; }
   fake_target& target() { return target_; }
+  uint64_t incarnation() const { return hello_.incarnation; }
 
  private:
   void OnMessage(core::router_link link, const core::message& message);
--- a/source/unit_tests/longrun/fake_target.cc
+++ b/source/unit_tests/longrun/fake_target.cc
@@ -100,6 +100,10 @@
   const auto found = runs_.find(attempt_id);
   if (found == runs_.end()) return;
   core::target_observer* observer = found->second.observer;
+  const std::string token = found->second.execute.operation_token;
+  if (!token.empty() && result.code == result_code::kOk) {
+    ledger_.EndWell(token);
+  }
   runs_.erase(found);
   if (observer != nullptr) observer->OnTargetResult(attempt_id, result);
 }
--- a/source/unit_tests/longrun/ledger.h
+++ b/source/unit_tests/longrun/ledger.h
@@ -33,6 +33,11 @@
                   const std::string& operation_key, const std::string& digest,
                   common::time_point asked);
 
+  /// Notes that the run of a token ended with a result.
+  void EndWell(const std::string& token) { ended_well_.insert(token); }
+  bool EndedWell(const std::string& token) const {
+    return ended_well_.contains(token);
+  }
   bool Ran(const std::string& operation_key) const {
     return runs_.contains(operation_key);
   }
@@ -44,6 +49,7 @@
  private:
   std::map<std::string, ledger_run> runs_;
   std::set<std::string> told_not_run_;
+  std::set<std::string> ended_well_;
   uint64_t concurrent_not_run_ = 0;
 };
 
--- a/source/unit_tests/longrun/network.cc
+++ b/source/unit_tests/longrun/network.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr int64_t kMaxDelayUs = 4000;
+constexpr int64_t kMaxReorderUs = 30000;
+constexpr double kGarbledShare = 0.2;
 constexpr common::duration kCloseDelay = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -13,12 +15,42 @@
 void connection::Send(int end, const core::message& message) {
   if (broken_ || silent_[end]) return;
   if (router_closed_) return;
+  const auto* chunk = std::get_if<core::chunk_message>(&message);
+  if (garbled_ && chunk != nullptr && random_.Uniform() < kGarbledShare) {
+    SendGarbled(*chunk);
+    return;
+  }
   const common::duration delay(1 + random_.Below(kMaxDelayUs));
   common::time_point arrival =
       std::max(time_.Now() + delay, last_arrival_[end]);
   if (end == 1) arrival = std::max(arrival, stalled_until_);
   last_arrival_[end] = arrival;
-  time_.Schedule(arrival - time_.Now(), [this, alive = alive_, end, message] {
+  Deliver(end, message, arrival - time_.Now());
+}
+
+void connection::SendGarbled(const core::chunk_message& chunk) {
+  core::chunk_message sent = chunk;
+  switch (random_.Below(4)) {
+    case 0:  // lost
+      return;
+    case 1:  // reordered
+      break;
+    case 2:  // doubled
+      Deliver(0, sent, common::duration(1));
+      break;
+    default:  // foreign, beside the right one
+      Deliver(0, sent, common::duration(1));
+      sent.organisation = "others";
+      std::reverse(sent.data.begin(), sent.data.end());
+      sent.offset += sent.data.size();
+      break;
+  }
+  Deliver(0, sent, common::duration(random_.Below(kMaxReorderUs)));
+}
+
+void connection::Deliver(int end, const core::message& message,
+                         common::duration delay) {
+  time_.Schedule(delay, [this, alive = alive_, end, message] {
     if (!*alive || broken_ || silent_[end]) return;
     if (end == 0 && router_closed_) return;
     ends_[end].on_message(message);
--- a/source/unit_tests/longrun/network.h
+++ b/source/unit_tests/longrun/network.h
@@ -40,10 +40,15 @@
   void Silence(bool to_agent, bool to_router);
   /// What is sent to the agent arrives only at the given instant.
   void Stall(common::time_point until) { stalled_until_ = until; }
+  /// From now on, parts of streams to the router are lost, doubled, reordered
+  /// or come from another organisation, now and then.
+  void Garble() { garbled_ = true; }
   bool broken() const { return broken_; }
 
  private:
   void Send(int end, const core::message& message);
+  void SendGarbled(const core::chunk_message& chunk);
+  void Deliver(int end, const core::message& message, common::duration delay);
 
   fakes::virtual_time& time_;
   common::random_source& random_;
@@ -51,6 +56,7 @@
   common::time_point last_arrival_[2];
   common::time_point stalled_until_;
   bool silent_[2] = {false, false};
+  bool garbled_ = false;
   bool router_closed_ = false;
   bool broken_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/source/unit_tests/longrun/world.cc
+++ b/source/unit_tests/longrun/world.cc
@@ -207,10 +207,13 @@
   const auto found = router->links().find(where.listed.id);
   if (found == router->links().end() || !found->second) return;
   const std::shared_ptr<connection> link = found->second;
-  switch (random_.Below(4)) {
+  switch (random_.Below(5)) {
     case 0:
       link->Break();
       break;
+    case 3:
+      link->Garble();
+      break;
     case 1:
       link->Silence(true, true);
       break;
@@ -278,7 +281,22 @@
   }
 }
 
+void world::CheckResultsRecorded() const {
+  for (const auto& [key, row] : table_.rows) {
+    const core::operation_record record =
+        core::DecodeOperation(row.value).value_or(core::operation_record());
+    if (record.state != core::operation_state::kReserved) continue;
+    for (const site& where : sites_) {
+      if (where.listed.id != record.target || !where.agent) continue;
+      const bool same = where.agent->incarnation() == record.incarnation;
+      common::CheckInvariant(!same || !ledger_.EndedWell(record.token),
+                             "results_are_recorded", key);
+    }
+  }
+}
+
 void world::CheckAtRest() const {
+  CheckResultsRecorded();
   callers_.CheckAtRest();
   for (const std::shared_ptr<router_node>& router : routers_) {
     common::CheckInvariant(router && router->attempts().size() == 0,
--- a/source/unit_tests/longrun/world.h
+++ b/source/unit_tests/longrun/world.h
@@ -63,6 +63,7 @@
   void TroubleTable();
   void TroubleTarget();
   void StopFaults();
+  void CheckResultsRecorded() const;
   void CheckAtRest() const;
 
   common::duration RandomUpTo(common::duration most);
