Find, age, list and settle operations that stay in doubt

doubt_list pages through the operations' rows, lists reserved ones by age, and settles one by an operator's decision with name and note, against the version that the operator saw. not_run by hand is taken only on the agent's word that the token never runs, or after 5 minutes, when agents take no dispatch of the token (two windows of 30 s) and no run lasts (2 minutes). Routers serve GET /v1/operator/operations?min_age_ms= and POST /v1/operator/operations.

--- /dev/null
+++ b/source/core/operations/doubt_list.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/result_code.h"
+#include "core/operations/operation_log.h"
+#include "core/pipeline/attempt_table.h"
+
+namespace wisteriadale::core {
+
+/// An operation whose row is reserved and that nobody has settled.
+struct doubtful_operation {
+  std::string row_key;
+  operation_record record;
+  common::duration age{0};  ///< since the row changed, by the wall clock
+};
+
+/// What an operator has found out about an operation in doubt.
+struct doubt_decision {
+  std::string row_key;
+  uint64_t version = 0;  ///< of the row that the operator saw
+  bool ran = false;
+  std::string operator_name;
+  std::string note;
+  std::string result;  ///< JSON text for later requests, when it ran
+};
+
+struct doubt_answer {
+  common::result_code code = common::result_code::kOk;
+  std::string reason;
+  operation_record record;  ///< the row as it is now, where known
+};
+
+/// Finds operations that stay in doubt and lets operators settle them by hand.
+/// Nothing here runs an operation.
+class doubt_list {
+ public:
+  using find_handler =
+      std::function<void(std::optional<std::vector<doubtful_operation>>)>;
+  using settle_handler = std::function<void(const doubt_answer&)>;
+
+  doubt_list(table& rows, operation_log& operations, attempt_table& attempts,
+             common::clock& clock)
+      : rows_(rows),
+        operations_(operations),
+        attempts_(attempts),
+        clock_(clock) {}
+
+  /// Lists operations in doubt, in the order of their keys.
+  /// @param min_age younger ones may still be running
+  /// @param handler takes nothing when the table does not answer
+  void Find(common::duration min_age, find_handler handler);
+
+  /// Settles an operation. "Not run" is taken only if the agent says that the
+  /// token never runs, or once no dispatch can be under way any more.
+  void Settle(doubt_decision decision, settle_handler handler);
+
+ private:
+  struct search;
+
+  void NextPage(const std::shared_ptr<search>& work);
+  void OnPage(const std::shared_ptr<search>& work,
+              const table_list_answer& page);
+  void OnRow(const doubt_decision& decision,
+             const std::optional<operation_record>& row,
+             const settle_handler& handler);
+  void Write(const doubt_decision& decision, operation_record record,
+             const settle_handler& handler);
+  common::duration AgeOf(const operation_record& record) const;
+
+  table& rows_;
+  operation_log& operations_;
+  attempt_table& attempts_;
+  common::clock& clock_;
+};
+
+}  // namespace wisteriadale::core
--- a/source/core/ports/table.h
+++ b/source/core/ports/table.h
@@ -36,6 +36,15 @@
   std::vector<table_row> rows;
 };
 
+/// One conditional write among several.
+struct table_write {
+  std::string key;
+  uint64_t expected_version = 0;  ///< 0: the row must not exist
+  std::string value;
+};
+
+using table_batch_handler =
+    std::function<void(const std::vector<table_answer>&)>;
 using table_handler = std::function<void(const table_answer&)>;
 using table_list_handler = std::function<void(const table_list_answer&)>;
 
@@ -55,10 +64,22 @@
                      std::string_view value, table_priority priority,
                      table_handler handler) = 0;
 
+  /// Writes several rows in one transaction of the service. Each write is
+  /// conditional by itself: one that conflicts does not hold up the others.
+  /// @param handler takes one answer for each write, in their order
+  virtual void WriteBatch(const std::vector<table_write>& writes,
+                          table_priority priority,
+                          table_batch_handler handler) = 0;
+
   /// Lists rows whose keys start with a prefix.
   /// @param limit most rows returned
   virtual void List(std::string_view prefix, uint32_t limit,
                     table_priority priority, table_list_handler handler) = 0;
+
+  /// As List, from the first key after a given one; for pages.
+  virtual void ListAfter(std::string_view prefix, std::string_view after,
+                         uint32_t limit, table_priority priority,
+                         table_list_handler handler) = 0;
 };
 
 }  // namespace wisteriadale::core
--- a/source/platform/http_platform.cc
+++ b/source/platform/http_platform.cc
@@ -89,10 +89,37 @@
         });
   }
 
-  void List(std::string_view prefix, uint32_t limit, core::table_priority,
+  void WriteBatch(const std::vector<core::table_write>& writes,
+                  core::table_priority,
+                  core::table_batch_handler handler) override {
+    json rows = json::array();
+    for (const core::table_write& write : writes) {
+      rows.push_back({{"key", write.key},
+                      {"expected_version", write.expected_version},
+                      {"value", write.value}});
+    }
+    net::http_call call = CallFor("POST", "/table-batch");
+    call.body = json{{"writes", std::move(rows)}}.dump();
+    net::StartHttpCall(
+        loop_, std::move(call),
+        [size = writes.size(), handler](const net::http_result& result) {
+          handler(BatchAnswerOf(result, size));
+        });
+  }
+
+  void List(std::string_view prefix, uint32_t limit,
+            core::table_priority priority,
             core::table_list_handler handler) override {
-    net::http_call call = CallFor("GET", "/table?prefix=" + EscapePath(prefix) +
-                                             "&limit=" + std::to_string(limit));
+    ListAfter(prefix, "", limit, priority, std::move(handler));
+  }
+
+  void ListAfter(std::string_view prefix, std::string_view after,
+                 uint32_t limit, core::table_priority,
+                 core::table_list_handler handler) override {
+    std::string path = "/table?prefix=" + EscapePath(prefix) +
+                       "&limit=" + std::to_string(limit);
+    if (!after.empty()) path += "&after=" + EscapePath(after);
+    net::http_call call = CallFor("GET", std::move(path));
     net::StartHttpCall(loop_, std::move(call),
                        [handler](const net::http_result& result) {
                          handler(ListAnswerOf(result));
@@ -100,6 +127,22 @@
   }
 
  private:
+  static std::vector<core::table_answer> BatchAnswerOf(
+      const net::http_result& result, size_t size) {
+    std::vector<core::table_answer> answers(size);
+    const json body = json::parse(result.body, nullptr, false);
+    if (result.status != kStatusOk || !body.is_object()) return answers;
+    const json rows = body.value("rows", json::array());
+    if (rows.size() != size) return answers;
+    for (size_t i = 0; i < size; ++i) {
+      const bool written = rows[i].value("status", "") == "ok";
+      answers[i].status =
+          written ? core::table_status::kOk : core::table_status::kConflict;
+      answers[i].row = RowOf(rows[i], "");
+    }
+    return answers;
+  }
+
   static core::table_list_answer ListAnswerOf(const net::http_result& result) {
     core::table_list_answer answer;
     const json body = json::parse(result.body, nullptr, false);
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -14,6 +14,8 @@
 constexpr char kPrefix[] = "/v1/operator/";
 constexpr char kBearer[] = "Bearer ";
 constexpr char kJson[] = "application/json";
+// Younger operations are likely to be running still.
+constexpr common::milliseconds kDoubtAge{30000};
 
 }  // namespace
 
@@ -31,6 +33,10 @@
     SendStatus(responder.get());
   } else if (what == "targets") {
     SendTargets(responder.get());
+  } else if (what == "operations" && request.method == "POST") {
+    SettleDoubt(request, responder);
+  } else if (what == "operations") {
+    ListDoubts(request, responder);
   } else if (what == "configuration" && request.method == "PUT") {
     ApplyConfiguration(request, responder);
   } else if (what == "configuration") {
@@ -94,6 +100,79 @@
   responder->Send(200, kJson, answer.dump());
 }
 
+void operator_api::ListDoubts(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  const std::string min_age = request.QueryArgument("min_age_ms");
+  const common::milliseconds age =
+      min_age.empty()
+          ? kDoubtAge
+          : common::milliseconds(std::strtoll(min_age.c_str(), nullptr, 10));
+  doubts_.Find(
+      age,
+      [responder](
+          const std::optional<std::vector<core::doubtful_operation>>& found) {
+        if (!found) {
+          SendError(responder.get(), result_code::kPlatformUnavailable, "",
+                    "unknown");
+          return;
+        }
+        json operations = json::array();
+        for (const core::doubtful_operation& doubt : *found) {
+          operations.push_back({{"operation", doubt.row_key},
+                                {"version", doubt.record.version},
+                                {"age_ms", doubt.age.count() / 1000},
+                                {"request_id", doubt.record.request_id},
+                                {"router", doubt.record.router},
+                                {"target", doubt.record.target}});
+        }
+        responder->Send(200, kJson, json{{"operations", operations}}.dump());
+      });
+}
+
+void operator_api::SettleDoubt(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  const json body = json::parse(request.body, nullptr, false);
+  core::doubt_decision decision;
+  std::string outcome;
+  // The library reports a field of another type by an exception.
+  try {
+    decision.row_key = body.at("operation").get<std::string>();
+    decision.version = body.at("version").get<uint64_t>();
+    decision.operator_name = body.at("operator").get<std::string>();
+    decision.note = body.value("note", "");
+    outcome = body.at("outcome").get<std::string>();
+  } catch (const json::exception&) {
+    SendError(responder.get(), result_code::kBadRequest,
+              "needs operation, version, operator and outcome");
+    return;
+  }
+  if (!decision.row_key.starts_with("operations/") ||
+      decision.operator_name.empty() ||
+      (outcome != "done" && outcome != "not_run")) {
+    SendError(responder.get(), result_code::kBadRequest,
+              "outcome is done or not_run, and operator is not empty");
+    return;
+  }
+  decision.ran = outcome == "done";
+  if (decision.ran) {
+    decision.result = body.value("result", json::object()).dump();
+  }
+  doubts_.Settle(
+      decision, [responder, outcome](const core::doubt_answer& answer) {
+        if (answer.code != result_code::kOk) {
+          SendError(responder.get(), answer.code, answer.reason, "unknown");
+          return;
+        }
+        responder->Send(200, kJson,
+                        json{{"outcome", outcome},
+                             {"version", answer.record.version},
+                             {"settled_by", answer.record.settled_by}}
+                            .dump());
+      });
+}
+
 void operator_api::ApplyConfiguration(
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -58,6 +58,9 @@
   process->links_->SetAttempts(process->attempts_.get());
   process->operations_ = std::make_unique<core::operation_log>(
       *process->table_, events, process->clock_, *process->random_);
+  process->doubts_ = std::make_unique<core::doubt_list>(
+      *process->table_, *process->operations_, *process->attempts_,
+      process->clock_);
   process->executors_ = std::make_unique<core::executor_context>(
       core::executor_context{process->clock_, events, *process->random_,
                              process->targets_, *process->policies_,
@@ -69,7 +72,7 @@
       *process->executors_, *process->watch_,
       caller_limits{settings.Integer(settings::kMaxDeadlineMs)});
   process->operators_ = std::make_unique<operator_api>(
-      process->targets_, *process->watch_, name,
+      process->targets_, *process->watch_, *process->doubts_, name,
       settings.Text(settings::kOperatorKeySha256));
   process->vm_list_period_ =
       common::milliseconds(settings.Integer(settings::kVmListPollMs));
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -45,6 +45,7 @@
   std::unique_ptr<agent_links> links_;
   std::unique_ptr<core::attempt_table> attempts_;
   std::unique_ptr<core::operation_log> operations_;
+  std::unique_ptr<core::doubt_list> doubts_;
   std::unique_ptr<core::executor_context> executors_;
   std::unique_ptr<configuration_watch> watch_;
   std::unique_ptr<caller_api> callers_;
--- a/source/standin/platform_service.cc
+++ b/source/standin/platform_service.cc
@@ -237,7 +237,9 @@
   const std::string limit_text = request.QueryArgument("limit");
   const size_t limit = std::strtoull(limit_text.c_str(), nullptr, 10);
   json rows = json::array();
-  for (auto at = rows_.lower_bound(prefix);
+  const std::string after = Unescape(request.QueryArgument("after"));
+  for (auto at = after.empty() ? rows_.lower_bound(prefix)
+                               : rows_.upper_bound(after);
        at != rows_.end() && at->first.starts_with(prefix) &&
        rows.size() < limit;
        ++at) {
--- a/source/unit_tests/core/configuration/configuration_cluster.h
+++ b/source/unit_tests/core/configuration/configuration_cluster.h
@@ -39,6 +39,16 @@
             core::table_list_handler handler) override {
     rows_.List(prefix, limit, priority, std::move(handler));
   }
+  void WriteBatch(const std::vector<core::table_write>& writes,
+                  core::table_priority priority,
+                  core::table_batch_handler handler) override {
+    rows_.WriteBatch(writes, priority, std::move(handler));
+  }
+  void ListAfter(std::string_view prefix, std::string_view after,
+                 uint32_t limit, core::table_priority priority,
+                 core::table_list_handler handler) override {
+    rows_.ListAfter(prefix, after, limit, priority, std::move(handler));
+  }
 
  private:
   void Fail(core::table_handler handler) {
--- /dev/null
+++ b/source/unit_tests/core/operations/doubt_list_test.cc
@@ -0,0 +1,116 @@
+#include "core/operations/doubt_list.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "unit_tests/fakes/fake_table.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using core::operation_state;
+
+namespace {
+
+/// Takes every message and answers nothing.
+class silent_agent final : public core::agent_sender {
+ public:
+  bool Send(std::string_view, const core::message&) override { return true; }
+};
+
+}  // namespace
+
+TEST_GROUP(DoubtList) {
+  fakes::virtual_time time;
+  common::seeded_random random{1};
+  fakes::fake_table rows{time, random};
+  core::operation_log operations{rows, time, time, random};
+  silent_agent agent;
+  core::attempt_table attempts{agent, time, std::chrono::seconds(3)};
+  core::doubt_list doubts{rows, operations, attempts, time};
+
+  std::string Put(int number, operation_state state) {
+    std::string key = "operations/parks/k" + std::to_string(number);
+    core::operation_record record;
+    record.state = state;
+    record.token = "t" + std::to_string(number);
+    record.target = "orders0";
+    record.changed_wall_us = time.WallMicros();
+    rows.rows[key] = {key, core::EncodeOperation(record), 1};
+    return key;
+  }
+  std::vector<core::doubtful_operation> Find(common::duration min_age) {
+    std::vector<core::doubtful_operation> result;
+    doubts.Find(
+        min_age,
+        [&result](
+            const std::optional<std::vector<core::doubtful_operation>>& found) {
+          CHECK(found.has_value());
+          result = *found;
+        });
+    time.Advance(std::chrono::seconds(1));
+    return result;
+  }
+  core::doubt_answer Settle(const std::string& key, bool ran,
+                            uint64_t version = 1) {
+    core::doubt_answer result;
+    doubts.Settle(
+        {key, version, ran, "kari", "asked the yard", "{}"},
+        [&result](const core::doubt_answer& given) { result = given; });
+    time.Advance(std::chrono::seconds(1));
+    return result;
+  }
+};
+
+TEST(DoubtList, OldReservedRowsAreFoundAcrossPages) {
+  for (int i = 0; i < 1200; ++i) Put(i, operation_state::kDone);
+  const std::string last = Put(9999, operation_state::kReserved);
+  time.Advance(std::chrono::minutes(1));
+  Put(5000, operation_state::kReserved);
+  const std::vector<core::doubtful_operation> found =
+      Find(std::chrono::seconds(30));
+  CHECK_EQUAL(1, found.size());
+  STRCMP_EQUAL(last.c_str(), found[0].row_key.c_str());
+  CHECK(found[0].age >= std::chrono::minutes(1));
+}
+
+TEST(DoubtList, NotRunByHandWaitsUntilNoDispatchCanBeUnderWay) {
+  const std::string key = Put(1, operation_state::kReserved);
+  CHECK(Settle(key, false).code == common::result_code::kOperationInProgress);
+  CHECK(core::DecodeOperation(rows.RowOf(key).value)->state ==
+        operation_state::kReserved);
+  time.Advance(std::chrono::minutes(5));
+  const core::doubt_answer answer = Settle(key, false);
+  CHECK(answer.code == common::result_code::kOk);
+  const core::operation_record record =
+      *core::DecodeOperation(rows.RowOf(key).value);
+  CHECK(record.state == operation_state::kNotRun);
+  STRCMP_EQUAL("kari", record.settled_by.c_str());
+  STRCMP_EQUAL("asked the yard", record.note.c_str());
+}
+
+TEST(DoubtList, ItsAgentsWordSettlesAtOnce) {
+  const std::string key = Put(1, operation_state::kReserved);
+  core::doubt_answer given;
+  doubts.Settle({key, 1, false, "kari", "", ""},
+                [&given](const core::doubt_answer& answer) { given = answer; });
+  time.Advance(std::chrono::milliseconds(10));
+  attempts.OnRevokeAnswer("orders0", {"", "t1", false, true});
+  time.Advance(std::chrono::milliseconds(10));
+  CHECK(given.code == common::result_code::kOk);
+  CHECK(given.record.state == operation_state::kNotRun);
+}
+
+TEST(DoubtList, ADecisionOnARowThatMovedOnIsRefused) {
+  const std::string done = Put(1, operation_state::kDone);
+  CHECK(Settle(done, true).code == common::result_code::kConflict);
+  const std::string moved = Put(2, operation_state::kReserved);
+  CHECK(Settle(moved, true, 7).code == common::result_code::kConflict);
+  CHECK(Settle("operations/parks/none", true).code ==
+        common::result_code::kNotFound);
+}
+
+TEST(DoubtList, DoneByHandIsWhatLaterRequestsGet) {
+  const std::string key = Put(1, operation_state::kReserved);
+  CHECK(Settle(key, true).code == common::result_code::kOk);
+  CHECK(core::DecodeOperation(rows.RowOf(key).value)->state ==
+        operation_state::kDone);
+}
--- a/source/unit_tests/fakes/fake_table.h
+++ b/source/unit_tests/fakes/fake_table.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/random.h"
@@ -56,14 +57,42 @@
     });
   }
 
-  void List(std::string_view prefix, uint32_t limit, core::table_priority,
+  /// One write of the service; the batch is lost or late as a whole.
+  void WriteBatch(const std::vector<core::table_write>& batch,
+                  core::table_priority,
+                  core::table_batch_handler handler) override {
+    ++writes;
+    const std::vector<core::table_answer> none(batch.size());
+    const bool late = !down && random_.Uniform() < late_write_share;
+    if (late) {
+      timers_.Schedule(late_by, [this, batch] { ApplyAll(batch); });
+    }
+    const bool lost = !late && random_.Uniform() < lost_answer_share;
+    if (!down && lost) ApplyAll(batch);
+    if (down || late || lost) {
+      timers_.Schedule(timeout, [none, handler] { handler(none); });
+      return;
+    }
+    timers_.Schedule(delay,
+                     [this, batch, handler] { handler(ApplyAll(batch)); });
+  }
+
+  void List(std::string_view prefix, uint32_t limit,
+            core::table_priority priority,
             core::table_list_handler handler) override {
+    ListAfter(prefix, "", limit, priority, std::move(handler));
+  }
+
+  void ListAfter(std::string_view prefix, std::string_view after,
+                 uint32_t limit, core::table_priority,
+                 core::table_list_handler handler) override {
     ++reads;
     core::table_list_answer answer;
     if (!down) {
       answer.status = core::table_status::kOk;
       for (const auto& [key, row] : rows) {
         if (!key.starts_with(prefix) || answer.rows.size() >= limit) continue;
+        if (key <= after) continue;
         answer.rows.push_back(row);
       }
     }
@@ -93,6 +122,16 @@
     return {core::table_status::kOk, rows[key]};
   }
 
+  std::vector<core::table_answer> ApplyAll(
+      const std::vector<core::table_write>& batch) {
+    std::vector<core::table_answer> answers;
+    answers.reserve(batch.size());
+    for (const core::table_write& write : batch) {
+      answers.push_back(Apply(write.key, write.expected_version, write.value));
+    }
+    return answers;
+  }
+
   void AnswerLater(common::duration after, core::table_answer answer,
                    core::table_handler handler) {
     timers_.Schedule(
--- a/source/unit_tests/fakes/process_table.h
+++ b/source/unit_tests/fakes/process_table.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "core/ports/table.h"
 #include "unit_tests/fakes/process_time.h"
@@ -26,6 +27,19 @@
     shared_.Write(key, expected_version, value, priority,
                   Guard<core::table_answer>(std::move(handler)));
   }
+  void WriteBatch(const std::vector<core::table_write>& writes,
+                  core::table_priority priority,
+                  core::table_batch_handler handler) override {
+    shared_.WriteBatch(
+        writes, priority,
+        Guard<std::vector<core::table_answer>>(std::move(handler)));
+  }
+  void ListAfter(std::string_view prefix, std::string_view after,
+                 uint32_t limit, core::table_priority priority,
+                 core::table_list_handler handler) override {
+    shared_.ListAfter(prefix, after, limit, priority,
+                      Guard<core::table_list_answer>(std::move(handler)));
+  }
   void List(std::string_view prefix, uint32_t limit,
             core::table_priority priority,
             core::table_list_handler handler) override {
