Let routers dial each other and act on membership, leases and orders

Cause: routers did not know each other; every one polled the head, took the VM list at its word and would have sent work to a process that took over an agent's address.

router/control_plane connects configuration, membership, leases and orders with the channels; router/peer_links dials listed routers and seeds (/peers/seeds) and accepts the others; agent_links sends nothing before the agent said the name that was expected. Operators: preset, history, diff, applies/{token}, drain, undrain, orders. Control messages and bytes are counted.

--- a/source/core/lease/lease_keeper.h
+++ b/source/core/lease/lease_keeper.h
@@ -38,6 +38,10 @@
   /// @param contending whether to take the lease when it is free; one that is
   /// held is kept
   void SetContending(bool contending);
+  /// Reads who holds the lease, for a process that does not contend.
+  void Refresh() {
+    if (!busy_ && !Held()) ReadRow();
+  }
   /// Gives the lease up, so that another process need not wait.
   void Release();
 
--- a/source/router/agent_links.cc
+++ b/source/router/agent_links.cc
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "core/control_traffic.h"
 #include "wire/codec.h"
 
 namespace wisteriadale::router {
@@ -38,16 +39,24 @@
 
 }  // namespace
 
-void agent_links::Apply(const std::vector<core::vm_entry>& entries) {
-  for (const core::vm_entry& entry : entries) {
-    if (entry.role != core::vm_role::kTarget) continue;
-    core::target_view* view =
-        targets_.Ensure(entry.name, entry.pool, entry.data_centre);
-    view->listed_leaving = entry.state == core::vm_state::kLeaving;
-    link& current = links_[entry.name];
-    current.address = {entry.address, entry.port};
-    if (!current.channel && !current.dialling) Dial(entry.name);
+void agent_links::SetAgent(const std::string& target,
+                           const net::endpoint& address) {
+  link& current = links_[target];
+  const bool moved = current.address != address;
+  current.address = address;
+  if (current.channel && moved) {
+    // The target's VM was replaced; its old address is not its own any more.
+    current.channel->Close();
+    OnClosed(target);
   }
+  if (!current.channel && !current.dialling) Dial(target);
+}
+
+void agent_links::Forget(const std::string& target) {
+  const auto found = links_.find(target);
+  if (found == links_.end()) return;
+  if (found->second.channel) found->second.channel->Close();
+  links_.erase(found);
 }
 
 void agent_links::Tick() {
@@ -67,7 +76,9 @@
     }
     core::ping_message ping;
     ping.sequence = ++current.sequence;
-    current.channel->Send(wire::Encode(ping));
+    std::string frame = wire::Encode(ping);
+    core::CountControl("sent", ping, frame.size());
+    current.channel->Send(std::move(frame));
   }
   loop_.Schedule(kTickPeriod, [this] { Tick(); });
 }
@@ -83,7 +94,12 @@
 
 void agent_links::OnOpen(const std::string& target,
                          std::shared_ptr<net::channel> channel) {
-  link& current = links_[target];
+  const auto found = links_.find(target);
+  if (found == links_.end()) {
+    if (channel) channel->Close();
+    return;
+  }
+  link& current = found->second;
   current.dialling = false;
   if (!channel) return;
   current.channel = std::move(channel);
@@ -95,47 +111,63 @@
 }
 
 void agent_links::OnClosed(const std::string& target) {
-  links_[target].channel.reset();
-  core::target_view* view = targets_.Find(target);
-  if (view != nullptr) view->connected = false;
+  const auto found = links_.find(target);
+  if (found == links_.end()) return;
+  found->second.channel.reset();
+  found->second.checked = false;
+  if (listener_ != nullptr) listener_->OnAgentClosed(target);
   attempts_->OnDisconnected(target);
 }
 
 void agent_links::OnFrame(const std::string& target, std::string_view frame) {
-  links_[target].last_heard = clock_.Now();
+  const auto found = links_.find(target);
+  if (found == links_.end()) return;
+  found->second.last_heard = clock_.Now();
   const std::optional<core::message> message = wire::Decode(frame);
   if (!message) {
     common::Metrics().Count("wisteria_bad_frames_total");
     return;
   }
+  core::CountControl("received", *message, frame.size());
   if (const auto* hello = std::get_if<core::hello_message>(&*message)) {
     OnHello(target, *hello);
     return;
   }
+  if (!found->second.checked) return;
   std::visit(message_handler{*attempts_, targets_.Find(target), target},
              *message);
+  if (listener_ != nullptr && core::IsControl(*message)) {
+    listener_->OnAgentMessage(target, *message);
+  }
 }
 
 void agent_links::OnHello(const std::string& target,
                           const core::hello_message& hello) {
   core::target_view* view = targets_.Find(target);
   if (view == nullptr) return;
-  if (hello.name != target) {
-    // Another process took over the address.
+  link& current = links_[target];
+  if (hello.name != target || hello.is_router) {
+    // Another process took over the address; it must get no work.
+    common::Metrics().Count("wisteria_agents_mistaken_total");
     common::Log(log_channel::kNet, log_level::kWarning,
                 "expected the agent of " + target + ", found " + hello.name);
+    current.channel->Close();
+    OnClosed(target);
     return;
   }
-  view->connected = true;
+  current.checked = true;
   view->incarnation = hello.incarnation;
   view->load.accepting = true;
+  if (listener_ != nullptr) listener_->OnAgentOpen(target, hello);
   attempts_->OnConnected(target, hello.incarnation);
 }
 
 bool agent_links::Send(std::string_view target, const core::message& message) {
   const auto found = links_.find(target);
-  if (found == links_.end() || !found->second.channel) return false;
-  found->second.channel->Send(wire::Encode(message));
+  if (found == links_.end() || !found->second.checked) return false;
+  std::string frame = wire::Encode(message);
+  core::CountControl("sent", message, frame.size());
+  found->second.channel->Send(std::move(frame));
   return true;
 }
 
--- a/source/router/agent_links.h
+++ b/source/router/agent_links.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "core/pipeline/attempt_table.h"
-#include "core/ports/vm_list.h"
 #include "core/routing/target_table.h"
 #include "net/channel.h"
 #include "net/event_loop.h"
@@ -13,8 +12,20 @@
 /// The process on an entry VM.
 namespace wisteriadale::router {
 
-/// Channels to the agents of all listed targets: dials, keeps them alive and
-/// hands their messages to the attempt table.
+/// Takes what agents say apart from attempts.
+class agent_listener {
+ public:
+  virtual ~agent_listener() = default;
+  /// A channel opened to the agent of that target, its name was checked.
+  virtual void OnAgentOpen(std::string_view target,
+                           const core::hello_message& hello) = 0;
+  virtual void OnAgentClosed(std::string_view target) = 0;
+  virtual void OnAgentMessage(std::string_view target,
+                              const core::message& message) = 0;
+};
+
+/// Channels to the agents of all targets: dials, keeps them alive and hands
+/// their messages to the attempt table.
 class agent_links final : public core::agent_sender {
  public:
   agent_links(net::event_loop& loop, common::clock& clock,
@@ -25,8 +36,10 @@
         hello_(std::move(hello)) {}
 
   void SetAttempts(core::attempt_table* attempts) { attempts_ = attempts; }
-  /// Applies a VM list: dials new targets, marks leaving ones.
-  void Apply(const std::vector<core::vm_entry>& entries);
+  void SetListener(agent_listener* listener) { listener_ = listener; }
+  /// Dials the agent of a target from now on.
+  void SetAgent(const std::string& target, const net::endpoint& address);
+  void Forget(const std::string& target);
   /// Sends pings and finds silent channels; schedules itself.
   void Tick();
 
@@ -37,6 +50,7 @@
     net::endpoint address;
     std::shared_ptr<net::channel> channel;
     bool dialling = false;
+    bool checked = false;  ///< the agent said the name that was expected
     common::time_point last_heard;
     uint64_t sequence = 0;
   };
@@ -52,6 +66,7 @@
   core::target_table& targets_;
   core::hello_message hello_;
   core::attempt_table* attempts_ = nullptr;
+  agent_listener* listener_ = nullptr;
   std::map<std::string, link, std::less<>> links_;
 };
 
--- a/source/router/configuration_watch.h
+++ b/source/router/configuration_watch.h
@@ -4,51 +4,48 @@
 #include <memory>
 #include <string>
 
-#include "common/result_code.h"
-#include "core/configuration/configuration.h"
-#include "core/ports/object_store.h"
-#include "core/ports/table.h"
+#include "core/configuration/configuration_spread.h"
 
 namespace wisteriadale::router {
 
-/// How an offered configuration fared.
-struct apply_answer {
-  common::result_code code = common::result_code::kOk;
-  std::string reason;
-  uint64_t version = 0;  ///< the version that is in force now
-};
-
-/// Follows the row `configuration/head` and moves it by compare-and-set.
+/// The configuration in force in this router, and what operators do to it.
 class configuration_watch {
  public:
+  using apply_handler = core::configuration_store::apply_handler;
+
   configuration_watch(core::table& rows, core::object_store& objects,
-                      common::timer_service& timers,
-                      common::duration poll_period)
-      : rows_(rows),
-        objects_(objects),
-        timers_(timers),
-        poll_period_(poll_period) {}
-
-  void Start() { Poll(); }
-  /// Offers a document in place of a version.
-  /// @param expected_version version the operator saw; 0 for none yet
-  void Apply(const std::string& document, uint64_t expected_version,
-             const std::function<void(const apply_answer&)>& handler);
+                      common::timer_service& timers, common::clock& clock,
+                      common::random_source& random,
+                      core::control_network& network,
+                      const core::spread_options& options)
+      : store_(rows, objects, timers, clock, random),
+        spread_(options, store_, holder_, network, timers, clock) {}
+
+  void Start() { spread_.Start(); }
   /// @return the configuration in force, or null before the first
   const std::shared_ptr<const core::configuration>& current() const {
-    return current_;
+    return holder_.current();
   }
+  bool Ready() const { return spread_.Ready(); }
+
+  /// Offers a document in place of a version; a faulty one changes nothing.
+  void Apply(core::apply_request request, const apply_handler& handler);
+  /// Puts another preset in force, in place of the configuration in force.
+  void SetPreset(const std::string& preset, core::apply_request request,
+                 const apply_handler& handler);
+  /// Reads the document of an accepted version.
+  /// @param handler takes the document, or nothing when it cannot be had
+  void ReadVersion(uint64_t version,
+                   core::configuration_store::document_handler handler);
+
+  core::configuration_holder& holder() { return holder_; }
+  core::configuration_store& store() { return store_; }
+  core::configuration_spread& spread() { return spread_; }
 
  private:
-  void Poll();
-  void OnHead(const core::table_answer& answer);
-  void Adopt(const std::string& document, uint64_t version);
-
-  core::table& rows_;
-  core::object_store& objects_;
-  common::timer_service& timers_;
-  common::duration poll_period_;
-  std::shared_ptr<const core::configuration> current_;
+  core::configuration_holder holder_;
+  core::configuration_store store_;
+  core::configuration_spread spread_;
 };
 
 }  // namespace wisteriadale::router
--- /dev/null
+++ b/source/router/control_plane.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/lease/lease_keeper.h"
+#include "core/lease/order_controller.h"
+#include "core/membership/membership.h"
+#include "router/agent_links.h"
+#include "router/configuration_watch.h"
+#include "router/peer_links.h"
+
+namespace wisteriadale::router {
+
+/// What the control plane is built from.
+struct control_environment {
+  net::event_loop& loop;
+  common::clock& clock;
+  common::random_source& random;
+  core::table& rows;
+  core::object_store& objects;
+  core::target_table& targets;
+  agent_links& agents;
+  core::hello_message hello;  ///< of this router
+  common::duration poll_period;
+};
+
+/// Connects configuration, membership, leases and orders of a router with its
+/// channels to peers and agents.
+class control_plane final : public core::control_network,
+                            public core::member_observer,
+                            public core::order_network,
+                            public peer_listener,
+                            public agent_listener {
+ public:
+  explicit control_plane(const control_environment& environment);
+
+  void Start();
+  /// Gives leases up before the process ends.
+  void Stop();
+  void OnVmList(const std::vector<core::vm_entry>& entries);
+
+  configuration_watch& configuration() { return watch_; }
+  core::membership& members() { return members_; }
+  core::order_controller& orders() { return orders_; }
+  peer_links& peers() { return peers_; }
+  /// Drains a target, or ends the drain, through its agent; the row that the
+  /// agent reads when it starts is written as soon as the platform allows.
+  void SetDrained(const std::string& target, bool drained,
+                  const std::string& who,
+                  core::order_controller::state_handler handler);
+  /// @return data centres whose controller lease this router holds
+  std::vector<std::string> HeldLeases() const;
+
+  void SendToRouter(std::string_view router,
+                    const core::message& message) override;
+  void SendToAgent(std::string_view target,
+                   const core::message& message) override;
+
+  void OnMember(const core::vm_entry& member) override;
+  void OnListedLeaving(const core::vm_entry& member, bool leaving) override;
+  void OnMemberRemoved(const core::vm_entry& member) override;
+
+  authority AuthorityFor(std::string_view target) override;
+  bool SendOrder(std::string_view target,
+                 const core::order_message& order) override;
+  bool ForwardOrder(std::string_view router,
+                    const core::order_message& order) override;
+
+  void OnPeerOpen(const core::hello_message& hello) override;
+  void OnPeerClosed(std::string_view router) override;
+  void OnPeerMessage(std::string_view router,
+                     const core::message& message) override;
+  void OnAnnounce(const core::vm_entry& entry) override;
+  core::ping_message PeerPing() override;
+
+  void OnAgentOpen(std::string_view target,
+                   const core::hello_message& hello) override;
+  void OnAgentClosed(std::string_view target) override;
+  void OnAgentMessage(std::string_view target,
+                      const core::message& message) override;
+
+ private:
+  void Tick();
+  void ContendForLeases();
+  bool ShouldContend(const std::string& data_centre) const;
+  void OnForwardedOrder(std::string_view router,
+                        const core::order_message& order);
+  void WriteDrainRow(const std::string& target, bool drained,
+                     const std::string& who, int tries);
+
+  control_environment environment_;
+  core::membership members_;
+  configuration_watch watch_;
+  core::order_controller orders_;
+  peer_links peers_;
+  std::map<std::string, std::string> live_routers_;  ///< to data centre
+  std::map<std::string, std::unique_ptr<core::lease_keeper>> leases_;
+};
+
+}  // namespace wisteriadale::router
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -12,14 +12,92 @@
 using nlohmann::json;
 
 constexpr char kPrefix[] = "/v1/operator/";
+constexpr char kAppliesPrefix[] = "configuration/applies/";
 constexpr char kBearer[] = "Bearer ";
 constexpr char kJson[] = "application/json";
+constexpr uint32_t kHistoryLimit = 100;
+
+uint64_t NumberOf(const std::string& text) {
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+json EntryJson(const core::configuration_entry& entry) {
+  return {{"version", entry.version}, {"who", entry.who},
+          {"wall_us", entry.wall_us}, {"digest", entry.digest},
+          {"preset", entry.preset},   {"token", entry.token}};
+}
+
+std::string_view NameOf(core::apply_status status) {
+  constexpr std::string_view kNames[] = {"accepted", "refused", "lost",
+                                         "pending", "unknown"};
+  return kNames[static_cast<int>(status)];
+}
+
+result_code CodeOf(core::apply_status status) {
+  constexpr result_code kCodes[] = {
+      result_code::kOk, result_code::kBadConfiguration, result_code::kConflict,
+      result_code::kPlatformUnavailable, result_code::kPlatformUnavailable};
+  return kCodes[static_cast<int>(status)];
+}
+
+/// What an operator who offered a configuration is told.
+void SendApplyAnswer(net::http_responder* responder,
+                     const core::apply_answer& answer) {
+  if (answer.status == core::apply_status::kAccepted) {
+    responder->Send(
+        200, kJson,
+        json{{"version", answer.version}, {"token", answer.token}}.dump());
+    return;
+  }
+  const bool not_run = answer.status == core::apply_status::kBadDocument ||
+                       answer.status == core::apply_status::kLost;
+  std::string reason = answer.reason;
+  if (!answer.token.empty()) {
+    reason.append(" (apply token ").append(answer.token).append(")");
+  }
+  SendError(responder, CodeOf(answer.status), reason,
+            not_run ? "not_run" : "unknown");
+}
+
+json OrderJson(const core::order_state& state) {
+  return {{"order_id", state.order.order_id},
+          {"target", state.order.target},
+          {"kind", state.order.kind},
+          {"argument", state.order.argument},
+          {"who", state.who},
+          {"epoch", state.order.fencing_number},
+          {"state", state.ended ? "ended" : "in_progress"},
+          {"result", state.ended ? common::Describe(state.code).name : ""},
+          {"reason", state.reason},
+          {"sends", state.sends},
+          {"wall_us", state.wall_us}};
+}
+
+void SendOrderState(net::http_responder* responder,
+                    const core::order_state& state) {
+  if (state.code != result_code::kOk) {
+    SendError(responder, state.code, state.reason,
+              state.sends == 0 ? "not_run" : "unknown");
+    return;
+  }
+  responder->Send(200, kJson, OrderJson(state).dump());
+}
+
+std::string_view WhoIs(const net::http_request& request) {
+  const std::string_view named = request.Header("operator");
+  return named.empty() ? std::string_view(request.peer) : named;
+}
+
+std::string TextOf(const json& body, const char* key) {
+  const auto found = body.find(key);
+  if (found == body.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
 
 }  // namespace
 
-bool operator_api::Handle(
-    const net::http_request& request,
-    const std::shared_ptr<net::http_responder>& responder) {
+bool operator_api::Handle(const net::http_request& request,
+                          const responder_ptr& responder) {
   if (!request.path.starts_with(kPrefix)) return false;
   if (!Authorised(request)) {
     SendError(responder.get(), result_code::kUnauthorised, "");
@@ -27,16 +105,49 @@
   }
   const std::string_view what =
       std::string_view(request.path).substr(sizeof(kPrefix) - 1);
+  const bool known = request.method == "GET"
+                         ? HandleRead(what, request, responder)
+                         : HandleChange(what, request, responder);
+  if (!known) SendError(responder.get(), result_code::kNotFound, "");
+  return true;
+}
+
+bool operator_api::HandleRead(std::string_view what,
+                              const net::http_request& request,
+                              const responder_ptr& responder) {
   if (what == "status") {
     SendStatus(responder.get());
   } else if (what == "targets") {
     SendTargets(responder.get());
-  } else if (what == "configuration" && request.method == "PUT") {
-    ApplyConfiguration(request, responder);
   } else if (what == "configuration") {
     SendConfiguration(responder.get());
+  } else if (what == "configuration/history") {
+    SendHistory(responder);
+  } else if (what == "configuration/diff") {
+    SendDiff(request, responder);
+  } else if (what.starts_with(kAppliesPrefix)) {
+    SendApply(what.substr(sizeof(kAppliesPrefix) - 1), request, responder);
+  } else if (what == "orders") {
+    SendOrders(responder.get());
+  } else {
+    return false;
+  }
+  return true;
+}
+
+bool operator_api::HandleChange(std::string_view what,
+                                const net::http_request& request,
+                                const responder_ptr& responder) {
+  if (what == "configuration") {
+    ApplyConfiguration(request, responder);
+  } else if (what == "preset") {
+    SetPreset(request, responder);
+  } else if (what == "drain" || what == "undrain") {
+    SetDrained(what == "drain", request, responder);
+  } else if (what == "orders") {
+    SubmitOrder(request, responder);
   } else {
-    SendError(responder.get(), result_code::kNotFound, "");
+    return false;
   }
   return true;
 }
@@ -50,8 +161,12 @@
 }
 
 void operator_api::SendStatus(net::http_responder* responder) const {
-  const std::shared_ptr<const core::configuration>& current = watch_.current();
-  json status = {{"router", router_name_}, {"ready", current != nullptr}};
+  configuration_watch& watch = control_.configuration();
+  const std::shared_ptr<const core::configuration>& current = watch.current();
+  json status = {{"router", router_name_},
+                 {"ready", watch.Ready()},
+                 {"reads_head", watch.spread().IsReader()},
+                 {"holds_leases", control_.HeldLeases()}};
   if (current) {
     status["configuration_version"] = current->version;
     status["preset"] = current->preset;
@@ -73,6 +188,8 @@
                        {"data_centre", view->data_centre},
                        {"connected", view->connected},
                        {"usable", view->Usable()},
+                       {"leaving", view->listed_leaving},
+                       {"drained", view->drained || !view->load.accepting},
                        {"in_flight", view->load.in_flight},
                        {"queued", view->load.queued},
                        {"limit", view->load.limit},
@@ -82,7 +199,8 @@
 }
 
 void operator_api::SendConfiguration(net::http_responder* responder) const {
-  const std::shared_ptr<const core::configuration>& current = watch_.current();
+  const std::shared_ptr<const core::configuration>& current =
+      control_.configuration().current();
   if (!current) {
     SendError(responder, result_code::kNotReady, "");
     return;
@@ -94,20 +212,149 @@
   responder->Send(200, kJson, answer.dump());
 }
 
-void operator_api::ApplyConfiguration(
-    const net::http_request& request,
-    const std::shared_ptr<net::http_responder>& responder) {
-  const std::string expected = request.QueryArgument("expected_version");
-  const uint64_t version = std::strtoull(expected.c_str(), nullptr, 10);
-  watch_.Apply(request.body, version, [responder](const apply_answer& answer) {
-    if (answer.code != result_code::kOk) {
-      SendError(responder.get(), answer.code, answer.reason,
-                answer.code == result_code::kPlatformUnavailable ? "unknown"
-                                                                 : "not_run");
-      return;
-    }
-    responder->Send(200, kJson, json{{"version", answer.version}}.dump());
+void operator_api::SendHistory(const responder_ptr& responder) {
+  control_.configuration().store().History(
+      kHistoryLimit,
+      [responder](const std::optional<std::vector<core::configuration_entry>>&
+                      entries) {
+        if (!entries) {
+          SendError(responder.get(), result_code::kPlatformUnavailable, "",
+                    "unknown");
+          return;
+        }
+        json versions = json::array();
+        for (const core::configuration_entry& entry : *entries) {
+          versions.push_back(EntryJson(entry));
+        }
+        responder->Send(200, kJson, json{{"versions", versions}}.dump());
+      });
+}
+
+void operator_api::SendDiff(const net::http_request& request,
+                            const responder_ptr& responder) {
+  const uint64_t from = NumberOf(request.QueryArgument("from"));
+  const uint64_t to = NumberOf(request.QueryArgument("to"));
+  configuration_watch& watch = control_.configuration();
+  watch.ReadVersion(from, [&watch, from, to, responder](
+                              const std::optional<std::string>& before) {
+    watch.ReadVersion(to, [from, to, responder,
+                           before](const std::optional<std::string>& after) {
+      if (!before || !after) {
+        SendError(responder.get(), result_code::kNotFound,
+                  "a version is unknown or its document cannot be had");
+        return;
+      }
+      const json changes = json::diff(json::parse(*before, nullptr, false),
+                                      json::parse(*after, nullptr, false));
+      responder->Send(
+          200, kJson,
+          json{{"from", from}, {"to", to}, {"changes", changes}}.dump());
+    });
   });
 }
 
+void operator_api::SendApply(std::string_view token,
+                             const net::http_request& request,
+                             const responder_ptr& responder) {
+  const uint64_t expected = NumberOf(request.QueryArgument("expected_version"));
+  control_.configuration().store().Look(
+      std::string(token), expected,
+      [responder](const core::apply_answer& answer) {
+        json body = {{"token", answer.token},
+                     {"state", NameOf(answer.status)},
+                     {"reason", answer.reason}};
+        if (answer.version != 0) body["version"] = answer.version;
+        responder->Send(200, kJson, body.dump());
+      });
+}
+
+void operator_api::SendOrders(net::http_responder* responder) const {
+  json orders = json::array();
+  for (const core::order_state& state : control_.orders().Recent()) {
+    orders.push_back(OrderJson(state));
+  }
+  responder->Send(200, kJson, json{{"orders", orders}}.dump());
+}
+
+void operator_api::ApplyConfiguration(const net::http_request& request,
+                                      const responder_ptr& responder) {
+  core::apply_request offered;
+  offered.document = request.body;
+  offered.expected_version =
+      NumberOf(request.QueryArgument("expected_version"));
+  offered.token = request.QueryArgument("token");
+  offered.who = WhoIs(request);
+  control_.configuration().Apply(std::move(offered),
+                                 [responder](const core::apply_answer& answer) {
+                                   SendApplyAnswer(responder.get(), answer);
+                                 });
+}
+
+void operator_api::SetPreset(const net::http_request& request,
+                             const responder_ptr& responder) {
+  const json body = json::parse(request.body, nullptr, false);
+  const std::string preset = TextOf(body, "preset");
+  if (!control_.configuration().current()) {
+    SendError(responder.get(), result_code::kNotReady, "");
+    return;
+  }
+  if (preset.empty()) {
+    SendError(responder.get(), result_code::kBadRequest, "preset is missing");
+    return;
+  }
+  core::apply_request offered;
+  offered.expected_version =
+      NumberOf(request.QueryArgument("expected_version"));
+  offered.token = TextOf(body, "token");
+  offered.who = WhoIs(request);
+  control_.configuration().SetPreset(
+      preset, std::move(offered),
+      [responder](const core::apply_answer& answer) {
+        SendApplyAnswer(responder.get(), answer);
+      });
+}
+
+void operator_api::SetDrained(bool drained, const net::http_request& request,
+                              const responder_ptr& responder) {
+  const json body = json::parse(request.body, nullptr, false);
+  const std::string target = TextOf(body, "target");
+  if (control_.members().Find(target) == nullptr) {
+    SendError(responder.get(), result_code::kNotFound, "no such target");
+    return;
+  }
+  control_.SetDrained(target, drained, std::string(WhoIs(request)),
+                      [responder](const core::order_state& state) {
+                        SendOrderState(responder.get(), state);
+                      });
+}
+
+void operator_api::SubmitOrder(const net::http_request& request,
+                               const responder_ptr& responder) {
+  const json body = json::parse(request.body, nullptr, false);
+  core::order_request wanted;
+  wanted.order_id = TextOf(body, "order_id");
+  wanted.target = TextOf(body, "target");
+  wanted.kind = TextOf(body, "kind");
+  wanted.argument = TextOf(body, "argument");
+  wanted.who = WhoIs(request);
+  constexpr std::string_view kKinds[] = {"load_model",   "unload_model",
+                                         "load_adapter", "set_role",
+                                         "drain",        "undrain"};
+  if (std::find(std::begin(kKinds), std::end(kKinds), wanted.kind) ==
+      std::end(kKinds)) {
+    SendError(responder.get(), result_code::kBadRequest,
+              "kind must be load_model, unload_model, load_adapter, set_role, "
+              "drain or undrain");
+    return;
+  }
+  if (control_.members().Find(wanted.target) == nullptr) {
+    SendError(responder.get(), result_code::kNotFound, "no such target");
+    return;
+  }
+  control_.orders().Submit(std::move(wanted),
+                           [responder](const core::order_state& state) {
+                             SendOrderState(responder.get(), state);
+                           });
+}
+
 }  // namespace wisteriadale::router
--- a/source/router/operator_api.h
+++ b/source/router/operator_api.h
@@ -5,17 +5,17 @@
 
 #include "core/routing/target_table.h"
 #include "net/http_server.h"
-#include "router/configuration_watch.h"
+#include "router/control_plane.h"
 
 namespace wisteriadale::router {
 
-/// HTTP for operators: status, targets and configuration.
+/// HTTP for operators: status, targets, configuration, drains and orders.
 class operator_api {
  public:
-  operator_api(core::target_table& targets, configuration_watch& watch,
+  operator_api(core::target_table& targets, control_plane& control,
                std::string router_name, std::string key_sha256)
       : targets_(targets),
-        watch_(watch),
+        control_(control),
         router_name_(std::move(router_name)),
         key_sha256_(std::move(key_sha256)) {}
 
@@ -24,16 +24,33 @@
               const std::shared_ptr<net::http_responder>& responder);
 
  private:
+  using responder_ptr = std::shared_ptr<net::http_responder>;
+
   bool Authorised(const net::http_request& request) const;
+  bool HandleRead(std::string_view what, const net::http_request& request,
+                  const responder_ptr& responder);
+  bool HandleChange(std::string_view what, const net::http_request& request,
+                    const responder_ptr& responder);
   void SendStatus(net::http_responder* responder) const;
   void SendTargets(net::http_responder* responder) const;
   void SendConfiguration(net::http_responder* responder) const;
-  void ApplyConfiguration(
-      const net::http_request& request,
-      const std::shared_ptr<net::http_responder>& responder);
+  void SendHistory(const responder_ptr& responder);
+  void SendDiff(const net::http_request& request,
+                const responder_ptr& responder);
+  void SendApply(std::string_view token, const net::http_request& request,
+                 const responder_ptr& responder);
+  void SendOrders(net::http_responder* responder) const;
+  void ApplyConfiguration(const net::http_request& request,
+                          const responder_ptr& responder);
+  void SetPreset(const net::http_request& request,
+                 const responder_ptr& responder);
+  void SetDrained(bool drained, const net::http_request& request,
+                  const responder_ptr& responder);
+  void SubmitOrder(const net::http_request& request,
+                   const responder_ptr& responder);
 
   core::target_table& targets_;
-  configuration_watch& watch_;
+  control_plane& control_;
   std::string router_name_;
   std::string key_sha256_;
 };
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -1,5 +1,7 @@
 #include "router/router_process.h"
 
+#include <nlohmann/json.hpp>
+
 #include "common/log.h"
 #include "common/metrics.h"
 #include "settings/router_settings.h"
@@ -17,6 +19,24 @@
           static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
 }
 
+/// @return the addresses of /peers/seeds; entries that are none are left out
+std::vector<net::endpoint> SeedPeers(
+    const settings::settings_document& settings) {
+  std::vector<net::endpoint> seeds;
+  const nlohmann::json list =
+      nlohmann::json::parse(settings.Json(settings::kPeerSeeds));
+  for (const nlohmann::json& entry : list) {
+    if (!entry.is_string()) continue;
+    const std::string text = entry;
+    const size_t colon = text.rfind(':');
+    if (colon == std::string::npos) continue;
+    const uint64_t port =
+        std::strtoull(text.substr(colon + 1).c_str(), nullptr, 10);
+    seeds.push_back({text.substr(0, colon), static_cast<uint16_t>(port)});
+  }
+  return seeds;
+}
+
 }  // namespace
 
 std::optional<std::unique_ptr<router_process>> router_process::Create(
@@ -47,6 +67,8 @@
   hello.name = name;
   hello.data_centre = data_centre;
   hello.is_router = true;
+  // Differs after a restart, whatever the seed.
+  hello.incarnation = common::SystemSeed() >> 1 | 1;
   process->policies_ =
       std::make_unique<core::policy_book>(core::policy_environment{
           process->clock_, *process->random_, name, data_centre});
@@ -62,14 +84,18 @@
       core::executor_context{process->clock_, events, *process->random_,
                              process->targets_, *process->policies_,
                              *process->attempts_, *process->operations_, name});
-  process->watch_ = std::make_unique<configuration_watch>(
-      *process->table_, *process->objects_, events,
-      common::milliseconds(settings.Integer(settings::kConfigurationPollMs)));
+  process->control_ = std::make_unique<control_plane>(control_environment{
+      events, process->clock_, *process->random_, *process->table_,
+      *process->objects_, process->targets_, *process->links_, hello,
+      common::milliseconds(settings.Integer(settings::kConfigurationPollMs))});
+  for (const net::endpoint& seed : SeedPeers(settings)) {
+    process->control_->peers().AddSeed(seed);
+  }
   process->callers_ = std::make_unique<caller_api>(
-      *process->executors_, *process->watch_,
+      *process->executors_, process->control_->configuration(),
       caller_limits{settings.Integer(settings::kMaxDeadlineMs)});
   process->operators_ = std::make_unique<operator_api>(
-      process->targets_, *process->watch_, name,
+      process->targets_, *process->control_, name,
       settings.Text(settings::kOperatorKeySha256));
   process->vm_list_period_ =
       common::milliseconds(settings.Integer(settings::kVmListPollMs));
@@ -87,15 +113,20 @@
           [raw](const net::http_request& request,
                 const std::shared_ptr<net::http_responder>& responder) {
             raw->OnHttp(request, responder);
+          },
+          [raw](std::shared_ptr<net::channel> channel) {
+            raw->control_->peers().Accept(std::move(channel));
           });
   if (!server) return std::nullopt;
   process->server_ = std::move(*server);
+  process->control_->peers().SetListenAddress(listen.address,
+                                              process->server_->port());
   return process;
 }
 
 void router_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
-  watch_->Start();
+  control_->Start();
   PollVmList();
   links_->Tick();
   common::Log(log_channel::kMain, log_level::kInfo,
@@ -106,7 +137,7 @@
 
 void router_process::PollVmList() {
   vms_->Fetch([this](std::optional<std::vector<core::vm_entry>> entries) {
-    if (entries) links_->Apply(*entries);
+    if (entries) control_->OnVmList(*entries);
     loop_->Schedule(vm_list_period_, [this] { PollVmList(); });
   });
 }
@@ -117,13 +148,14 @@
   stopping_ = true;
   loop_->Schedule(stop_grace_, [this] {
     callers_->StopAdmitting();
+    control_->Stop();
     callers_->OnIdle(
         [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
   });
 }
 
 bool router_process::Ready() const {
-  return !stopping_ && watch_->current() != nullptr;
+  return !stopping_ && control_->configuration().Ready();
 }
 
 void router_process::OnHttp(
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -9,7 +9,7 @@
 #include "platform/http_platform.h"
 #include "router/agent_links.h"
 #include "router/caller_api.h"
-#include "router/configuration_watch.h"
+#include "router/control_plane.h"
 #include "router/operator_api.h"
 #include "settings/settings_document.h"
 
@@ -46,7 +46,7 @@
   std::unique_ptr<core::attempt_table> attempts_;
   std::unique_ptr<core::operation_log> operations_;
   std::unique_ptr<core::executor_context> executors_;
-  std::unique_ptr<configuration_watch> watch_;
+  std::unique_ptr<control_plane> control_;
   std::unique_ptr<caller_api> callers_;
   std::unique_ptr<operator_api> operators_;
   std::unique_ptr<net::http_server> server_;
--- a/source/settings/router_settings.cc
+++ b/source/settings/router_settings.cc
@@ -48,6 +48,14 @@
     64,
     "SHA-256 of the operators' key; empty admits operators without one."};
 
+const setting kPeerSeeds = {
+    "/peers/seeds",
+    setting_type::kList,
+    "[]",
+    0,
+    64,
+    "Routers to dial, as \"address:port\", when the VM list cannot be had."};
+
 setting_table RouterSettings() {
   static const std::array kTable = {&kName,
                                     &kDataCentre,
@@ -68,7 +76,8 @@
                                     &kVmListPollMs,
                                     &kReconnectLimitMs,
                                     &kStopGraceMs,
-                                    &kOperatorKeySha256};
+                                    &kOperatorKeySha256,
+                                    &kPeerSeeds};
   return kTable;
 }
 
--- a/source/settings/router_settings.h
+++ b/source/settings/router_settings.h
@@ -11,6 +11,7 @@
 extern const setting kReconnectLimitMs;
 extern const setting kStopGraceMs;
 extern const setting kOperatorKeySha256;
+extern const setting kPeerSeeds;
 
 /// @return every setting of the router
 setting_table RouterSettings();
