Let agents take configurations, drains and orders

Cause: an agent answered pings and ran attempts, and knew nothing else: a data centre in maintenance drained only in routers that had heard.

agent/agent_control: takes the agent's part of a configuration and drains by its preset, passes orders on through the gate to POST /order, reads at start whether an operator drained it, and announces itself to routers while none dials. Gauges are printed with all their digits: six were too few for a time of day.

--- /dev/null
+++ b/source/agent/agent_control.cc
@@ -0,0 +1,186 @@
+#include "agent/agent_control.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "common/invariant.h"
+#include "common/last_reason.h"
+#include "common/log.h"
+#include "common/metrics.h"
+#include "core/lease/lease_record.h"
+#include "net/http_client.h"
+#include "wire/codec.h"
+
+namespace wisteriadale::agent {
+namespace {
+
+using common::log_channel;
+using common::log_level;
+using common::result_code;
+using nlohmann::json;
+
+constexpr common::duration kDrainRowRetry = std::chrono::seconds(1);
+// Loading a model takes minutes; the order is answered when it has ended.
+constexpr common::duration kOrderTimeout = std::chrono::minutes(10);
+// Without a router for this long, the agent makes itself known.
+constexpr common::duration kAnnouncePeriod = std::chrono::seconds(2);
+// Routers that an agent announces itself to; they tell nobody else.
+constexpr size_t kAnnounceRouters = 16;
+
+core::order_gate_options GateOptions(
+    const agent_control_environment& environment) {
+  core::order_gate_options options;
+  options.lease_key = core::ControllerLeaseKey(environment.data_centre);
+  options.target_checks_authority = environment.target_checks_authority;
+  return options;
+}
+
+result_code CodeOf(const net::http_result& result) {
+  if (result.status == 0) return result_code::kTargetLost;
+  if (result.status == 200) return result_code::kOk;
+  if (result.status == 409) return result_code::kStaleOrder;
+  if (result.status == 403) return result_code::kForbidden;
+  return result_code::kTargetFailed;
+}
+
+}  // namespace
+
+agent_control::agent_control(const agent_control_environment& environment)
+    : environment_(environment),
+      gate_(GateOptions(environment), *this, environment.rows,
+            environment.loop) {}
+
+void agent_control::Start(const core::hello_message& announcement) {
+  announcement_ = announcement;
+  ReadDrainRow();
+  environment_.loop.Schedule(kAnnouncePeriod, [this] { WatchRouters(); });
+}
+
+void agent_control::ReadDrainRow() {
+  environment_.rows.Read(
+      "drains/" + environment_.name, core::table_priority::kOther,
+      [this](const core::table_answer& answer) {
+        if (answer.status != core::table_status::kOk) {
+          environment_.loop.Schedule(kDrainRowRetry,
+                                     [this] { ReadDrainRow(); });
+          return;
+        }
+        const json row = json::parse(answer.row.value, nullptr, false);
+        if (!row.is_object() || !row.value("drained", false)) return;
+        SetDrained("operator", true);
+      });
+}
+
+void agent_control::WatchRouters() {
+  environment_.loop.Schedule(kAnnouncePeriod, [this] { WatchRouters(); });
+  announcements_.clear();
+  if (!routers_.empty()) return;
+  environment_.vms.Fetch(
+      [this](const std::optional<std::vector<core::vm_entry>>& entries) {
+        if (entries && routers_.empty()) Announce(*entries);
+      });
+}
+
+void agent_control::Announce(const std::vector<core::vm_entry>& entries) {
+  size_t told = 0;
+  for (const core::vm_entry& entry : entries) {
+    if (entry.role != core::vm_role::kRouter) continue;
+    if (++told > kAnnounceRouters) break;
+    net::DialChannel(environment_.loop, {entry.address, entry.port},
+                     [this](std::shared_ptr<net::channel> channel) {
+                       if (!channel) return;
+                       channel->Send(wire::Encode(announcement_));
+                       // Kept until the router has had time to read it.
+                       announcements_.push_back(std::move(channel));
+                     });
+  }
+}
+
+void agent_control::OnHello(core::router_link link,
+                            const core::hello_message& hello) {
+  if (hello.is_router) routers_[link] = hello.name;
+}
+
+void agent_control::OnLinkClosed(core::router_link link) {
+  routers_.erase(link);
+}
+
+void agent_control::OnOrder(core::router_link link,
+                            const core::order_message& order) {
+  core::order_answer_message refusal;
+  refusal.order_id = order.order_id;
+  if (!routers_.contains(link) || order.target != environment_.name) {
+    refusal.code = result_code::kForbidden;
+    refusal.reason = "the order is for another target, or not from a router";
+    environment_.routers.Send(link, refusal);
+    return;
+  }
+  gate_.OnOrder(order, [this, link](const core::order_answer_message& answer) {
+    environment_.routers.Send(link, answer);
+  });
+}
+
+void agent_control::OnConfiguration(
+    const core::configuration_message& message) {
+  // A process never steps down to an older version.
+  if (message.version <= configuration_.version) return;
+  const std::optional<core::agent_configuration> parsed =
+      core::ParseAgentPart(message.document, message.version);
+  if (!parsed) {
+    common::Log(log_channel::kConfiguration, log_level::kError,
+                "version " + std::to_string(message.version) +
+                    " cannot be read: " + common::LastReason().text);
+    return;
+  }
+  common::CheckInvariant(parsed->version > configuration_.version,
+                         "configuration_never_steps_down",
+                         std::to_string(parsed->version));
+  configuration_ = *parsed;
+  common::Metrics().Set("wisteria_configuration_version",
+                        static_cast<double>(configuration_.version));
+  common::Metrics().Set("wisteria_configuration_adopted_wall_us",
+                        static_cast<double>(environment_.clock.WallMicros()));
+  const std::vector<std::string>& drained =
+      configuration_.preset.drained_data_centres;
+  SetDrained("preset", std::find(drained.begin(), drained.end(),
+                                 environment_.data_centre) != drained.end());
+}
+
+void agent_control::SetDrained(std::string_view reason, bool drained) {
+  if (!reasons_.Set(reason, drained)) return;
+  common::Log(log_channel::kMembership, log_level::kInfo,
+              std::string(reasons_.draining() ? "takes no new work: "
+                                              : "takes new work again: ") +
+                  std::string(reason));
+  if (reasons_.draining()) {
+    environment_.host.Drain({});
+  } else {
+    environment_.host.EndDrain();
+  }
+  environment_.tell_load();
+}
+
+void agent_control::Apply(const core::order_message& order,
+                          order_handler handler) {
+  net::http_call call;
+  call.method = "POST";
+  call.to = environment_.target;
+  call.path = "/order";
+  call.headers = {{"content-type", "application/json"},
+                  {"fencing-number", std::to_string(order.fencing_number)}};
+  call.body = json{{"order_id", order.order_id},
+                   {"fencing_number", order.fencing_number},
+                   {"kind", order.kind},
+                   {"argument", order.argument},
+                   {"authority", order.authority}}
+                  .dump();
+  call.timeout = kOrderTimeout;
+  net::StartHttpCall(
+      environment_.loop, std::move(call),
+      [handler = std::move(handler)](const net::http_result& result) {
+        handler(CodeOf(result),
+                result.status == 0 ? result.failure : result.body);
+      });
+}
+
+}  // namespace wisteriadale::agent
--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -3,6 +3,8 @@
 #include "common/last_reason.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "core/control_traffic.h"
+#include "platform/http_platform.h"
 #include "settings/agent_settings.h"
 #include "wire/codec.h"
 
@@ -41,8 +43,18 @@
     answer.sequence = message.sequence;
     answer.answer = true;
     answer.load = host.Load();
+    answer.configuration_version = process.control().configuration_version();
     process.Send(link, answer);
   }
+  void operator()(const core::hello_message& message) const {
+    process.control().OnHello(link, message);
+  }
+  void operator()(const core::order_message& message) const {
+    process.control().OnOrder(link, message);
+  }
+  void operator()(const core::configuration_message& message) const {
+    process.control().OnConfiguration(message);
+  }
   template <typename other>
   void operator()(const other&) const {}
 };
@@ -98,11 +110,34 @@
           });
   if (!server) return std::nullopt;
   process->server_ = std::move(*server);
+  process->hello_.pool = settings.Text(settings::kPool);
+  process->hello_.address = listen.address;
+  process->hello_.port = process->server_->port();
+  process->MakeControl(settings);
   return process;
 }
 
+void agent_process::MakeControl(const settings::settings_document& settings) {
+  platform::platform_options platform;
+  platform.address = {
+      settings.Text(settings::kPlatformAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+  platform.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  table_ = platform::MakeHttpTable(*loop_, platform);
+  vms_ = platform::MakeHttpVmList(*loop_, platform);
+  const net::endpoint target = {
+      settings.Text(settings::kTargetAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kTargetPort))};
+  control_ = std::make_unique<agent_control>(agent_control_environment{
+      *loop_, clock_, *table_, *vms_, *host_, *this, target, hello_.name,
+      hello_.data_centre, settings.Boolean(settings::kTargetChecksAuthority),
+      [this] { TellLoad(); }});
+}
+
 void agent_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
+  control_->Start(hello_);
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
   loop_->Run();
@@ -113,12 +148,17 @@
   // A second signal changes nothing: the stop stays clean.
   if (stopping_) return;
   stopping_ = true;
+  control_->Stop();
   host_->Drain(
       [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
-  core::ping_message leaving;
-  leaving.answer = true;
-  leaving.load = host_->Load();
-  for (const auto& [link, channel] : links_) Send(link, leaving);
+}
+
+void agent_process::TellLoad() {
+  core::ping_message ping;
+  ping.answer = true;
+  ping.load = host_->Load();
+  ping.configuration_version = control_->configuration_version();
+  for (const auto& [link, channel] : links_) Send(link, ping);
 }
 
 void agent_process::Accept(std::shared_ptr<net::channel> channel) {
@@ -128,8 +168,10 @@
   channel->OnClosed([this, link] {
     links_.erase(link);
     host_->OnLinkClosed(link);
+    control_->OnLinkClosed(link);
   });
   links_.emplace(link, std::move(channel));
+  hello_.configuration_version = control_->configuration_version();
   Send(link, hello_);
 }
 
@@ -141,13 +183,16 @@
                 "bad frame: " + common::LastReason().text);
     return;
   }
+  core::CountControl("received", *message, frame.size());
   std::visit(message_handler{*host_, *this, link}, *message);
 }
 
 void agent_process::Send(core::router_link link, const core::message& message) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
-  found->second->Send(wire::Encode(message));
+  std::string frame = wire::Encode(message);
+  core::CountControl("sent", message, frame.size());
+  found->second->Send(std::move(frame));
 }
 
 void agent_process::OnHttp(const net::http_request& request,
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "agent/agent_control.h"
 #include "agent/http_target.h"
 #include "common/random.h"
 #include "core/agent/attempt_host.h"
@@ -24,6 +25,8 @@
 
   void Send(core::router_link link, const core::message& message) override;
 
+  agent_control& control() { return *control_; }
+
  private:
   agent_process() = default;
 
@@ -31,12 +34,17 @@
   void OnFrame(core::router_link link, std::string_view frame);
   void OnHttp(const net::http_request& request, net::http_responder* responder);
   void Stop();
+  void TellLoad();
+  void MakeControl(const settings::settings_document& settings);
 
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<http_target> target_;
   std::unique_ptr<core::attempt_host> host_;
+  std::unique_ptr<core::table> table_;
+  std::unique_ptr<core::vm_list> vms_;
+  std::unique_ptr<agent_control> control_;
   std::unique_ptr<net::http_server> server_;
   std::unordered_map<core::router_link, std::shared_ptr<net::channel>> links_;
   core::router_link next_link_ = 1;
--- a/source/common/metrics.cc
+++ b/source/common/metrics.cc
@@ -1,6 +1,8 @@
 #include "common/metrics.h"
 
+#include <array>
 #include <boost/histogram.hpp>
+#include <charconv>
 #include <map>
 #include <sstream>
 
@@ -69,6 +71,14 @@
       << "\n";
 }
 
+/// @return the shortest text that reads back as the same value
+std::string Shortest(double value) {
+  std::array<char, 32> text;
+  const std::to_chars_result end =
+      std::to_chars(text.data(), text.data() + text.size(), value);
+  return {text.data(), end.ptr};
+}
+
 }  // namespace
 
 struct metric_registry::state {
@@ -131,7 +141,7 @@
     out << key.name << Braced(key.labels) << " " << value << "\n";
   }
   for (const auto& [key, value] : state_->gauges) {
-    out << key.name << Braced(key.labels) << " " << value << "\n";
+    out << key.name << Braced(key.labels) << " " << Shortest(value) << "\n";
   }
   for (const auto& [key, values] : state_->histograms) {
     WriteHistogram(out, key, values);
--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -333,6 +333,11 @@
   CheckDrained();
 }
 
+void attempt_host::EndDrain() {
+  draining_ = false;
+  on_drained_ = nullptr;
+}
+
 void attempt_host::CheckDrained() {
   if (!draining_ || !on_drained_) return;
   if (running_ > 0 || Waiting() > 0) return;
--- a/source/core/agent/attempt_host.h
+++ b/source/core/agent/attempt_host.h
@@ -71,6 +71,9 @@
   /// @param on_drained called once nothing is in flight
   void Drain(std::function<void()> on_drained);
 
+  /// Takes new work again.
+  void EndDrain();
+
   load_report Load() const;
   bool draining() const { return draining_; }
 
--- a/source/router/configuration_watch.cc
+++ b/source/router/configuration_watch.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-void configuration_watch::Apply(core::apply_request request,
+void configuration_watch::Apply(const core::apply_request& request,
                                 const apply_handler& handler) {
   const std::optional<std::shared_ptr<const core::configuration>> parsed =
       core::ParseConfiguration(request.document, request.expected_version + 1);
@@ -46,7 +46,7 @@
   if (request.expected_version == 0) {
     request.expected_version = holder_.version();
   }
-  Apply(std::move(request), handler);
+  Apply(request, handler);
 }
 
 void configuration_watch::ReadVersion(
--- a/source/router/configuration_watch.h
+++ b/source/router/configuration_watch.h
@@ -29,7 +29,7 @@
   bool Ready() const { return spread_.Ready(); }
 
   /// Offers a document in place of a version; a faulty one changes nothing.
-  void Apply(core::apply_request request, const apply_handler& handler);
+  void Apply(const core::apply_request& request, const apply_handler& handler);
   /// Puts another preset in force, in place of the configuration in force.
   void SetPreset(const std::string& preset, core::apply_request request,
                  const apply_handler& handler);
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -284,7 +284,7 @@
       NumberOf(request.QueryArgument("expected_version"));
   offered.token = request.QueryArgument("token");
   offered.who = WhoIs(request);
-  control_.configuration().Apply(std::move(offered),
+  control_.configuration().Apply(offered,
                                  [responder](const core::apply_answer& answer) {
                                    SendApplyAnswer(responder.get(), answer);
                                  });
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "common/log.h"
 #include "common/metrics.h"
 #include "core/control_traffic.h"
 #include "wire/codec.h"
@@ -10,9 +9,6 @@
 namespace wisteriadale::router {
 namespace {
 
-using common::log_channel;
-using common::log_level;
-
 constexpr common::duration kTickPeriod = std::chrono::milliseconds(250);
 constexpr common::duration kSilenceLimit = std::chrono::milliseconds(1000);
 
--- a/source/settings/agent_settings.cc
+++ b/source/settings/agent_settings.cc
@@ -38,6 +38,14 @@
     600000,
     "How long an idempotent attempt runs on without its router."};
 
+const setting kTargetChecksAuthority = {
+    "/target/checks_authority",
+    setting_type::kBoolean,
+    "false",
+    0,
+    1,
+    "The target itself checks who gives it an order."};
+
 setting_table AgentSettings() {
   static const std::array kTable = {&kName,
                                     &kDataCentre,
@@ -54,6 +62,7 @@
                                     &kInvariantsFatal,
                                     &kTargetAddress,
                                     &kTargetPort,
+                                    &kTargetChecksAuthority,
                                     &kPool,
                                     &kConcurrencyLimit,
                                     &kQueueLimit,
--- a/source/settings/agent_settings.h
+++ b/source/settings/agent_settings.h
@@ -6,6 +6,7 @@
 
 extern const setting kTargetAddress;
 extern const setting kTargetPort;
+extern const setting kTargetChecksAuthority;
 extern const setting kPool;
 extern const setting kConcurrencyLimit;
 extern const setting kQueueLimit;
