Bound slow callers, and end a loop and a leak in HTTP/1.1 keep-alive

A body without a valid length is length_required 411; a header that does not fit is bad_request.

Found by the new tests: - A body pipelined behind another request made libwebsockets 4.1 call BODY_COMPLETION for ever: the process served nobody any more. Ruled out: bodies followed by requests, pipelined GETs, half requests. Such a request is refused before it runs, by closing.

--- a/scenarios/bad_input.lua
+++ b/scenarios/bad_input.lua
@@ -5,7 +5,9 @@
 local kMaxBody = 4096
 
 local deployment = fleet.start{
-  routers = 1, router = {["/http/max_body_bytes"] = kMaxBody}}
+  routers = 1, router = {["/http/max_body_bytes"] = kMaxBody,
+                         ["/http/receive_timeout_ms"] = 400,
+                         ["/http/send_stall_ms"] = 400}}
 local port = deployment.router_ports[1]
 
 local function expect_error(answer, status, name)
@@ -40,5 +42,64 @@
 expect_error(http{port = port, path = "/nowhere"}, 404, "not_found")
 expect_serving("errors of single requests")
 
+-- What no HTTP client would send, each beside a request that is not touched.
+local kPath = "/v1/pipelines/lookup/requests"
+local kHeaders = "Host: a\r\nAuthorization: Bearer caller-key\r\n"
+local function post(length, body)
+  return "POST " .. kPath .. " HTTP/1.1\r\n" .. kHeaders .. length .. "\r\n" ..
+             body
+end
+
+local slow = connect(port)
+slow:send(post("Content-Length: 40\r\n", "{\"item\":"))
+local beside = deployment:ask("lookup", {item = "cone"})
+expect_equal(200, beside.status, "request beside a slow caller")
+slow:wait_for("slow_caller", 5000)
+slow:wait_closed()
+
+local half = connect(port)
+half:send(post("Content-Length: 40\r\n", "{"))
+half:shutdown()
+half:wait_closed()
+
+local chunked = connect(port)
+chunked:send(post("Transfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"))
+chunked:wait_for("length_required", 5000)
+chunked:wait_closed()
+
+local long = connect(port)
+long:send(post("Idempotency-Key: " .. string.rep("k", 1500) ..
+                   "\r\nContent-Length: 2\r\n", "{}"))
+long:wait_for("bad_request", 5000)
+
+local endless = connect(port)
+endless:send(post("Accept: " .. string.rep("k", 50000) .. "\r\n", ""))
+endless:wait_closed()
+
+local piped = connect(port)
+piped:send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n" ..
+               post("Content-Length: 2\r\n", "{}"))
+piped:wait_closed()
+expect_serving("bytes of single callers")
+
+-- A frame that does not decode is counted and closes nothing else.
+local agent_port = deployment.agent_ports["stock-1"]
+local peer = connect(agent_port)
+peer:send("GET /peer HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n" ..
+              "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n" ..
+              "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n" ..
+              "Sec-WebSocket-Protocol: wisteria-peer\r\n\r\n")
+peer:wait_for("101", 5000)
+for _, payload in ipairs{"garbage", string.rep("\255", 100), ""} do
+  -- A masked binary frame whose mask is zero.
+  peer:send("\x82" .. string.char(0x80 + #payload) .. "\0\0\0\0" .. payload)
+end
+wait_until(function()
+  return fleet.metric(agent_port, "wisteria_bad_frames_total") >= 2
+end, 5000, "bad frames counted")
+expect_serving("frames that do not decode")
+expect_equal(#deployment.vms, deployment:status(1).usable_targets,
+             "the router's own channels stay open")
+
 deployment:expect_running()
 deployment:stop()
--- a/source/common/result_code.cc
+++ b/source/common/result_code.cc
@@ -34,6 +34,11 @@
                      "A header or field has a value that is not allowed."},
     result_code_info{kForbidden, "forbidden", 403, false,
                      "The key may not use this path."},
+    result_code_info{kSlowCaller, "slow_caller", 408, true,
+                     "The body did not arrive within "
+                     "http.receive_timeout_ms."},
+    result_code_info{kLengthRequired, "length_required", 411, false,
+                     "A body needs a valid Content-Length."},
     result_code_info{kDeadlineExceeded, "deadline_exceeded", 504, true,
                      "The deadline passed, or cannot be met any more."},
     result_code_info{kOverloaded, "overloaded", 503, true,
--- a/source/common/result_code.h
+++ b/source/common/result_code.h
@@ -21,6 +21,8 @@
   kMethodNotAllowed = 1009,
   kBadRequest = 1010,
   kForbidden = 1011,
+  kSlowCaller = 1012,
+  kLengthRequired = 1013,
   kDeadlineExceeded = 2001,
   kOverloaded = 2002,
   kNoTarget = 2003,
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -69,9 +69,10 @@
     for (const http_header& header : call_.headers) {
       if (!AddHeader(header.name + ":", header.value, p, end)) return -1;
     }
-    if (call_.body.empty()) return 0;
     const std::string size = std::to_string(call_.body.size());
-    if (!AddHeader("content-length:", size, p, end)) return -1;
+    const bool told = !call_.body.empty() || call_.method != "GET";
+    if (told && !AddHeader("content-length:", size, p, end)) return -1;
+    if (call_.body.empty()) return 0;
     lws_client_http_body_pending(wsi_, 1);
     lws_callback_on_writable(wsi_);
     return 0;
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -25,7 +25,6 @@
   bool length_missing = false;   ///< a body without a valid Content-Length
   bool header_too_long = false;  ///< a collected header was left out
 
-
   /// @param name lower-case header name, one of those that are collected
   /// @return the header's value, or an empty view
   std::string_view Header(std::string_view name) const;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -8,6 +8,7 @@
 #include "common/last_reason.h"
 #include "common/metrics.h"
 #include "net/lws_protocols.h"
+#include "net/socket_bytes.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -15,6 +16,7 @@
 constexpr size_t kMaxHeaderBytes = 2048;
 constexpr size_t kWriteBytes = size_t{16} * 1024;
 constexpr size_t kMaxHeaderValue = 1024;
+constexpr common::duration kCallerCheckPeriod = std::chrono::milliseconds(250);
 
 /// A header that is collected from requests.
 struct collected_header {
@@ -36,15 +38,22 @@
 
 class exchange;
 
-/// Connection state that libwebsockets keeps; one pointer, zeroed at accept.
-struct server_slot {
-  std::shared_ptr<exchange>* current;
+/// State of one connection, over all its requests. The per-session memory of
+/// libwebsockets starts anew with each request, so it is not used for this.
+struct connection {
+  std::shared_ptr<exchange> current;
 };
 
 class exchange final : public http_responder {
  public:
   exchange(lws* wsi, const http_server& server)
-      : wsi_(wsi), limits_(server.limits()) {}
+      : wsi_(wsi),
+        loop_(server.loop()),
+        stall_limit_(server.limits().send_stall_limit),
+        max_pending_bytes_(server.limits().max_pending_bytes) {}
+  ~exchange() override { CancelTimers(); }
+  exchange(const exchange&) = delete;
+  exchange& operator=(const exchange&) = delete;
 
   void Send(int status, std::string_view content_type, std::string_view body,
             std::span<const http_header> headers) override {
@@ -74,7 +83,7 @@
     std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
     if (PendingBytes() == 0) ExpectProgress();
     pending_.append(size).append(data).append("\r\n");
-    if (PendingBytes() > limits_.max_pending_bytes) {
+    if (PendingBytes() > max_pending_bytes_) {
       GiveUp("pending_bytes");
       return;
     }
@@ -101,12 +110,27 @@
     on_close_ = std::move(action);
   }
 
+  // libwebsockets does not read while a request is being answered, so it does
+  // not notice that the caller has closed the connection.
+  void WatchCaller() {
+    watch_timer_ = loop_.Schedule(kCallerCheckPeriod, [this] {
+      watch_timer_ = 0;
+      if (wsi_ == nullptr) return;
+      if (PeerHasClosed(lws_get_socket_fd(wsi_))) {
+        GiveUp("caller_gone");
+      } else {
+        WatchCaller();
+      }
+    });
+  }
+
   /// @return whether the connection is gone or the answer is complete
   bool Detached() const { return wsi_ == nullptr; }
 
   /// The connection is gone.
   void Detach() {
     wsi_ = nullptr;
+    CancelTimers();
     if (on_close_ && !(finished_ && done_)) {
       const std::function<void()> action = std::move(on_close_);
       on_close_ = nullptr;
@@ -126,13 +150,35 @@
   bool dispatched = false;
   bool close_after = false;  ///< the rest of the request was not read
   bool head_only = false;    ///< the answer has no body
+  /// Bytes read from the connection when the answer was complete.
+  uint64_t bytes_read_at_end = 0;
 
  private:
   /// From now on the caller has to take bytes within the bound.
   void ExpectProgress() {
-    lws_set_timeout_us(wsi_, PENDING_TIMEOUT_HTTP_CONTENT,
-                       static_cast<lws_usec_t>(
-                           limits_.send_stall_limit.count()));
+    last_progress_us_ = lws_now_usecs();
+    if (stall_timer_ == 0) CheckProgressAfter(stall_limit_);
+  }
+
+  // One timer for many writes: it is moved only when it fires.
+  void CheckProgressAfter(common::duration delay) {
+    stall_timer_ = loop_.Schedule(delay, [this] {
+      stall_timer_ = 0;
+      if (wsi_ == nullptr || PendingBytes() == 0) return;
+      const common::duration quiet(lws_now_usecs() - last_progress_us_);
+      if (quiet >= stall_limit_) {
+        GiveUp("stalled");
+      } else {
+        CheckProgressAfter(stall_limit_ - quiet);
+      }
+    });
+  }
+
+  void CancelTimers() {
+    loop_.Cancel(stall_timer_);
+    loop_.Cancel(watch_timer_);
+    stall_timer_ = 0;
+    watch_timer_ = 0;
   }
 
   /// Cuts the answer off: its final chunk is never written.
@@ -188,7 +234,6 @@
     if (written_ == pending_.size()) {
       pending_.clear();
       written_ = 0;
-      lws_set_timeout(wsi_, NO_PENDING_TIMEOUT, 0);
       if (aborted_) return -1;
     } else {
       ExpectProgress();
@@ -200,8 +245,10 @@
   int Complete() {
     done_ = true;
     on_close_ = nullptr;
+    CancelTimers();
     lws* wsi = wsi_;
     wsi_ = nullptr;
+    bytes_read_at_end = BytesRead(lws_get_socket_fd(wsi));
     const bool closing = lws_http_transaction_completed(wsi) != 0;
     return closing || close_after ? -1 : 0;
   }
@@ -215,7 +262,12 @@
   }
 
   lws* wsi_;
-  const http_server::options& limits_;
+  event_loop& loop_;
+  common::duration stall_limit_;
+  size_t max_pending_bytes_;
+  common::timer_id stall_timer_ = 0;
+  common::timer_id watch_timer_ = 0;
+  int64_t last_progress_us_ = 0;
   int status_ = 0;
   std::string content_type_;
   std::vector<http_header> headers_;
@@ -321,6 +373,7 @@
   current->dispatched = true;
   // The handler may take long to answer; its own deadline applies, not ours.
   lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+  current->WatchCaller();
   http_request request = std::move(current->request);
   ServerOf(wsi)->on_request()(std::move(request), current);
 }
@@ -344,12 +397,38 @@
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-void StartExchange(lws* wsi, server_slot* slot, std::string_view path) {
-  if (slot->current == nullptr) {
-    slot->current = new std::shared_ptr<exchange>();
+connection* ConnectionOf(lws* wsi) {
+  return static_cast<connection*>(lws_get_opaque_user_data(wsi));
+}
+
+/// @return whether the request's headers were read together with the request
+/// before it
+bool IsPipelined(lws* wsi) {
+  const connection* state = ConnectionOf(wsi);
+  if (state == nullptr || !state->current) return false;
+  return state->current->bytes_read_at_end == BytesRead(lws_get_socket_fd(wsi));
+}
+
+connection& EnsureConnection(lws* wsi) {
+  if (ConnectionOf(wsi) == nullptr) {
+    lws_set_opaque_user_data(wsi, new connection());
   }
-  *slot->current = std::make_shared<exchange>(wsi, *ServerOf(wsi));
-  exchange& current = **slot->current;
+  return *ConnectionOf(wsi);
+}
+
+/// @return false when the connection has to be closed
+bool StartExchange(lws* wsi, std::string_view path) {
+  const std::optional<size_t> length = ContentLength(wsi);
+  // libwebsockets 4.1 loops for ever over a body that it has buffered behind
+  // an earlier request. Nothing of such a request has run.
+  if (length.value_or(0) > 0 && IsPipelined(wsi)) {
+    common::Metrics().Count("wisteria_pipelined_bodies_refused_total");
+    return false;
+  }
+  const std::shared_ptr<exchange> started =
+      std::make_shared<exchange>(wsi, *ServerOf(wsi));
+  EnsureConnection(wsi).current = started;
+  exchange& current = *started;
   current.request.method = MethodOf(wsi);
   current.request.path = path;
   current.request.query = QueryOf(wsi);
@@ -358,21 +437,21 @@
   char peer[64];
   lws_get_peer_simple(wsi, peer, sizeof(peer));
   current.request.peer = peer;
-  const std::optional<size_t> length = ContentLength(wsi);
   if (!length) {
     // Without a length the end of the body cannot be told.
     current.request.length_missing = MayHaveBody(current.request.method);
     current.close_after = current.request.length_missing;
-    Dispatch(wsi, *slot->current);
-    return;
+    Dispatch(wsi, started);
+    return true;
   }
   current.request.body_too_large =
       *length > ServerOf(wsi)->limits().max_body_bytes;
   if (*length == 0) {
-    Dispatch(wsi, *slot->current);
+    Dispatch(wsi, started);
   } else {
-    LimitBody(wsi, *slot->current);
+    LimitBody(wsi, started);
   }
+  return true;
 }
 
 void AppendBody(lws* wsi, exchange* current, std::string_view data) {
@@ -386,41 +465,42 @@
   current->request.body.append(data);
 }
 
-void CloseSlot(server_slot* slot) {
-  if (slot->current == nullptr) return;
-  const std::shared_ptr<exchange> current = std::move(*slot->current);
-  delete slot->current;
-  slot->current = nullptr;
-  if (current) current->Detach();
+void CloseConnection(lws* wsi) {
+  const std::unique_ptr<connection> state(ConnectionOf(wsi));
+  lws_set_opaque_user_data(wsi, nullptr);
+  if (state && state->current) state->current->Detach();
+}
+
+/// @return the exchange in progress on a connection, or null
+std::shared_ptr<exchange> CurrentOf(lws* wsi) {
+  const connection* state = ConnectionOf(wsi);
+  return state == nullptr ? nullptr : state->current;
 }
 
 }  // namespace
 
-int HttpServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
-                       void* in, size_t length) {
-  server_slot* slot = static_cast<server_slot*>(user);
+int HttpServerCallback(lws* wsi, lws_callback_reasons reason, void*, void* in,
+                       size_t length) {
   const std::string_view data(static_cast<const char*>(in), length);
   switch (reason) {
     case LWS_CALLBACK_HTTP:
-      StartExchange(wsi, slot, data);
-      return 0;
-    case LWS_CALLBACK_HTTP_BODY:
-      if (slot->current != nullptr && *slot->current) {
-        AppendBody(wsi, slot->current->get(), data);
-      }
+      return StartExchange(wsi, data) ? 0 : -1;
+    case LWS_CALLBACK_HTTP_BODY: {
+      const std::shared_ptr<exchange> current = CurrentOf(wsi);
+      if (current) AppendBody(wsi, current.get(), data);
       return 0;
-    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-      if (slot->current != nullptr && *slot->current) {
-        Dispatch(wsi, *slot->current);
-      }
+    }
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION: {
+      const std::shared_ptr<exchange> current = CurrentOf(wsi);
+      if (current) Dispatch(wsi, current);
       return 0;
+    }
     case LWS_CALLBACK_HTTP_WRITEABLE: {
-      if (slot->current == nullptr || !*slot->current) return 0;
-      const std::shared_ptr<exchange> current = *slot->current;
-      return current->Writable();
+      const std::shared_ptr<exchange> current = CurrentOf(wsi);
+      return current ? current->Writable() : 0;
     }
     case LWS_CALLBACK_CLOSED_HTTP:
-      if (slot != nullptr) CloseSlot(slot);
+      CloseConnection(wsi);
       return 0;
     default:
       return 0;
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -214,6 +214,19 @@
     SendError(responder.get(), result_code::kMethodNotAllowed, "");
     return;
   }
+  if (request.body_timed_out) {
+    SendError(responder.get(), result_code::kSlowCaller, "");
+    return;
+  }
+  if (request.length_missing) {
+    SendError(responder.get(), result_code::kLengthRequired, "");
+    return;
+  }
+  if (request.header_too_long) {
+    SendError(responder.get(), result_code::kBadRequest,
+              "a header is too long");
+    return;
+  }
   if (request.body_too_large) {
     SendError(responder.get(), result_code::kBodyTooLarge, "");
     return;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -12,6 +12,14 @@
 
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
+net::event_loop::options LoopOptions(
+    const settings::settings_document& settings) {
+  net::event_loop::options options;
+  options.dial_timeout =
+      common::milliseconds(settings.Integer(settings::kDialTimeoutMs));
+  return options;
+}
+
 net::endpoint PlatformEndpoint(const settings::settings_document& settings) {
   return {settings.Text(settings::kPlatformAddress),
           static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
@@ -28,7 +36,7 @@
   process->random_ = std::make_unique<common::seeded_random>(
       seed == 0 ? common::SystemSeed() : seed);
   std::optional<std::unique_ptr<net::event_loop>> loop =
-      net::event_loop::Create({});
+      net::event_loop::Create(LoopOptions(settings));
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
   net::event_loop& events = *process->loop_;
@@ -81,6 +89,12 @@
   listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
   listen.max_body_bytes =
       static_cast<size_t>(settings.Integer(settings::kMaxBodyBytes));
+  listen.receive_timeout =
+      common::milliseconds(settings.Integer(settings::kReceiveTimeoutMs));
+  listen.send_stall_limit =
+      common::milliseconds(settings.Integer(settings::kSendStallMs));
+  listen.max_pending_bytes =
+      static_cast<size_t>(settings.Integer(settings::kMaxPendingBytes));
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
           events, listen,
--- a/source/settings/common_settings.cc
+++ b/source/settings/common_settings.cc
@@ -45,6 +45,13 @@
     10,
     60000,
     "How long an answer of the platform may take, in milliseconds."};
+const setting kDialTimeoutMs = {
+    "/net/dial_timeout_ms",
+    setting_type::kInteger,
+    "1000",
+    10,
+    60000,
+    "Longest time for a channel between processes to open."};
 const setting kLogLevel = {
     "/log/level",
     setting_type::kText,
--- a/source/settings/common_settings.h
+++ b/source/settings/common_settings.h
@@ -12,6 +12,7 @@
 extern const setting kPlatformAddress;
 extern const setting kPlatformPort;
 extern const setting kPlatformTimeoutMs;
+extern const setting kDialTimeoutMs;
 extern const setting kLogLevel;
 extern const setting kLogJson;
 extern const setting kLogFile;
--- a/source/settings/router_settings.cc
+++ b/source/settings/router_settings.cc
@@ -16,6 +16,28 @@
                                 100,
                                 3600000,
                                 "Largest deadline a caller may ask for."};
+const setting kReceiveTimeoutMs = {
+    "/http/receive_timeout_ms",
+    setting_type::kInteger,
+    "10000",
+    50,
+    600000,
+    "Longest time from a request's headers to the end of its body."};
+const setting kSendStallMs = {
+    "/http/send_stall_ms",
+    setting_type::kInteger,
+    "10000",
+    50,
+    600000,
+    "An answer of which the caller takes no byte for this long is aborted."};
+const setting kMaxPendingBytes = {
+    "/http/max_pending_bytes",
+    setting_type::kInteger,
+    "4194304",
+    65536,
+    1073741824,
+    "Most bytes of a stream that wait for its caller; beyond it the answer is "
+    "aborted."};
 const setting kConfigurationPollMs = {
     "/configuration/poll_ms",
     setting_type::kInteger,
@@ -64,6 +86,10 @@
                                     &kInvariantsFatal,
                                     &kMaxBodyBytes,
                                     &kMaxDeadlineMs,
+                                    &kReceiveTimeoutMs,
+                                    &kSendStallMs,
+                                    &kMaxPendingBytes,
+                                    &kDialTimeoutMs,
                                     &kConfigurationPollMs,
                                     &kVmListPollMs,
                                     &kReconnectLimitMs,
--- a/source/settings/router_settings.h
+++ b/source/settings/router_settings.h
@@ -6,6 +6,9 @@
 
 extern const setting kMaxBodyBytes;
 extern const setting kMaxDeadlineMs;
+extern const setting kReceiveTimeoutMs;
+extern const setting kSendStallMs;
+extern const setting kMaxPendingBytes;
 extern const setting kConfigurationPollMs;
 extern const setting kVmListPollMs;
 extern const setting kReconnectLimitMs;
