--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -26,6 +26,7 @@
   to.queue_wait_us = static_cast<int32_t>(from.queue_wait_us);
   to.accepting = from.accepting;
   to.configuration_version = Signed(from.configuration_version);
+  to.token_window = Signed(from.token_window);
   return to;
 }
 
@@ -38,6 +39,7 @@
   to.queue_wait_us = static_cast<uint32_t>(from.queue_wait_us);
   to.accepting = from.accepting;
   to.configuration_version = Unsigned(from.configuration_version);
+  to.token_window = Unsigned(from.token_window);
   return to;
 }
 
@@ -60,6 +62,7 @@
     to.pool = from.pool;
     to.address = from.address;
     to.port = from.port;
+    to.token_window = Signed(from.token_window);
     frame->__set_hello_part(to);
   }
 
@@ -74,6 +77,7 @@
     to.digest = from.digest;
     to.operation_token = from.operation_token;
     to.expected_incarnation = Signed(from.expected_incarnation);
+    to.token_window = Signed(from.token_window);
     to.remaining_ms = from.remaining.count();
     to.deferrable = from.deferrable;
     to.alone = from.alone;
@@ -123,6 +127,8 @@
     to.attempt_id = from.attempt_id;
     to.organisation = from.organisation;
     to.offset = Signed(from.offset);
+    to.operation_token = from.operation_token;
+    to.token_window = Signed(from.token_window);
     frame->__set_resume_part(to);
   }
 
@@ -130,6 +136,7 @@
     generated::revoke to;
     to.attempt_id = from.attempt_id;
     to.operation_token = from.operation_token;
+    to.token_window = Signed(from.token_window);
     frame->__set_revoke_part(to);
   }
 
@@ -201,6 +208,7 @@
   to.pool = from.pool;
   to.address = from.address;
   to.port = static_cast<uint16_t>(from.port);
+  to.token_window = Unsigned(from.token_window);
   return to;
 }
 
@@ -215,6 +223,7 @@
   to.digest = from.digest;
   to.operation_token = from.operation_token;
   to.expected_incarnation = Unsigned(from.expected_incarnation);
+  to.token_window = Unsigned(from.token_window);
   to.remaining = common::milliseconds(from.remaining_ms);
   to.deferrable = from.deferrable;
   to.alone = from.alone;
@@ -274,11 +283,13 @@
   if (frame.__isset.resume_part) {
     const generated::resume& part = frame.resume_part;
     return core::resume_message{part.attempt_id, part.organisation,
-                                Unsigned(part.offset)};
+                                Unsigned(part.offset), part.operation_token,
+                                Unsigned(part.token_window)};
   }
   if (frame.__isset.revoke_part) {
     const generated::revoke& part = frame.revoke_part;
-    return core::revoke_message{part.attempt_id, part.operation_token};
+    return core::revoke_message{part.attempt_id, part.operation_token,
+                                Unsigned(part.token_window)};
   }
   if (frame.__isset.revoke_answer_part) {
     const generated::revoke_answer& part = frame.revoke_answer_part;
