--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <string>
 
 #include "common/last_reason.h"
+#include "common/metrics.h"
 #include "net/lws_protocols.h"
 
 namespace wisteriadale::net {
@@ -41,7 +43,8 @@
 
 class exchange final : public http_responder {
  public:
-  explicit exchange(lws* wsi) : wsi_(wsi) {}
+  exchange(lws* wsi, const http_server& server)
+      : wsi_(wsi), limits_(server.limits()) {}
 
   void Send(int status, std::string_view content_type, std::string_view body,
             std::span<const http_header> headers) override {
@@ -52,6 +55,7 @@
     pending_ = body;
     started_ = true;
     finished_ = true;
+    ExpectProgress();
     lws_callback_on_writable(wsi_);
   }
 
@@ -68,12 +72,18 @@
     if (wsi_ == nullptr || !chunked_ || finished_ || data.empty()) return;
     char size[20];
     std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+    if (PendingBytes() == 0) ExpectProgress();
     pending_.append(size).append(data).append("\r\n");
+    if (PendingBytes() > limits_.max_pending_bytes) {
+      GiveUp("pending_bytes");
+      return;
+    }
     lws_callback_on_writable(wsi_);
   }
 
   void Finish() override {
     if (wsi_ == nullptr || !chunked_ || finished_) return;
+    if (PendingBytes() == 0) ExpectProgress();
     pending_.append("0\r\n\r\n");
     finished_ = true;
     lws_callback_on_writable(wsi_);
@@ -91,6 +101,9 @@
     on_close_ = std::move(action);
   }
 
+  /// @return whether the connection is gone or the answer is complete
+  bool Detached() const { return wsi_ == nullptr; }
+
   /// The connection is gone.
   void Detach() {
     wsi_ = nullptr;
@@ -110,9 +123,30 @@
   }
 
   http_request request;
-  size_t body_limit = 0;
+  bool dispatched = false;
+  bool close_after = false;  ///< the rest of the request was not read
+  bool head_only = false;    ///< the answer has no body
 
  private:
+  /// From now on the caller has to take bytes within the bound.
+  void ExpectProgress() {
+    const int64_t seconds =
+        std::chrono::ceil<std::chrono::seconds>(limits_.send_stall_limit)
+            .count();
+    lws_set_timeout(wsi_, PENDING_TIMEOUT_HTTP_CONTENT,
+                    static_cast<int>(seconds));
+  }
+
+  /// Cuts the answer off: its final chunk is never written.
+  void GiveUp(std::string_view reason) {
+    common::Metrics().Count("wisteria_answers_aborted_total",
+                            {{"reason", reason}});
+    aborted_ = true;
+    pending_.clear();
+    written_ = 0;
+    lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  }
+
   int WriteHeaders() {
     std::array<unsigned char, LWS_PRE + kMaxHeaderBytes> buffer;
     unsigned char* start = buffer.data() + LWS_PRE;
@@ -135,6 +169,7 @@
     }
     if (lws_finalize_write_http_header(wsi_, start, &p, end) != 0) return -1;
     headers_sent_ = true;
+    if (head_only) return Complete();
     if (finished_ && pending_.empty()) return Complete();
     lws_callback_on_writable(wsi_);
     return 0;
@@ -155,7 +190,10 @@
     if (written_ == pending_.size()) {
       pending_.clear();
       written_ = 0;
+      lws_set_timeout(wsi_, NO_PENDING_TIMEOUT, 0);
+      if (aborted_) return -1;
     } else {
+      ExpectProgress();
       lws_callback_on_writable(wsi_);
     }
     return 0;
@@ -166,7 +204,8 @@
     on_close_ = nullptr;
     lws* wsi = wsi_;
     wsi_ = nullptr;
-    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+    const bool closing = lws_http_transaction_completed(wsi) != 0;
+    return closing || close_after ? -1 : 0;
   }
 
   bool AddHeader(const std::string& name, std::string_view value,
@@ -178,6 +217,7 @@
   }
 
   lws* wsi_;
+  const http_server::options& limits_;
   int status_ = 0;
   std::string content_type_;
   std::vector<http_header> headers_;
@@ -192,11 +232,28 @@
   std::function<void()> on_close_;
 };
 
+/// A method that libwebsockets tells from others.
+struct known_method {
+  lws_token_indexes token;
+  std::string_view name;
+};
+
+constexpr std::array kMethods = {
+    known_method{WSI_TOKEN_POST_URI, "POST"},
+    known_method{WSI_TOKEN_PUT_URI, "PUT"},
+    known_method{WSI_TOKEN_DELETE_URI, "DELETE"},
+    known_method{WSI_TOKEN_HEAD_URI, "HEAD"},
+    known_method{WSI_TOKEN_OPTIONS_URI, "OPTIONS"},
+    known_method{WSI_TOKEN_PATCH_URI, "PATCH"},
+    known_method{WSI_TOKEN_GET_URI, "GET"},
+};
+
 std::string MethodOf(lws* wsi) {
-  if (lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0) return "POST";
-  if (lws_hdr_total_length(wsi, WSI_TOKEN_PUT_URI) > 0) return "PUT";
-  if (lws_hdr_total_length(wsi, WSI_TOKEN_DELETE_URI) > 0) return "DELETE";
-  if (lws_hdr_total_length(wsi, WSI_TOKEN_GET_URI) > 0) return "GET";
+  for (const known_method& method : kMethods) {
+    if (lws_hdr_total_length(wsi, method.token) > 0) {
+      return std::string(method.name);
+    }
+  }
   return "OTHER";
 }
 
@@ -213,30 +270,48 @@
   return query;
 }
 
+/// Copies one header.
+/// @return its length, 0 when it is absent, negative when it is too long
+int CopyHeader(lws* wsi, const collected_header& header,
+               std::span<char> value) {
+  const int capacity = static_cast<int>(value.size());
+  if (header.token != kCustom) {
+    const lws_token_indexes token =
+        static_cast<lws_token_indexes>(header.token);
+    if (lws_hdr_total_length(wsi, token) == 0) return 0;
+    return lws_hdr_copy(wsi, value.data(), capacity, token);
+  }
+  const std::string name = std::string(header.name) + ":";
+  const int name_length = static_cast<int>(name.size());
+  if (lws_hdr_custom_length(wsi, name.c_str(), name_length) <= 0) return 0;
+  return lws_hdr_custom_copy(wsi, value.data(), capacity, name.c_str(),
+                             name_length);
+}
+
 void CollectHeaders(lws* wsi, http_request* request) {
-  char value[kMaxHeaderValue];
+  std::array<char, kMaxHeaderValue> value;
   for (const collected_header& header : kCollected) {
-    int length = 0;
-    if (header.token == kCustom) {
-      const std::string name = std::string(header.name) + ":";
-      length = lws_hdr_custom_copy(wsi, value, sizeof(value), name.c_str(),
-                                   static_cast<int>(name.size()));
-    } else {
-      length = lws_hdr_copy(wsi, value, sizeof(value),
-                            static_cast<lws_token_indexes>(header.token));
-    }
+    const int length = CopyHeader(wsi, header, value);
+    if (length < 0) request->header_too_long = true;
     if (length <= 0) continue;
     request->headers.push_back(
         {std::string(header.name),
-         std::string(value, static_cast<size_t>(length))});
+         std::string(value.data(), static_cast<size_t>(length))});
   }
 }
 
-size_t ContentLength(lws* wsi) {
-  char value[32];
-  const int length =
-      lws_hdr_copy(wsi, value, sizeof(value), WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  return length <= 0 ? 0 : std::strtoull(value, nullptr, 10);
+/// @return the Content-Length, or nothing when it is absent or no number
+std::optional<size_t> ContentLength(lws* wsi) {
+  std::array<char, 32> value;
+  const int length = lws_hdr_copy(wsi, value.data(), value.size(),
+                                  WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  if (length <= 0) return std::nullopt;
+  size_t parsed = 0;
+  const char* end = value.data() + length;
+  const std::from_chars_result result =
+      std::from_chars(value.data(), end, parsed);
+  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
+  return parsed;
 }
 
 http_server* ServerOf(lws* wsi) {
@@ -244,33 +319,68 @@
 }
 
 void Dispatch(lws* wsi, const std::shared_ptr<exchange>& current) {
+  if (current->dispatched) return;
+  current->dispatched = true;
   // The handler may take long to answer; its own deadline applies, not ours.
   lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
   http_request request = std::move(current->request);
   ServerOf(wsi)->on_request()(std::move(request), current);
 }
 
+/// Hands a request over, as it is, if its body is not whole in time.
+void LimitBody(lws* wsi, const std::shared_ptr<exchange>& current) {
+  http_server* server = ServerOf(wsi);
+  server->loop().Schedule(
+      server->limits().receive_timeout,
+      [wsi, weak = std::weak_ptr<exchange>(current)] {
+        const std::shared_ptr<exchange> late = weak.lock();
+        if (!late || late->dispatched || late->Detached()) return;
+        common::Metrics().Count("wisteria_bodies_timed_out_total");
+        late->request.body_timed_out = true;
+        late->close_after = true;
+        Dispatch(wsi, late);
+      });
+}
+
+bool MayHaveBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
 void StartExchange(lws* wsi, server_slot* slot, std::string_view path) {
   if (slot->current == nullptr) {
     slot->current = new std::shared_ptr<exchange>();
   }
-  *slot->current = std::make_shared<exchange>(wsi);
+  *slot->current = std::make_shared<exchange>(wsi, *ServerOf(wsi));
   exchange& current = **slot->current;
-  current.body_limit = ServerOf(wsi)->max_body_bytes();
   current.request.method = MethodOf(wsi);
   current.request.path = path;
   current.request.query = QueryOf(wsi);
+  current.head_only = current.request.method == "HEAD";
   CollectHeaders(wsi, &current.request);
   char peer[64];
   lws_get_peer_simple(wsi, peer, sizeof(peer));
   current.request.peer = peer;
-  const size_t length = ContentLength(wsi);
-  current.request.body_too_large = length > current.body_limit;
-  if (length == 0) Dispatch(wsi, *slot->current);
+  const std::optional<size_t> length = ContentLength(wsi);
+  if (!length) {
+    // Without a length the end of the body cannot be told.
+    current.request.length_missing = MayHaveBody(current.request.method);
+    current.close_after = current.request.length_missing;
+    Dispatch(wsi, *slot->current);
+    return;
+  }
+  current.request.body_too_large =
+      *length > ServerOf(wsi)->limits().max_body_bytes;
+  if (*length == 0) {
+    Dispatch(wsi, *slot->current);
+  } else {
+    LimitBody(wsi, *slot->current);
+  }
 }
 
-void AppendBody(exchange* current, std::string_view data) {
-  if (current->request.body.size() + data.size() > current->body_limit) {
+void AppendBody(lws* wsi, exchange* current, std::string_view data) {
+  if (current->dispatched) return;
+  const size_t limit = ServerOf(wsi)->limits().max_body_bytes;
+  if (current->request.body.size() + data.size() > limit) {
     current->request.body_too_large = true;
     current->request.body.clear();
   }
@@ -297,11 +407,12 @@
       StartExchange(wsi, slot, data);
       return 0;
     case LWS_CALLBACK_HTTP_BODY:
-      if (slot->current != nullptr) AppendBody(slot->current->get(), data);
+      if (slot->current != nullptr && *slot->current) {
+        AppendBody(wsi, slot->current->get(), data);
+      }
       return 0;
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-      if (slot->current != nullptr && *slot->current &&
-          !(*slot->current)->request.method.empty()) {
+      if (slot->current != nullptr && *slot->current) {
         Dispatch(wsi, *slot->current);
       }
       return 0;
@@ -344,7 +455,8 @@
     event_loop& loop, const options& chosen, http_handler on_request,
     channel_acceptor on_channel) {
   std::unique_ptr<http_server> server(new http_server());
-  server->max_body_bytes_ = chosen.max_body_bytes;
+  server->loop_ = &loop;
+  server->limits_ = chosen;
   server->on_request_ = std::move(on_request);
   server->on_channel_ = std::move(on_channel);
   server->vhost_name_ = chosen.address + ":" + std::to_string(chosen.port) +
