--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -18,6 +18,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
+// A table that is down does not keep a drained agent for longer.
+constexpr common::duration kRecordLimit = std::chrono::seconds(10);
 // Routers learn from the last messages that the agent is leaving.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
@@ -50,6 +52,9 @@
   void operator()(const core::hello_message& message) const {
     process.control().OnHello(link, message);
   }
+  void operator()(const core::conviction_message& message) const {
+    if (message.lifted) host.Pardon(message.digest);
+  }
   void operator()(const core::order_message& message) const {
     process.control().OnOrder(link, message);
   }
@@ -94,6 +99,7 @@
   process->host_ = std::make_unique<core::attempt_host>(
       options, *process->target_, *process, process->clock_, *process->loop_);
   if (!process->SetPolicies(settings)) return std::nullopt;
+  process->SetRecorder(settings);
   process->hello_.name = settings.Text(settings::kName);
   process->hello_.incarnation = options.incarnation;
   process->hello_.data_centre = settings.Text(settings::kDataCentre);
@@ -126,7 +132,6 @@
       static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
   platform.timeout =
       common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  table_ = platform::MakeHttpTable(*loop_, platform);
   vms_ = platform::MakeHttpVmList(*loop_, platform);
   const net::endpoint target = {
       settings.Text(settings::kTargetAddress),
@@ -158,6 +163,21 @@
   return true;
 }
 
+void agent_process::SetRecorder(const settings::settings_document& settings) {
+  platform::platform_options platform;
+  platform.address = {
+      settings.Text(settings::kPlatformAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+  platform.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  table_ = platform::MakeHttpTable(*loop_, platform);
+  operations_ =
+      std::make_unique<core::operation_log>(*table_, *loop_, clock_, *random_);
+  recorder_ = std::make_unique<core::operation_recorder>(
+      core::operation_recorder_options(), *operations_, clock_, *loop_);
+  host_->SetOperationObserver(recorder_.get());
+}
+
 void agent_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
   control_->Start(hello_);
@@ -172,8 +192,11 @@
   if (stopping_) return;
   stopping_ = true;
   control_->Stop();
-  host_->Drain(
-      [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
+  host_->Drain([this] {
+    recorder_->Flush(kRecordLimit, [this] {
+      loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); });
+    });
+  });
 }
 
 void agent_process::TellLoad() {
@@ -195,6 +218,7 @@
   });
   links_.emplace(link, std::move(channel));
   hello_.configuration_version = control_->configuration_version();
+  hello_.token_window = host_->token_window();
   Send(link, hello_);
 }
 
--- /dev/null
+++ b/source/core/quarantine/quarantine.cc
@@ -0,0 +1,219 @@
+#include "core/quarantine/quarantine.h"
+
+#include <nlohmann/json.hpp>
+
+#include "common/digest.h"
+#include "common/log.h"
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kPrefix[] = "quarantine/";
+
+std::string Encode(const conviction& entry) {
+  return json{{"digest", entry.digest},
+              {"expires_wall_us", entry.expires_wall_us},
+              {"lifted", entry.lifted}}
+      .dump();
+}
+
+conviction Decode(std::string_view text) {
+  conviction entry;
+  const json from = json::parse(text, nullptr, false);
+  if (!from.is_object()) return entry;
+  entry.digest = from.value("digest", "");
+  entry.expires_wall_us = from.value("expires_wall_us", int64_t{0});
+  entry.lifted = from.value("lifted", false);
+  return entry;
+}
+
+/// A later conviction goes before an earlier one, and a lift before the
+/// conviction that it lifts, in whatever order they arrive.
+bool GoesBefore(const conviction& a, const conviction& b) {
+  if (a.expires_wall_us != b.expires_wall_us) {
+    return a.expires_wall_us > b.expires_wall_us;
+  }
+  return a.lifted && !b.lifted;
+}
+
+}  // namespace
+
+void quarantine::Load() {
+  rows_.List(kPrefix, options_.most_rows, table_priority::kOther,
+             [this](const table_list_answer& answer) {
+               if (answer.status != table_status::kOk) {
+                 timers_.Schedule(options_.write_retry, [this] { Load(); });
+                 return;
+               }
+               for (const table_row& row : answer.rows) {
+                 Take(Decode(row.value));
+               }
+             });
+}
+
+quarantine_verdict quarantine::Verdict(std::string_view digest) {
+  const auto convicted = convictions_.find(digest);
+  if (convicted != convictions_.end() && !convicted->second.lifted &&
+      convicted->second.expires_wall_us > clock_.WallMicros()) {
+    return quarantine_verdict::kConvicted;
+  }
+  const auto suspect = suspects_.find(digest);
+  if (suspect == suspects_.end()) return quarantine_verdict::kClear;
+  if (clock_.Now() < suspect->second) return quarantine_verdict::kSuspect;
+  suspects_.erase(suspect);
+  return quarantine_verdict::kClear;
+}
+
+void quarantine::OnCrash(std::span<const std::string> digests) {
+  for (const std::string& digest : digests) {
+    if (Verdict(digest) == quarantine_verdict::kClear) {
+      conviction_message message;
+      message.digest = digest;
+      message.suspect = true;
+      network_.TellRouters(message);
+    }
+    suspects_[digest] = clock_.Now() + options_.suspicion_time;
+  }
+}
+
+void quarantine::OnCrashAlone(const std::string& digest) {
+  if (Verdict(digest) == quarantine_verdict::kConvicted) return;
+  common::Metrics().Count("wisteria_convictions_total");
+  common::Log(common::log_channel::kCore, common::log_level::kWarning,
+              "request digest " + digest +
+                  " crashed a target alone and is refused from now on");
+  Convict(digest);
+}
+
+void quarantine::Convict(const std::string& digest) {
+  conviction entry;
+  entry.digest = digest;
+  entry.expires_wall_us =
+      clock_.WallMicros() + options_.conviction_time.count();
+  suspects_.erase(digest);
+  Take(entry);
+  network_.TellRouters(MessageOf(entry));
+  Write(digest);
+}
+
+void quarantine::OnSurvived(const std::string& digest) {
+  const auto suspect = suspects_.find(digest);
+  if (suspect == suspects_.end()) return;
+  suspects_.erase(suspect);
+  common::Metrics().Count("wisteria_suspects_cleared_total");
+}
+
+void quarantine::OnMessage(const conviction_message& message) {
+  if (message.suspect) {
+    if (Verdict(message.digest) != quarantine_verdict::kClear) return;
+    suspects_[message.digest] = clock_.Now() + options_.suspicion_time;
+    return;
+  }
+  conviction entry;
+  entry.digest = message.digest;
+  entry.expires_wall_us = message.expires_wall_us;
+  entry.lifted = message.lifted;
+  Take(entry);
+}
+
+bool quarantine::Take(const conviction& entry) {
+  if (entry.digest.empty()) return false;
+  if (entry.expires_wall_us <= clock_.WallMicros()) return false;
+  const auto [known, added] = convictions_.try_emplace(entry.digest, entry);
+  if (added) return true;
+  if (!GoesBefore(entry, known->second)) return false;
+  known->second = entry;
+  return true;
+}
+
+void quarantine::OnPeerHash(std::string_view router, uint64_t hash) {
+  if (hash == Hash()) return;
+  for (const auto& [digest, entry] : convictions_) {
+    network_.TellRouter(router, MessageOf(entry));
+  }
+}
+
+uint64_t quarantine::Hash() {
+  Expire();
+  uint64_t hash = 0;
+  for (const auto& [digest, entry] : convictions_) {
+    hash ^= common::Hash64(digest,
+                           static_cast<uint64_t>(entry.expires_wall_us) * 2 +
+                               (entry.lifted ? 1 : 0));
+  }
+  return hash;
+}
+
+void quarantine::Expire() {
+  const int64_t now = clock_.WallMicros();
+  std::erase_if(convictions_, [now](const auto& entry) {
+    return entry.second.expires_wall_us <= now;
+  });
+}
+
+bool quarantine::Lift(const std::string& digest) {
+  if (Verdict(digest) != quarantine_verdict::kConvicted) return false;
+  conviction& entry = convictions_.find(digest)->second;
+  entry.lifted = true;
+  network_.TellRouters(MessageOf(entry));
+  Write(digest);
+  return true;
+}
+
+std::vector<conviction> quarantine::List() {
+  Expire();
+  std::vector<conviction> in_force;
+  for (const auto& [digest, entry] : convictions_) {
+    if (!entry.lifted) in_force.push_back(entry);
+  }
+  return in_force;
+}
+
+void quarantine::Write(const std::string& digest) {
+  if (!writing_.insert(digest).second) return;
+  const std::string key = kPrefix + digest;
+  rows_.Read(key, table_priority::kOther,
+             [this, digest, key](const table_answer& answer) {
+               const auto known = convictions_.find(digest);
+               if (known == convictions_.end()) {
+                 writing_.erase(digest);
+                 return;
+               }
+               const auto again = [this, digest](const table_answer& written) {
+                 writing_.erase(digest);
+                 const auto entry = convictions_.find(digest);
+                 const bool same = written.status == table_status::kOk &&
+                                   entry != convictions_.end() &&
+                                   written.row.value == Encode(entry->second);
+                 if (same) return;
+                 timers_.Schedule(options_.write_retry,
+                                  [this, digest] { Write(digest); });
+               };
+               if (answer.status != table_status::kOk) {
+                 again(answer);
+                 return;
+               }
+               // What another router wrote meanwhile may go before ours.
+               Take(Decode(answer.row.value));
+               const std::string value = Encode(known->second);
+               if (answer.row.value == value) {
+                 again(answer);
+                 return;
+               }
+               rows_.Write(key, answer.row.version, value,
+                           table_priority::kOther, again);
+             });
+}
+
+conviction_message quarantine::MessageOf(const conviction& entry) {
+  conviction_message message;
+  message.digest = entry.digest;
+  message.expires_wall_us = entry.expires_wall_us;
+  message.lifted = entry.lifted;
+  return message;
+}
+
+}  // namespace wisteriadale::core
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -29,10 +29,11 @@
 
 /// How a call ended.
 struct http_result {
-  int status = 0;         ///< 0: no answer came
-  bool complete = false;  ///< the body arrived to its end
-  std::string body;       ///< empty when chunks were taken by a handler
-  std::string failure;    ///< why it is not complete
+  int status = 0;          ///< 0: no answer came
+  bool complete = false;   ///< the body arrived to its end
+  bool connected = false;  ///< a connection opened, so the request may have run
+  std::string body;        ///< empty when chunks were taken by a handler
+  std::string failure;     ///< why it is not complete
 };
 
 /// A call in progress.
--- a/source/router/agent_links.cc
+++ b/source/router/agent_links.cc
@@ -158,6 +158,7 @@
   current.checked = true;
   view->incarnation = hello.incarnation;
   view->load.accepting = true;
+  view->load.token_window = hello.token_window;
   if (listener_ != nullptr) listener_->OnAgentOpen(target, hello);
   attempts_->OnConnected(target, hello.incarnation);
 }
--- a/source/router/control_plane.h
+++ b/source/router/control_plane.h
@@ -9,6 +9,7 @@
 #include "core/lease/lease_keeper.h"
 #include "core/lease/order_controller.h"
 #include "core/membership/membership.h"
+#include "core/quarantine/quarantine.h"
 #include "router/agent_links.h"
 #include "router/configuration_watch.h"
 #include "router/peer_links.h"
@@ -33,6 +34,7 @@
 class control_plane final : public core::control_network,
                             public core::member_observer,
                             public core::order_network,
+                            public core::quarantine_network,
                             public peer_listener,
                             public agent_listener {
  public:
@@ -46,6 +48,10 @@
   configuration_watch& configuration() { return watch_; }
   core::membership& members() { return members_; }
   core::order_controller& orders() { return orders_; }
+  core::quarantine& crashes() { return crashes_; }
+  /// Lifts a conviction here, at peers and at agents.
+  /// @return false when the digest is not convicted
+  bool LiftConviction(const std::string& digest);
   peer_links& peers() { return peers_; }
   /// Drains a target, or ends the drain, through its agent; the row that the
   /// agent reads when it starts is written as soon as the platform allows.
@@ -70,6 +76,10 @@
   bool ForwardOrder(std::string_view router,
                     const core::order_message& order) override;
 
+  void TellRouters(const core::conviction_message& message) override;
+  void TellRouter(std::string_view router,
+                  const core::conviction_message& message) override;
+
   void OnPeerOpen(const core::hello_message& hello) override;
   void OnPeerClosed(std::string_view router) override;
   void OnPeerMessage(std::string_view router,
@@ -96,6 +106,7 @@
   core::membership members_;
   configuration_watch watch_;
   core::order_controller orders_;
+  core::quarantine crashes_;
   peer_links peers_;
   std::map<std::string, std::string> live_routers_;  ///< to data centre
   std::map<std::string, std::unique_ptr<core::lease_keeper>> leases_;
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -127,6 +127,8 @@
     SendDiff(request, responder);
   } else if (what.starts_with(kAppliesPrefix)) {
     SendApply(what.substr(sizeof(kAppliesPrefix) - 1), request, responder);
+  } else if (what == "quarantine") {
+    SendQuarantine(responder.get());
   } else if (what == "orders") {
     SendOrders(responder.get());
   } else {
@@ -144,6 +146,8 @@
     SetPreset(request, responder);
   } else if (what == "drain" || what == "undrain") {
     SetDrained(what == "drain", request, responder);
+  } else if (what == "quarantine/lift") {
+    LiftConviction(request, responder);
   } else if (what == "orders") {
     SubmitOrder(request, responder);
   } else {
@@ -276,6 +280,28 @@
   responder->Send(200, kJson, json{{"orders", orders}}.dump());
 }
 
+void operator_api::SendQuarantine(net::http_responder* responder) {
+  json digests = json::array();
+  for (const core::conviction& entry : control_.crashes().List()) {
+    digests.push_back(
+        {{"digest", entry.digest}, {"expires_wall_us", entry.expires_wall_us}});
+  }
+  responder->Send(200, kJson, json{{"digests", digests}}.dump());
+}
+
+void operator_api::LiftConviction(const net::http_request& request,
+                                  const responder_ptr& responder) {
+  const std::string digest =
+      TextOf(json::parse(request.body, nullptr, false), "digest");
+  if (!control_.LiftConviction(digest)) {
+    SendError(responder.get(), result_code::kNotFound,
+              "no such digest is convicted");
+    return;
+  }
+  responder->Send(200, kJson,
+                  json{{"digest", digest}, {"lifted", true}}.dump());
+}
+
 void operator_api::ApplyConfiguration(const net::http_request& request,
                                       const responder_ptr& responder) {
   core::apply_request offered;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -69,9 +69,9 @@
   hello.is_router = true;
   // Differs after a restart, whatever the seed.
   hello.incarnation = common::SystemSeed() >> 1 | 1;
-  process->policies_ =
-      std::make_unique<core::policy_book>(core::policy_environment{
-          process->clock_, *process->random_, name, data_centre});
+  process->policies_ = std::make_unique<core::policy_book>(
+      process->clock_, *process->random_,
+      core::router_entry{name, data_centre});
   process->links_ = std::make_unique<agent_links>(events, process->clock_,
                                                   process->targets_, hello);
   process->attempts_ = std::make_unique<core::attempt_table>(
@@ -88,6 +88,7 @@
       events, process->clock_, *process->random_, *process->table_,
       *process->objects_, process->targets_, *process->links_, hello,
       common::milliseconds(settings.Integer(settings::kConfigurationPollMs))});
+  process->executors_->crashes = &process->control_->crashes();
   for (const net::endpoint& seed : SeedPeers(settings)) {
     process->control_->peers().AddSeed(seed);
   }
@@ -137,7 +138,10 @@
 
 void router_process::PollVmList() {
   vms_->Fetch([this](std::optional<std::vector<core::vm_entry>> entries) {
-    if (entries) control_->OnVmList(*entries);
+    if (entries) {
+      control_->OnVmList(*entries);
+      policies_->SetRouters(core::LiveRouters(*entries));
+    }
     loop_->Schedule(vm_list_period_, [this] { PollVmList(); });
   });
 }
--- a/source/unit_tests/longrun/router_node.cc
+++ b/source/unit_tests/longrun/router_node.cc
@@ -40,7 +40,7 @@
     : process_(time),
       rows_(rows, process_),
       dial_(std::move(dial)),
-      policies_({process_, random, name, ""}),
+      policies_(process_, random, {name, ""}),
       attempts_(*this, process_, kReconnectLimit),
       operations_(rows_, process_, process_, random),
       context_{process_,  process_,  random,      targets_,
@@ -116,6 +116,7 @@
   view->connected = true;
   view->incarnation = hello.incarnation;
   view->load.accepting = true;
+  view->load.token_window = hello.token_window;
   attempts_.OnConnected(target, hello.incarnation);
 }
 
