--- a/source/core/agent/attempt_host.h
+++ b/source/core/agent/attempt_host.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -93,6 +94,8 @@
 
   /// Takes new work again.
   void EndDrain();
+  /// An operator lifted the conviction of a digest.
+  void Pardon(const std::string& digest) { crashed_alone_.erase(digest); }
 
   load_report Load() const;
   bool draining() const { return draining_; }
@@ -113,6 +116,8 @@
     uint32_t beside = 0;  ///< attempts running when it began, itself included
     std::string stream;   ///< all chunks so far, the prefix included
     outcome_message outcome;
+    /// Digests in flight when the target crashed under this attempt.
+    std::shared_ptr<const std::vector<std::string>> crash;
     size_t retained = 0;         ///< bytes kept once it has ended
     common::timer_id timer = 0;  ///< forgets or cancels the attempt
   };
@@ -121,6 +126,8 @@
               common::result_code code, std::string_view reason,
               bool begun = false);
   bool Admit(router_link link, const execute_message& execute);
+  bool AdmitToTarget(router_link link, const execute_message& execute);
+  void NoteCrash(attempt* entry);
   bool AdmitToken(router_link link, const execute_message& execute);
   token_state Revoke(std::string_view token, uint64_t window);
   void ResumeUnknown(router_link link, const resume_message& resume);
@@ -161,6 +168,9 @@
   double latency_us_ = 0;
   bool draining_ = false;
   std::function<void()> on_drained_;
+  bool target_up_ = true;
+  /// Digests that crashed the target while nothing ran beside them.
+  std::set<std::string> crashed_alone_;
 };
 
 }  // namespace wisteriadale::core
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -66,6 +66,7 @@
   }
 
   int AddHeaders(unsigned char** p, unsigned char* end) {
+    result_.connected = true;
     for (const http_header& header : call_.headers) {
       if (!AddHeader(header.name + ":", header.value, p, end)) return -1;
     }
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -278,6 +278,14 @@
   description.organisation_weight = organisation->weight;
   description.body = request.body;
   description.digest = common::Sha256Hex(plan->name + "\n" + request.body);
+  if (context_.crashes != nullptr &&
+      context_.crashes->Verdict(description.digest) ==
+          core::quarantine_verdict::kConvicted) {
+    // An earlier request under the same key may have run.
+    SendError(responder.get(), result_code::kDigestQuarantined, "",
+              plan->HasNonIdempotentStage() ? "unknown" : "not_run");
+    return;
+  }
   description.plan = *plan;
   description.configuration_in_force = configuration;
   const common::trace_context parent =
--- a/source/router/control_plane.cc
+++ b/source/router/control_plane.cc
@@ -37,6 +37,8 @@
              SpreadOptions(environment)),
       orders_({environment.hello.name}, *this, environment.loop,
               environment.clock, environment.random),
+      crashes_({}, environment.rows, *this, environment.loop,
+               environment.clock),
       peers_(environment.loop, environment.clock, environment.hello, *this) {
   live_routers_[environment.hello.name] = environment.hello.data_centre;
   members_.SetObserver(this);
@@ -54,6 +56,7 @@
 
 void control_plane::Start() {
   watch_.Start();
+  crashes_.Load();
   peers_.Tick();
   Tick();
 }
@@ -82,6 +85,28 @@
   environment_.agents.Send(target, message);
 }
 
+void control_plane::TellRouters(const core::conviction_message& message) {
+  for (const auto& [name, data_centre] : live_routers_) {
+    peers_.Send(name, message);
+  }
+}
+
+void control_plane::TellRouter(std::string_view router,
+                               const core::conviction_message& message) {
+  peers_.Send(router, message);
+}
+
+bool control_plane::LiftConviction(const std::string& digest) {
+  if (!crashes_.Lift(digest)) return false;
+  core::conviction_message message;
+  message.digest = digest;
+  message.lifted = true;
+  for (const core::target_view* view : environment_.targets.All()) {
+    environment_.agents.Send(view->id, message);
+  }
+  return true;
+}
+
 void control_plane::OnMember(const core::vm_entry& member) {
   if (member.role == core::vm_role::kTarget) {
     environment_.agents.SetAgent(member.name, {member.address, member.port});
@@ -131,6 +156,11 @@
                                   const core::message& message) {
   if (const auto* ping = std::get_if<core::ping_message>(&message)) {
     watch_.spread().OnRouterVersion(router, ping->configuration_version);
+    // Announcements of a version carry no sequence and no hash.
+    if (ping->sequence != 0) crashes_.OnPeerHash(router, ping->quarantine_hash);
+  } else if (const auto* told =
+                 std::get_if<core::conviction_message>(&message)) {
+    crashes_.OnMessage(*told);
   } else if (const auto* document =
                  std::get_if<core::configuration_message>(&message)) {
     watch_.spread().OnConfiguration(router, *document);
@@ -149,6 +179,7 @@
 core::ping_message control_plane::PeerPing() {
   core::ping_message ping;
   ping.configuration_version = watch_.holder().version();
+  ping.quarantine_hash = crashes_.Hash();
   return ping;
 }
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -96,6 +96,7 @@
       events, process->clock_, *process->random_, *process->table_,
       *process->objects_, process->targets_, *process->links_, hello,
       common::milliseconds(settings.Integer(settings::kConfigurationPollMs))});
+  process->executors_->crashes = &process->control_->crashes();
   for (const net::endpoint& seed : SeedPeers(settings)) {
     process->control_->peers().AddSeed(seed);
   }
