--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -6,15 +6,16 @@
 #
 # DEPLOYMENT is a folder of settings/, optionally with a fleet file:
 # `hekkeform` or `hekkeform/fleet-small`. Environment:
-#   WISTERIA_BASE_PORT  first port used (default 42000)
+#   WISTERIA_BASE_PORT  first port used (default 11000)
 #   WISTERIA_RUN_DIR    where process ids and logs go
 #   WISTERIA_BIN        folder of the programs (default build/bin)
+#   WISTERIA_CONFIGURATION  document in place of the deployment's
 #   WISTERIA_ROUTER_SET, WISTERIA_AGENT_SET  further --set pairs
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 usage() {
-  sed -n '2,13s/^# \{0,1\}//p' "$0" >&2
+  sed -n '2,14s/^# \{0,1\}//p' "$0" >&2
   exit 2
 }
 [ $# -ge 2 ] || usage
@@ -22,7 +23,7 @@
 deployment=${2%%/*}
 fleet=fleet
 [ "$deployment" = "$2" ] || fleet=${2#*/}
-base=${WISTERIA_BASE_PORT:-42000}
+base=${WISTERIA_BASE_PORT:-11000}
 bin=${WISTERIA_BIN:-build/bin}
 run=${WISTERIA_RUN_DIR:-/tmp/wisteria-fleet-$deployment-$base}
 platform=$base
@@ -112,7 +113,7 @@
   local first
   first=$(routers | head -1)
   wait_until "router-1" get "$first" /healthz
-  "$bin/wisteriactl" --routers="127.0.0.1:$first" configuration apply "settings/$deployment/configuration.json" 0 >"$run/apply.log" 2>&1 ||
+  "$bin/wisteriactl" --routers="127.0.0.1:$first" configuration apply "${WISTERIA_CONFIGURATION:-settings/$deployment/configuration.json}" 0 >"$run/apply.log" 2>&1 ||
     fail "the configuration was refused: $(cat "$run/apply.log")"
   for port in $(routers); do
     wait_until "the router on $port" get "$port" /readyz
--- /dev/null
+++ b/source/unit_tests/load/load_test.cc
@@ -0,0 +1,98 @@
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+
+#include "load/answer_check.h"
+#include "load/summary.h"
+#include "standin/target_service.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+TEST_GROUP(Load){load::load_plan Plan(const std::string& phases){
+    const std::string text = R"({"seed":7,"phases":)" + phases + R"(,
+      "kinds":[{"pipeline":"a","deadline_ms":100}],
+      "organisations":[{"name":"x","key":"k","share":3},
+                       {"name":"y","key":"l","share":1}],
+      "recovery_from":1})";
+return load::ParsePlan(text).value();
+}
+
+load::run_record RecordOf(const load::load_plan& plan) {
+  load::run_record record;
+  for (const load::arrival& planned : load::Arrivals(plan)) {
+    load::sample ended;
+    ended.planned = planned;
+    ended.whole = true;
+    ended.in_time = planned.at_seconds < 1 || planned.at_seconds >= 2;
+    ended.code = "ok";
+    ended.answer_ms = ended.in_time ? 10 : 200;
+    ended.attempts = 2;
+    ended.stages = 1;
+    record.samples.push_back(ended);
+  }
+  return record;
+}
+}
+;
+
+TEST(Load, ArrivalsAreFixedByTheSeedAndKeepTheRate) {
+  const load::load_plan plan = Plan(R"([{"seconds":10,"rate":200}])");
+  const std::vector<load::arrival> first = load::Arrivals(plan);
+  const std::vector<load::arrival> second = load::Arrivals(plan);
+  LONGS_EQUAL(first.size(), second.size());
+  DOUBLES_EQUAL(first.back().at_seconds, second.back().at_seconds, 0);
+  // Four standard deviations of a Poisson count of 2000.
+  DOUBLES_EQUAL(2000, static_cast<double>(first.size()), 180);
+}
+
+TEST(Load, AHeavyOrganisationAddsToTheLoadOfTheOthers) {
+  const load::load_plan plan =
+      Plan(R"([{"seconds":10,"rate":200,"heavy":"y","heavy_factor":10}])");
+  double others = 0;
+  const std::vector<load::arrival> arrivals = load::Arrivals(plan);
+  for (const load::arrival& planned : arrivals) {
+    if (planned.organisation == 0) ++others;
+  }
+  DOUBLES_EQUAL(1500, others, 155);
+  DOUBLES_EQUAL(6500, static_cast<double>(arrivals.size()), 325);
+}
+
+TEST(Load, AnAnswerIsCheckedAgainstItsRequest) {
+  const std::string request = R"({"q":1})";
+  json input = {{"request", json::parse(request)}, {"results", json::object()}};
+  input["results"]["encode"] = {{"stage", "encode"},
+                                {"target", "e-1"},
+                                {"digest", standin::InputMark(input.dump())}};
+  json answer = {
+      {"complete", true},
+      {"stages",
+       {{{"stage", "encode"}, {"target", "e-1"}}, {{"stage", "generate"}}}},
+      {"result", standin::GeneratedText(input.dump(), 5)}};
+  const auto check = [&answer](const std::string& body) {
+    return load::CheckAnswer(body, answer.dump(), 5);
+  };
+  CHECK(check(request) == load::answer_verdict::kOwn);
+  CHECK(check(R"({"q":2})") == load::answer_verdict::kForeign);
+  answer["complete"] = false;
+  CHECK(check(request) == load::answer_verdict::kNotWhole);
+}
+
+TEST(Load, TheSummaryCountsLateAnswersAndFindsRecovery) {
+  const load::load_plan plan = Plan(R"([{"seconds":5,"rate":100}])");
+  const json summary =
+      json::parse(load::SummaryJson(plan, RecordOf(plan), "c"));
+  DOUBLES_EQUAL(0.8, summary["attainment"].get<double>(), 0.05);
+  DOUBLES_EQUAL(1, summary["retries_per_request"].get<double>(), 0);
+  LONGS_EQUAL(1, summary["recovery_seconds"].get<int>());
+  DOUBLES_EQUAL(200, summary["answer_p99_ms"].get<double>(), 0);
+  CHECK_FALSE(summary["latency_histogram"].empty());
+  const std::string html = load::ReportHtml(summary.dump());
+  CHECK(html.find("<svg") != std::string::npos);
+  CHECK(html.find("http://") == std::string::npos);
+}
+
+TEST(Load, ABadPlanIsRefused) {
+  CHECK_FALSE(load::ParsePlan("{").has_value());
+  CHECK_FALSE(load::ParsePlan(R"({"phases":[]})").has_value());
+}
