--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <unordered_map>
 
+#include "common/metrics.h"
 #include "net/lws_protocols.h"
 
 namespace wisteriadale::net {
@@ -34,6 +35,7 @@
       timeout_ = 0;
       End("timeout");
     });
+    ExpectProgress(call_.first_byte_timeout);
     lws_client_connect_info info{};
     info.context = loop_.context();
     info.vhost = loop_.client_vhost();
@@ -93,9 +95,11 @@
 
   void Established() {
     result_.status = static_cast<int>(lws_http_client_http_response(wsi_));
+    ExpectProgress(call_.idle_timeout);
   }
 
   void Receive(std::string_view data) {
+    last_progress_us_ = lws_now_usecs();
     if (on_chunk_) {
       on_chunk_(data);
     } else {
@@ -113,7 +117,9 @@
     if (ended_) return;
     ended_ = true;
     loop_.Cancel(timeout_);
+    loop_.Cancel(progress_timer_);
     timeout_ = 0;
+    progress_timer_ = 0;
     result_.failure = failure;
     if (wsi_ != nullptr) {
       lws_set_wsi_user(wsi_, nullptr);
@@ -129,9 +135,42 @@
     });
   }
 
+  /// Ends the call if nothing arrives within a bound; 0 means no bound.
+  void ExpectProgress(common::duration bound) {
+    loop_.Cancel(progress_timer_);
+    progress_timer_ = 0;
+    last_progress_us_ = lws_now_usecs();
+    if (bound.count() > 0) CheckProgressAfter(bound, bound);
+  }
+
   void Forget() { wsi_ = nullptr; }
 
+  /// Calls no handler any more and leaves the connection to its context.
+  void Drop() {
+    ended_ = true;
+    on_done_ = nullptr;
+    on_chunk_ = nullptr;
+    if (wsi_ != nullptr) lws_set_wsi_user(wsi_, nullptr);
+    wsi_ = nullptr;
+  }
+
+  const lws_context* context() const { return loop_.context(); }
+
  private:
+  // One timer for many pieces: it is moved only when it fires.
+  void CheckProgressAfter(common::duration delay, common::duration bound) {
+    progress_timer_ = loop_.Schedule(delay, [this, bound] {
+      progress_timer_ = 0;
+      const common::duration quiet(lws_now_usecs() - last_progress_us_);
+      if (quiet >= bound) {
+        common::Metrics().Count("wisteria_calls_silent_total");
+        End("silent");
+        return;
+      }
+      CheckProgressAfter(bound - quiet, bound);
+    });
+  }
+
   bool AddHeader(const std::string& name, std::string_view value,
                  unsigned char** p, unsigned char* end) {
     return lws_add_http_header_by_name(
@@ -149,6 +188,8 @@
   http_result result_;
   bool ended_ = false;
   common::timer_id timeout_ = 0;
+  common::timer_id progress_timer_ = 0;
+  int64_t last_progress_us_ = 0;
 };
 
 int ReadBody(lws* wsi) {
@@ -199,6 +240,17 @@
   }
 }
 
+void DropCallHandlers(const lws_context* context) {
+  for (auto at = Live().begin(); at != Live().end();) {
+    if (at->second->context() != context) {
+      ++at;
+      continue;
+    }
+    at->second->Drop();
+    at = Live().erase(at);
+  }
+}
+
 std::shared_ptr<http_transfer> StartHttpCall(
     event_loop& loop, http_call call,
     std::function<void(const http_result&)> on_done,
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -24,7 +24,8 @@
   void Send(int status, std::string_view content_type, std::string_view body) {
     Send(status, content_type, body, {});
   }
-  /// Starts a chunked answer, continued by Write and ended by Finish.
+  /// Starts a chunked answer, continued by Write and ended by Finish. An answer
+  /// whose caller does not take it is aborted at the server's bounds.
   virtual void StartStream(int status, std::string_view content_type) = 0;
   virtual void Write(std::string_view data) = 0;
   virtual void Finish() = 0;
@@ -46,6 +47,12 @@
     std::string address = "127.0.0.1";
     uint16_t port = 0;  ///< 0 takes a free one
     size_t max_body_bytes = 1 << 20;
+    /// From the end of a request's headers to the end of its body.
+    common::duration receive_timeout = std::chrono::seconds(10);
+    /// How long a caller may take none of the bytes that wait for it.
+    common::duration send_stall_limit = std::chrono::seconds(10);
+    /// Most bytes of a streamed answer that wait for a caller.
+    size_t max_pending_bytes = 4 << 20;
     tls_options tls;
   };
 
@@ -60,7 +67,8 @@
   http_server& operator=(const http_server&) = delete;
 
   uint16_t port() const { return port_; }
-  size_t max_body_bytes() const { return max_body_bytes_; }
+  event_loop& loop() const { return *loop_; }
+  const options& limits() const { return limits_; }
   const http_handler& on_request() const { return on_request_; }
   const channel_acceptor& on_channel() const { return on_channel_; }
 
@@ -69,7 +77,8 @@
 
   lws_vhost* vhost_ = nullptr;
   uint16_t port_ = 0;
-  size_t max_body_bytes_ = 0;
+  event_loop* loop_ = nullptr;
+  options limits_;
   http_handler on_request_;
   channel_acceptor on_channel_;
   std::string vhost_name_;
