--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -3,7 +3,9 @@
 #include "common/last_reason.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "core/control_traffic.h"
 #include "core/policy/agent_policy.h"
+#include "platform/http_platform.h"
 #include "settings/agent_settings.h"
 #include "wire/codec.h"
 
@@ -44,8 +46,21 @@
     answer.sequence = message.sequence;
     answer.answer = true;
     answer.load = host.Load();
+    answer.configuration_version = process.control().configuration_version();
     process.Send(link, answer);
   }
+  void operator()(const core::hello_message& message) const {
+    process.control().OnHello(link, message);
+  }
+  void operator()(const core::conviction_message& message) const {
+    if (message.lifted) host.Pardon(message.digest);
+  }
+  void operator()(const core::order_message& message) const {
+    process.control().OnOrder(link, message);
+  }
+  void operator()(const core::configuration_message& message) const {
+    process.control().OnConfiguration(message);
+  }
   template <typename other>
   void operator()(const other&) const {}
 };
@@ -84,7 +99,6 @@
   process->host_ = std::make_unique<core::attempt_host>(
       options, *process->target_, *process, process->clock_, *process->loop_);
   if (!process->SetPolicies(settings)) return std::nullopt;
-  process->SetRecorder(settings);
   process->hello_.name = settings.Text(settings::kName);
   process->hello_.incarnation = options.incarnation;
   process->hello_.data_centre = settings.Text(settings::kDataCentre);
@@ -103,9 +117,31 @@
           });
   if (!server) return std::nullopt;
   process->server_ = std::move(*server);
+  process->hello_.pool = settings.Text(settings::kPool);
+  process->hello_.address = listen.address;
+  process->hello_.port = process->server_->port();
+  process->SetRecorder(settings);
+  process->MakeControl(settings);
   return process;
 }
 
+void agent_process::MakeControl(const settings::settings_document& settings) {
+  platform::platform_options platform;
+  platform.address = {
+      settings.Text(settings::kPlatformAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+  platform.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  vms_ = platform::MakeHttpVmList(*loop_, platform);
+  const net::endpoint target = {
+      settings.Text(settings::kTargetAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kTargetPort))};
+  control_ = std::make_unique<agent_control>(agent_control_environment{
+      *loop_, clock_, *table_, *vms_, *host_, *this, target, hello_.name,
+      hello_.data_centre, settings.Boolean(settings::kTargetChecksAuthority),
+      [this] { TellLoad(); }});
+}
+
 bool agent_process::SetPolicies(const settings::settings_document& settings) {
   core::agent_policy wanted;
   wanted.limit = settings.Text(settings::kConcurrencyPolicy);
@@ -144,6 +180,7 @@
 
 void agent_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
+  control_->Start(hello_);
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
   loop_->Run();
@@ -154,15 +191,20 @@
   // A second signal changes nothing: the stop stays clean.
   if (stopping_) return;
   stopping_ = true;
+  control_->Stop();
   host_->Drain([this] {
     recorder_->Flush(kRecordLimit, [this] {
       loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); });
     });
   });
-  core::ping_message leaving;
-  leaving.answer = true;
-  leaving.load = host_->Load();
-  for (const auto& [link, channel] : links_) Send(link, leaving);
+}
+
+void agent_process::TellLoad() {
+  core::ping_message ping;
+  ping.answer = true;
+  ping.load = host_->Load();
+  ping.configuration_version = control_->configuration_version();
+  for (const auto& [link, channel] : links_) Send(link, ping);
 }
 
 void agent_process::Accept(std::shared_ptr<net::channel> channel) {
@@ -172,8 +214,10 @@
   channel->OnClosed([this, link] {
     links_.erase(link);
     host_->OnLinkClosed(link);
+    control_->OnLinkClosed(link);
   });
   links_.emplace(link, std::move(channel));
+  hello_.configuration_version = control_->configuration_version();
   hello_.token_window = host_->token_window();
   Send(link, hello_);
 }
@@ -186,13 +230,16 @@
                 "bad frame: " + common::LastReason().text);
     return;
   }
+  core::CountControl("received", *message, frame.size());
   std::visit(message_handler{*host_, *this, link}, *message);
 }
 
 void agent_process::Send(core::router_link link, const core::message& message) {
   const auto found = links_.find(link);
   if (found == links_.end()) return;
-  found->second->Send(wire::Encode(message));
+  std::string frame = wire::Encode(message);
+  core::CountControl("sent", message, frame.size());
+  found->second->Send(std::move(frame));
 }
 
 void agent_process::OnHttp(const net::http_request& request,
--- a/source/core/agent/target_port.h
+++ b/source/core/agent/target_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -35,6 +36,8 @@
                    target_observer* observer) = 0;
   /// Cancels a run; nothing is reported for it afterwards.
   virtual void Cancel(std::string_view attempt_id) = 0;
+  /// After a crash: calls the action once the target answers again.
+  virtual void WhenBack(std::function<void()> action) { action(); }
 };
 
 }  // namespace wisteriadale::core
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -88,6 +88,7 @@
 target_view* request_executor::ChooseTarget() {
   const target_pool* pool = context_.targets.Pool(Stage().pool);
   if (pool == nullptr) return nullptr;
+  if (Verdict() == quarantine_verdict::kSuspect) return ChooseForTrial(*pool);
   routing_request request;
   request.pool = Stage().pool;
   request.organisation = description_.organisation;
@@ -100,12 +101,49 @@
   return policies_->routing->Choose(*pool, request);
 }
 
+target_view* request_executor::ChooseForTrial(const target_pool& pool) const {
+  // All routers try a suspect on the same target, where its runs wait for each
+  // other and the agent remembers how the first of them ended.
+  const uint64_t seed = common::Hash64(description_.digest);
+  target_view* best = nullptr;
+  uint64_t best_hash = 0;
+  for (target_view* view : pool.members) {
+    if (!view->Usable()) continue;
+    const uint64_t hash = common::Hash64(view->id, seed);
+    if (best != nullptr && hash >= best_hash) continue;
+    best = view;
+    best_hash = hash;
+  }
+  return best;
+}
+
+quarantine_verdict request_executor::Verdict() const {
+  if (context_.crashes == nullptr) return quarantine_verdict::kClear;
+  return context_.crashes->Verdict(description_.digest);
+}
+
+void request_executor::NoteCrash(const outcome_message& outcome, bool alone) {
+  if (context_.crashes == nullptr) return;
+  const bool crashed = !outcome.suspect_digests.empty();
+  if (outcome.code == result_code::kDigestQuarantined || (crashed && alone)) {
+    context_.crashes->OnCrashAlone(description_.digest);
+  } else if (crashed) {
+    context_.crashes->OnCrash(outcome.suspect_digests);
+  } else if (alone && outcome.code == result_code::kOk) {
+    context_.crashes->OnSurvived(description_.digest);
+  }
+}
+
 void request_executor::TryStage() {
   if (ended_) return;
   if (!Stage().idempotent) {
     TryOperation();
     return;
   }
+  if (Verdict() == quarantine_verdict::kConvicted) {
+    EndUnfinished(result_code::kDigestQuarantined, "");
+    return;
+  }
   const target_view* chosen = ChooseTarget();
   if (chosen == nullptr) {
     RetryLater();
@@ -190,6 +228,7 @@
   execute.remaining =
       std::chrono::duration_cast<common::milliseconds>(Remaining());
   execute.deferrable = description_.plan.deferrable;
+  execute.alone = Verdict() == quarantine_verdict::kSuspect;
   execute.stream_prefix = stream_;
   if (Stage().prefix_affinity) execute.prefix_key = prefix_key_;
   execute.configuration_version = description_.configuration_in_force->version;
@@ -226,13 +265,14 @@
   started.progressed = started.started;
   started.started_wall_us = context_.clock.WallMicros();
   started.hedge = hedge;
+  started.alone = execute.alone;
   running_attempt& attempt = running_.Add(std::move(started));
   target_view* view = context_.targets.Find(target);
   if (view != nullptr) ++view->local_in_flight;
   if (!Stage().idempotent) return;
   ArmTimeout(&attempt, policies_->deadlines->AttemptTimeout(
                            description_.plan, stage_index_, Remaining()));
-  if (!hedge) ArmHedge();
+  if (!hedge && !execute.alone) ArmHedge();
 }
 
 void request_executor::ArmTimeout(running_attempt* attempt,
@@ -330,6 +370,7 @@
   const running_attempt* attempt = running_.Find(outcome.attempt_id);
   if (attempt == nullptr) return;
   const std::string target = attempt->target;
+  NoteCrash(outcome, attempt->alone);
   NoteAttempt(*attempt, outcome.code);
   EndAttempt(outcome.attempt_id);
   if (outcome.code != result_code::kOk) {
@@ -388,6 +429,17 @@
     return;
   }
   if (!running_.empty()) return;  // the other attempt may still end well
+  if (Verdict() == quarantine_verdict::kConvicted) {
+    EndUnfinished(result_code::kDigestQuarantined, "it crashed targets");
+    return;
+  }
+  // A suspect is owed a run alone, whatever the budget of retries.
+  if (!outcome.suspect_digests.empty() &&
+      Verdict() == quarantine_verdict::kSuspect) {
+    ++request_retries_;
+    RetryAfter(common::duration::zero());
+    return;
+  }
   std::optional<common::duration> delay;
   if (common::Describe(outcome.code).retryable) {
     delay = policies_->retry->Retry(Question(outcome.code));
--- /dev/null
+++ b/source/core/quarantine/quarantine.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/clock.h"
+#include "core/messages.h"
+#include "core/ports/table.h"
+
+namespace wisteriadale::core {
+
+/// What is known of a request's digest.
+enum class quarantine_verdict {
+  kClear,
+  kSuspect,    ///< was in flight on a target that crashed: runs alone
+  kConvicted,  ///< crashed a target alone: is refused
+};
+
+/// Brings suspicions and convictions to the peers of a router.
+class quarantine_network {
+ public:
+  virtual ~quarantine_network() = default;
+  virtual void TellRouters(const conviction_message& message) = 0;
+  virtual void TellRouter(std::string_view router,
+                          const conviction_message& message) = 0;
+};
+
+struct quarantine_options {
+  common::duration conviction_time = std::chrono::hours(1);
+  common::duration suspicion_time = std::chrono::minutes(2);
+  common::duration write_retry = std::chrono::seconds(1);
+  uint32_t most_rows = 1000;
+};
+
+/// A conviction, or the tombstone of one that an operator lifted.
+struct conviction {
+  std::string digest;
+  int64_t expires_wall_us = 0;
+  bool lifted = false;
+};
+
+/// Finds the requests that crash targets. Digests that were in flight when a
+/// target crashed are suspects and run again alone; a crash alone convicts, an
+/// end without a crash clears. Convictions are rows `quarantine/{digest}` and
+/// outlive routers.
+class quarantine {
+ public:
+  quarantine(quarantine_options options, table& rows,
+             quarantine_network& network, common::timer_service& timers,
+             common::clock& clock)
+      : options_(options),
+        rows_(rows),
+        network_(network),
+        timers_(timers),
+        clock_(clock) {}
+
+  /// Reads the rows, and again until the platform answers.
+  void Load();
+
+  quarantine_verdict Verdict(std::string_view digest);
+
+  /// A target crashed.
+  /// @param digests what was in flight on it
+  void OnCrash(std::span<const std::string> digests);
+  /// A target crashed while it ran nothing but this digest.
+  void OnCrashAlone(const std::string& digest);
+  /// A suspect ran alone and the target survived it.
+  void OnSurvived(const std::string& digest);
+
+  /// A peer told a suspicion, a conviction or that one was lifted.
+  void OnMessage(const conviction_message& message);
+  /// A peer told the hash of its convictions: what differs is sent.
+  void OnPeerHash(std::string_view router, uint64_t hash);
+  /// @return hash of the convictions in force and of those lifted
+  uint64_t Hash();
+
+  /// An operator lifts a conviction.
+  /// @return false when there is none
+  bool Lift(const std::string& digest);
+  /// @return convictions in force
+  std::vector<conviction> List();
+
+ private:
+  void Expire();
+  bool Take(const conviction& entry);
+  void Convict(const std::string& digest);
+  void Write(const std::string& digest);
+  static conviction_message MessageOf(const conviction& entry);
+
+  quarantine_options options_;
+  table& rows_;
+  quarantine_network& network_;
+  common::timer_service& timers_;
+  common::clock& clock_;
+  std::map<std::string, conviction, std::less<>> convictions_;
+  std::map<std::string, common::time_point, std::less<>> suspects_;
+  std::set<std::string> writing_;
+};
+
+}  // namespace wisteriadale::core
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -214,6 +214,19 @@
     SendError(responder.get(), result_code::kMethodNotAllowed, "");
     return;
   }
+  if (request.body_timed_out) {
+    SendError(responder.get(), result_code::kSlowCaller, "");
+    return;
+  }
+  if (request.length_missing) {
+    SendError(responder.get(), result_code::kLengthRequired, "");
+    return;
+  }
+  if (request.header_too_long) {
+    SendError(responder.get(), result_code::kBadRequest,
+              "a header is too long");
+    return;
+  }
   if (request.body_too_large) {
     SendError(responder.get(), result_code::kBodyTooLarge, "");
     return;
@@ -265,6 +278,14 @@
   description.organisation_weight = organisation->weight;
   description.body = request.body;
   description.digest = common::Sha256Hex(plan->name + "\n" + request.body);
+  if (context_.crashes != nullptr &&
+      context_.crashes->Verdict(description.digest) ==
+          core::quarantine_verdict::kConvicted) {
+    // An earlier request under the same key may have run.
+    SendError(responder.get(), result_code::kDigestQuarantined, "",
+              plan->HasNonIdempotentStage() ? "unknown" : "not_run");
+    return;
+  }
   description.plan = *plan;
   description.configuration_in_force = configuration;
   const common::trace_context parent =
