Gather operations' writes into transactions, and answer late results

batched_table gathers conditional writes of operations: a write goes out at once while fewer than 4 transactions are in flight, later ones gather, 64 rows at most; each keeps its own condition and answer. Routers and the long run use it. The service time of a large transaction is taken as that of a small one; that was not measured.

An executor now lives until it has answered; a result at the deadline is answered when recorded if it is the last stage, else the request ends as done. Unit tests AResultThatIsRecordedAfterTheDeadlineIsAnswered and AResultAtTheDeadlineEndsARequestWithMoreStages.

--- /dev/null
+++ b/source/core/operations/batched_table.cc
@@ -0,0 +1,76 @@
+#include "core/operations/batched_table.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "common/invariant.h"
+
+namespace wisteriadale::core {
+
+void batched_table::Read(std::string_view key, table_priority priority,
+                         table_handler handler) {
+  rows_.Read(key, priority, std::move(handler));
+}
+
+void batched_table::WriteBatch(const std::vector<table_write>& writes,
+                               table_priority priority,
+                               table_batch_handler handler) {
+  rows_.WriteBatch(writes, priority, std::move(handler));
+}
+
+void batched_table::List(std::string_view prefix, uint32_t limit,
+                         table_priority priority, table_list_handler handler) {
+  rows_.List(prefix, limit, priority, std::move(handler));
+}
+
+void batched_table::ListAfter(std::string_view prefix, std::string_view after,
+                              uint32_t limit, table_priority priority,
+                              table_list_handler handler) {
+  rows_.ListAfter(prefix, after, limit, priority, std::move(handler));
+}
+
+void batched_table::Write(std::string_view key, uint64_t expected_version,
+                          std::string_view value, table_priority priority,
+                          table_handler handler) {
+  // Other writes are rare; only operations are worth gathering.
+  if (priority != table_priority::kOperations) {
+    rows_.Write(key, expected_version, value, priority, std::move(handler));
+    return;
+  }
+  table_write write{std::string(key), expected_version, std::string(value)};
+  waiting_.push_back({std::move(write), std::move(handler)});
+  SendWaiting();
+}
+
+void batched_table::SendWaiting() {
+  while (!waiting_.empty() && in_flight_ < options_.max_in_flight) SendOne();
+}
+
+void batched_table::SendOne() {
+  const size_t size = std::min(waiting_.size(), options_.max_rows);
+  std::vector<table_write> writes;
+  const std::shared_ptr<std::vector<table_handler>> handlers =
+      std::make_shared<std::vector<table_handler>>();
+  writes.reserve(size);
+  handlers->reserve(size);
+  for (size_t i = 0; i < size; ++i) {
+    writes.push_back(std::move(waiting_.front().write));
+    handlers->push_back(std::move(waiting_.front().handler));
+    waiting_.pop_front();
+  }
+  ++in_flight_;
+  rows_.WriteBatch(
+      writes, table_priority::kOperations,
+      [this, handlers](const std::vector<table_answer>& answers) {
+        --in_flight_;
+        common::CheckInvariant(answers.size() == handlers->size(),
+                               "batch_answers_each_write", "");
+        for (size_t i = 0; i < handlers->size(); ++i) {
+          // Without its own answer, a write may or may not have taken effect.
+          (*handlers)[i](i < answers.size() ? answers[i] : table_answer());
+        }
+        SendWaiting();
+      });
+}
+
+}  // namespace wisteriadale::core
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -352,7 +352,7 @@
                      {"request_id", description_.id}};
   common::EmitSpan(span);
   running_.Remove(attempt_id);
-  if (running_.empty()) keep_alive_.reset();
+  if (running_.empty() && answered_) keep_alive_.reset();
 }
 
 void request_executor::OnChunk(std::string_view attempt_id,
@@ -513,7 +513,7 @@
 }
 
 void request_executor::OnDeadline() {
-  if (ended_) return;
+  if (ended_ || WaitsForRecord()) return;
   if (operation_ && operation_->dispatched()) {
     operation_->Stop([self = shared_from_this()](token_fate fate) {
       self->OnStopped(fate);
@@ -523,9 +523,14 @@
   EndUnfinished(result_code::kDeadlineExceeded, "the deadline passed");
 }
 
+bool request_executor::WaitsForRecord() const {
+  // The whole answer is there, and is given as soon as it is recorded.
+  const bool last = stage_index_ + 1 == description_.plan.stages.size();
+  return operation_ && operation_->done() && last && !Stage().idempotent;
+}
+
 void request_executor::OnStopped(token_fate fate) {
-  // A result that came meanwhile is answered once it is recorded.
-  if (ended_ || operation_->done()) return;
+  if (ended_ || WaitsForRecord()) return;
   if (operation_->dispatched() && fate == token_fate::kNeverRuns) {
     for (const std::string& id : running_.Others("")) {
       context_.attempts.Cancel(id);
@@ -567,9 +572,11 @@
 void request_executor::Finish(request_result result) {
   common::CheckInvariant(!answered_, "request_ends_once", description_.id);
   answered_ = true;
+  const std::shared_ptr<request_executor> self = shared_from_this();
   if (!ended_) StopWork();
   result.stages = reports_;
   sink_->OnEnd(result);
+  if (running_.empty()) keep_alive_.reset();
 }
 
 void request_executor::StopWork() {
--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -130,6 +130,7 @@
   void CancelOthers(std::string_view attempt_id);
   void OperationFailed(const outcome_message& outcome);
   void OnDeadline();
+  bool WaitsForRecord() const;
   void OnStopped(token_fate fate);
   void EndUnfinished(common::result_code code, const std::string& reason);
   void StopWork();
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -86,8 +86,10 @@
       *process->links_, events,
       common::milliseconds(settings.Integer(settings::kReconnectLimitMs)));
   process->links_->SetAttempts(process->attempts_.get());
+  process->operation_rows_ = std::make_unique<core::batched_table>(
+      core::batched_table_options(), *process->table_);
   process->operations_ = std::make_unique<core::operation_log>(
-      *process->table_, events, process->clock_, *process->random_);
+      *process->operation_rows_, events, process->clock_, *process->random_);
   process->doubts_ = std::make_unique<core::doubt_list>(
       *process->table_, *process->operations_, *process->attempts_,
       process->clock_);
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "core/operations/batched_table.h"
 #include "core/policy/policy_book.h"
 #include "net/http_server.h"
 #include "platform/http_platform.h"
@@ -44,6 +45,7 @@
   std::unique_ptr<core::policy_book> policies_;
   std::unique_ptr<agent_links> links_;
   std::unique_ptr<core::attempt_table> attempts_;
+  std::unique_ptr<core::batched_table> operation_rows_;
   std::unique_ptr<core::operation_log> operations_;
   std::unique_ptr<core::doubt_list> doubts_;
   std::unique_ptr<core::executor_context> executors_;
--- a/source/unit_tests/core/pipeline/request_operation_test.cc
+++ b/source/unit_tests/core/pipeline/request_operation_test.cc
@@ -255,6 +255,30 @@
   CHECK(Row().state == operation_state::kReserved);
 }
 
+TEST(RequestOperation, AResultThatIsRecordedAfterTheDeadlineIsAnswered) {
+  RunToBooking();
+  rows.delay = std::chrono::milliseconds(400);
+  time.Advance(std::chrono::milliseconds(4880));
+  Answer(common::result_code::kOk, true);
+  time.Advance(std::chrono::seconds(2));
+  CHECK_EQUAL(1, sink->ends.size());
+  CHECK(sink->ends.at(0).code == common::result_code::kOk);
+}
+
+TEST(RequestOperation, AResultAtTheDeadlineEndsARequestWithMoreStages) {
+  std::vector<core::stage_plan>& stages =
+      configuration->pipelines["booking"].stages;
+  std::swap(stages[0], stages[1]);
+  Start();
+  STRCMP_EQUAL("book", agent.executes.back().stage.c_str());
+  time.Advance(std::chrono::milliseconds(5000));
+  CHECK(sink->ends.empty());
+  Answer(common::result_code::kOk, true);
+  time.Advance(std::chrono::seconds(2));
+  CHECK_EQUAL(1, sink->ends.size());
+  CHECK(sink->ends.at(0).fate == request_fate::kDone);
+}
+
 TEST(RequestOperation, NotRunIsConfirmedByARead) {
   Start();
   // Another request runs the operation while this one's first stage fails.
--- a/source/unit_tests/longrun/callers.cc
+++ b/source/unit_tests/longrun/callers.cc
@@ -225,8 +225,15 @@
 }
 
 void callers::CheckAtRest() const {
-  common::CheckInvariant(open_.empty(), "every_request_ends",
-                         std::to_string(open_.size()) + " are still open");
+  common::CheckInvariant(
+      open_.empty(), "every_request_ends",
+      std::to_string(open_.size()) + " are still open" +
+          (open_.empty()
+               ? ""
+               : ", one of " + open_.begin()->second->of->pipeline +
+                     " with its executor " +
+                     (open_.begin()->second->executor.expired() ? "gone"
+                                                                : "alive")));
 }
 
 }  // namespace wisteriadale::longrun
--- a/source/unit_tests/longrun/router_node.cc
+++ b/source/unit_tests/longrun/router_node.cc
@@ -42,7 +42,8 @@
       dial_(std::move(dial)),
       policies_(process_, random, {name, ""}),
       attempts_(*this, process_, kReconnectLimit),
-      operations_(rows_, process_, process_, random),
+      batched_({}, rows_),
+      operations_(batched_, process_, process_, random),
       context_{process_,  process_,  random,      targets_,
                policies_, attempts_, operations_, name} {}
 
--- a/source/unit_tests/longrun/router_node.h
+++ b/source/unit_tests/longrun/router_node.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "core/operations/batched_table.h"
 #include "core/pipeline/request_executor.h"
 #include "core/policy/policy_book.h"
 #include "unit_tests/fakes/process_table.h"
@@ -58,6 +59,7 @@
   core::target_table targets_;
   core::policy_book policies_;
   core::attempt_table attempts_;
+  core::batched_table batched_;
   core::operation_log operations_;
   core::executor_context context_;
   std::map<std::string, std::shared_ptr<connection>, std::less<>> links_;
