Keep table calls under a budget shared by priority, with backoff and jitter

budgeted_table decorates core::table: operations before configuration before the rest, kRefused when spent and nothing sent, exponential backoff with full jitter while the platform fails, counters by kind and priority. Not wired yet.

--- /dev/null
+++ b/source/platform/budgeted_table.cc
@@ -0,0 +1,167 @@
+#include "platform/budgeted_table.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "common/metrics.h"
+
+namespace wisteriadale::platform {
+namespace {
+
+using core::table_priority;
+using core::table_status;
+
+constexpr uint32_t kMostDoublings = 16;
+
+std::string_view NameOf(table_priority priority) {
+  constexpr std::string_view kNames[] = {"operations", "configuration",
+                                         "other"};
+  return kNames[static_cast<int>(priority)];
+}
+
+void CountCall(std::string_view kind, table_priority priority, bool allowed) {
+  common::Metrics().Count(
+      allowed ? "wisteria_table_calls_total" : "wisteria_table_refused_total",
+      {{"kind", kind}, {"priority", NameOf(priority)}});
+}
+
+core::table_answer Refused(std::string_view key) {
+  core::table_answer answer;
+  answer.status = table_status::kRefused;
+  answer.row.key = key;
+  return answer;
+}
+
+}  // namespace
+
+bool call_allowance::Take(common::time_point now, double kept) {
+  const double passed = std::chrono::duration<double>(now - filled_at_).count();
+  filled_at_ = now;
+  left_ = std::min(capacity_, left_ + passed * per_second_);
+  if (left_ - 1 < kept * capacity_) return false;
+  left_ -= 1;
+  return true;
+}
+
+budgeted_table::budgeted_table(core::table& inner, const table_budget& budget,
+                               common::clock& clock,
+                               common::timer_service& timers,
+                               common::random_source& random)
+    : inner_(inner),
+      budget_(budget),
+      clock_(clock),
+      timers_(timers),
+      random_(random),
+      reads_(budget.reads_per_second, budget.burst_seconds, clock.Now()),
+      writes_(budget.writes_per_second, budget.burst_seconds, clock.Now()) {}
+
+double budgeted_table::KeptFrom(table_priority priority) const {
+  switch (priority) {
+    case table_priority::kOperations:
+      return 0;
+    case table_priority::kConfiguration:
+      return budget_.kept_for_operations;
+    case table_priority::kOther:
+      return budget_.kept_for_operations + budget_.kept_for_configuration;
+  }
+  return 0;
+}
+
+common::duration budgeted_table::Backoff() {
+  if (failures_ == 0) return common::duration(0);
+  const uint32_t doublings = std::min(failures_ - 1, kMostDoublings);
+  const common::duration longest =
+      std::min(budget_.longest_backoff,
+               budget_.first_backoff * (int64_t{1} << doublings));
+  // Full jitter: processes that failed together do not return together.
+  const double share = random_.Uniform();
+  return common::duration(
+      static_cast<int64_t>(share * static_cast<double>(longest.count())));
+}
+
+void budgeted_table::Submit(std::function<void()> send) {
+  const common::duration delay = Backoff();
+  if (delay.count() == 0) {
+    send();
+  } else {
+    timers_.Schedule(delay, std::move(send));
+  }
+}
+
+void budgeted_table::Answered(table_status status) {
+  if (status != table_status::kUnavailable) {
+    failures_ = 0;
+    return;
+  }
+  ++failures_;
+  common::Metrics().Count("wisteria_table_failures_total");
+}
+
+void budgeted_table::Read(std::string_view key, table_priority priority,
+                          core::table_handler handler) {
+  const bool allowed = reads_.Take(clock_.Now(), KeptFrom(priority));
+  CountCall("read", priority, allowed);
+  if (!allowed) {
+    timers_.Schedule(common::duration(0),
+                     [answer = Refused(key), handler = std::move(handler)] {
+                       handler(answer);
+                     });
+    return;
+  }
+  Submit(
+      [this, key = std::string(key), priority, handler = std::move(handler)] {
+        inner_.Read(key, priority,
+                    [this, handler](const core::table_answer& answer) {
+                      Answered(answer.status);
+                      handler(answer);
+                    });
+      });
+}
+
+void budgeted_table::Write(std::string_view key, uint64_t expected_version,
+                           std::string_view value, table_priority priority,
+                           core::table_handler handler) {
+  const bool allowed = writes_.Take(clock_.Now(), KeptFrom(priority));
+  CountCall("write", priority, allowed);
+  if (!allowed) {
+    timers_.Schedule(common::duration(0),
+                     [answer = Refused(key), handler = std::move(handler)] {
+                       handler(answer);
+                     });
+    return;
+  }
+  Submit([this, key = std::string(key), expected_version,
+          value = std::string(value), priority, handler = std::move(handler)] {
+    inner_.Write(key, expected_version, value, priority,
+                 [this, handler](const core::table_answer& answer) {
+                   Answered(answer.status);
+                   handler(answer);
+                 });
+  });
+}
+
+void budgeted_table::List(std::string_view prefix, uint32_t limit,
+                          table_priority priority,
+                          core::table_list_handler handler) {
+  const bool allowed = reads_.Take(clock_.Now(), KeptFrom(priority));
+  CountCall("list", priority, allowed);
+  if (!allowed) {
+    core::table_list_answer refused;
+    refused.status = table_status::kRefused;
+    timers_.Schedule(
+        common::duration(0),
+        [refused, handler = std::move(handler)] { handler(refused); });
+    return;
+  }
+  Submit([this, prefix = std::string(prefix), limit, priority,
+          handler = std::move(handler)] {
+    inner_.List(prefix, limit, priority,
+                [this, handler](const core::table_list_answer& answer) {
+                  Answered(answer.status);
+                  handler(answer);
+                });
+  });
+}
+
+}  // namespace wisteriadale::platform
--- /dev/null
+++ b/source/platform/budgeted_table.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string_view>
+
+#include "common/clock.h"
+#include "common/random.h"
+#include "core/ports/table.h"
+
+namespace wisteriadale::platform {
+
+/// This process's share of the platform's calls.
+struct table_budget {
+  double reads_per_second = 200;
+  double writes_per_second = 60;
+  double burst_seconds = 1;  ///< unused calls are kept for this long
+  /// Calls of lower priority find the budget spent while no more than these
+  /// shares of the burst are left.
+  double kept_for_operations = 0.5;
+  double kept_for_configuration = 0.2;  ///< besides the operations' share
+  /// Delay of calls while the platform fails: doubled with each failure.
+  common::duration first_backoff = std::chrono::milliseconds(20);
+  common::duration longest_backoff = std::chrono::seconds(2);
+};
+
+/// Calls of one kind that may be made, refilled at a constant rate.
+class call_allowance {
+ public:
+  call_allowance(double per_second, double burst_seconds,
+                 common::time_point now)
+      : per_second_(per_second),
+        capacity_(per_second * burst_seconds),
+        left_(capacity_),
+        filled_at_(now) {}
+
+  /// @param kept share of the capacity that this call may not touch
+  /// @return whether the call may be made; it is then paid for
+  bool Take(common::time_point now, double kept);
+
+ private:
+  double per_second_;
+  double capacity_;
+  double left_;
+  common::time_point filled_at_;
+};
+
+/// Keeps a process's calls to the table under a budget that its priorities
+/// share, and spreads them out while the platform fails. A call that the budget
+/// does not allow ends as kRefused and is not sent.
+class budgeted_table final : public core::table {
+ public:
+  budgeted_table(core::table& inner, const table_budget& budget,
+                 common::clock& clock, common::timer_service& timers,
+                 common::random_source& random);
+
+  void Read(std::string_view key, core::table_priority priority,
+            core::table_handler handler) override;
+  void Write(std::string_view key, uint64_t expected_version,
+             std::string_view value, core::table_priority priority,
+             core::table_handler handler) override;
+  void List(std::string_view prefix, uint32_t limit,
+            core::table_priority priority,
+            core::table_list_handler handler) override;
+
+  /// @return calls without an answer since the last answer
+  uint32_t failures() const { return failures_; }
+
+ private:
+  /// @return the share of the budget that a priority leaves to higher ones
+  double KeptFrom(core::table_priority priority) const;
+  /// @return how long a call waits, so that a failing platform is not pressed
+  common::duration Backoff();
+  /// Sends a call, at once or after the backoff.
+  void Submit(std::function<void()> send);
+  void Answered(core::table_status status);
+
+  core::table& inner_;
+  table_budget budget_;
+  common::clock& clock_;
+  common::timer_service& timers_;
+  common::random_source& random_;
+  call_allowance reads_;
+  call_allowance writes_;
+  uint32_t failures_ = 0;
+};
+
+}  // namespace wisteriadale::platform
