--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -5,6 +5,7 @@
 #include "common/metrics.h"
 #include "core/control_traffic.h"
 #include "core/policy/agent_policy.h"
+#include "platform/budgeted_table.h"
 #include "platform/http_platform.h"
 #include "settings/agent_settings.h"
 #include "wire/codec.h"
@@ -23,6 +24,16 @@
 // Routers learn from the last messages that the agent is leaving.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
+platform::table_budget TableBudget(
+    const settings::settings_document& settings) {
+  platform::table_budget budget;
+  budget.reads_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformReadsPerSecond));
+  budget.writes_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformWritesPerSecond));
+  return budget;
+}
+
 /// Hands a decoded message of a router to the attempt host.
 struct message_handler {
   core::attempt_host& host;
@@ -149,7 +160,9 @@
       static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
   platform.timeout =
       common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  table_ = platform::MakeHttpTable(*loop_, platform);
+  http_table_ = platform::MakeHttpTable(*loop_, platform);
+  table_ = std::make_unique<platform::budgeted_table>(
+      *http_table_, TableBudget(settings), clock_, *loop_, *random_);
   operations_ =
       std::make_unique<core::operation_log>(*table_, *loop_, clock_, *random_);
   recorder_ = std::make_unique<core::operation_recorder>(
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -45,7 +45,8 @@
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<http_target> target_;
-  std::unique_ptr<core::table> table_;
+  std::unique_ptr<core::table> http_table_;
+  std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
   std::unique_ptr<core::operation_log> operations_;
   std::unique_ptr<core::operation_recorder> recorder_;
   std::unique_ptr<core::attempt_host> host_;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "platform/budgeted_table.h"
 #include "settings/router_settings.h"
 
 namespace wisteriadale::router {
@@ -22,6 +23,16 @@
   return options;
 }
 
+platform::table_budget TableBudget(
+    const settings::settings_document& settings) {
+  platform::table_budget budget;
+  budget.reads_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformReadsPerSecond));
+  budget.writes_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformWritesPerSecond));
+  return budget;
+}
+
 net::endpoint PlatformEndpoint(const settings::settings_document& settings) {
   return {settings.Text(settings::kPlatformAddress),
           static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
@@ -65,7 +76,10 @@
   platform.address = PlatformEndpoint(settings);
   platform.timeout =
       common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  process->table_ = platform::MakeHttpTable(events, platform);
+  process->http_table_ = platform::MakeHttpTable(events, platform);
+  process->table_ = std::make_unique<platform::budgeted_table>(
+      *process->http_table_, TableBudget(settings), process->clock_, events,
+      *process->random_);
   process->objects_ = platform::MakeHttpObjectStore(events, platform);
   process->vms_ = platform::MakeHttpVmList(events, platform);
 
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -37,7 +37,8 @@
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<net::event_loop> loop_;
-  std::unique_ptr<core::table> table_;
+  std::unique_ptr<core::table> http_table_;
+  std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
   std::unique_ptr<core::object_store> objects_;
   std::unique_ptr<core::vm_list> vms_;
   core::target_table targets_;
--- a/source/settings/agent_settings.cc
+++ b/source/settings/agent_settings.cc
@@ -82,6 +82,8 @@
                                     &kPlatformAddress,
                                     &kPlatformPort,
                                     &kPlatformTimeoutMs,
+                                    &kPlatformReadsPerSecond,
+                                    &kPlatformWritesPerSecond,
                                     &kLogLevel,
                                     &kLogJson,
                                     &kLogFile,
--- a/source/settings/common_settings.cc
+++ b/source/settings/common_settings.cc
@@ -45,6 +45,20 @@
     10,
     60000,
     "How long an answer of the platform may take, in milliseconds."};
+const setting kPlatformReadsPerSecond = {
+    "/platform/reads_per_second",
+    setting_type::kInteger,
+    "300",
+    1,
+    100000,
+    "Most reads of the table that this process makes a second."};
+const setting kPlatformWritesPerSecond = {
+    "/platform/writes_per_second",
+    setting_type::kInteger,
+    "100",
+    1,
+    100000,
+    "Most writes to the table that this process makes a second."};
 const setting kDialTimeoutMs = {
     "/net/dial_timeout_ms",
     setting_type::kInteger,
--- a/source/settings/common_settings.h
+++ b/source/settings/common_settings.h
@@ -12,6 +12,8 @@
 extern const setting kPlatformAddress;
 extern const setting kPlatformPort;
 extern const setting kPlatformTimeoutMs;
+extern const setting kPlatformReadsPerSecond;
+extern const setting kPlatformWritesPerSecond;
 extern const setting kDialTimeoutMs;
 extern const setting kLogLevel;
 extern const setting kLogJson;
--- a/source/settings/router_settings.cc
+++ b/source/settings/router_settings.cc
@@ -86,6 +86,8 @@
                                     &kPlatformAddress,
                                     &kPlatformPort,
                                     &kPlatformTimeoutMs,
+                                    &kPlatformReadsPerSecond,
+                                    &kPlatformWritesPerSecond,
                                     &kLogLevel,
                                     &kLogJson,
                                     &kLogFile,
