--- a/source/platform/budgeted_table.cc
+++ b/source/platform/budgeted_table.cc
@@ -141,9 +141,42 @@
   });
 }
 
+void budgeted_table::WriteBatch(const std::vector<core::table_write>& writes,
+                                table_priority priority,
+                                core::table_batch_handler handler) {
+  // A batch is one call of the service, whatever the number of rows.
+  const bool allowed = writes_.Take(clock_.Now(), KeptFrom(priority));
+  CountCall("batch", priority, allowed);
+  if (!allowed) {
+    std::vector<core::table_answer> refused;
+    refused.reserve(writes.size());
+    for (const core::table_write& write : writes) {
+      refused.push_back(Refused(write.key));
+    }
+    timers_.Schedule(
+        common::duration(0),
+        [refused, handler = std::move(handler)] { handler(refused); });
+    return;
+  }
+  Submit([this, writes, priority, handler = std::move(handler)] {
+    inner_.WriteBatch(
+        writes, priority,
+        [this, handler](const std::vector<core::table_answer>& answers) {
+          if (!answers.empty()) Answered(answers.front().status);
+          handler(answers);
+        });
+  });
+}
+
 void budgeted_table::List(std::string_view prefix, uint32_t limit,
                           table_priority priority,
                           core::table_list_handler handler) {
+  ListAfter(prefix, "", limit, priority, std::move(handler));
+}
+
+void budgeted_table::ListAfter(std::string_view prefix, std::string_view after,
+                               uint32_t limit, table_priority priority,
+                               core::table_list_handler handler) {
   const bool allowed = reads_.Take(clock_.Now(), KeptFrom(priority));
   CountCall("list", priority, allowed);
   if (!allowed) {
@@ -154,13 +187,13 @@
         [refused, handler = std::move(handler)] { handler(refused); });
     return;
   }
-  Submit([this, prefix = std::string(prefix), limit, priority,
-          handler = std::move(handler)] {
-    inner_.List(prefix, limit, priority,
-                [this, handler](const core::table_list_answer& answer) {
-                  Answered(answer.status);
-                  handler(answer);
-                });
+  Submit([this, prefix = std::string(prefix), after = std::string(after), limit,
+          priority, handler = std::move(handler)] {
+    inner_.ListAfter(prefix, after, limit, priority,
+                     [this, handler](const core::table_list_answer& answer) {
+                       Answered(answer.status);
+                       handler(answer);
+                     });
   });
 }
 
--- a/source/platform/budgeted_table.h
+++ b/source/platform/budgeted_table.h
@@ -60,9 +60,15 @@
   void Write(std::string_view key, uint64_t expected_version,
              std::string_view value, core::table_priority priority,
              core::table_handler handler) override;
+  void WriteBatch(const std::vector<core::table_write>& writes,
+                  core::table_priority priority,
+                  core::table_batch_handler handler) override;
   void List(std::string_view prefix, uint32_t limit,
             core::table_priority priority,
             core::table_list_handler handler) override;
+  void ListAfter(std::string_view prefix, std::string_view after,
+                 uint32_t limit, core::table_priority priority,
+                 core::table_list_handler handler) override;
 
   /// @return calls without an answer since the last answer
   uint32_t failures() const { return failures_; }
