Budget retries and deadlines, hedge, and refuse early

Retries were bounded only by attempts for each stage, waited a fixed 20 ms and never looked at the time left; an attempt could use up the whole deadline on a stuck target; nothing was refused for time or quota. Now: - budget_retry: tokens by organisation and stage as a share of successes, caps for stage and request, backoff with jitter for load, no try that the deadline would cut off; hedges after a measured quantile out of the same budget. The loser is cancelled. Deferrable work is never given up for load. - stage_budget: the remaining time is split by measured quantiles, anew at each stage; an attempt without progress is repeated elsewhere after three times the 99th percentile or its share, if the budget grants a retry. An attempt that was cut off counts as a sample, or a stage that slowed beyond its timeout would never be seen to. - early_admission: refuses what the stages' medians cannot fit, but for a trickle that notices recovery; operations and deferrable requests are not refused for time. Refused requests that carry a key are 'unknown', since an earlier one may have run. - quota_share: each router grants its part by demand, from peers' reports with an age and equal parts without them; no write for a request. Baselines by name: retry none and immediate, deadlines whole, admission open.

Seen to fail with the mechanism taken out: tokens, organisation in the budget's key, time check, deferral (BudgetRetry tests), hedge timer, attempt timeout, cancel of the loser (ExecutorAttempts), parts of the quota (QuotaShare, 3), trickle, early refusal (3) and split (StageBudget).

Under a pool that fails wholly, 50 requests: at most 52 executes with the budget, 200 with three immediate retries (RetriesOfAFailingPoolStayWithinTheBudget). Not wired: peers' quota reports, for which there is no message between routers yet; parts are equal until then.

--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -6,6 +6,7 @@
 #include "common/digest.h"
 #include "common/invariant.h"
 #include "common/metrics.h"
+#include "core/admission/stage_budget.h"
 
 namespace wisteriadale::core {
 namespace {
@@ -66,7 +67,7 @@
 }
 
 void request_executor::StartStage() {
-  stage_key_ = description_.plan.name + "/" + Stage().name;
+  stage_key_ = StageKey(description_.plan, stage_index_);
   attempts_made_ = 0;
   waits_ = 0;
   tried_targets_.clear();
@@ -74,9 +75,23 @@
   stage_started_ = context_.clock.Now();
   context_.timers.Cancel(hedge_timer_);
   hedge_timer_ = 0;
+  if (!WorthStarting()) {
+    Fail(result_code::kDeadlineExceeded,
+         "the remaining stages take longer than the remaining time",
+         request_fate::kNotRun);
+    return;
+  }
   TryStage();
 }
 
+bool request_executor::WorthStarting() const {
+  // Admission judged the first stage; an operation is never given up early.
+  if (stage_index_ == 0 || description_.plan.deferrable) return true;
+  if (description_.plan.HasNonIdempotentStage()) return true;
+  return policies_->deadlines->CanFinish(description_.plan, stage_index_,
+                                         Remaining());
+}
+
 target_view* request_executor::ChooseTarget() {
   const target_pool* pool = context_.targets.Pool(Stage().pool);
   if (pool == nullptr) return nullptr;
@@ -233,10 +248,22 @@
     ArmTimeout(attempt, limit);
     return;
   }
+  common::duration delay = common::duration::zero();
+  if (running_.size() == 1) {
+    // Without leave to try elsewhere, the slow attempt is the best there is.
+    const std::optional<common::duration> granted =
+        policies_->retry->Retry(Question(result_code::kTargetLost));
+    if (!granted) return;
+    delay = *granted;
+  }
   common::Metrics().Count("wisteria_attempts_timed_out_total",
                           {{"stage", Stage().name}});
   context_.attempts.Cancel(attempt_id);
-  OnLost(attempt_id);
+  NoteAttempt(*attempt, result_code::kTargetLost);
+  EndAttempt(attempt_id);
+  if (!running_.empty()) return;
+  ++request_retries_;
+  RetryAfter(delay);
 }
 
 void request_executor::ArmHedge() {
--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -107,6 +107,7 @@
   common::duration Remaining() const;
   void StartStage();
   void TryStage();
+  bool WorthStarting() const;
   target_view* ChooseTarget();
   void Reserve(const std::string& target, uint64_t incarnation);
   void OnReserved(const reserve_answer& answer);
--- a/source/core/policy/policy_book.cc
+++ b/source/core/policy/policy_book.cc
@@ -2,6 +2,8 @@
 
 #include "common/invariant.h"
 #include "common/last_reason.h"
+#include "core/admission/early_admission.h"
+#include "core/admission/stage_budget.h"
 #include "core/retry/fixed_retry.h"
 #include "core/routing/baselines.h"
 #include "core/routing/two_choices.h"
@@ -52,26 +54,62 @@
 }
 
 std::optional<std::unique_ptr<retry_policy>> MakeRetryPolicy(
-    const preset_policy& preset) {
+    const preset_policy& preset, policy_state& state) {
   constexpr uint32_t kImmediateAttempts = 4;
   if (preset.retry == "none") return std::make_unique<fixed_retry>(1);
   if (preset.retry == "immediate") {
     return std::make_unique<fixed_retry>(kImmediateAttempts);
   }
   if (preset.retry == "budget") {
-    return std::make_unique<fixed_retry>(preset.max_attempts);
+    budget_retry_options options;
+    options.max_attempts = preset.max_attempts;
+    options.max_request_retries = preset.max_request_retries;
+    options.retry_ratio = preset.retry_ratio;
+    options.hedging = preset.hedging;
+    options.hedge_quantile = preset.hedge_quantile;
+    return std::make_unique<budget_retry>(options, state.retries,
+                                          state.latencies, state.random);
   }
   common::SetLastReason(common::result_code::kBadConfiguration,
                         "unknown retry policy " + preset.retry);
   return std::nullopt;
 }
 
+std::optional<std::unique_ptr<deadline_policy>> MakeDeadlinePolicy(
+    const preset_policy& preset, const policy_state& state) {
+  if (preset.deadlines == "whole") return std::make_unique<whole_deadline>();
+  if (preset.deadlines == "quantiles") {
+    stage_budget_options options;
+    options.finish_quantile = preset.finish_quantile;
+    options.timeout_quantile = preset.timeout_quantile;
+    options.timeout_factor = preset.timeout_factor;
+    return std::make_unique<stage_budget>(options, state.latencies);
+  }
+  common::SetLastReason(common::result_code::kBadConfiguration,
+                        "unknown deadline policy " + preset.deadlines);
+  return std::nullopt;
+}
+
+std::optional<std::unique_ptr<admission_policy>> MakeAdmissionPolicy(
+    const preset_policy& preset, policy_state& state,
+    const deadline_policy& deadlines) {
+  if (preset.admission == "open") return std::make_unique<open_admission>();
+  if (preset.admission == "early") {
+    return std::make_unique<early_admission>(
+        state.clock, deadlines, state.quotas, preset.organisation_rate);
+  }
+  common::SetLastReason(common::result_code::kBadConfiguration,
+                        "unknown admission policy " + preset.admission);
+  return std::nullopt;
+}
+
 policy_state::policy_state(common::clock& time, common::random_source& source,
                            const router_entry& router)
     : clock(time),
       random(source),
       self(router),
-      hints(time, kHintAge, kHints) {}
+      hints(time, kHintAge, kHints),
+      quotas(time, router.name) {}
 
 policy_set::policy_set(const preset_policy& preset, policy_state& state)
     : preset_(preset),
@@ -87,18 +125,31 @@
   std::optional<std::unique_ptr<routing_policy>> routing =
       MakeRoutingPolicy(preset, state, set->subset_);
   if (!routing) return std::nullopt;
-  std::optional<std::unique_ptr<retry_policy>> retry = MakeRetryPolicy(preset);
+  std::optional<std::unique_ptr<retry_policy>> retry =
+      MakeRetryPolicy(preset, state);
   if (!retry) return std::nullopt;
+  std::optional<std::unique_ptr<deadline_policy>> deadlines =
+      MakeDeadlinePolicy(preset, state);
+  if (!deadlines) return std::nullopt;
+  std::optional<std::unique_ptr<admission_policy>> admission =
+      MakeAdmissionPolicy(preset, state, **deadlines);
+  if (!admission) return std::nullopt;
   set->routing = std::move(*routing);
   set->retry = std::move(*retry);
-  set->deadlines = std::make_unique<whole_deadline>();
+  set->deadlines = std::move(*deadlines);
+  set->admission = std::move(*admission);
   return set;
 }
 
 void policy_set::OnAttempt(target_table& targets, std::string_view pool,
                            std::string_view target, std::string_view stage,
                            common::result_code code, common::duration took) {
-  if (code == common::result_code::kOk) state_.latencies.Add(stage, took);
+  // An attempt that was cut off took at least that long. Without it, a stage
+  // that slows beyond its timeout would never be seen to.
+  if (code == common::result_code::kOk ||
+      code == common::result_code::kTargetLost) {
+    state_.latencies.Add(stage, took);
+  }
   const target_pool* members = targets.Pool(pool);
   target_view* view = targets.Find(target);
   if (members == nullptr || view == nullptr) return;
@@ -120,6 +171,7 @@
 void policy_book::SetRouters(std::vector<router_entry> routers) {
   if (routers == state_.routers) return;
   state_.routers = std::move(routers);
+  state_.quotas.SetRouters(state_.routers.size());
   if (current_) current_->SetRouters(state_.routers);
 }
 
--- a/source/core/policy/policy_book.h
+++ b/source/core/policy/policy_book.h
@@ -8,9 +8,12 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "core/admission/admission_policy.h"
 #include "core/admission/deadline_policy.h"
+#include "core/admission/quota_share.h"
 #include "core/admission/stage_latencies.h"
 #include "core/configuration/configuration.h"
+#include "core/retry/budget_retry.h"
 #include "core/retry/retry_policy.h"
 #include "core/routing/outlier_detector.h"
 #include "core/routing/prefix_hints.h"
@@ -31,6 +34,8 @@
   std::vector<router_entry> routers;
   prefix_hints hints;
   stage_latencies latencies;
+  retry_budget retries;
+  quota_share quotas;
 };
 
 /// The policies of one preset. A request keeps the set it started with.
@@ -53,6 +58,7 @@
   std::unique_ptr<routing_policy> routing;
   std::unique_ptr<retry_policy> retry;
   std::unique_ptr<deadline_policy> deadlines;
+  std::unique_ptr<admission_policy> admission;
 
  private:
   policy_set(const preset_policy& preset, policy_state& state);
@@ -70,7 +76,17 @@
 
 /// @return the retry policy of a preset, or nothing with LastReason set
 std::optional<std::unique_ptr<retry_policy>> MakeRetryPolicy(
-    const preset_policy& preset);
+    const preset_policy& preset, policy_state& state);
+
+/// @return the deadline policy of a preset, or nothing with LastReason set
+std::optional<std::unique_ptr<deadline_policy>> MakeDeadlinePolicy(
+    const preset_policy& preset, const policy_state& state);
+
+/// @param deadlines kept alive by the caller
+/// @return the admission policy of a preset, or nothing with LastReason set
+std::optional<std::unique_ptr<admission_policy>> MakeAdmissionPolicy(
+    const preset_policy& preset, policy_state& state,
+    const deadline_policy& deadlines);
 
 /// Makes the policies that a preset names, and keeps what they measure across
 /// changes of the preset.
--- /dev/null
+++ b/source/core/retry/budget_retry.cc
@@ -0,0 +1,112 @@
+#include "core/retry/budget_retry.h"
+
+#include <algorithm>
+
+#include "common/digest.h"
+
+namespace wisteriadale::core {
+namespace {
+
+using common::result_code;
+using std::chrono::milliseconds;
+
+constexpr float kFirstTokens = 2;  ///< before the first success
+constexpr float kMostTokens = 10;
+constexpr common::duration kFirstWait = milliseconds(10);
+constexpr common::duration kLongestWait = milliseconds(200);
+constexpr common::duration kFirstDeferral = milliseconds(50);
+constexpr common::duration kLongestDeferral = milliseconds(1000);
+/// An attempt is not worth starting with less time than this.
+constexpr common::duration kLeastTime = milliseconds(5);
+
+uint64_t KeyOf(std::string_view organisation, std::string_view stage) {
+  return common::Hash64(organisation, common::Hash64(stage));
+}
+
+}  // namespace
+
+void retry_budget::Earn(std::string_view organisation, std::string_view stage,
+                        double share) {
+  const auto entry =
+      tokens_.emplace(KeyOf(organisation, stage), kFirstTokens).first;
+  entry->second =
+      std::min(entry->second + static_cast<float>(share), kMostTokens);
+}
+
+bool retry_budget::Take(std::string_view organisation, std::string_view stage) {
+  const auto entry =
+      tokens_.emplace(KeyOf(organisation, stage), kFirstTokens).first;
+  if (entry->second < 1) return false;
+  entry->second -= 1;
+  return true;
+}
+
+std::optional<common::duration> budget_retry::Retry(
+    const retry_question& question) {
+  const bool overloaded = question.code == result_code::kOverloaded;
+  if (overloaded && question.deferrable) {
+    // Deferrable work is never given up for load.
+    const common::duration delay =
+        Backoff(kFirstDeferral, kLongestDeferral, question.stage_attempts - 1);
+    return std::min(delay, question.remaining / 2);
+  }
+  if (!CapsAllow(question)) return std::nullopt;
+  common::duration delay = common::duration::zero();
+  if (overloaded) {
+    delay = Backoff(kFirstWait, kLongestWait, question.stage_attempts - 1);
+  }
+  if (!TimeAllows(question, delay)) return std::nullopt;
+  if (question.code == result_code::kDraining) return delay;
+  if (!budget_.Take(question.organisation, question.stage)) {
+    return std::nullopt;
+  }
+  return delay;
+}
+
+bool budget_retry::CapsAllow(const retry_question& question) const {
+  return question.stage_attempts < options_.max_attempts &&
+         question.request_retries < options_.max_request_retries;
+}
+
+bool budget_retry::TimeAllows(const retry_question& question,
+                              common::duration delay) const {
+  const common::duration needed =
+      std::max(kLeastTime, latencies_.Quantile(question.stage, 0.1));
+  return delay + needed < question.remaining;
+}
+
+common::duration budget_retry::Backoff(common::duration first,
+                                       common::duration longest,
+                                       uint32_t steps) {
+  const common::duration whole =
+      std::min(first * (int64_t{1} << std::min(steps, 10U)), longest);
+  // Half is fixed, half is jitter, so that refused callers spread out.
+  const double jitter = random_.Uniform() * static_cast<double>(whole.count());
+  return whole / 2 + common::duration(static_cast<int64_t>(jitter / 2));
+}
+
+common::duration budget_retry::Wait(uint32_t waits) {
+  return Backoff(kFirstWait, kLongestWait, waits);
+}
+
+std::optional<common::duration> budget_retry::HedgeDelay(
+    std::string_view stage) {
+  if (!options_.hedging) return std::nullopt;
+  const common::duration delay =
+      latencies_.Quantile(stage, options_.hedge_quantile);
+  if (delay == common::duration::zero()) return std::nullopt;
+  return delay;
+}
+
+bool budget_retry::TakeHedge(const retry_question& question) {
+  return CapsAllow(question) &&
+         TimeAllows(question, common::duration::zero()) &&
+         budget_.Take(question.organisation, question.stage);
+}
+
+void budget_retry::OnSuccess(std::string_view organisation,
+                             std::string_view stage) {
+  budget_.Earn(organisation, stage, options_.retry_ratio);
+}
+
+}  // namespace wisteriadale::core
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -26,14 +26,14 @@
   return kNames[static_cast<int>(fate)];
 }
 
-json ErrorJson(result_code code, std::string_view detail,
-               std::string_view fate) {
+json ErrorJson(result_code code, std::string_view detail, std::string_view fate,
+               int64_t retry_after_ms = kRetryAfterMs) {
   const common::result_code_info& info = common::Describe(code);
   json error = {{"code", static_cast<int>(code)},
                 {"name", info.name},
                 {"message", detail.empty() ? info.meaning : detail},
                 {"outcome", fate}};
-  if (info.retryable) error["retry_after_ms"] = kRetryAfterMs;
+  if (info.retryable) error["retry_after_ms"] = retry_after_ms;
   return {{"error", error}, {"complete", false}};
 }
 
@@ -260,6 +260,10 @@
     SendError(responder.get(), result_code::kMissingIdempotencyKey, "");
     return;
   }
+  if (Refused(*configuration, *organisation, *plan, description.deadline,
+              responder.get())) {
+    return;
+  }
   description.id = context_.random.HexId();
   description.organisation = organisation->name;
   description.organisation_weight = organisation->weight;
@@ -285,6 +289,34 @@
   executor->Start();
 }
 
+bool caller_api::Refused(const core::configuration& configuration,
+                         const core::organisation_entry& organisation,
+                         const core::pipeline_plan& plan,
+                         common::milliseconds deadline,
+                         net::http_responder* responder) {
+  core::admission_question question;
+  question.organisation = organisation.name;
+  question.weight = organisation.weight;
+  question.deadline = deadline;
+  question.plan = &plan;
+  const std::optional<core::admission_refusal> refusal =
+      context_.policies.For(configuration.Preset())
+          ->admission->Refusal(question);
+  if (!refusal) return false;
+  common::Metrics().Count("wisteria_requests_refused_total",
+                          {{"pipeline", plan.name},
+                           {"code", common::Describe(refusal->code).name}});
+  // An earlier request may have run an operation under this key.
+  const std::string_view fate =
+      plan.HasNonIdempotentStage() ? "unknown" : "not_run";
+  const int64_t retry_after_ms =
+      std::chrono::ceil<common::milliseconds>(refusal->retry_after).count();
+  responder->Send(
+      common::Describe(refusal->code).http_status, kJson,
+      ErrorJson(refusal->code, refusal->reason, fate, retry_after_ms).dump());
+  return true;
+}
+
 void caller_api::LookOperation(
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
--- a/source/router/caller_api.h
+++ b/source/router/caller_api.h
@@ -36,6 +36,11 @@
 
   void StartRequest(const net::http_request& request,
                     const std::shared_ptr<net::http_responder>& responder);
+  /// Asks the admission policy; answers the caller when it refuses.
+  bool Refused(const core::configuration& configuration,
+               const core::organisation_entry& organisation,
+               const core::pipeline_plan& plan, common::milliseconds deadline,
+               net::http_responder* responder);
   void LookOperation(const net::http_request& request,
                      const std::shared_ptr<net::http_responder>& responder);
   const core::organisation_entry* Authenticate(
--- /dev/null
+++ b/source/unit_tests/core/admission/quota_share_test.cc
@@ -0,0 +1,93 @@
+#include "core/admission/quota_share.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+
+#include "unit_tests/fakes/virtual_time.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+TEST_GROUP(QuotaShare) {
+  static constexpr double kQuota = 100;
+
+  fakes::virtual_time time;
+  core::quota_share first{time, "r1"};
+  core::quota_share second{time, "r2"};
+
+  void setup() override {
+    time.Advance(std::chrono::hours(1));
+    first.SetRouters(2);
+    second.SetRouters(2);
+  }
+
+  /// Sends requests through both routers for some seconds.
+  /// @return requests granted a second
+  double Run(int first_rate, int second_rate, int seconds, bool reports) {
+    int granted = 0;
+    for (int ms = 0; ms < seconds * 1000; ++ms) {
+      time.Advance(milliseconds(1));
+      granted += Offer(first, first_rate, ms);
+      granted += Offer(second, second_rate, ms);
+      if (reports && ms % 1000 == 0) {
+        second.OnReport("r1", first.Report());
+        first.OnReport("r2", second.Report());
+      }
+    }
+    return static_cast<double>(granted) / seconds;
+  }
+
+  static int Offer(core::quota_share & router, int rate, int ms) {
+    const int due = (ms + 1) * rate / 1000 - ms * rate / 1000;
+    int granted = 0;
+    for (int i = 0; i < due; ++i) {
+      granted += router.Take("parks", kQuota).count() == 0 ? 1 : 0;
+    }
+    return granted;
+  }
+};
+
+TEST(QuotaShare, TenTimesTheQuotaIsHeldToTheQuotaOverAllRouters) {
+  Run(500, 500, 5, true);
+  const double granted = Run(500, 500, 20, true);
+  CHECK(granted > 0.9 * kQuota);
+  CHECK(granted < 1.1 * kQuota);
+}
+
+TEST(QuotaShare, SharesFollowTheDemandOfEachRouter) {
+  Run(900, 100, 10, true);
+  CHECK(std::abs(first.Part("parks") - 0.9) < 0.05);
+  const double granted = Run(900, 100, 20, true);
+  CHECK(granted > 0.9 * kQuota);
+  CHECK(granted < 1.1 * kQuota);
+}
+
+TEST(QuotaShare, WithoutReportsThePartsAreEqualAndTheQuotaHolds) {
+  CHECK(Run(500, 500, 20, false) < 1.15 * kQuota);
+}
+
+TEST(QuotaShare, ReportsOfARouterThatWentAwayAreForgotten) {
+  Run(900, 100, 10, true);
+  time.Advance(std::chrono::seconds(11));
+  first.SetRouters(1);
+  CHECK_EQUAL(1.0, first.Part("parks"));
+}
+
+TEST(QuotaShare, RefusalTellsWhenToComeBack) {
+  Run(500, 500, 5, true);
+  const common::duration wait = first.Take("parks", kQuota);
+  time.Advance(wait);
+  CHECK(wait < milliseconds(100));
+  CHECK_EQUAL(0, first.Take("parks", kQuota).count());
+}
+
+TEST(QuotaShare, IdleOrganisationsLeaveNothingBehind) {
+  Run(500, 500, 2, true);
+  time.Advance(std::chrono::seconds(60));
+  for (int i = 0; i < 40; ++i) {
+    first.Report();
+    time.Advance(std::chrono::seconds(1));
+  }
+  CHECK(first.Report().empty());
+}
--- a/source/unit_tests/core/routing/target_subset_test.cc
+++ b/source/unit_tests/core/routing/target_subset_test.cc
@@ -21,6 +21,7 @@
 
   static std::vector<core::router_entry> Routers(int count) {
     std::vector<core::router_entry> routers;
+    routers.reserve(static_cast<size_t>(count));
     for (int i = 0; i < count; ++i) {
       routers.push_back({"r" + std::to_string(i), "a"});
     }
