--- a/source/unit_tests/longrun/fake_target.cc
+++ b/source/unit_tests/longrun/fake_target.cc
@@ -48,7 +48,7 @@
   current.serial = next_serial_++;
   if (!execute.operation_token.empty()) {
     ledger_.Add({execute.operation_key, execute.operation_token,
-                 execute.request_id, id_, time_.Now()});
+                 execute.request_id, execute.digest, id_, time_.Now()});
   }
   if (execute.stage == kEngineStage) {
     current.text = EngineText(BodyOf(execute));
@@ -100,6 +100,10 @@
   const auto found = runs_.find(attempt_id);
   if (found == runs_.end()) return;
   core::target_observer* observer = found->second.observer;
+  const std::string token = found->second.execute.operation_token;
+  if (!token.empty() && result.code == result_code::kOk) {
+    ledger_.EndWell(token);
+  }
   runs_.erase(found);
   if (observer != nullptr) observer->OnTargetResult(attempt_id, result);
 }
--- a/source/unit_tests/longrun/ledger.h
+++ b/source/unit_tests/longrun/ledger.h
@@ -15,6 +15,7 @@
   std::string operation_key;
   std::string token;
   std::string request_id;
+  std::string digest;  ///< of the caller's body
   std::string target;
   common::time_point at;
 };
@@ -29,8 +30,14 @@
   /// Notes that a caller was told that a request did not run.
   /// @param asked when the request was sent
   void ToldNotRun(const std::string& request_id,
-                  const std::string& operation_key, common::time_point asked);
+                  const std::string& operation_key, const std::string& digest,
+                  common::time_point asked);
 
+  /// Notes that the run of a token ended with a result.
+  void EndWell(const std::string& token) { ended_well_.insert(token); }
+  bool EndedWell(const std::string& token) const {
+    return ended_well_.contains(token);
+  }
   bool Ran(const std::string& operation_key) const {
     return runs_.contains(operation_key);
   }
@@ -42,6 +49,7 @@
  private:
   std::map<std::string, ledger_run> runs_;
   std::set<std::string> told_not_run_;
+  std::set<std::string> ended_well_;
   uint64_t concurrent_not_run_ = 0;
 };
 
--- a/source/unit_tests/longrun/router_node.cc
+++ b/source/unit_tests/longrun/router_node.cc
@@ -116,6 +116,7 @@
   view->connected = true;
   view->incarnation = hello.incarnation;
   view->load.accepting = true;
+  view->load.token_window = hello.token_window;
   attempts_.OnConnected(target, hello.incarnation);
 }
 
