--- /dev/null
+++ b/source/unit_tests/benchmarks/routing_benchmark.cc
@@ -0,0 +1,93 @@
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "core/routing/baselines.h"
+#include "core/routing/target_table.h"
+#include "core/routing/two_choices.h"
+#include "unit_tests/benchmarks/allocation_count.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+namespace wisteriadale::benchmarks {
+namespace {
+
+constexpr size_t kSubsetSize = 64;
+constexpr int kDataCentres = 13;
+constexpr int kRouters = 100;
+
+/// A pool with its policy.
+struct routing_bench {
+  explicit routing_bench(int64_t count) {
+    for (int64_t i = 0; i < count; ++i) {
+      core::target_view* view =
+          targets.Ensure("target-" + std::to_string(i), "model",
+                         "dc" + std::to_string(i % kDataCentres));
+      view->connected = true;
+      view->load.limit = 16;
+      view->load.in_flight = static_cast<uint32_t>(i % 16);
+    }
+    std::vector<core::router_entry> routers;
+    routers.reserve(kRouters);
+    for (int i = 0; i < kRouters; ++i) {
+      routers.push_back({"router-" + std::to_string(i),
+                         "dc" + std::to_string(i % kDataCentres)});
+    }
+    subset.SetRouters(routers);
+    time.Advance(std::chrono::hours(1));
+    request.pool = "model";
+    policy.Choose(*targets.Pool("model"), request);
+  }
+
+  fakes::virtual_time time;
+  common::seeded_random random{1};
+  core::target_table targets;
+  core::target_subset subset{{"router-0", "dc0"}, kSubsetSize};
+  core::prefix_hints hints{time, std::chrono::seconds(60), 65536};
+  core::two_choices policy{time, random, subset, hints, {"dc0"}};
+  core::routing_request request;
+};
+
+void RunChoices(benchmark::State& state, core::routing_policy* policy,
+                const routing_bench& bench) {
+  const core::target_pool& pool = *bench.targets.Pool("model");
+  const allocation_meter meter(state);
+  for (auto unused : state) {
+    benchmark::DoNotOptimize(policy->Choose(pool, bench.request));
+  }
+}
+
+void TwoChoices(benchmark::State& state) {
+  routing_bench bench(state.range(0));
+  RunChoices(state, &bench.policy, bench);
+}
+
+void TwoChoicesWithPrefix(benchmark::State& state) {
+  routing_bench bench(state.range(0));
+  bench.request.prefix_key = "0123456789abcdef";
+  RunChoices(state, &bench.policy, bench);
+}
+
+void LeastOutstanding(benchmark::State& state) {
+  routing_bench bench(state.range(0));
+  core::least_outstanding policy(bench.random);
+  RunChoices(state, &policy, bench);
+}
+
+/// After a target came or went: the subset is made anew.
+void SubsetAfterAChange(benchmark::State& state) {
+  routing_bench bench(state.range(0));
+  core::target_pool pool = *bench.targets.Pool("model");
+  const allocation_meter meter(state);
+  for (auto unused : state) {
+    ++pool.version;
+    benchmark::DoNotOptimize(bench.subset.Of(pool));
+  }
+}
+
+BENCHMARK(TwoChoices)->Arg(8)->Arg(50)->Arg(500)->Arg(3700);
+BENCHMARK(TwoChoicesWithPrefix)->Arg(8)->Arg(50)->Arg(500)->Arg(3700);
+BENCHMARK(LeastOutstanding)->Arg(8)->Arg(50)->Arg(500)->Arg(3700);
+BENCHMARK(SubsetAfterAChange)->Arg(8)->Arg(50)->Arg(500)->Arg(3700);
+
+}  // namespace
+}  // namespace wisteriadale::benchmarks
