--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -39,6 +39,7 @@
   void OnHttp(const net::http_request& request, net::http_responder* responder);
   void Stop();
   void TellLoad();
+  void SetRecorder(const settings::settings_document& settings);
   void MakeControl(const settings::settings_document& settings);
 
   common::system_clock clock_;
--- a/source/agent/http_target.cc
+++ b/source/agent/http_target.cc
@@ -9,6 +9,8 @@
 using nlohmann::json;
 
 constexpr int kStatusOk = 200;
+constexpr common::duration kProbePeriod = std::chrono::milliseconds(200);
+constexpr common::duration kProbeTimeout = std::chrono::seconds(1);
 // The target may need a moment past the deadline to say that it stopped.
 constexpr common::duration kAnswerMargin = std::chrono::seconds(2);
 // Work that must not run twice is waited for, whatever the deadline.
@@ -60,6 +62,23 @@
   runs_.erase(found);
 }
 
+void http_target::WhenBack(std::function<void()> action) {
+  loop_.Schedule(kProbePeriod, [this, action = std::move(action)] {
+    net::http_call call;
+    call.to = target_;
+    call.path = "/healthz";
+    call.timeout = kProbeTimeout;
+    net::StartHttpCall(loop_, std::move(call),
+                       [this, action](const net::http_result& result) {
+                         if (result.complete && result.status == kStatusOk) {
+                           action();
+                         } else {
+                           WhenBack(action);
+                         }
+                       });
+  });
+}
+
 void http_target::OnBytes(const std::string& attempt_id,
                           std::string_view data) {
   const auto found = runs_.find(attempt_id);
@@ -113,7 +132,8 @@
     ended.code =
         result.status == 0 ? result_code::kTargetLost : result_code::kAnswerCut;
     ended.reason = result.failure;
-    ended.crashed = result.failure != "timeout";
+    // A target that could not be reached was down before.
+    ended.crashed = result.connected && result.failure != "timeout";
   }
   current.observer->OnTargetResult(attempt_id, ended);
 }
