--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -84,15 +84,17 @@
   context_.timers.Cancel(hedge_timer_);
   hedge_timer_ = 0;
   if (!WorthStarting()) {
-    Fail(result_code::kDeadlineExceeded,
-         "the remaining stages take longer than the remaining time",
-         request_fate::kNotRun);
+    EndUnfinished(result_code::kDeadlineExceeded,
+                  "the remaining stages take longer than the remaining time");
     return;
   }
   TryStage();
 }
 
 bool request_executor::WorthStarting() const {
+  // The result of an operation may come after the deadline's timer has fired,
+  // and then nothing would end the stages behind it.
+  if (Remaining() <= common::duration::zero()) return false;
   // Admission judged the first stage; an operation is never given up early.
   if (stage_index_ == 0 || description_.plan.deferrable) return true;
   if (description_.plan.HasNonIdempotentStage()) return true;
@@ -515,7 +517,13 @@
     TryStage();
     return;
   }
-  if (Remaining() <= delay) return;  // the deadline timer ends it
+  if (Remaining() <= delay) {
+    // The deadline's timer ends the request, unless it has fired already.
+    if (deadline_timer_ == 0 && !operation_) {
+      EndUnfinished(result_code::kDeadlineExceeded, "the deadline passed");
+    }
+    return;
+  }
   context_.timers.Cancel(retry_timer_);
   retry_timer_ = context_.timers.Schedule(delay, [self = shared_from_this()] {
     self->retry_timer_ = 0;
