Prove the bounds on crashing requests by mutation

Cause: two mechanisms had no test that failed without them. The fake target now drops what it is given until it is back, as a real one does.

Seen failing with the mechanism taken out: runs alone (8 tests), the agent's memory, the common trial target, no start on a crashed target, telling suspicion to peers, the tombstone of a lift.

--- a/source/agent/http_target.cc
+++ b/source/agent/http_target.cc
@@ -62,8 +62,8 @@
   runs_.erase(found);
 }
 
-void http_target::WhenBack(std::function<void()> action) {
-  loop_.Schedule(kProbePeriod, [this, action = std::move(action)] {
+void http_target::WhenBack(const std::function<void()>& action) {
+  loop_.Schedule(kProbePeriod, [this, action] {
     net::http_call call;
     call.to = target_;
     call.path = "/healthz";
--- a/source/agent/http_target.h
+++ b/source/agent/http_target.h
@@ -20,7 +20,7 @@
   void Run(const core::execute_message& execute,
            core::target_observer* observer) override;
   void Cancel(std::string_view attempt_id) override;
-  void WhenBack(std::function<void()> action) override;
+  void WhenBack(const std::function<void()>& action) override;
 
  private:
   struct run {
--- a/source/core/agent/target_port.h
+++ b/source/core/agent/target_port.h
@@ -37,7 +37,7 @@
   /// Cancels a run; nothing is reported for it afterwards.
   virtual void Cancel(std::string_view attempt_id) = 0;
   /// After a crash: calls the action once the target answers again.
-  virtual void WhenBack(std::function<void()> action) { action(); }
+  virtual void WhenBack(const std::function<void()>& action) { action(); }
 };
 
 }  // namespace wisteriadale::core
--- a/source/unit_tests/core/quarantine/crash_cluster.h
+++ b/source/unit_tests/core/quarantine/crash_cluster.h
@@ -34,13 +34,24 @@
              core::target_observer* observer) override {
       const uint64_t life = crashes;
       const std::string attempt = execute.attempt_id;
+      if (down) {
+        // A target that is not back yet drops what it is given.
+        owner.time.Schedule(owner.delay, [observer, attempt] {
+          core::target_result lost;
+          lost.code = common::result_code::kTargetLost;
+          lost.crashed = true;
+          observer->OnTargetResult(attempt, lost);
+        });
+        return;
+      }
       running[attempt] = observer;
       owner.starts[execute.digest] += 1;
       const bool poison = execute.input.find("poison") != std::string::npos;
       owner.time.Schedule(poison ? owner.crash_after : owner.service,
                           [this, attempt, life, poison] {
-                            if (life != crashes || !running.contains(attempt))
-                              return;
+                            const bool live =
+                                life == crashes && running.contains(attempt);
+                            if (!live) return;
                             if (poison) return Crash();
                             core::target_observer* follower = running[attempt];
                             running.erase(attempt);
@@ -52,8 +63,11 @@
     void Cancel(std::string_view attempt_id) override {
       running.erase(std::string(attempt_id));
     }
-    void WhenBack(std::function<void()> action) override {
-      owner.time.Schedule(owner.restart, std::move(action));
+    void WhenBack(const std::function<void()>& action) override {
+      owner.time.Schedule(owner.restart, [this, action] {
+        down = false;
+        action();
+      });
     }
     void Send(core::router_link link, const core::message& message) override {
       owner.time.Schedule(owner.delay, [this, link, message] {
@@ -63,6 +77,7 @@
 
     void Crash() {
       ++crashes;
+      down = true;
       const std::map<std::string, core::target_observer*> lost =
           std::exchange(running, {});
       core::target_result result;
@@ -78,6 +93,7 @@
     std::unique_ptr<core::attempt_host> host;
     std::map<std::string, core::target_observer*> running;
     uint64_t crashes = 0;
+    bool down = false;
   };
 
   struct router final : public core::agent_sender,
@@ -139,9 +155,14 @@
       nodes[id] = std::make_unique<node>(*this, id, i + 1);
     }
     for (size_t i = 0; i < router_count; ++i) AddRouter();
+    UsePreset("{}");
+  }
+
+  /// @param preset JSON text of the preset in force
+  void UsePreset(const std::string& preset) {
     in_force = core::ParseConfiguration(
-                   R"({"preset":"calm","presets":{"calm":{}},
-                       "pipelines":{
+                   R"({"preset":"calm","presets":{"calm":)" + preset +
+                       R"(},"pipelines":{
                          "q":{"stages":[{"name":"s","pool":"p"}]},
                          "b":{"stages":[{"name":"s","pool":"p",
                                          "idempotent":false}]}}})",
@@ -166,7 +187,7 @@
   std::shared_ptr<answer> Request(size_t at, const std::string& body,
                                   const std::string& pipeline = "q",
                                   const std::string& key = "") {
-    const std::shared_ptr<answer> sink = std::make_shared<answer>();
+    std::shared_ptr<answer> sink = std::make_shared<answer>();
     router& receiver = *routers[at];
     core::request_description description;
     description.id = random.HexId();
--- a/source/unit_tests/core/quarantine/quarantine_test.cc
+++ b/source/unit_tests/core/quarantine/quarantine_test.cc
@@ -56,6 +56,16 @@
   CHECK_EQUAL(2, all.TargetsLost());
 }
 
+TEST(Quarantine, InnocentsGetTheirRunAloneWhateverTheRetryLimit) {
+  cluster all(1, 8);
+  all.UsePreset(R"({"max_attempts": 1})");
+  SendInnocents(&all);
+  all.Request(0, "poison");
+  all.Run(5s);
+  CheckInnocents();
+  CHECK_EQUAL(2, all.TargetsLost());
+}
+
 TEST(Quarantine, ResendsThroughEveryRouterAreRefused) {
   cluster all(4, 8);
   SendInnocents(&all);
@@ -102,6 +112,34 @@
   CHECK(all.TargetsLost() <= kMostTargetsLost);
 }
 
+TEST(Quarantine, SuspicionReachesPeersBeforeTheTrialEnds) {
+  cluster all(2, 8);
+  all.Request(0, "poison");
+  // The target has crashed; the trial has not ended.
+  all.time.Advance(24ms);
+  CHECK_EQUAL(1, all.TargetsLost());
+  CHECK(all.routers[1]->crashes.Verdict("poison") ==
+        core::quarantine_verdict::kSuspect);
+  all.Request(1, "poison");
+  all.Run(5s);
+  CHECK_EQUAL(2, all.TargetsLost());
+}
+
+TEST(Quarantine, TargetThatIsNotBackConvictsNobody) {
+  cluster all(2, 2);
+  all.restart = 3s;
+  SendInnocents(&all);
+  all.Request(0, "poison");
+  all.time.Advance(30ms);
+  // Both routers still believe that the crashed target takes work.
+  for (int i = 0; i < 10; ++i) {
+    innocents.push_back(all.Request(1, "late-" + std::to_string(i)));
+  }
+  all.Run(8s);
+  CheckInnocents();
+  CHECK_EQUAL(1, all.routers[0]->crashes.List().size());
+}
+
 TEST(Quarantine, ConvictionsOutliveTheRouters) {
   cluster all(1, 8);
   all.Request(0, "poison");
