--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -99,7 +99,6 @@
   process->host_ = std::make_unique<core::attempt_host>(
       options, *process->target_, *process, process->clock_, *process->loop_);
   if (!process->SetPolicies(settings)) return std::nullopt;
-  process->SetRecorder(settings);
   process->hello_.name = settings.Text(settings::kName);
   process->hello_.incarnation = options.incarnation;
   process->hello_.data_centre = settings.Text(settings::kDataCentre);
@@ -121,6 +120,7 @@
   process->hello_.pool = settings.Text(settings::kPool);
   process->hello_.address = listen.address;
   process->hello_.port = process->server_->port();
+  process->SetRecorder(settings);
   process->MakeControl(settings);
   return process;
 }
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -34,12 +34,12 @@
 
   /// @return false, with LastReason set, when a policy has no such name
   bool SetPolicies(const settings::settings_document& settings);
-  void SetRecorder(const settings::settings_document& settings);
   void Accept(std::shared_ptr<net::channel> channel);
   void OnFrame(core::router_link link, std::string_view frame);
   void OnHttp(const net::http_request& request, net::http_responder* responder);
   void Stop();
   void TellLoad();
+  void SetRecorder(const settings::settings_document& settings);
   void MakeControl(const settings::settings_document& settings);
 
   common::system_clock clock_;
