Measure the time until a configuration is in force everywhere

scripts/measure_configuration.py starts the fleet of a deployment, changes the preset through alternating routers and reads from each process when it took the version over.

Ruled out: the fleet script's consecutive ports, of which outgoing connections take even ones; earlier starts failed on them.

--- a/scripts/measure_configuration.py
+++ b/scripts/measure_configuration.py
@@ -7,22 +7,106 @@
 steady state.
 
   scripts/measure_configuration.py [--deployment hekkeform] [--routers 4]
-                                   [--changes 30] [--base_port 38000]
+                                   [--changes 30]
+                                   [--first_port 38000] [--last_port 40000]
 """
 import argparse
+import itertools
 import json
 import os
+import socket
 import subprocess
 import tempfile
 import time
 import urllib.request
 
 STEADY_SECONDS = 10
+ADDRESS = "127.0.0.1"
+BIN = "build/bin"
 LIMIT_SECONDS = 10
 
 
+def free_ports(first, last):
+    """Yields ports that no listener and no outgoing connection uses now."""
+    # Linux gives even ports to outgoing connections while it has any.
+    for port in range(first | 1, last, 2):
+        with socket.socket() as probe:
+            try:
+                probe.bind((ADDRESS, port))
+            except OSError:
+                continue
+        yield port
+
+
+class fleet:
+    """The processes of a deployment, as scripts/fleet.sh starts them, but on
+    ports that are checked one by one."""
+
+    def __init__(self, deployment, routers, first, last, run):
+        with open(f"settings/{deployment}/fleet.json", encoding="utf-8") as file:
+            plan = json.load(file)
+        ports = free_ports(first, last)
+        centres = plan["data_centres"]
+        self.platform = next(ports)
+        self.processes = []
+        self.run = run
+        vms = [{"name": f"router-{i + 1}", "role": "router", "address": ADDRESS,
+                "data_centre": centres[i % len(centres)], "port": next(ports)}
+               for i in range(routers)]
+        targets = []
+        for pool in plan["pools"]:
+            for i in range(pool["count"]):
+                target = dict(pool, id=f"{pool['pool']}-{i + 1}", port=next(ports))
+                del target["count"]
+                targets.append(target)
+                vms.append({"name": target["id"], "role": "target", "pool": pool["pool"],
+                            "data_centre": centres[i % len(centres)],
+                            "address": ADDRESS, "port": next(ports)})
+        self.routers = [vm["port"] for vm in vms if vm["role"] == "router"]
+        self.agents = [vm["port"] for vm in vms if vm["role"] == "target"]
+        with open(f"{run}/standin.json", "w", encoding="utf-8") as file:
+            json.dump({"name": "standin", "listen": {"port": self.platform},
+                       "targets": targets, "vms": vms}, file)
+        self.launch("wisteria-standin", [f"--settings={run}/standin.json"])
+        time.sleep(1)
+        target_ports = {target["id"]: target["port"] for target in targets}
+        for vm in vms:
+            common = (f"/name={vm['name']},/data_centre={vm['data_centre']},"
+                      f"/listen/port={vm['port']},/platform/port={self.platform}")
+            if vm["role"] == "router":
+                self.launch("wisteria-router", [f"--set={common}"])
+            else:
+                self.launch("wisteria-agent", [
+                    f"--set={common},/target/pool={vm['pool']},"
+                    f"/target/port={target_ports[vm['name']]}"])
+
+    def launch(self, program, arguments):
+        log = open(f"{self.run}/{len(self.processes)}.log", "w", encoding="utf-8")
+        self.processes.append(subprocess.Popen(
+            [f"{BIN}/{program}", *arguments], stdout=log, stderr=log))
+
+    def apply(self, document):
+        for attempt in itertools.count():
+            try:
+                request = urllib.request.Request(
+                    f"http://{ADDRESS}:{self.routers[0]}/v1/operator/configuration"
+                    "?expected_version=0", data=document, method="PUT")
+                urllib.request.urlopen(request, timeout=10).read()
+                return
+            except OSError:
+                if attempt > 50:
+                    raise
+                time.sleep(0.2)
+
+    def stop(self):
+        for process in reversed(self.processes):
+            process.terminate()
+        codes = [process.wait(timeout=60) for process in self.processes]
+        print(f"stopped {len(codes)} processes; exit codes: {sorted(set(codes))}")
+
+
 def get(port, path):
-    url = f"http://127.0.0.1:{port}{path}"
+    url = f"http://{ADDRESS}:{port}{path}"
     with urllib.request.urlopen(url, timeout=5) as answer:
         return answer.read().decode()
 
@@ -38,7 +122,7 @@
 
 def set_preset(port, preset):
     request = urllib.request.Request(
-        f"http://127.0.0.1:{port}/v1/operator/preset",
+        f"http://{ADDRESS}:{port}/v1/operator/preset",
         data=json.dumps({"preset": preset}).encode(), method="POST")
     with urllib.request.urlopen(request, timeout=10) as answer:
         return json.loads(answer.read())["version"]
@@ -50,10 +134,14 @@
     last = 0
     for port in ports:
         while True:
-            seen = metrics(port)
+            try:
+                seen = metrics(port)
+            except OSError:
+                seen = {}  # not listening yet, or ended
             if seen.get("wisteria_configuration_version", 0) >= version:
                 break
             if time.time() > deadline:
+                print(f"port {port} is at {seen.get('wisteria_configuration_version')}")
                 return None
             time.sleep(0.02)
         last = max(last, seen["wisteria_configuration_adopted_wall_us"])
@@ -88,19 +176,19 @@
     parser.add_argument("--deployment", default="hekkeform")
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--changes", type=int, default=30)
-    parser.add_argument("--base_port", type=int, default=38000)
+    parser.add_argument("--first_port", type=int, default=38000)
+    parser.add_argument("--last_port", type=int, default=40000)
     options = parser.parse_args()
     os.chdir(os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
     with tempfile.TemporaryDirectory() as run:
-        environment = dict(os.environ, WISTERIA_RUN_DIR=run,
-                           WISTERIA_BASE_PORT=str(options.base_port))
-        fleet = ["scripts/fleet.sh", "start", options.deployment, str(options.routers)]
-        subprocess.run(fleet, env=environment, check=True)
+        started = fleet(options.deployment, options.routers, options.first_port,
+                        options.last_port, run)
         try:
-            with open(f"{run}/standin.json", encoding="utf-8") as file:
-                vms = json.load(file)["vms"]
-            routers = [vm["port"] for vm in vms if vm["role"] == "router"]
-            agents = [vm["port"] for vm in vms if vm["role"] == "target"]
+            with open(f"settings/{options.deployment}/configuration.json", "rb") as file:
+                started.apply(file.read())
+            routers, agents = started.routers, started.agents
+            if time_everywhere(routers + agents, 1, time.time()) is None:
+                raise RuntimeError("the first configuration is not everywhere")
             times = []
             for change in range(options.changes):
                 sent = time.time()
@@ -122,8 +210,7 @@
             report_traffic("router", routers, before, after, seconds)
             report_traffic("agent", agents, before, after, seconds)
         finally:
-            fleet[1] = "stop"
-            subprocess.run(fleet[:3], env=environment, check=True)
+            started.stop()
 
 
 if __name__ == "__main__":
