--- a/scripts/experiment_table.sh
+++ b/scripts/experiment_table.sh
@@ -7,15 +7,17 @@
 folder=${1:?a folder with the JSON files of scripts/experiment.sh}
 find "$folder" -name '*.json' ! -name '*.plan.json' -print0 | sort -z |
   xargs -0 jq -s -r '
-    def spread(f): [.[] | f | select(. != null)] as $v
+    def rounded($digits): . * $digits | round / $digits;
+    def spread(f; $digits): [.[] | f | select(. != null)] as $v
       | if ($v | length) == 0 then "none" else
-          ($v | add / length * 1000 | round / 1000) as $mean
+          ($v | add / length | rounded($digits)) as $mean
           | if ($v | length) == 1 or ($v | min) == ($v | max) then "\($mean)"
-            else "\($mean) (\($v | min) to \($v | max))" end
+            else "\($mean) (\($v | min | rounded($digits)) to \($v | max | rounded($digits)))" end
         end;
-    def last_phase: .phases[-1].attainment;
+    def spread(f): spread(f; 1000);
+    def ms(f): spread(f; 1);
     ["experiment", "seeds", "attainment", "goodput /s", "answer p50, p99 ms", "first token p50, p99 ms",
      "retries per request", "wasted share", "target ms per whole answer", "fairness", "recovery s"] as $head
     | ($head | "| \(join(" | ")) |"), ($head | map("---") | "|\(join("|"))|"),
       (map(. + {key: (.name | sub("-[0-9]+$"; ""))}) | group_by(.key)[]
-        | "| \(.[0].key) | \(map(.seed) | join(" ")) | \(spread(.attainment)) | \(spread(.goodput_per_s)) | \(spread(.answer_p50_ms)), \(spread(.answer_p99_ms)) | \(spread(.first_token_p50_ms)), \(spread(.first_token_p99_ms)) | \(spread(.retries_per_request)) | \(spread(.wasted_share)) | \(spread([.cost[].target_ms_per_whole_answer] | add)) | \(spread(.fairness)) | \(spread(.recovery_seconds)) |")'
+        | "| \(.[0].key) | \(map(.seed) | join(" ")) | \(spread(.attainment)) | \(spread(.goodput_per_s; 10)) | \(ms(.answer_p50_ms)), \(ms(.answer_p99_ms)) | \(ms(.first_token_p50_ms)), \(ms(.first_token_p99_ms)) | \(spread(.retries_per_request)) | \(spread(.wasted_share)) | \(spread([.cost[].target_ms_per_whole_answer] | add; 10)) | \(spread(.fairness)) | \(spread(.recovery_seconds)) |")'
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -9,13 +9,14 @@
 #   WISTERIA_BASE_PORT  first port used (default 11000)
 #   WISTERIA_RUN_DIR    where process ids and logs go
 #   WISTERIA_BIN        folder of the programs (default build/bin)
+#   WISTERIA_FLEET_FILE     fleet description in place of the deployment's
 #   WISTERIA_CONFIGURATION  document in place of the deployment's
 #   WISTERIA_ROUTER_SET, WISTERIA_AGENT_SET  further --set pairs
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 usage() {
-  sed -n '2,14s/^# \{0,1\}//p' "$0" >&2
+  sed -n '2,15s/^# \{0,1\}//p' "$0" >&2
   exit 2
 }
 [ $# -ge 2 ] || usage
@@ -48,7 +49,7 @@
                   address: "127.0.0.1", port: ($base + 1 + .)} ]
               + map({name: .id, role: "target", pool, data_centre,
                      address: "127.0.0.1", port: ($base + 100 + .number)})) }
-  ' "settings/$deployment/$fleet.json"
+  ' "${WISTERIA_FLEET_FILE:-settings/$deployment/$fleet.json}"
 }
 
 # Starts a program; its process id goes to pids, its exit code to NAME.exit.
