Follow the operators' paths in the scenario of an operation in doubt

Cause: the paths moved to operations/in-doubt and operations/settle when they got a file of their own; every expectation of the scenario stays.

--- a/scenarios/operation_in_doubt.lua
+++ b/scenarios/operation_in_doubt.lua
@@ -6,7 +6,8 @@
 
 local function operations(method, body)
   return http{method = method, port = deployment.router_ports[1],
-              path = "/v1/operator/operations?min_age_ms=0",
+              path = "/v1/operator/operations/" ..
+                  (method == "POST" and "settle" or "in-doubt?min_age_ms=0"),
               body = body and encode(body)}
 end
 
