--- a/source/ctl/router_client.cc
+++ b/source/ctl/router_client.cc
@@ -68,6 +68,9 @@
   if (!options_.key.empty()) {
     call.headers.push_back({"authorization", "Bearer " + options_.key});
   }
+  if (!options_.operator_name.empty()) {
+    call.headers.push_back({"operator", options_.operator_name});
+  }
   net::event_loop& events = **loop;
   net::StartHttpCall(events, std::move(call),
                      [&answer, &events](const net::http_result& result) {
--- a/source/ctl/router_client.h
+++ b/source/ctl/router_client.h
@@ -17,6 +17,7 @@
 struct client_options {
   std::vector<net::endpoint> routers;
   std::string key;
+  std::string operator_name;  ///< recorded with each change
   common::duration timeout = std::chrono::seconds(10);
 };
 
@@ -41,6 +42,8 @@
   router_answer Call(std::string_view method, std::string_view path,
                      std::string_view body = {});
 
+  const std::string& operator_name() const { return options_.operator_name; }
+
  private:
   router_client() = default;
   router_answer CallOne(const net::endpoint& to, std::string_view method,
--- a/source/router/doubt_api.cc
+++ b/source/router/operation_api.cc
@@ -1,4 +1,4 @@
-#include "router/doubt_api.h"
+#include "router/operation_api.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,13 +11,62 @@
 using nlohmann::json;
 
 constexpr char kJson[] = "application/json";
+constexpr std::string_view kPrefix = "operations";
+constexpr std::string_view kInDoubt = "operations/in-doubt";
+constexpr std::string_view kSettle = "operations/settle";
 // Younger operations are likely to be running still.
 constexpr common::milliseconds kDoubtAge{30000};
 
+json OperationJson(const core::operation_record& record) {
+  constexpr std::string_view kOutcomes[] = {"not_run", "unknown", "done",
+                                            "not_run"};
+  return {{"outcome", kOutcomes[static_cast<int>(record.state)]},
+          {"request_id", record.request_id},
+          {"target", record.target},
+          {"router", record.router},
+          {"version", record.version},
+          {"changed_us", record.changed_wall_us}};
+}
+
 }  // namespace
 
-void doubt_api::List(const net::http_request& request,
-                     const std::shared_ptr<net::http_responder>& responder) {
+bool operation_api::Handle(
+    std::string_view what, const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  if (what != kPrefix && !what.starts_with("operations/")) return false;
+  if (request.method == "POST" && what == kSettle) {
+    Settle(request, responder);
+  } else if (request.method != "GET") {
+    SendError(responder.get(), result_code::kMethodNotAllowed, "");
+  } else if (what == kInDoubt || what == kPrefix) {
+    SendDoubts(request, responder);
+  } else {
+    SendOperation(what, responder);
+  }
+  return true;
+}
+
+void operation_api::SendOperation(
+    std::string_view row,
+    const std::shared_ptr<net::http_responder>& responder) {
+  operations_.Look(
+      row, [responder](const std::optional<core::operation_record>& record) {
+        if (!record) {
+          SendError(responder.get(), result_code::kPlatformUnavailable, "",
+                    "unknown");
+          return;
+        }
+        if (record->state == core::operation_state::kNone) {
+          SendError(responder.get(), result_code::kNotFound, "");
+          return;
+        }
+        responder->Send(200, kJson, OperationJson(*record).dump());
+      });
+}
+
+void operation_api::SendDoubts(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
   const std::string min_age = request.QueryArgument("min_age_ms");
   const common::milliseconds age =
       min_age.empty()
@@ -45,8 +94,9 @@
       });
 }
 
-void doubt_api::Settle(const net::http_request& request,
-                       const std::shared_ptr<net::http_responder>& responder) {
+void operation_api::Settle(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
   const json body = json::parse(request.body, nullptr, false);
   core::doubt_decision decision;
   std::string outcome;
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -105,6 +105,7 @@
   }
   const std::string_view what =
       std::string_view(request.path).substr(sizeof(kPrefix) - 1);
+  if (operations_.Handle(what, request, responder)) return true;
   const bool known = request.method == "GET"
                          ? HandleRead(what, request, responder)
                          : HandleChange(what, request, responder);
@@ -131,8 +132,6 @@
     SendQuarantine(responder.get());
   } else if (what == "orders") {
     SendOrders(responder.get());
-  } else if (what == "operations") {
-    doubts_.List(request, responder);
   } else {
     return false;
   }
@@ -152,8 +151,6 @@
     LiftConviction(request, responder);
   } else if (what == "orders") {
     SubmitOrder(request, responder);
-  } else if (what == "operations") {
-    doubts_.Settle(request, responder);
   } else {
     return false;
   }
--- a/source/router/operator_api.h
+++ b/source/router/operator_api.h
@@ -6,7 +6,7 @@
 #include "core/routing/target_table.h"
 #include "net/http_server.h"
 #include "router/control_plane.h"
-#include "router/doubt_api.h"
+#include "router/operation_api.h"
 
 namespace wisteriadale::router {
 
@@ -14,11 +14,11 @@
 class operator_api {
  public:
   operator_api(core::target_table& targets, control_plane& control,
-               core::doubt_list& doubts, std::string router_name,
+               operation_api operations, std::string router_name,
                std::string key_sha256)
       : targets_(targets),
         control_(control),
-        doubts_(doubts),
+        operations_(operations),
         router_name_(std::move(router_name)),
         key_sha256_(std::move(key_sha256)) {}
 
@@ -57,7 +57,7 @@
 
   core::target_table& targets_;
   control_plane& control_;
-  doubt_api doubts_;
+  operation_api operations_;
   std::string router_name_;
   std::string key_sha256_;
 };
