Ping idle links an eighth as often, and notice one-way silence by the answers

Cause: each router pinged each agent four times a second, whether or not work was in progress; control traffic would grow past 9 KB/s a node at some 30 links. A link with work is asked every 250 ms, an idle one every 2 s. A first try that cleared the silence by any byte failed scenario_silent_connection one way: a stream that goes on hid that pings no longer arrived. Now the answer to a ping counts apart, within 2 s.

--- a/source/core/pipeline/attempt_table.cc
+++ b/source/core/pipeline/attempt_table.cc
@@ -207,6 +207,11 @@
   return &entry;
 }
 
+size_t attempt_table::OnTarget(std::string_view target) const {
+  const auto found = by_target_.find(target);
+  return found == by_target_.end() ? 0 : found->second.size();
+}
+
 void attempt_table::Lose(const std::string& attempt_id) {
   const auto found = attempts_.find(attempt_id);
   if (found == attempts_.end()) return;
--- a/source/core/pipeline/attempt_table.h
+++ b/source/core/pipeline/attempt_table.h
@@ -73,6 +73,8 @@
                       const revoke_answer_message& answer);
 
   size_t size() const { return attempts_.size(); }
+  /// @return attempts in progress on a target
+  size_t OnTarget(std::string_view target) const;
 
  private:
   struct attempt {
--- a/source/router/agent_links.cc
+++ b/source/router/agent_links.cc
@@ -12,7 +12,6 @@
 using common::log_level;
 
 constexpr common::duration kTickPeriod = std::chrono::milliseconds(250);
-constexpr common::duration kSilenceLimit = std::chrono::milliseconds(1000);
 
 /// Hands an agent's message to the attempt table.
 struct message_handler {
@@ -66,7 +65,7 @@
       if (!current.dialling) Dial(target);
       continue;
     }
-    if (now - current.last_heard > kSilenceLimit) {
+    if (current.monitor.Silent(now)) {
       common::Metrics().Count("wisteria_channels_silent_total");
       common::Log(log_channel::kNet, log_level::kWarning,
                   "no bytes from the agent of " + target + "; dialling anew");
@@ -74,6 +73,8 @@
       OnClosed(target);
       continue;
     }
+    const bool busy = attempts_->OnTarget(target) > 0;
+    if (!current.monitor.TakePing(now, busy)) continue;
     core::ping_message ping;
     ping.sequence = ++current.sequence;
     std::string frame = wire::Encode(ping);
@@ -103,7 +104,7 @@
   current.dialling = false;
   if (!channel) return;
   current.channel = std::move(channel);
-  current.last_heard = clock_.Now();
+  current.monitor.OnOpened(clock_.Now());
   current.channel->OnMessage(
       [this, target](std::string_view frame) { OnFrame(target, frame); });
   current.channel->OnClosed([this, target] { OnClosed(target); });
@@ -122,13 +123,15 @@
 void agent_links::OnFrame(const std::string& target, std::string_view frame) {
   const auto found = links_.find(target);
   if (found == links_.end()) return;
-  found->second.last_heard = clock_.Now();
+  found->second.monitor.OnHeard();
   const std::optional<core::message> message = wire::Decode(frame);
   if (!message) {
     common::Metrics().Count("wisteria_bad_frames_total");
     return;
   }
   core::CountControl("received", *message, frame.size());
+  const auto* ping = std::get_if<core::ping_message>(&*message);
+  if (ping != nullptr && ping->answer) found->second.monitor.OnAnswer();
   if (const auto* hello = std::get_if<core::hello_message>(&*message)) {
     OnHello(target, *hello);
     return;
@@ -168,6 +171,7 @@
   if (found == links_.end() || !found->second.checked) return false;
   std::string frame = wire::Encode(message);
   core::CountControl("sent", message, frame.size());
+  found->second.monitor.OnSent(clock_.Now());
   found->second.channel->Send(std::move(frame));
   return true;
 }
--- a/source/router/agent_links.h
+++ b/source/router/agent_links.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "core/membership/link_monitor.h"
 #include "core/pipeline/attempt_table.h"
 #include "core/routing/target_table.h"
 #include "net/channel.h"
@@ -51,7 +52,7 @@
     std::shared_ptr<net::channel> channel;
     bool dialling = false;
     bool checked = false;  ///< the agent said the name that was expected
-    common::time_point last_heard;
+    core::link_monitor monitor{core::link_monitor_options()};
     uint64_t sequence = 0;
   };
 
--- a/source/router/peer_links.cc
+++ b/source/router/peer_links.cc
@@ -1,6 +1,7 @@
 #include "router/peer_links.h"
 
 #include <algorithm>
+#include <set>
 
 #include "common/metrics.h"
 #include "core/control_traffic.h"
@@ -53,8 +54,10 @@
     common::Metrics().Count("wisteria_channels_silent_total");
     Drop(id);
   }
+  std::set<std::string_view> connected;
+  for (const auto& [id, link] : connections_) connected.insert(link.name);
   for (auto& [name, target] : peers_) {
-    if (!Connected(name)) Dial(&target);
+    if (!connected.contains(name)) Dial(&target);
   }
   for (dial_target& seed : seeds_) {
     if (!connections_.contains(seed.opened)) Dial(&seed);
