--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -63,6 +63,9 @@
   void operator()(const core::hello_message& message) const {
     process.control().OnHello(link, message);
   }
+  void operator()(const core::conviction_message& message) const {
+    if (message.lifted) host.Pardon(message.digest);
+  }
   void operator()(const core::order_message& message) const {
     process.control().OnOrder(link, message);
   }
@@ -128,10 +131,28 @@
   process->hello_.pool = settings.Text(settings::kPool);
   process->hello_.address = listen.address;
   process->hello_.port = process->server_->port();
+  process->SetRecorder(settings);
   process->MakeControl(settings);
   return process;
 }
 
+void agent_process::MakeControl(const settings::settings_document& settings) {
+  platform::platform_options platform;
+  platform.address = {
+      settings.Text(settings::kPlatformAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+  platform.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  vms_ = platform::MakeHttpVmList(*loop_, platform);
+  const net::endpoint target = {
+      settings.Text(settings::kTargetAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kTargetPort))};
+  control_ = std::make_unique<agent_control>(agent_control_environment{
+      *loop_, clock_, *table_, *vms_, *host_, *this, target, hello_.name,
+      hello_.data_centre, settings.Boolean(settings::kTargetChecksAuthority),
+      [this] { TellLoad(); }});
+}
+
 bool agent_process::SetPolicies(const settings::settings_document& settings) {
   core::agent_policy wanted;
   wanted.limit = settings.Text(settings::kConcurrencyPolicy);
@@ -153,7 +174,7 @@
   return true;
 }
 
-void agent_process::MakeControl(const settings::settings_document& settings) {
+void agent_process::SetRecorder(const settings::settings_document& settings) {
   platform::platform_options platform;
   platform.address = {
       settings.Text(settings::kPlatformAddress),
@@ -168,14 +189,6 @@
   recorder_ = std::make_unique<core::operation_recorder>(
       core::operation_recorder_options(), *operations_, clock_, *loop_);
   host_->SetOperationObserver(recorder_.get());
-  vms_ = platform::MakeHttpVmList(*loop_, platform);
-  const net::endpoint target = {
-      settings.Text(settings::kTargetAddress),
-      static_cast<uint16_t>(settings.Integer(settings::kTargetPort))};
-  control_ = std::make_unique<agent_control>(agent_control_environment{
-      *loop_, clock_, *table_, *vms_, *host_, *this, target, hello_.name,
-      hello_.data_centre, settings.Boolean(settings::kTargetChecksAuthority),
-      [this] { TellLoad(); }});
 }
 
 void agent_process::Run() {
@@ -217,8 +230,8 @@
     control_->OnLinkClosed(link);
   });
   links_.emplace(link, std::move(channel));
-  hello_.token_window = host_->token_window();
   hello_.configuration_version = control_->configuration_version();
+  hello_.token_window = host_->token_window();
   Send(link, hello_);
 }
 
--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -75,6 +75,7 @@
     Refuse(link, execute, result_code::kDraining, "the target is leaving");
     return false;
   }
+  if (!AdmitToTarget(link, execute)) return false;
   SweepExpired();
   attempt offered;
   offered.execute = execute;
@@ -92,6 +93,20 @@
   return true;
 }
 
+bool attempt_host::AdmitToTarget(router_link link,
+                                 const execute_message& execute) {
+  if (crashed_alone_.contains(execute.digest)) {
+    Refuse(link, execute, result_code::kDigestQuarantined,
+           "it crashed the target alone");
+    return false;
+  }
+  if (!target_up_) {
+    Refuse(link, execute, result_code::kNoTarget, "the target has crashed");
+    return false;
+  }
+  return true;
+}
+
 void attempt_host::Refuse(router_link link, const execute_message& execute,
                           result_code code, std::string_view reason,
                           bool begun) {
@@ -143,7 +158,7 @@
 }
 
 std::optional<queued_attempt> attempt_host::NextQueued() {
-  if (alone_running_) return std::nullopt;
+  if (alone_running_ || !target_up_) return std::nullopt;
   if (!alone_next_) {
     if (running_ >= limit_->Limit()) return std::nullopt;
     std::optional<queued_attempt> next = queue_->Pop(QueueLoad());
@@ -168,6 +183,11 @@
       Expire(next->id);
       continue;
     }
+    if (crashed_alone_.contains(found->second.execute.digest)) {
+      End(&found->second, {result_code::kDigestQuarantined,
+                           "it crashed the target alone", "", false});
+      continue;
+    }
     alone_running_ = next->alone;
     Begin(&found->second);
   }
@@ -221,6 +241,26 @@
   routers_.Send(entry.link, chunk);
 }
 
+void attempt_host::NoteCrash(attempt* entry) {
+  if (!entry->crash) {
+    std::shared_ptr<std::vector<std::string>> digests =
+        std::make_shared<std::vector<std::string>>();
+    for (auto& [id, other] : attempts_) {
+      if (other.state != phase::kRunning) continue;
+      digests->push_back(other.execute.digest);
+      other.crash = digests;
+    }
+    common::Metrics().Count("wisteria_target_crashes_total");
+    target_up_ = false;
+    target_.WhenBack([this] {
+      target_up_ = true;
+      StartQueued();
+    });
+  }
+  entry->outcome.suspect_digests = *entry->crash;
+  if (entry->execute.alone) crashed_alone_.insert(entry->execute.digest);
+}
+
 void attempt_host::OnTargetResult(std::string_view attempt_id,
                                   const target_result& result) {
   const auto found = attempts_.find(std::string(attempt_id));
@@ -241,6 +281,7 @@
   }
   limit_->OnResult(clock_.Now() - entry.started, entry.beside,
                    result.code == result_code::kOk);
+  if (result.crashed) NoteCrash(&entry);
   End(&entry, result);
   StartQueued();
 }
@@ -454,7 +495,7 @@
   const common::duration wait = queue_->EstimatedWait(QueueLoad());
   load.queue_wait_us = static_cast<uint32_t>(
       std::clamp<int64_t>(wait.count(), 0, kMaxReportedWaitUs));
-  load.accepting = !draining_;
+  load.accepting = !draining_ && target_up_;
   load.token_window = tokens_.CurrentWindow();
   return load;
 }
--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -15,6 +15,7 @@
 #include "core/pipeline/operation_run.h"
 #include "core/pipeline/stage_attempts.h"
 #include "core/policy/policy_book.h"
+#include "core/quarantine/quarantine.h"
 #include "core/routing/target_table.h"
 
 namespace wisteriadale::core {
@@ -73,6 +74,7 @@
   attempt_table& attempts;
   operation_log& operations;
   std::string router_name;
+  quarantine* crashes = nullptr;  ///< null: crashes are not followed
 };
 
 /// Runs the stages of one request under its deadline.
@@ -110,6 +112,9 @@
   void StartStage();
   void TryStage();
   target_view* ChooseTarget();
+  target_view* ChooseForTrial(const target_pool& pool) const;
+  quarantine_verdict Verdict() const;
+  void NoteCrash(const outcome_message& outcome, bool alone);
   void TryOperation();
   void Dispatch(const std::string& target, uint64_t incarnation,
                 const operation_record* reservation, bool hedge = false);
--- /dev/null
+++ b/source/unit_tests/core/quarantine/crash_cluster.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/agent/attempt_host.h"
+#include "core/pipeline/request_executor.h"
+#include "core/quarantine/quarantine.h"
+#include "unit_tests/fakes/fake_table.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+namespace wisteriadale::fakes {
+
+/// Routers, agents and targets of one pool: the real core, with channels that
+/// deliver after a delay. Bodies that contain `poison` crash their target.
+class crash_cluster {
+ public:
+  /// A target and its agent, which outlives it.
+  struct node final : public core::target_port, public core::router_sender {
+    node(crash_cluster& cluster, std::string name, uint64_t incarnation)
+        : owner(cluster), id(std::move(name)) {
+      core::attempt_host_options options;
+      options.incarnation = incarnation;
+      options.concurrency_limit = 64;
+      options.queue_limit = 256;
+      host = std::make_unique<core::attempt_host>(options, *this, *this,
+                                                  cluster.time, cluster.time);
+    }
+
+    void Run(const core::execute_message& execute,
+             core::target_observer* observer) override {
+      const uint64_t life = crashes;
+      const std::string attempt = execute.attempt_id;
+      running[attempt] = observer;
+      owner.starts[execute.digest] += 1;
+      const bool poison = execute.input.find("poison") != std::string::npos;
+      owner.time.Schedule(poison ? owner.crash_after : owner.service,
+                          [this, attempt, life, poison] {
+                            if (life != crashes || !running.contains(attempt))
+                              return;
+                            if (poison) return Crash();
+                            core::target_observer* follower = running[attempt];
+                            running.erase(attempt);
+                            core::target_result whole;
+                            whole.result = "\"answer\"";
+                            follower->OnTargetResult(attempt, whole);
+                          });
+    }
+    void Cancel(std::string_view attempt_id) override {
+      running.erase(std::string(attempt_id));
+    }
+    void WhenBack(std::function<void()> action) override {
+      owner.time.Schedule(owner.restart, std::move(action));
+    }
+    void Send(core::router_link link, const core::message& message) override {
+      owner.time.Schedule(owner.delay, [this, link, message] {
+        owner.FromAgent(id, static_cast<size_t>(link) - 1, message);
+      });
+    }
+
+    void Crash() {
+      ++crashes;
+      const std::map<std::string, core::target_observer*> lost =
+          std::exchange(running, {});
+      core::target_result result;
+      result.code = common::result_code::kTargetLost;
+      result.crashed = true;
+      for (const auto& [attempt, observer] : lost) {
+        observer->OnTargetResult(attempt, result);
+      }
+    }
+
+    crash_cluster& owner;
+    std::string id;
+    std::unique_ptr<core::attempt_host> host;
+    std::map<std::string, core::target_observer*> running;
+    uint64_t crashes = 0;
+  };
+
+  struct router final : public core::agent_sender,
+                        public core::quarantine_network {
+    router(crash_cluster& cluster, size_t number)
+        : owner(cluster),
+          index(number),
+          policies(cluster.time, cluster.random,
+                   core::router_entry{"r" + std::to_string(number), "a"}),
+          attempts(*this, cluster.time, std::chrono::seconds(2)),
+          operations(cluster.rows, cluster.time, cluster.time, cluster.random),
+          crashes({}, cluster.rows, *this, cluster.time, cluster.time),
+          context{cluster.time,   cluster.time,
+                  cluster.random, targets,
+                  policies,       attempts,
+                  operations,     "r" + std::to_string(number),
+                  &crashes} {}
+
+    bool Send(std::string_view target, const core::message& message) override {
+      owner.time.Schedule(owner.delay,
+                          [this, id = std::string(target), message] {
+                            owner.ToAgent(id, index, message);
+                          });
+      return true;
+    }
+    void TellRouters(const core::conviction_message& message) override {
+      for (size_t i = 0; i < owner.routers.size(); ++i) {
+        if (i != index) owner.Tell(i, message);
+      }
+    }
+    void TellRouter(std::string_view name,
+                    const core::conviction_message& message) override {
+      owner.Tell(std::stoul(std::string(name)), message);
+    }
+
+    crash_cluster& owner;
+    size_t index;
+    core::target_table targets;
+    core::policy_book policies;
+    core::attempt_table attempts;
+    core::operation_log operations;
+    core::quarantine crashes;
+    core::executor_context context;
+  };
+
+  struct answer final : public core::request_sink {
+    void OnData(std::string_view) override {}
+    void OnEnd(const core::request_result& end) override {
+      ended = true;
+      result = end;
+    }
+    bool ended = false;
+    core::request_result result;
+  };
+
+  crash_cluster(size_t router_count, size_t target_count) {
+    for (size_t i = 0; i < target_count; ++i) {
+      const std::string id = "target-" + std::to_string(i);
+      nodes[id] = std::make_unique<node>(*this, id, i + 1);
+    }
+    for (size_t i = 0; i < router_count; ++i) AddRouter();
+    in_force = core::ParseConfiguration(
+                   R"({"preset":"calm","presets":{"calm":{}},
+                       "pipelines":{
+                         "q":{"stages":[{"name":"s","pool":"p"}]},
+                         "b":{"stages":[{"name":"s","pool":"p",
+                                         "idempotent":false}]}}})",
+                   1)
+                   .value();
+  }
+
+  router& AddRouter() {
+    routers.push_back(std::make_unique<router>(*this, routers.size()));
+    router& added = *routers.back();
+    uint64_t incarnation = 0;
+    for (const auto& [id, entry] : nodes) {
+      core::target_view* view = added.targets.Ensure(id, "p", "a");
+      view->connected = true;
+      view->incarnation = std::stoul(id.substr(7)) + 1;
+      view->load = entry->host->Load();
+      ++incarnation;
+    }
+    return added;
+  }
+
+  std::shared_ptr<answer> Request(size_t at, const std::string& body,
+                                  const std::string& pipeline = "q",
+                                  const std::string& key = "") {
+    const std::shared_ptr<answer> sink = std::make_shared<answer>();
+    router& receiver = *routers[at];
+    core::request_description description;
+    description.id = random.HexId();
+    description.organisation = "parks";
+    description.body = "\"" + body + "\"";
+    description.digest = body;
+    description.idempotency_key = key;
+    description.deadline = std::chrono::seconds(5);
+    description.plan = *in_force->FindPipeline(pipeline);
+    description.configuration_in_force = in_force;
+    if (receiver.crashes.Verdict(body) ==
+        core::quarantine_verdict::kConvicted) {
+      sink->ended = true;
+      sink->result.code = common::result_code::kDigestQuarantined;
+      return sink;
+    }
+    core::request_executor::Create(receiver.context, description, sink)
+        ->Start();
+    return sink;
+  }
+
+  uint64_t TargetsLost() const {
+    uint64_t lost = 0;
+    for (const auto& [id, entry] : nodes) lost += entry->crashes;
+    return lost;
+  }
+
+  void ToAgent(const std::string& id, size_t from,
+               const core::message& message) {
+    core::attempt_host& host = *nodes[id]->host;
+    if (const auto* execute = std::get_if<core::execute_message>(&message)) {
+      host.OnExecute(from + 1, *execute);
+    } else if (const auto* cancel =
+                   std::get_if<core::cancel_message>(&message)) {
+      host.OnCancel(*cancel);
+    }
+  }
+
+  void FromAgent(const std::string& id, size_t to,
+                 const core::message& message) {
+    const auto* outcome = std::get_if<core::outcome_message>(&message);
+    if (outcome == nullptr) return;
+    // The load reaches every router with the next ping.
+    routers[to]->targets.Find(id)->Report(outcome->load);
+    routers[to]->attempts.OnOutcome(id, *outcome);
+  }
+
+  void Tell(size_t to, const core::conviction_message& message) {
+    if (partitioned) return;
+    time.Schedule(delay, [this, to, message] {
+      routers[to]->crashes.OnMessage(message);
+    });
+  }
+
+  /// Lets time pass while pings bring the agents' loads to every router.
+  void Run(common::duration by) {
+    constexpr common::duration kPing = std::chrono::milliseconds(250);
+    for (common::duration passed{0}; passed < by; passed += kPing) {
+      time.Advance(kPing);
+      for (const std::unique_ptr<router>& entry : routers) {
+        for (const auto& [id, target] : nodes) {
+          entry->targets.Find(id)->Report(target->host->Load());
+        }
+      }
+    }
+  }
+
+  virtual_time time;
+  common::seeded_random random{1};
+  fake_table rows{time, random};
+  common::duration delay = std::chrono::milliseconds(1);
+  common::duration service = std::chrono::milliseconds(50);
+  common::duration crash_after = std::chrono::milliseconds(20);
+  common::duration restart = std::chrono::seconds(1);
+  bool partitioned = false;  ///< between routers
+  std::map<std::string, std::unique_ptr<node>> nodes;
+  std::vector<std::unique_ptr<router>> routers;
+  std::map<std::string, int> starts;  ///< by digest
+  std::shared_ptr<const core::configuration> in_force;
+};
+
+}  // namespace wisteriadale::fakes
