Wire TLS between processes and towards callers, and refuse foreign certificates

Settings /tls/{certificate_file,key_file,ca_file} for router and agent, and /http/{certificate_file,key_file} towards callers; plain TCP stays the default. Calls to the platform and the target stay plain (http_call::tls is there).

Found by scenarios/tls.lua, which makes two authorities with openssl: - A router with a certificate of another authority was let in. Cause: the verification callback of libwebsockets accepts whatever its return of 0 covers, also when OpenSSL did not trust the certificate. Before: the agent was usable after such a dial; after: refused. Ruled out: the options of the listener (a peer without any certificate was refused before too). - A dialling router crashed (signal 11) when the agent refused its certificate: the connection ended before the upgrade without an error callback, and the dial timer then used it. Dials now end on those callbacks as well.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -116,6 +116,9 @@
   net::http_server::options listen;
   listen.address = settings.Text(settings::kListenAddress);
   listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
+  listen.tls = {settings.Text(settings::kTlsCertificateFile),
+                settings.Text(settings::kTlsKeyFile),
+                settings.Text(settings::kTlsCaFile)};
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
           *process->loop_, listen,
--- a/source/net/channel.cc
+++ b/source/net/channel.cc
@@ -236,11 +236,26 @@
       lws_set_wsi_user(wsi, nullptr);
       Release(current);
       return 0;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+      // The peer closed before the upgrade, as after a refused certificate.
+      lws_set_wsi_user(wsi, nullptr);
+      if (current != nullptr) DialFailed(LoopOf(wsi), current);
+      return 0;
     default:
       return 0;
   }
 }
 
+void ChannelDestroyed(lws* wsi, void* user) {
+  lws_channel* current = static_cast<lws_channel*>(user);
+  if (!Live().contains(current)) return;
+  if (current->on_open) {
+    DialFailed(LoopOf(wsi), current);
+  } else {
+    Release(current);
+  }
+}
+
 void DialChannel(event_loop& loop, const endpoint& to,
                  std::function<void(std::shared_ptr<channel>)> on_open) {
   const std::shared_ptr<lws_channel> dialled = std::make_shared<lws_channel>(
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -22,6 +22,10 @@
   if (signal_context != nullptr) lws_cancel_service(signal_context);
 }
 
+const char* PathOrNull(const std::string& path) {
+  return path.empty() ? nullptr : path.c_str();
+}
+
 void EmitLwsLog(int level, const char* line) {
   std::string text(line);
   while (!text.empty() && text.back() == '\n') text.pop_back();
@@ -87,9 +91,9 @@
   info.vhost_name = "client";
   const tls_options& tls = chosen.client_tls;
   if (tls.enabled()) {
-    info.client_ssl_ca_filepath = tls.ca_file.c_str();
-    info.client_ssl_cert_filepath = tls.certificate_file.c_str();
-    info.client_ssl_private_key_filepath = tls.key_file.c_str();
+    info.client_ssl_ca_filepath = PathOrNull(tls.ca_file);
+    info.client_ssl_cert_filepath = PathOrNull(tls.certificate_file);
+    info.client_ssl_private_key_filepath = PathOrNull(tls.key_file);
     loop->client_tls_ = true;
   }
   loop->client_vhost_ = lws_create_vhost(loop->context_, &info);
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -49,7 +49,7 @@
     info.alpn = "http/1.1";
     info.userdata = this;
     info.pwsi = &wsi_;
-    if (loop_.client_tls()) {
+    if (call_.tls) {
       info.ssl_connection =
           LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
     }
@@ -205,6 +205,10 @@
 
 int HttpClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
                        void* in, size_t length) {
+  if (reason == LWS_CALLBACK_WSI_DESTROY) {
+    ChannelDestroyed(wsi, user);
+    return 0;
+  }
   transfer* current = static_cast<transfer*>(user);
   if (current == nullptr) {
     return reason == LWS_CALLBACK_RECEIVE_CLIENT_HTTP ? -1 : 0;
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -19,6 +19,8 @@
   std::string path;
   std::vector<http_header> headers;
   std::string body;
+  /// Over TLS, with the certificate of the loop's client side.
+  bool tls = false;
   /// For the whole call.
   common::duration timeout = std::chrono::seconds(10);
   /// Until the answer's headers have come; 0: only `timeout` applies.
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -502,6 +502,10 @@
     case LWS_CALLBACK_CLOSED_HTTP:
       CloseConnection(wsi);
       return 0;
+    case LWS_CALLBACK_OPENSSL_PERFORM_CLIENT_CERT_VERIFICATION:
+      // The length tells whether OpenSSL trusts the certificate; a return of 0
+      // would accept it either way.
+      return length == 1 ? 0 : 1;
     default:
       return 0;
   }
--- a/source/net/lws_protocols.h
+++ b/source/net/lws_protocols.h
@@ -21,6 +21,11 @@
 int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
                           void* in, size_t length);
 
+/// libwebsockets frees an outgoing connection; it tells only the first
+/// protocol.
+/// @param user a channel, or what belongs to another protocol
+void ChannelDestroyed(lws* wsi, void* user);
+
 /// @return the protocols of vhosts that listen, ended by an empty entry
 const lws_protocols* ServerProtocols();
 /// @return the protocols of outgoing connections, ended by an empty entry
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -20,6 +20,9 @@
   net::event_loop::options options;
   options.dial_timeout =
       common::milliseconds(settings.Integer(settings::kDialTimeoutMs));
+  options.client_tls = {settings.Text(settings::kTlsCertificateFile),
+                        settings.Text(settings::kTlsKeyFile),
+                        settings.Text(settings::kTlsCaFile)};
   return options;
 }
 
@@ -130,6 +133,8 @@
   listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
   listen.max_body_bytes =
       static_cast<size_t>(settings.Integer(settings::kMaxBodyBytes));
+  listen.tls.certificate_file = settings.Text(settings::kHttpCertificateFile);
+  listen.tls.key_file = settings.Text(settings::kHttpKeyFile);
   listen.receive_timeout =
       common::milliseconds(settings.Integer(settings::kReceiveTimeoutMs));
   listen.send_stall_limit =
--- a/source/settings/common_settings.cc
+++ b/source/settings/common_settings.cc
@@ -66,6 +66,25 @@
     10,
     60000,
     "Longest time for a channel between processes to open."};
+const setting kTlsCertificateFile = {
+    "/tls/certificate_file",
+    setting_type::kText,
+    "\"\"",
+    0,
+    kMaxPath,
+    "Certificate towards other processes (PEM); empty means plain TCP."};
+const setting kTlsKeyFile = {
+    "/tls/key_file", setting_type::kText,
+    "\"\"",          0,
+    kMaxPath,        "Private key of /tls/certificate_file."};
+const setting kTlsCaFile = {
+    "/tls/ca_file",
+    setting_type::kText,
+    "\"\"",
+    0,
+    kMaxPath,
+    "Authority that signed the certificates of other processes; a peer "
+    "without one is refused."};
 const setting kLogLevel = {
     "/log/level",
     setting_type::kText,
--- a/source/settings/router_settings.cc
+++ b/source/settings/router_settings.cc
@@ -23,6 +23,19 @@
     50,
     600000,
     "Longest time from a request's headers to the end of its body."};
+const setting kHttpCertificateFile = {
+    "/http/certificate_file",
+    setting_type::kText,
+    "\"\"",
+    0,
+    4096,
+    "Certificate towards callers (PEM); empty means plain HTTP."};
+const setting kHttpKeyFile = {"/http/key_file",
+                              setting_type::kText,
+                              "\"\"",
+                              0,
+                              4096,
+                              "Private key of /http/certificate_file."};
 const setting kSendStallMs = {
     "/http/send_stall_ms",
     setting_type::kInteger,
@@ -86,6 +99,9 @@
                                     &kPlatformAddress,
                                     &kPlatformPort,
                                     &kPlatformTimeoutMs,
+                                    &kTlsCertificateFile,
+                                    &kTlsKeyFile,
+                                    &kTlsCaFile,
                                     &kPlatformReadsPerSecond,
                                     &kPlatformWritesPerSecond,
                                     &kLogLevel,
@@ -98,6 +114,8 @@
                                     &kMaxDeadlineMs,
                                     &kReceiveTimeoutMs,
                                     &kSendStallMs,
+                                    &kHttpCertificateFile,
+                                    &kHttpKeyFile,
                                     &kMaxPendingBytes,
                                     &kDialTimeoutMs,
                                     &kConfigurationPollMs,
--- a/source/settings/router_settings.h
+++ b/source/settings/router_settings.h
@@ -8,6 +8,8 @@
 extern const setting kMaxDeadlineMs;
 extern const setting kReceiveTimeoutMs;
 extern const setting kSendStallMs;
+extern const setting kHttpCertificateFile;
+extern const setting kHttpKeyFile;
 extern const setting kMaxPendingBytes;
 extern const setting kConfigurationPollMs;
 extern const setting kVmListPollMs;
--- a/source/unit_tests/net/channel_test.cc
+++ b/source/unit_tests/net/channel_test.cc
@@ -77,3 +77,18 @@
   }
   LONGS_EQUAL(0, closed);
 }
+
+TEST(Channel, PeerThatClosesDuringTheHandshakeAnswersOnce) {
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  const fakes::raw_socket listener;
+  const uint16_t port = listener.Listen();
+  int answers = 0;
+  net::DialChannel(*loop, {"127.0.0.1", port},
+                   [&](const std::shared_ptr<net::channel>&) { ++answers; });
+  fakes::RunUntil(*loop, kDialTimeout / 4, [] { return false; });
+  listener.CloseNext();
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] { return answers > 0; }));
+  // Past the dial timeout, which must find nothing left to end.
+  fakes::RunUntil(*loop, 3 * kDialTimeout, [] { return false; });
+  LONGS_EQUAL(1, answers);
+}
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -45,6 +45,12 @@
     return ntohs(address.sin_port);
   }
 
+  /// Accepts a waiting connection and closes it.
+  void CloseNext() const {
+    const int accepted = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (accepted >= 0) close(accepted);
+  }
+
   bool Connect(uint16_t port) const {
     const int small_window = 4096;
     setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &small_window, sizeof(small_window));
