Write the router's spans to a file as OTLP JSON lines

/trace/file was declared but not read. span_buffer keeps at most 20,000 spans, flushes each second, and counts those it drops. end_to_end checks the spans of a request and of its four stages. Not done: a collector's address, agent spans.

Runner: blocks of 120 ports, as 24 targets needed more than 60.

--- a/scenarios/end_to_end.lua
+++ b/scenarios/end_to_end.lua
@@ -2,7 +2,9 @@
 -- sent twice with one key through two routers is recorded once.
 local fleet = require("fleet")
 
-local deployment = fleet.start{routers = 2}
+local spans_file = runner.logs() .. "/spans.jsonl"
+local deployment = fleet.start{routers = 2,
+                               router = {["/trace/file"] = spans_file}}
 
 local answer = deployment:ask("answer", {sketch = "a peacock"})
 expect_equal(200, answer.status, "answer: " .. answer.body)
@@ -45,3 +47,22 @@
 expect_equal(1, deployment:runs("order-1"), "runs after the refused body")
 
 deployment:stop()
+
+-- Spans of a request and of its attempts are in the file, as OTLP JSON lines.
+local spans = {}
+for line in io.lines(spans_file) do
+  local document = decode(line)
+  for _, span in ipairs(document.resourceSpans[1].scopeSpans[1].spans) do
+    spans[#spans + 1] = span
+  end
+end
+local root
+for _, span in ipairs(spans) do
+  if span.name == "request answer" then root = span end
+end
+expect(root, "a span of the request")
+local attempts = 0
+for _, span in ipairs(spans) do
+  if span.parentSpanId == root.spanId then attempts = attempts + 1 end
+end
+expect(attempts >= 4, "a span for each stage under it, found " .. attempts)
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -15,6 +15,9 @@
 
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
+constexpr size_t kMaxBufferedSpans = 20000;
+constexpr common::duration kSpanFlushPeriod = std::chrono::seconds(1);
+
 net::event_loop::options LoopOptions(
     const settings::settings_document& settings) {
   net::event_loop::options options;
@@ -74,6 +77,7 @@
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
   net::event_loop& events = *process->loop_;
+  if (!process->OpenSpans(settings)) return std::nullopt;
 
   platform::platform_options platform;
   platform.address = PlatformEndpoint(settings);
@@ -166,9 +170,29 @@
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
   loop_->Run();
+  common::SetSpanSink({});
   common::Log(log_channel::kMain, log_level::kInfo, "stopped");
 }
 
+bool router_process::OpenSpans(const settings::settings_document& settings) {
+  const std::string file = settings.Text(settings::kTraceFile);
+  if (file.empty()) return true;
+  std::optional<std::unique_ptr<common::span_buffer>> opened =
+      common::span_buffer::Create(settings.Text(settings::kName), file,
+                                  kMaxBufferedSpans);
+  if (!opened) return false;
+  spans_ = std::move(*opened);
+  common::SetSpanSink(
+      [this](const common::span_record& span) { spans_->Add(span); });
+  FlushSpans();
+  return true;
+}
+
+void router_process::FlushSpans() {
+  spans_->Flush();
+  loop_->Schedule(kSpanFlushPeriod, [this] { FlushSpans(); });
+}
+
 void router_process::PollVmList() {
   vms_->Fetch([this](std::optional<std::vector<core::vm_entry>> entries) {
     if (entries) {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "common/span_buffer.h"
 #include "core/policy/policy_book.h"
 #include "net/http_server.h"
 #include "platform/http_platform.h"
@@ -31,11 +32,14 @@
   void OnHttp(const net::http_request& request,
               const std::shared_ptr<net::http_responder>& responder);
   void PollVmList();
+  bool OpenSpans(const settings::settings_document& settings);
+  void FlushSpans();
   void Stop();
   bool Ready() const;
 
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
+  std::unique_ptr<common::span_buffer> spans_;  ///< null without a trace file
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<core::table> http_table_;
   std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
--- a/source/unit_tests/scenario/port_block.cc
+++ b/source/unit_tests/scenario/port_block.cc
@@ -12,7 +12,7 @@
 // Below the range from which the system takes ports of outgoing connections.
 constexpr uint16_t kFirstPort = 30000;
 constexpr uint16_t kEndPort = 32760;
-constexpr uint16_t kBlockPorts = 60;
+constexpr uint16_t kBlockPorts = 120;
 
 /// @return a socket bound to the port, or -1
 int Bind(uint16_t port) {
