--- a/source/core/pipeline/request_executor.h
+++ b/source/core/pipeline/request_executor.h
@@ -111,6 +111,7 @@
   common::duration Remaining() const;
   void StartStage();
   void TryStage();
+  bool WorthStarting() const;
   target_view* ChooseTarget();
   target_view* ChooseForTrial(const target_pool& pool) const;
   quarantine_verdict Verdict() const;
--- a/source/ctl/main.cc
+++ b/source/ctl/main.cc
@@ -11,6 +11,7 @@
 DEFINE_string(routers, "127.0.0.1:8080",
               "routers to ask in turn: address:port,address:port");
 DEFINE_string(key_file, "", "file with the operators' key");
+DEFINE_string(operator, "", "name recorded with each change");
 DEFINE_string(output, "table", "table, or json for programs");
 DEFINE_int32(timeout_ms, 10000, "how long to wait for a router's answer");
 
@@ -49,6 +50,7 @@
   const std::optional<std::string> key = ReadKey(FLAGS_key_file);
   if (!key) return Complain("cannot read " + FLAGS_key_file);
   options.key = *key;
+  options.operator_name = FLAGS_operator;
   options.timeout = common::milliseconds(FLAGS_timeout_ms);
   std::optional<router_client> client =
       router_client::Create(std::move(options));
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -105,6 +105,7 @@
   }
   const std::string_view what =
       std::string_view(request.path).substr(sizeof(kPrefix) - 1);
+  if (operations_.Handle(what, request, responder)) return true;
   const bool known = request.method == "GET"
                          ? HandleRead(what, request, responder)
                          : HandleChange(what, request, responder);
--- a/source/router/operator_api.h
+++ b/source/router/operator_api.h
@@ -6,6 +6,7 @@
 #include "core/routing/target_table.h"
 #include "net/http_server.h"
 #include "router/control_plane.h"
+#include "router/operation_api.h"
 
 namespace wisteriadale::router {
 
@@ -13,9 +14,11 @@
 class operator_api {
  public:
   operator_api(core::target_table& targets, control_plane& control,
-               std::string router_name, std::string key_sha256)
+               operation_api operations, std::string router_name,
+               std::string key_sha256)
       : targets_(targets),
         control_(control),
+        operations_(operations),
         router_name_(std::move(router_name)),
         key_sha256_(std::move(key_sha256)) {}
 
@@ -54,6 +57,7 @@
 
   core::target_table& targets_;
   control_plane& control_;
+  operation_api operations_;
   std::string router_name_;
   std::string key_sha256_;
 };
