--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -22,6 +22,8 @@
   bool accepting = true;       ///< false once draining
   uint64_t configuration_version = 0;
   uint64_t token_window = 0;  ///< the agent's, for new operation tokens
+
+  bool operator==(const load_report&) const = default;
 };
 
 /// First message on a channel, in both directions.
--- a/source/wire/codec.cc
+++ b/source/wire/codec.cc
@@ -153,7 +153,8 @@
     generated::ping to;
     to.sequence = Signed(from.sequence);
     to.answer = from.answer;
-    to.load = ToWire(from.load);
+    // Routers have no load; their pings are the most frequent messages.
+    if (from.load != core::load_report()) to.__set_load(ToWire(from.load));
     to.configuration_version = Signed(from.configuration_version);
     to.quarantine_hash = Signed(from.quarantine_hash);
     frame->__set_ping_part(to);
@@ -257,7 +258,7 @@
   core::ping_message to;
   to.sequence = Unsigned(from.sequence);
   to.answer = from.answer;
-  to.load = FromWire(from.load);
+  if (from.__isset.load) to.load = FromWire(from.load);
   to.configuration_version = Unsigned(from.configuration_version);
   to.quarantine_hash = Unsigned(from.quarantine_hash);
   return to;
--- a/source/wire/messages.thrift
+++ b/source/wire/messages.thrift
@@ -101,7 +101,7 @@
 struct ping {
   1: i64 sequence
   2: bool answer
-  3: load_report load
+  3: optional load_report load
   4: i64 configuration_version
   5: i64 quarantine_hash
 }
