--- a/source/ctl/commands.cc
+++ b/source/ctl/commands.cc
@@ -208,9 +208,19 @@
 }
 
 exit_code SettleOperation(const invocation& call) {
+  if (call.client.operator_name().empty()) {
+    std::fputs("wisteriactl: settling by hand needs --operator\n", stderr);
+    return exit_code::kUsage;
+  }
+  const std::string row =
+      "operations/" + call.arguments[0] + "/" + call.arguments[1];
+  const router_answer seen = call.client.Call("GET", kBase + row);
+  if (seen.ToExitCode() != exit_code::kOk) return Finish(call, seen);
+  const json record = json::parse(seen.body, nullptr, false);
   return Post(call, "operations/settle",
-              {{"organisation", call.arguments[0]},
-               {"key", call.arguments[1]},
+              {{"operation", row},
+               {"version", record.value("version", uint64_t{0})},
+               {"operator", call.client.operator_name()},
                {"outcome", call.arguments[2]}});
 }
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "platform/budgeted_table.h"
 #include "settings/router_settings.h"
 
 namespace wisteriadale::router {
@@ -22,6 +23,16 @@
   return options;
 }
 
+platform::table_budget TableBudget(
+    const settings::settings_document& settings) {
+  platform::table_budget budget;
+  budget.reads_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformReadsPerSecond));
+  budget.writes_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformWritesPerSecond));
+  return budget;
+}
+
 net::endpoint PlatformEndpoint(const settings::settings_document& settings) {
   return {settings.Text(settings::kPlatformAddress),
           static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
@@ -65,7 +76,10 @@
   platform.address = PlatformEndpoint(settings);
   platform.timeout =
       common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  process->table_ = platform::MakeHttpTable(events, platform);
+  process->http_table_ = platform::MakeHttpTable(events, platform);
+  process->table_ = std::make_unique<platform::budgeted_table>(
+      *process->http_table_, TableBudget(settings), process->clock_, events,
+      *process->random_);
   process->objects_ = platform::MakeHttpObjectStore(events, platform);
   process->vms_ = platform::MakeHttpVmList(events, platform);
 
@@ -88,6 +102,9 @@
   process->links_->SetAttempts(process->attempts_.get());
   process->operations_ = std::make_unique<core::operation_log>(
       *process->table_, events, process->clock_, *process->random_);
+  process->doubts_ = std::make_unique<core::doubt_list>(
+      *process->table_, *process->operations_, *process->attempts_,
+      process->clock_);
   process->executors_ = std::make_unique<core::executor_context>(
       core::executor_context{process->clock_, events, *process->random_,
                              process->targets_, *process->policies_,
@@ -104,7 +121,8 @@
       *process->executors_, process->control_->configuration(),
       caller_limits{settings.Integer(settings::kMaxDeadlineMs)});
   process->operators_ = std::make_unique<operator_api>(
-      process->targets_, *process->control_, name,
+      process->targets_, *process->control_,
+      operation_api(*process->operations_, *process->doubts_), name,
       settings.Text(settings::kOperatorKeySha256));
   process->vm_list_period_ =
       common::milliseconds(settings.Integer(settings::kVmListPollMs));
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -37,7 +37,8 @@
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<net::event_loop> loop_;
-  std::unique_ptr<core::table> table_;
+  std::unique_ptr<core::table> http_table_;
+  std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
   std::unique_ptr<core::object_store> objects_;
   std::unique_ptr<core::vm_list> vms_;
   core::target_table targets_;
@@ -45,6 +46,7 @@
   std::unique_ptr<agent_links> links_;
   std::unique_ptr<core::attempt_table> attempts_;
   std::unique_ptr<core::operation_log> operations_;
+  std::unique_ptr<core::doubt_list> doubts_;
   std::unique_ptr<core::executor_context> executors_;
   std::unique_ptr<control_plane> control_;
   std::unique_ptr<caller_api> callers_;
