--- a/source/unit_tests/longrun/agent_node.cc
+++ b/source/unit_tests/longrun/agent_node.cc
@@ -101,10 +101,14 @@
 
 void agent_node::Run(const core::execute_message& execute,
                      core::target_observer*) {
+  runs_.insert(execute.attempt_id);
   target_.Run(execute, this);
 }
 
 void agent_node::Cancel(std::string_view attempt_id) {
+  // As target_port demands: an event held up by a pause is not delivered.
+  const auto found = runs_.find(attempt_id);
+  if (found != runs_.end()) runs_.erase(found);
   target_.Cancel(attempt_id);
 }
 
@@ -112,14 +116,14 @@
                                std::string_view data) {
   process_.Event(
       [this, id = std::string(attempt_id), part = std::string(data)] {
-        host_.OnTargetChunk(id, part);
+        if (runs_.contains(id)) host_.OnTargetChunk(id, part);
       })();
 }
 
 void agent_node::OnTargetResult(std::string_view attempt_id,
                                 const core::target_result& result) {
   process_.Event([this, id = std::string(attempt_id), result] {
-    host_.OnTargetResult(id, result);
+    if (runs_.erase(id) > 0) host_.OnTargetResult(id, result);
   })();
 }
 
--- a/source/unit_tests/longrun/agent_node.h
+++ b/source/unit_tests/longrun/agent_node.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/agent/attempt_host.h"
@@ -51,6 +52,7 @@
   void OnMessage(core::router_link link, const core::message& message);
 
   std::string id_;
+  std::set<std::string, std::less<>> runs_;  ///< started and not cancelled
   fakes::process_time process_;
   fakes::process_table rows_;
   fake_target& target_;
