Supervise the router's parts, and bound repeats over all stages of a request

Cause 1: the router's parts were started and stopped by hand; a VM list read that is never answered ended the polling for good.

--- a/source/common/supervisor.cc
+++ b/source/common/supervisor.cc
@@ -66,6 +66,7 @@
   Log(log_channel::kMain, log_level::kError,
       name_ + " gives up on " + std::string(entry->part->name()));
   gave_up_ = true;
+  if (on_give_up_) timers_.Schedule(duration(0), on_give_up_);
   return false;
 }
 
--- a/source/common/supervisor.h
+++ b/source/common/supervisor.h
@@ -51,6 +51,11 @@
   supervisor(const supervisor&) = delete;
   supervisor& operator=(const supervisor&) = delete;
 
+  /// @param action called once when the supervisor gives a child up
+  void OnGiveUp(std::function<void()> action) {
+    on_give_up_ = std::move(action);
+  }
+
   /// Adds a child; the supervisor does not own it.
   void Add(component& child);
 
@@ -85,6 +90,7 @@
   timer_id check_timer_ = 0;
   bool stopping_ = false;
   bool gave_up_ = false;
+  std::function<void()> on_give_up_;
 };
 
 }  // namespace wisteriadale::common
--- /dev/null
+++ b/source/core/membership/vm_list_poller.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/supervisor.h"
+#include "core/ports/vm_list.h"
+
+namespace wisteriadale::core {
+
+/// How often the VM list is read, and when reading it counts as stuck.
+struct vm_list_poller_options {
+  common::duration period = std::chrono::seconds(1);
+  /// Longest time without any answer, good or bad.
+  common::duration stuck_limit = std::chrono::seconds(30);
+};
+
+/// Reads the platform's VM list again and again. A read that is never answered
+/// makes it unhealthy, so that its supervisor starts it anew.
+class vm_list_poller final : public common::component {
+ public:
+  using list_handler = std::function<void(const std::vector<vm_entry>&)>;
+
+  /// @param on_list takes each list that could be had
+  vm_list_poller(const vm_list_poller_options& options, vm_list& source,
+                 common::clock& clock, common::timer_service& timers,
+                 list_handler on_list)
+      : options_(options),
+        source_(source),
+        clock_(clock),
+        timers_(timers),
+        on_list_(std::move(on_list)) {}
+
+  std::string_view name() const override { return "vm_list_poller"; }
+  bool Start() override;
+  void Stop(std::function<void()> on_stopped) override;
+  bool Healthy() const override;
+
+ private:
+  void Poll();
+
+  vm_list_poller_options options_;
+  vm_list& source_;
+  common::clock& clock_;
+  common::timer_service& timers_;
+  list_handler on_list_;
+  uint64_t run_ = 0;  ///< answers of an earlier run are dropped
+  common::timer_id timer_ = 0;
+  common::time_point last_answer_{};
+};
+
+}  // namespace wisteriadale::core
--- a/source/core/pipeline/request_executor.cc
+++ b/source/core/pipeline/request_executor.cc
@@ -407,7 +407,9 @@
     return;
   }
   CancelOthers(outcome.attempt_id);
-  policies_->retry->OnSuccess(description_.organisation, stage_key_);
+  const double part =
+      1.0 / static_cast<double>(description_.plan.stages.size());
+  policies_->retry->OnSuccess(description_.organisation, stage_key_, part);
   common::Metrics().Observe(
       "wisteria_stage_seconds", context_.clock.Now() - stage_started_,
       {{"stage", Stage().name}, {"pool", Stage().pool}, {"outcome", "ok"}});
--- a/source/core/retry/budget_retry.cc
+++ b/source/core/retry/budget_retry.cc
@@ -12,6 +12,7 @@
 
 constexpr float kFirstTokens = 2;  ///< before the first success
 constexpr float kMostTokens = 10;
+constexpr std::string_view kAllStages;  ///< names no stage
 constexpr common::duration kFirstWait = milliseconds(10);
 constexpr common::duration kLongestWait = milliseconds(200);
 constexpr common::duration kFirstDeferral = milliseconds(50);
@@ -26,21 +27,27 @@
 }  // namespace
 
 void retry_budget::Earn(std::string_view organisation, std::string_view stage,
-                        double share) {
-  const auto entry =
-      tokens_.emplace(KeyOf(organisation, stage), kFirstTokens).first;
-  entry->second =
-      std::min(entry->second + static_cast<float>(share), kMostTokens);
+                        double share, double part) {
+  float& of_stage = Tokens(KeyOf(organisation, stage));
+  of_stage = std::min(of_stage + static_cast<float>(share), kMostTokens);
+  float& of_all = Tokens(KeyOf(organisation, kAllStages));
+  of_all = std::min(of_all + static_cast<float>(share * part), kMostTokens);
 }
 
 bool retry_budget::Take(std::string_view organisation, std::string_view stage) {
-  const auto entry =
-      tokens_.emplace(KeyOf(organisation, stage), kFirstTokens).first;
-  if (entry->second < 1) return false;
-  entry->second -= 1;
+  // Both are created before either is referred to.
+  const uint64_t stage_key = KeyOf(organisation, stage);
+  const uint64_t all_key = KeyOf(organisation, kAllStages);
+  if (Tokens(stage_key) < 1 || Tokens(all_key) < 1) return false;
+  Tokens(stage_key) -= 1;
+  Tokens(all_key) -= 1;
   return true;
 }
 
+float& retry_budget::Tokens(uint64_t key) {
+  return tokens_.emplace(key, kFirstTokens).first->second;
+}
+
 std::optional<common::duration> budget_retry::Retry(
     const retry_question& question) {
   const bool overloaded = question.code == result_code::kOverloaded;
@@ -105,8 +112,8 @@
 }
 
 void budget_retry::OnSuccess(std::string_view organisation,
-                             std::string_view stage) {
-  budget_.Earn(organisation, stage, options_.retry_ratio);
+                             std::string_view stage, double part) {
+  budget_.Earn(organisation, stage, options_.retry_ratio, part);
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/retry/budget_retry.h
+++ b/source/core/retry/budget_retry.h
@@ -8,17 +8,22 @@
 
 namespace wisteriadale::core {
 
-/// Tokens by organisation and stage. Each success adds a share of a token, each
-/// repeated attempt takes one, so that retries stay a share of successes and
-/// dry up while nothing succeeds. It outlives a change of the preset.
+/// Tokens by organisation and stage, and by organisation over all stages. Each
+/// success adds a share of a token, each repeated attempt takes one of both, so
+/// that retries stay a share of successes and of requests, and dry up while
+/// nothing succeeds. It outlives a change of the preset.
 class retry_budget {
  public:
-  void Earn(std::string_view organisation, std::string_view stage,
-            double share);
+  /// @param share of a token that a success earns
+  /// @param part  of its request that the stage is
+  void Earn(std::string_view organisation, std::string_view stage, double share,
+            double part);
   /// @return whether there was a token to take
   bool Take(std::string_view organisation, std::string_view stage);
 
  private:
+  float& Tokens(uint64_t key);
+
   std::unordered_map<uint64_t, float> tokens_;
 };
 
@@ -48,8 +53,8 @@
   common::duration Wait(uint32_t waits) override;
   std::optional<common::duration> HedgeDelay(std::string_view stage) override;
   bool TakeHedge(const retry_question& question) override;
-  void OnSuccess(std::string_view organisation,
-                 std::string_view stage) override;
+  void OnSuccess(std::string_view organisation, std::string_view stage,
+                 double part) override;
 
  private:
   bool CapsAllow(const retry_question& question) const;
--- a/source/core/retry/fixed_retry.h
+++ b/source/core/retry/fixed_retry.h
@@ -17,7 +17,7 @@
     return std::nullopt;
   }
   bool TakeHedge(const retry_question&) override { return false; }
-  void OnSuccess(std::string_view, std::string_view) override {}
+  void OnSuccess(std::string_view, std::string_view, double) override {}
 
  private:
   uint32_t max_attempts_;
--- a/source/core/retry/retry_policy.h
+++ b/source/core/retry/retry_policy.h
@@ -36,8 +36,9 @@
   /// @return whether the budget allows the hedge that is now due
   virtual bool TakeHedge(const retry_question& question) = 0;
   /// A stage ended well.
-  virtual void OnSuccess(std::string_view organisation,
-                         std::string_view stage) = 0;
+  /// @param part of its request that the stage is: one over its stages
+  virtual void OnSuccess(std::string_view organisation, std::string_view stage,
+                         double part) = 0;
 };
 
 }  // namespace wisteriadale::core
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -133,8 +133,6 @@
       process->targets_, *process->control_,
       operation_api(*process->operations_, *process->doubts_), name,
       settings.Text(settings::kOperatorKeySha256));
-  process->vm_list_period_ =
-      common::milliseconds(settings.Integer(settings::kVmListPollMs));
   process->stop_grace_ =
       common::milliseconds(settings.Integer(settings::kStopGraceMs));
 
@@ -165,14 +163,13 @@
   process->server_ = std::move(*server);
   process->control_->peers().SetListenAddress(listen.address,
                                               process->server_->port());
+  process->Supervise(settings);
   return process;
 }
 
 void router_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
-  control_->Start();
-  PollVmList();
-  links_->Tick();
+  root_->Start();
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
   loop_->Run();
@@ -199,14 +196,41 @@
   loop_->Schedule(kSpanFlushPeriod, [this] { FlushSpans(); });
 }
 
-void router_process::PollVmList() {
-  vms_->Fetch([this](std::optional<std::vector<core::vm_entry>> entries) {
-    if (entries) {
-      control_->OnVmList(*entries);
-      policies_->SetRouters(core::LiveRouters(*entries));
-    }
-    loop_->Schedule(vm_list_period_, [this] { PollVmList(); });
-  });
+void router_process::Supervise(const settings::settings_document& settings) {
+  control_part_ = std::make_unique<common::plain_component>(
+      "control_plane", [this] { control_->Start(); },
+      [this](const std::function<void()>& on_stopped) {
+        control_->Stop();
+        on_stopped();
+      });
+  core::vm_list_poller_options polling;
+  polling.period =
+      common::milliseconds(settings.Integer(settings::kVmListPollMs));
+  vm_list_part_ = std::make_unique<core::vm_list_poller>(
+      polling, *vms_, clock_, *loop_,
+      [this](const std::vector<core::vm_entry>& list) { OnVmList(list); });
+  links_part_ = std::make_unique<common::plain_component>(
+      "agent_links", [this] { links_->Tick(); },
+      [](const std::function<void()>& on_stopped) { on_stopped(); });
+  callers_part_ = std::make_unique<common::plain_component>(
+      "caller_api", [] {},
+      [this](const std::function<void()>& on_stopped) {
+        callers_->StopAdmitting();
+        callers_->OnIdle(on_stopped);
+      });
+  root_ = std::make_unique<common::supervisor>("router", clock_, *loop_,
+                                               common::supervision_options());
+  root_->Add(*control_part_);
+  root_->Add(*vm_list_part_);
+  root_->Add(*links_part_);
+  root_->Add(*callers_part_);
+  // A router that cannot repair itself makes room for a new one.
+  root_->OnGiveUp([this] { Stop(); });
+}
+
+void router_process::OnVmList(const std::vector<core::vm_entry>& entries) {
+  control_->OnVmList(entries);
+  policies_->SetRouters(core::LiveRouters(entries));
 }
 
 void router_process::Stop() {
@@ -214,9 +238,7 @@
   if (stopping_) return;
   stopping_ = true;
   loop_->Schedule(stop_grace_, [this] {
-    callers_->StopAdmitting();
-    control_->Stop();
-    callers_->OnIdle(
+    root_->Stop(
         [this] { loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); }); });
   });
 }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -4,7 +4,9 @@
 #include <optional>
 #include <string>
 
+#include "common/plain_component.h"
 #include "common/span_buffer.h"
+#include "core/membership/vm_list_poller.h"
 #include "core/operations/batched_table.h"
 #include "core/policy/policy_book.h"
 #include "net/http_server.h"
@@ -32,9 +34,10 @@
 
   void OnHttp(const net::http_request& request,
               const std::shared_ptr<net::http_responder>& responder);
-  void PollVmList();
+  void Supervise(const settings::settings_document& settings);
   bool OpenSpans(const settings::settings_document& settings);
   void FlushSpans();
+  void OnVmList(const std::vector<core::vm_entry>& entries);
   void Stop();
   bool Ready() const;
 
@@ -58,7 +61,12 @@
   std::unique_ptr<caller_api> callers_;
   std::unique_ptr<operator_api> operators_;
   std::unique_ptr<net::http_server> server_;
-  common::duration vm_list_period_{};
+  // The supervisor tree: started in this order, stopped in reverse.
+  std::unique_ptr<common::plain_component> control_part_;
+  std::unique_ptr<core::vm_list_poller> vm_list_part_;
+  std::unique_ptr<common::plain_component> links_part_;
+  std::unique_ptr<common::plain_component> callers_part_;
+  std::unique_ptr<common::supervisor> root_;
   common::duration stop_grace_{};
   bool stopping_ = false;
 };
--- a/source/unit_tests/core/retry/budget_retry_test.cc
+++ b/source/unit_tests/core/retry/budget_retry_test.cc
@@ -32,13 +32,29 @@
   core::budget_retry policy = Policy();
   int granted = 0;
   for (int i = 0; i < 1000; ++i) {
-    policy.OnSuccess("parks", "care/generate");
+    policy.OnSuccess("parks", "care/generate", 1.0);
     granted += policy.Retry(question).has_value() ? 1 : 0;
   }
   CHECK(granted >= 95);
   CHECK(granted <= 102);
 }
 
+TEST(BudgetRetry, RepeatsOverAllStagesStayAShareOfRequests) {
+  core::budget_retry policy = Policy();
+  constexpr int kStages = 4;
+  int granted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    for (int stage = 0; stage < kStages; ++stage) {
+      const std::string name = "care/" + std::to_string(stage);
+      question.stage = name;
+      policy.OnSuccess("parks", name, 1.0 / kStages);
+      granted += policy.Retry(question).has_value() ? 1 : 0;
+    }
+  }
+  CHECK(granted >= 95);
+  CHECK(granted <= 102);
+}
+
 TEST(BudgetRetry, DryUpWhileNothingSucceeds) {
   core::budget_retry policy = Policy();
   int granted = 0;
@@ -81,7 +97,7 @@
   question.code = result_code::kOverloaded;
   std::set<int64_t> delays;
   for (int i = 0; i < 20; ++i) {
-    policy.OnSuccess("parks", "care/generate");
+    policy.OnSuccess("parks", "care/generate", 1.0);
     const std::optional<common::duration> delay = policy.Retry(question);
     if (!delay) continue;
     CHECK(*delay >= milliseconds(5));
