Give each agent of a fleet the concurrency of its target

Cause: agents let 16 attempts onto engines that batch 8, so the rest waited inside the engine, where neither deadlines nor shares are kept. The adaptive limit alone did not come down to the batch.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -102,15 +102,16 @@
   expand "${1:-0}" >"$run/standin.json"
   launch standin wisteria-standin "--settings=$run/standin.json"
   wait_until "the platform" get "$platform" /vms
-  local name role centre pool port target
-  while IFS=$'\t' read -r name role centre pool port target; do
+  local name role centre pool port target slots
+  while IFS=$'\t' read -r name role centre pool port target slots; do
     if [ "$role" = router ]; then
       launch "$name" wisteria-router "--set=/name=$name,/data_centre=$centre,/listen/port=$port,/platform/port=$platform,/stop/grace_ms=200${WISTERIA_ROUTER_SET:+,$WISTERIA_ROUTER_SET}"
     else
-      launch "$name" wisteria-agent "--set=/name=$name,/data_centre=$centre,/listen/port=$port,/platform/port=$platform,/target/pool=$pool,/target/port=$target${WISTERIA_AGENT_SET:+,$WISTERIA_AGENT_SET}"
+      launch "$name" wisteria-agent "--set=/name=$name,/data_centre=$centre,/listen/port=$port,/platform/port=$platform,/target/pool=$pool,/target/port=$target,/limits/concurrency=$slots${WISTERIA_AGENT_SET:+,$WISTERIA_AGENT_SET}"
     fi
   done < <(jq -r '(.targets | map({(.id): .port}) | add) as $ports
-    | .vms[] | [.name, .role, .data_centre, .pool // "-", .port, $ports[.name] // 0] | @tsv' "$run/standin.json")
+    | (.targets | map({(.id): (.batch_limit // .parallel // 16)}) | add) as $slots
+    | .vms[] | [.name, .role, .data_centre, .pool // "-", .port, $ports[.name] // 0, $slots[.name] // 0] | @tsv' "$run/standin.json")
   local first
   first=$(routers | head -1)
   wait_until "router-1" get "$first" /healthz
