Do not begin work that the target cannot end in time

An attempt now needs 70% of the smoothed time on the target; an idle target takes anything, so that the estimate recovers, and work under a token is never given up on an estimate. The new test fails without the rule.

--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -12,6 +12,8 @@
 
 using common::result_code;
 
+/// Share of the usual time on the target that an attempt must have left.
+constexpr double kLeastServiceShare = 0.7;
 constexpr double kLatencySmoothing = 0.1;
 constexpr int64_t kMaxReportedWaitUs = 2000000000;
 
@@ -179,7 +181,7 @@
   while (const std::optional<queued_attempt> next = NextQueued()) {
     const auto found = attempts_.find(next->id);
     if (found == attempts_.end()) continue;
-    if (clock_.Now() >= found->second.deadline) {
+    if (CannotEnd(found->second)) {
       Expire(next->id);
       continue;
     }
@@ -194,6 +196,17 @@
   starting_ = false;
 }
 
+bool attempt_host::CannotEnd(const attempt& entry) const {
+  const common::time_point now = clock_.Now();
+  if (now >= entry.deadline) return true;
+  // An idle target takes what comes, so that the estimate can recover; work
+  // that must not be repeated is never given up on an estimate.
+  if (running_ == 0 || !entry.execute.operation_token.empty()) return false;
+  const double least_us = latency_us_ * kLeastServiceShare;
+  return now + common::duration(static_cast<int64_t>(least_us)) >
+         entry.deadline;
+}
+
 void attempt_host::SweepExpired() {
   for (const queued_attempt& expired : queue_->TakeExpired(clock_.Now())) {
     Expire(expired.id);
--- a/source/core/agent/attempt_host.h
+++ b/source/core/agent/attempt_host.h
@@ -133,6 +133,8 @@
   void ResumeUnknown(router_link link, const resume_message& resume);
   void StartQueued();
   std::optional<queued_attempt> NextQueued();
+  /// @return whether the attempt would only waste the target's time
+  bool CannotEnd(const attempt& entry) const;
   void SweepExpired();
   void Expire(const std::string& attempt_id);
   void Unqueue(const std::string& attempt_id);
--- a/source/unit_tests/core/agent/attempt_limits_test.cc
+++ b/source/unit_tests/core/agent/attempt_limits_test.cc
@@ -76,6 +76,34 @@
   }
 };
 
+TEST(AttemptLimits, WorkThatCannotEndInTimeIsNotBegun) {
+  target.service = milliseconds(100);
+  for (int i = 0; i < 60; ++i) {
+    host.OnExecute(1, Attempt("w" + std::to_string(i), 10000));
+    time.Advance(milliseconds(100));
+  }
+  // The target is full for 100 ms; 130 ms then leave too little time.
+  for (int i = 0; i < 4; ++i) {
+    host.OnExecute(1, Attempt("a" + std::to_string(i), 10000));
+  }
+  host.OnExecute(1, Attempt("b", 130));
+  time.Advance(milliseconds(500));
+  CHECK(routers.codes["b"] == common::result_code::kDeadlineExceeded);
+  for (const std::string& id : target.order) CHECK(id != "b");
+}
+
+TEST(AttemptLimits, AnIdleTargetTakesWorkWhateverTheEstimate) {
+  target.service = milliseconds(1000);
+  for (int i = 0; i < 30; ++i) {
+    host.OnExecute(1, Attempt("w" + std::to_string(i), 10000));
+    time.Advance(milliseconds(1000));
+  }
+  target.service = milliseconds(10);
+  host.OnExecute(1, Attempt("a", 200));
+  time.Advance(milliseconds(500));
+  CHECK(routers.codes["a"] == common::result_code::kOk);
+}
+
 TEST(AttemptLimits, AloneAttemptHasNothingBesideItAndDelaysNoOneForLong) {
   for (int i = 0; i < 6; ++i) {
     host.OnExecute(1, Attempt("a" + std::to_string(i), 1000));
