Ask for the smoothed time on the target before work begins, and split the processes' set-up

Cause 1: 70% of the smoothed time still let many generations begin that could not end.

Cause 2: agent and router read the platform's settings in three places, and both set-ups were one long function each. They are split by what they make, and the platform's settings are read in platform/platform_settings.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -5,8 +5,7 @@
 #include "common/metrics.h"
 #include "core/control_traffic.h"
 #include "core/policy/agent_policy.h"
-#include "platform/budgeted_table.h"
-#include "platform/http_platform.h"
+#include "platform/platform_settings.h"
 #include "settings/agent_settings.h"
 #include "wire/codec.h"
 
@@ -24,16 +23,6 @@
 // Routers learn from the last messages that the agent is leaving.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
-platform::table_budget TableBudget(
-    const settings::settings_document& settings) {
-  platform::table_budget budget;
-  budget.reads_per_second =
-      static_cast<double>(settings.Integer(settings::kPlatformReadsPerSecond));
-  budget.writes_per_second =
-      static_cast<double>(settings.Integer(settings::kPlatformWritesPerSecond));
-  return budget;
-}
-
 /// Hands a decoded message of a router to the attempt host.
 struct message_handler {
   core::attempt_host& host;
@@ -81,7 +70,6 @@
 std::optional<std::unique_ptr<agent_process>> agent_process::Create(
     const settings::settings_document& settings) {
   std::unique_ptr<agent_process> process(new agent_process());
-  agent_process* raw = process.get();
   const uint64_t seed =
       static_cast<uint64_t>(settings.Integer(settings::kRandomSeed));
   process->random_ = std::make_unique<common::seeded_random>(
@@ -95,6 +83,15 @@
       net::endpoint{
           settings.Text(settings::kTargetAddress),
           static_cast<uint16_t>(settings.Integer(settings::kTargetPort))});
+  process->MakeHost(settings);
+  if (!process->SetPolicies(settings)) return std::nullopt;
+  if (!process->Listen(settings)) return std::nullopt;
+  process->SetRecorder(settings);
+  process->MakeControl(settings);
+  return process;
+}
+
+void agent_process::MakeHost(const settings::settings_document& settings) {
   core::attempt_host_options options;
   // The incarnation must differ after a restart, whatever the seed.
   constexpr uint64_t kPositive = 0x7fffffffffffffff;
@@ -107,12 +104,15 @@
       common::milliseconds(settings.Integer(settings::kRetentionMs));
   options.orphan_limit =
       common::milliseconds(settings.Integer(settings::kOrphanLimitMs));
-  process->host_ = std::make_unique<core::attempt_host>(
-      options, *process->target_, *process, process->clock_, *process->loop_);
-  if (!process->SetPolicies(settings)) return std::nullopt;
-  process->hello_.name = settings.Text(settings::kName);
-  process->hello_.incarnation = options.incarnation;
-  process->hello_.data_centre = settings.Text(settings::kDataCentre);
+  host_ = std::make_unique<core::attempt_host>(options, *target_, *this, clock_,
+                                               *loop_);
+  hello_.name = settings.Text(settings::kName);
+  hello_.incarnation = options.incarnation;
+  hello_.data_centre = settings.Text(settings::kDataCentre);
+  hello_.pool = settings.Text(settings::kPool);
+}
+
+bool agent_process::Listen(const settings::settings_document& settings) {
   net::http_server::options listen;
   listen.address = settings.Text(settings::kListenAddress);
   listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
@@ -121,32 +121,23 @@
                 settings.Text(settings::kTlsCaFile)};
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
-          *process->loop_, listen,
-          [raw](const net::http_request& request,
-                const std::shared_ptr<net::http_responder>& responder) {
-            raw->OnHttp(request, responder.get());
+          *loop_, listen,
+          [this](const net::http_request& request,
+                 const std::shared_ptr<net::http_responder>& responder) {
+            OnHttp(request, responder.get());
           },
-          [raw](std::shared_ptr<net::channel> channel) {
-            raw->Accept(std::move(channel));
+          [this](std::shared_ptr<net::channel> channel) {
+            Accept(std::move(channel));
           });
-  if (!server) return std::nullopt;
-  process->server_ = std::move(*server);
-  process->hello_.pool = settings.Text(settings::kPool);
-  process->hello_.address = listen.address;
-  process->hello_.port = process->server_->port();
-  process->SetRecorder(settings);
-  process->MakeControl(settings);
-  return process;
+  if (!server) return false;
+  server_ = std::move(*server);
+  hello_.address = listen.address;
+  hello_.port = server_->port();
+  return true;
 }
 
 void agent_process::MakeControl(const settings::settings_document& settings) {
-  platform::platform_options platform;
-  platform.address = {
-      settings.Text(settings::kPlatformAddress),
-      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
-  platform.timeout =
-      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  vms_ = platform::MakeHttpVmList(*loop_, platform);
+  vms_ = platform::MakeHttpVmList(*loop_, platform::OptionsFrom(settings));
   const net::endpoint target = {
       settings.Text(settings::kTargetAddress),
       static_cast<uint16_t>(settings.Integer(settings::kTargetPort))};
@@ -178,15 +169,10 @@
 }
 
 void agent_process::SetRecorder(const settings::settings_document& settings) {
-  platform::platform_options platform;
-  platform.address = {
-      settings.Text(settings::kPlatformAddress),
-      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
-  platform.timeout =
-      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  http_table_ = platform::MakeHttpTable(*loop_, platform);
+  http_table_ =
+      platform::MakeHttpTable(*loop_, platform::OptionsFrom(settings));
   table_ = std::make_unique<platform::budgeted_table>(
-      *http_table_, TableBudget(settings), clock_, *loop_, *random_);
+      *http_table_, platform::BudgetFrom(settings), clock_, *loop_, *random_);
   operations_ =
       std::make_unique<core::operation_log>(*table_, *loop_, clock_, *random_);
   recorder_ = std::make_unique<core::operation_recorder>(
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -39,6 +39,9 @@
   void OnHttp(const net::http_request& request, net::http_responder* responder);
   void Stop();
   void TellLoad();
+  void MakeHost(const settings::settings_document& settings);
+  /// @return false, with LastReason set, when the port cannot be had
+  bool Listen(const settings::settings_document& settings);
   void SetRecorder(const settings::settings_document& settings);
   void MakeControl(const settings::settings_document& settings);
 
--- a/source/core/admission/attempt_queue.h
+++ b/source/core/admission/attempt_queue.h
@@ -26,6 +26,8 @@
 struct queue_load {
   common::time_point now;
   common::duration service{0};  ///< smoothed time on the target; 0: not known
+  /// Time that an attempt must have left when it begins; 0: not known.
+  common::duration needed{0};
   uint32_t running = 0;
   uint32_t limit = 1;
 };
--- a/source/core/admission/fair_queue.cc
+++ b/source/core/admission/fair_queue.cc
@@ -110,7 +110,8 @@
                          "the organisation's share of the queue is full"};
   }
   const common::duration wait = WaitBehind(urgent_.Ahead(attempt), load);
-  if (load.now + wait + load.service > attempt.deadline) {
+  const common::duration needed = std::max(load.service, load.needed);
+  if (load.now + wait + needed > attempt.deadline) {
     return queue_refusal{result_code::kOverloaded,
                          "the attempt could not end before its deadline"};
   }
--- a/source/core/agent/attempt_host.cc
+++ b/source/core/agent/attempt_host.cc
@@ -12,8 +12,8 @@
 
 using common::result_code;
 
-/// Share of the usual time on the target that an attempt must have left.
-constexpr double kLeastServiceShare = 0.7;
+/// Time that an attempt must have left, in smoothed times on the target.
+constexpr double kNeededTimes = 1.0;
 constexpr double kLatencySmoothing = 0.1;
 constexpr int64_t kMaxReportedWaitUs = 2000000000;
 
@@ -150,6 +150,7 @@
   queue_load load;
   load.now = clock_.Now();
   load.service = common::duration(static_cast<int64_t>(latency_us_));
+  load.needed = NeededTime();
   load.running = running_;
   load.limit = limit_->Limit();
   return load;
@@ -202,9 +203,11 @@
   // An idle target takes what comes, so that the estimate can recover; work
   // that must not be repeated is never given up on an estimate.
   if (running_ == 0 || !entry.execute.operation_token.empty()) return false;
-  const double least_us = latency_us_ * kLeastServiceShare;
-  return now + common::duration(static_cast<int64_t>(least_us)) >
-         entry.deadline;
+  return now + NeededTime() > entry.deadline;
+}
+
+common::duration attempt_host::NeededTime() const {
+  return common::duration(static_cast<int64_t>(latency_us_ * kNeededTimes));
 }
 
 void attempt_host::SweepExpired() {
--- a/source/core/agent/attempt_host.h
+++ b/source/core/agent/attempt_host.h
@@ -135,6 +135,7 @@
   std::optional<queued_attempt> NextQueued();
   /// @return whether the attempt would only waste the target's time
   bool CannotEnd(const attempt& entry) const;
+  common::duration NeededTime() const;
   void SweepExpired();
   void Expire(const std::string& attempt_id);
   void Unqueue(const std::string& attempt_id);
--- /dev/null
+++ b/source/platform/platform_settings.cc
@@ -0,0 +1,26 @@
+#include "platform/platform_settings.h"
+
+#include "settings/common_settings.h"
+
+namespace wisteriadale::platform {
+
+platform_options OptionsFrom(const settings::settings_document& settings) {
+  platform_options options;
+  options.address = {
+      settings.Text(settings::kPlatformAddress),
+      static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
+  options.timeout =
+      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
+  return options;
+}
+
+table_budget BudgetFrom(const settings::settings_document& settings) {
+  table_budget budget;
+  budget.reads_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformReadsPerSecond));
+  budget.writes_per_second =
+      static_cast<double>(settings.Integer(settings::kPlatformWritesPerSecond));
+  return budget;
+}
+
+}  // namespace wisteriadale::platform
--- /dev/null
+++ b/source/platform/platform_settings.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "platform/budgeted_table.h"
+#include "platform/http_platform.h"
+#include "settings/settings_document.h"
+
+namespace wisteriadale::platform {
+
+/// @return where the platform is, from the settings of a process
+platform_options OptionsFrom(const settings::settings_document& settings);
+
+/// @return the process's budget of table calls, from its settings
+table_budget BudgetFrom(const settings::settings_document& settings);
+
+}  // namespace wisteriadale::platform
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -4,7 +4,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
-#include "platform/budgeted_table.h"
+#include "platform/platform_settings.h"
 #include "settings/router_settings.h"
 
 namespace wisteriadale::router {
@@ -29,21 +29,6 @@
   return options;
 }
 
-platform::table_budget TableBudget(
-    const settings::settings_document& settings) {
-  platform::table_budget budget;
-  budget.reads_per_second =
-      static_cast<double>(settings.Integer(settings::kPlatformReadsPerSecond));
-  budget.writes_per_second =
-      static_cast<double>(settings.Integer(settings::kPlatformWritesPerSecond));
-  return budget;
-}
-
-net::endpoint PlatformEndpoint(const settings::settings_document& settings) {
-  return {settings.Text(settings::kPlatformAddress),
-          static_cast<uint16_t>(settings.Integer(settings::kPlatformPort))};
-}
-
 /// @return the addresses of /peers/seeds; entries that are none are left out
 std::vector<net::endpoint> SeedPeers(
     const settings::settings_document& settings) {
@@ -67,7 +52,6 @@
 std::optional<std::unique_ptr<router_process>> router_process::Create(
     const settings::settings_document& settings) {
   std::unique_ptr<router_process> process(new router_process());
-  router_process* raw = process.get();
   const uint64_t seed =
       static_cast<uint64_t>(settings.Integer(settings::kRandomSeed));
   process->random_ = std::make_unique<common::seeded_random>(
@@ -76,66 +60,71 @@
       net::event_loop::Create(LoopOptions(settings));
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
-  net::event_loop& events = *process->loop_;
   if (!process->OpenSpans(settings)) return std::nullopt;
 
-  platform::platform_options platform;
-  platform.address = PlatformEndpoint(settings);
-  platform.timeout =
-      common::milliseconds(settings.Integer(settings::kPlatformTimeoutMs));
-  process->http_table_ = platform::MakeHttpTable(events, platform);
-  process->table_ = std::make_unique<platform::budgeted_table>(
-      *process->http_table_, TableBudget(settings), process->clock_, events,
-      *process->random_);
-  process->objects_ = platform::MakeHttpObjectStore(events, platform);
-  process->vms_ = platform::MakeHttpVmList(events, platform);
+  process->MakePlatform(settings);
+  process->MakeExecutors(settings);
+  process->MakeInterfaces(settings);
+  if (!process->Listen(settings)) return std::nullopt;
+  process->Supervise(settings);
+  return process;
+}
+
+void router_process::MakePlatform(const settings::settings_document& settings) {
+  const platform::platform_options platform = platform::OptionsFrom(settings);
+  http_table_ = platform::MakeHttpTable(*loop_, platform);
+  table_ = std::make_unique<platform::budgeted_table>(
+      *http_table_, platform::BudgetFrom(settings), clock_, *loop_, *random_);
+  objects_ = platform::MakeHttpObjectStore(*loop_, platform);
+  vms_ = platform::MakeHttpVmList(*loop_, platform);
+}
 
+void router_process::MakeExecutors(
+    const settings::settings_document& settings) {
   const std::string name = settings.Text(settings::kName);
   const std::string data_centre = settings.Text(settings::kDataCentre);
-  core::hello_message hello;
-  hello.name = name;
-  hello.data_centre = data_centre;
-  hello.is_router = true;
+  hello_.name = name;
+  hello_.data_centre = data_centre;
+  hello_.is_router = true;
   // Differs after a restart, whatever the seed.
-  hello.incarnation = common::SystemSeed() >> 1 | 1;
-  process->policies_ = std::make_unique<core::policy_book>(
-      process->clock_, *process->random_,
-      core::router_entry{name, data_centre});
-  process->links_ = std::make_unique<agent_links>(events, process->clock_,
-                                                  process->targets_, hello);
-  process->attempts_ = std::make_unique<core::attempt_table>(
-      *process->links_, events,
+  hello_.incarnation = common::SystemSeed() >> 1 | 1;
+  policies_ = std::make_unique<core::policy_book>(
+      clock_, *random_, core::router_entry{name, data_centre});
+  links_ = std::make_unique<agent_links>(*loop_, clock_, targets_, hello_);
+  attempts_ = std::make_unique<core::attempt_table>(
+      *links_, *loop_,
       common::milliseconds(settings.Integer(settings::kReconnectLimitMs)));
-  process->links_->SetAttempts(process->attempts_.get());
-  process->operation_rows_ = std::make_unique<core::batched_table>(
-      core::batched_table_options(), *process->table_);
-  process->operations_ = std::make_unique<core::operation_log>(
-      *process->operation_rows_, events, process->clock_, *process->random_);
-  process->doubts_ = std::make_unique<core::doubt_list>(
-      *process->table_, *process->operations_, *process->attempts_,
-      process->clock_);
-  process->executors_ = std::make_unique<core::executor_context>(
-      core::executor_context{process->clock_, events, *process->random_,
-                             process->targets_, *process->policies_,
-                             *process->attempts_, *process->operations_, name});
-  process->control_ = std::make_unique<control_plane>(control_environment{
-      events, process->clock_, *process->random_, *process->table_,
-      *process->objects_, process->targets_, *process->links_, hello,
+  links_->SetAttempts(attempts_.get());
+  operation_rows_ = std::make_unique<core::batched_table>(
+      core::batched_table_options(), *table_);
+  operations_ = std::make_unique<core::operation_log>(*operation_rows_, *loop_,
+                                                      clock_, *random_);
+  doubts_ = std::make_unique<core::doubt_list>(*table_, *operations_,
+                                               *attempts_, clock_);
+  executors_ = std::make_unique<core::executor_context>(
+      core::executor_context{clock_, *loop_, *random_, targets_, *policies_,
+                             *attempts_, *operations_, name});
+}
+
+void router_process::MakeInterfaces(
+    const settings::settings_document& settings) {
+  control_ = std::make_unique<control_plane>(control_environment{
+      *loop_, clock_, *random_, *table_, *objects_, targets_, *links_, hello_,
       common::milliseconds(settings.Integer(settings::kConfigurationPollMs))});
-  process->executors_->crashes = &process->control_->crashes();
+  executors_->crashes = &control_->crashes();
   for (const net::endpoint& seed : SeedPeers(settings)) {
-    process->control_->peers().AddSeed(seed);
+    control_->peers().AddSeed(seed);
   }
-  process->callers_ = std::make_unique<caller_api>(
-      *process->executors_, process->control_->configuration(),
+  callers_ = std::make_unique<caller_api>(
+      *executors_, control_->configuration(),
       caller_limits{settings.Integer(settings::kMaxDeadlineMs)});
-  process->operators_ = std::make_unique<operator_api>(
-      process->targets_, *process->control_,
-      operation_api(*process->operations_, *process->doubts_), name,
+  operators_ = std::make_unique<operator_api>(
+      targets_, *control_, operation_api(*operations_, *doubts_), hello_.name,
       settings.Text(settings::kOperatorKeySha256));
-  process->stop_grace_ =
-      common::milliseconds(settings.Integer(settings::kStopGraceMs));
+  stop_grace_ = common::milliseconds(settings.Integer(settings::kStopGraceMs));
+}
 
+bool router_process::Listen(const settings::settings_document& settings) {
   net::http_server::options listen;
   listen.address = settings.Text(settings::kListenAddress);
   listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
@@ -151,20 +140,18 @@
       static_cast<size_t>(settings.Integer(settings::kMaxPendingBytes));
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
-          events, listen,
-          [raw](const net::http_request& request,
-                const std::shared_ptr<net::http_responder>& responder) {
-            raw->OnHttp(request, responder);
+          *loop_, listen,
+          [this](const net::http_request& request,
+                 const std::shared_ptr<net::http_responder>& responder) {
+            OnHttp(request, responder);
           },
-          [raw](std::shared_ptr<net::channel> channel) {
-            raw->control_->peers().Accept(std::move(channel));
+          [this](std::shared_ptr<net::channel> channel) {
+            control_->peers().Accept(std::move(channel));
           });
-  if (!server) return std::nullopt;
-  process->server_ = std::move(*server);
-  process->control_->peers().SetListenAddress(listen.address,
-                                              process->server_->port());
-  process->Supervise(settings);
-  return process;
+  if (!server) return false;
+  server_ = std::move(*server);
+  control_->peers().SetListenAddress(listen.address, server_->port());
+  return true;
 }
 
 void router_process::Run() {
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -34,6 +34,11 @@
 
   void OnHttp(const net::http_request& request,
               const std::shared_ptr<net::http_responder>& responder);
+  void MakePlatform(const settings::settings_document& settings);
+  void MakeExecutors(const settings::settings_document& settings);
+  void MakeInterfaces(const settings::settings_document& settings);
+  /// @return false, with LastReason set, when the port cannot be had
+  bool Listen(const settings::settings_document& settings);
   void Supervise(const settings::settings_document& settings);
   bool OpenSpans(const settings::settings_document& settings);
   void FlushSpans();
@@ -45,6 +50,7 @@
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<common::span_buffer> spans_;  ///< null without a trace file
   std::unique_ptr<net::event_loop> loop_;
+  core::hello_message hello_;
   std::unique_ptr<core::table> http_table_;
   std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
   std::unique_ptr<core::object_store> objects_;
