Give a recent answer again by its request's id

Cause: a caller whose connection broke could learn what became of an operation, but not of an idempotent request.

--- a/scenarios/end_to_end.lua
+++ b/scenarios/end_to_end.lua
@@ -23,6 +23,18 @@
 expect_equal(last.result, text, "streamed text")
 expect_equal(answer.json.result, text, "the same text through both routers")
 
+-- The answer can be had again by the request's id, from the router that gave it.
+local function look_up(id, api_key)
+  return http{port = deployment.router_ports[2], path = "/v1/requests/" .. id,
+              headers = {authorization = "Bearer " .. api_key}}
+end
+local accepted = decode(events.body:match("event: accepted\ndata: ([^\n]*)\n\n"))
+local again = look_up(accepted.request_id, fleet.api_key)
+expect_equal(200, again.status, "looked up: " .. again.body)
+expect_equal(text, again.json.result, "the same answer")
+expect_equal(401, look_up(accepted.request_id, "wrong").status, "a wrong key")
+expect_equal(404, look_up("nothing", fleet.api_key).status, "an unknown id")
+
 local order = {frame = "cone", count = 2}
 local first = deployment:ask("booking", order, {key = "order-1"})
 expect_equal(200, first.status, "first booking: " .. first.body)
--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -7,6 +7,7 @@
 
 local kStartLimitMs = 10000
 local kCallerKey = "caller-key"
+fleet.api_key = kCallerKey
 local kStages = {"encode", "retrieve", "rerank", "generate"}
 
 --- Settings that go before the defaults of a role, by JSON pointer.
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -15,6 +15,7 @@
 
 constexpr char kRequestPrefix[] = "/v1/pipelines/";
 constexpr char kRequestSuffix[] = "/requests";
+constexpr char kRecentPrefix[] = "/v1/requests/";
 constexpr char kOperationPrefix[] = "/v1/operations/";
 constexpr char kBearer[] = "Bearer ";
 constexpr char kJson[] = "application/json";
@@ -88,7 +89,10 @@
         events_(events),
         started_(api.context_.clock.Now()),
         started_wall_us_(api.context_.clock.WallMicros()) {
-    if (events_) responder_->StartStream(200, "text/event-stream");
+    if (!events_) return;
+    responder_->StartStream(200, "text/event-stream");
+    // A caller whose stream breaks asks for the request by this id.
+    responder_->Write(Event("accepted", {{"request_id", description_.id}}));
   }
 
   void OnData(std::string_view data) override {
@@ -115,6 +119,8 @@
     } else {
       responder_->Send(common::Describe(result.code).http_status, kJson, text);
     }
+    api_.recent_.OnEnded(description_.id,
+                         common::Describe(result.code).http_status, text);
     Record(result);
     api_.Ended();
   }
@@ -174,6 +180,10 @@
     StartRequest(request, responder);
     return true;
   }
+  if (request.path.starts_with(kRecentPrefix)) {
+    LookRequest(request, responder.get());
+    return true;
+  }
   if (request.path.starts_with(kOperationPrefix)) {
     LookOperation(request, responder);
     return true;
@@ -299,6 +309,7 @@
   const bool events = request.Header("accept").find("text/event-stream") !=
                       std::string_view::npos;
   ++in_flight_;
+  recent_.OnAdmitted(description.id, description.organisation);
   const std::shared_ptr<answer_sink> sink =
       std::make_shared<answer_sink>(*this, responder, description, events);
   const std::shared_ptr<core::request_executor> executor =
@@ -338,6 +349,31 @@
   return true;
 }
 
+void caller_api::LookRequest(const net::http_request& request,
+                             net::http_responder* responder) {
+  const std::shared_ptr<const core::configuration> configuration =
+      watch_.current();
+  const core::organisation_entry* organisation =
+      configuration ? Authenticate(*configuration, request) : nullptr;
+  if (organisation == nullptr) {
+    SendError(responder, result_code::kUnauthorised, "");
+    return;
+  }
+  const std::string id = request.path.substr(sizeof(kRecentPrefix) - 1);
+  const core::recent_request* found = recent_.Find(id, organisation->name);
+  if (found == nullptr) {
+    SendError(responder, result_code::kNotFound,
+              "this router knows no such request (any more)", "unknown");
+  } else if (!found->ended) {
+    responder->Send(
+        202, kJson,
+        json{{"request_id", id}, {"complete", false}, {"state", "running"}}
+            .dump());
+  } else {
+    responder->Send(found->http_status, kJson, found->answer);
+  }
+}
+
 void caller_api::LookOperation(
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
--- a/source/router/caller_api.h
+++ b/source/router/caller_api.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/pipeline/recent_requests.h"
 #include "core/pipeline/request_executor.h"
 #include "net/http_server.h"
 #include "router/configuration_watch.h"
@@ -41,6 +42,8 @@
                const core::organisation_entry& organisation,
                const core::pipeline_plan& plan, common::milliseconds deadline,
                net::http_responder* responder);
+  void LookRequest(const net::http_request& request,
+                   net::http_responder* responder);
   void LookOperation(const net::http_request& request,
                      const std::shared_ptr<net::http_responder>& responder);
   const core::organisation_entry* Authenticate(
@@ -53,6 +56,7 @@
   caller_limits limits_;
   bool admitting_ = true;
   size_t in_flight_ = 0;
+  core::recent_requests recent_{core::recent_requests_options()};
   std::function<void()> on_idle_;
 };
 
