Trace the agents' calls to their targets, and share the export of spans

Cause: only the router wrote spans, so a trace ended before the target; its set-up of the file was part of the router's process. The export is a class of common that both processes use, and each call to a target is a span under its attempt, whose context goes to the target as traceparent. Shown by scenario end_to_end, which looks for the calls in the request's traces.

--- a/scenarios/end_to_end.lua
+++ b/scenarios/end_to_end.lua
@@ -3,8 +3,10 @@
 local fleet = require("fleet")
 
 local spans_file = runner.logs() .. "/spans.jsonl"
+local agent_spans_file = runner.logs() .. "/agent_spans.jsonl"
 local deployment = fleet.start{routers = 2,
-                               router = {["/trace/file"] = spans_file}}
+                               router = {["/trace/file"] = spans_file},
+                               agent = {["/trace/file"] = agent_spans_file}}
 
 local answer = deployment:ask("answer", {sketch = "a peacock"})
 expect_equal(200, answer.status, "answer: " .. answer.body)
@@ -78,3 +80,14 @@
   if span.parentSpanId == root.spanId then attempts = attempts + 1 end
 end
 expect(attempts >= 4, "a span for each stage under it, found " .. attempts)
+
+-- The agents' calls to their targets belong to the same traces.
+local traces, calls = {}, 0
+for _, span in ipairs(spans) do traces[span.traceId] = true end
+for line in io.lines(agent_spans_file) do
+  local document = decode(line)
+  for _, span in ipairs(document.resourceSpans[1].scopeSpans[1].spans) do
+    if traces[span.traceId] then calls = calls + 1 end
+  end
+end
+expect(calls >= 4, "a span for each call to a target, found " .. calls)
--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -78,11 +78,20 @@
       net::event_loop::Create({});
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
+  const std::string trace_file = settings.Text(settings::kTraceFile);
+  if (!trace_file.empty()) {
+    std::optional<std::unique_ptr<common::span_export>> spans =
+        common::span_export::Create(settings.Text(settings::kName), trace_file,
+                                    *process->loop_);
+    if (!spans) return std::nullopt;
+    process->spans_ = std::move(*spans);
+  }
   process->target_ = std::make_unique<http_target>(
       *process->loop_,
       net::endpoint{
           settings.Text(settings::kTargetAddress),
-          static_cast<uint16_t>(settings.Integer(settings::kTargetPort))});
+          static_cast<uint16_t>(settings.Integer(settings::kTargetPort))},
+      process->clock_, *process->random_);
   process->MakeHost(settings);
   if (!process->SetPolicies(settings)) return std::nullopt;
   if (!process->Listen(settings)) return std::nullopt;
@@ -186,6 +195,7 @@
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
   loop_->Run();
+  spans_.reset();
   common::Log(log_channel::kMain, log_level::kInfo, "stopped");
 }
 
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -7,6 +7,7 @@
 #include "agent/agent_control.h"
 #include "agent/http_target.h"
 #include "common/random.h"
+#include "common/span_export.h"
 #include "core/agent/attempt_host.h"
 #include "core/operations/operation_recorder.h"
 #include "net/http_server.h"
@@ -48,6 +49,7 @@
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
   std::unique_ptr<net::event_loop> loop_;
+  std::unique_ptr<common::span_export> spans_;  ///< null without a trace file
   std::unique_ptr<http_target> target_;
   std::unique_ptr<core::table> http_table_;
   std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
--- a/source/agent/http_target.cc
+++ b/source/agent/http_target.cc
@@ -37,18 +37,25 @@
 void http_target::Run(const core::execute_message& execute,
                       core::target_observer* observer) {
   const std::string id = execute.attempt_id;
+  common::span_record span;
+  span.context = common::ChildOf(execute.trace, random_);
+  span.name = "target " + execute.stage;
+  span.start_us = clock_.WallMicros();
+  span.attributes = {{"request_id", execute.request_id},
+                     {"attempt_id", execute.attempt_id}};
   net::http_call call;
   call.method = "POST";
   call.to = target_;
   call.path = "/run";
   call.headers = {{"content-type", "application/json"},
-                  {"traceparent", execute.trace.Header()}};
+                  {"traceparent", span.context.Header()}};
   call.body = RunBody(execute);
   call.timeout = execute.operation_token.empty()
                      ? common::duration(execute.remaining) + kAnswerMargin
                      : kOperationLimit;
   run& current = runs_[id];
   current.observer = observer;
+  current.span = std::move(span);
   current.transfer = net::StartHttpCall(
       loop_, std::move(call),
       [this, id](const net::http_result& result) { OnDone(id, result); },
@@ -122,7 +129,7 @@
                          const net::http_result& result) {
   const auto found = runs_.find(attempt_id);
   if (found == runs_.end()) return;
-  const run current = std::move(found->second);
+  run current = std::move(found->second);
   runs_.erase(found);
   core::target_result ended = current.result;
   if (result.status != 0 && result.status != kStatusOk) {
@@ -135,6 +142,9 @@
     // A target that could not be reached was down before.
     ended.crashed = result.connected && result.failure != "timeout";
   }
+  current.span.end_us = clock_.WallMicros();
+  current.span.ok = ended.code == result_code::kOk;
+  common::EmitSpan(current.span);
   current.observer->OnTargetResult(attempt_id, ended);
 }
 
--- a/source/agent/http_target.h
+++ b/source/agent/http_target.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "common/random.h"
+#include "common/trace.h"
 #include "core/agent/target_port.h"
 #include "net/http_client.h"
 
@@ -14,8 +16,12 @@
 /// of which says that the answer is whole.
 class http_target final : public core::target_port {
  public:
-  http_target(net::event_loop& loop, net::endpoint target)
-      : loop_(loop), target_(std::move(target)) {}
+  http_target(net::event_loop& loop, net::endpoint target, common::clock& clock,
+              common::random_source& random)
+      : loop_(loop),
+        target_(std::move(target)),
+        clock_(clock),
+        random_(random) {}
 
   void Run(const core::execute_message& execute,
            core::target_observer* observer) override;
@@ -29,6 +35,7 @@
     core::target_observer* observer = nullptr;
     bool whole = false;
     core::target_result result;
+    common::span_record span;  ///< of the call to the target
   };
 
   void OnBytes(const std::string& attempt_id, std::string_view data);
@@ -38,6 +45,8 @@
 
   net::event_loop& loop_;
   net::endpoint target_;
+  common::clock& clock_;
+  common::random_source& random_;
   std::unordered_map<std::string, run> runs_;
 };
 
--- /dev/null
+++ b/source/common/span_export.cc
@@ -0,0 +1,39 @@
+#include "common/span_export.h"
+
+namespace wisteriadale::common {
+namespace {
+
+constexpr size_t kMaxBufferedSpans = 20000;
+constexpr duration kFlushPeriod = std::chrono::seconds(1);
+
+}  // namespace
+
+std::optional<std::unique_ptr<span_export>> span_export::Create(
+    const std::string& service, const std::string& file,
+    timer_service& timers) {
+  std::optional<std::unique_ptr<span_buffer>> opened =
+      span_buffer::Create(service, file, kMaxBufferedSpans);
+  if (!opened) return std::nullopt;
+  std::unique_ptr<span_export> started(new span_export(timers));
+  started->spans_ = std::move(*opened);
+  SetSpanSink([spans = started->spans_.get()](const span_record& span) {
+    spans->Add(span);
+  });
+  started->FlushLater();
+  return started;
+}
+
+span_export::~span_export() {
+  SetSpanSink({});
+  timers_.Cancel(timer_);
+  spans_->Flush();
+}
+
+void span_export::FlushLater() {
+  timer_ = timers_.Schedule(kFlushPeriod, [this] {
+    spans_->Flush();
+    FlushLater();
+  });
+}
+
+}  // namespace wisteriadale::common
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -15,9 +15,6 @@
 
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
-constexpr size_t kMaxBufferedSpans = 20000;
-constexpr common::duration kSpanFlushPeriod = std::chrono::seconds(1);
-
 net::event_loop::options LoopOptions(
     const settings::settings_document& settings) {
   net::event_loop::options options;
@@ -60,7 +57,14 @@
       net::event_loop::Create(LoopOptions(settings));
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
-  if (!process->OpenSpans(settings)) return std::nullopt;
+  const std::string trace_file = settings.Text(settings::kTraceFile);
+  if (!trace_file.empty()) {
+    std::optional<std::unique_ptr<common::span_export>> spans =
+        common::span_export::Create(settings.Text(settings::kName), trace_file,
+                                    *process->loop_);
+    if (!spans) return std::nullopt;
+    process->spans_ = std::move(*spans);
+  }
 
   process->MakePlatform(settings);
   process->MakeExecutors(settings);
@@ -160,29 +164,10 @@
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
   loop_->Run();
-  common::SetSpanSink({});
+  spans_.reset();
   common::Log(log_channel::kMain, log_level::kInfo, "stopped");
 }
 
-bool router_process::OpenSpans(const settings::settings_document& settings) {
-  const std::string file = settings.Text(settings::kTraceFile);
-  if (file.empty()) return true;
-  std::optional<std::unique_ptr<common::span_buffer>> opened =
-      common::span_buffer::Create(settings.Text(settings::kName), file,
-                                  kMaxBufferedSpans);
-  if (!opened) return false;
-  spans_ = std::move(*opened);
-  common::SetSpanSink(
-      [this](const common::span_record& span) { spans_->Add(span); });
-  FlushSpans();
-  return true;
-}
-
-void router_process::FlushSpans() {
-  spans_->Flush();
-  loop_->Schedule(kSpanFlushPeriod, [this] { FlushSpans(); });
-}
-
 void router_process::Supervise(const settings::settings_document& settings) {
   control_part_ = std::make_unique<common::plain_component>(
       "control_plane", [this] { control_->Start(); },
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "common/plain_component.h"
-#include "common/span_buffer.h"
+#include "common/span_export.h"
 #include "core/membership/vm_list_poller.h"
 #include "core/operations/batched_table.h"
 #include "core/policy/policy_book.h"
@@ -40,16 +40,14 @@
   /// @return false, with LastReason set, when the port cannot be had
   bool Listen(const settings::settings_document& settings);
   void Supervise(const settings::settings_document& settings);
-  bool OpenSpans(const settings::settings_document& settings);
-  void FlushSpans();
   void OnVmList(const std::vector<core::vm_entry>& entries);
   void Stop();
   bool Ready() const;
 
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
-  std::unique_ptr<common::span_buffer> spans_;  ///< null without a trace file
   std::unique_ptr<net::event_loop> loop_;
+  std::unique_ptr<common::span_export> spans_;  ///< null without a trace file
   core::hello_message hello_;
   std::unique_ptr<core::table> http_table_;
   std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
