--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -55,8 +55,67 @@
          data.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
 }
 
-/// Whether a data part ends inside a UTF-8 sequence is left to the caller; the
-/// parts are JSON strings, so each is cut at a sequence's start.
+/// @return what keeps a request from being looked at, or kOk
+result_code TransportFault(const net::http_request& request) {
+  if (request.method != "POST") return result_code::kMethodNotAllowed;
+  if (request.body_timed_out) return result_code::kSlowCaller;
+  if (request.length_missing) return result_code::kLengthRequired;
+  if (request.header_too_long) return result_code::kBadRequest;
+  if (request.body_too_large) return result_code::kBodyTooLarge;
+  return result_code::kOk;
+}
+
+/// @param path one that starts and ends as a request's path does
+std::string_view PipelineName(std::string_view path) {
+  path.remove_prefix(sizeof(kRequestPrefix) - 1);
+  const size_t suffix = sizeof(kRequestSuffix) - 1;
+  return path.size() < suffix ? std::string_view()
+                              : path.substr(0, path.size() - suffix);
+}
+
+/// @return the deadline that the caller asks for, the pipeline's own when it
+/// asks for none, or nothing when the header is not a number in the range
+std::optional<common::milliseconds> ReadDeadline(
+    const net::http_request& request, const core::pipeline_plan& plan,
+    int64_t max_deadline_ms) {
+  const std::string_view text = request.Header("request-timeout-ms");
+  if (text.empty()) return plan.default_deadline;
+  const char* end = text.data() + text.size();
+  int64_t wanted_ms = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), end, wanted_ms);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+  if (!whole || wanted_ms <= 0 || wanted_ms > max_deadline_ms) {
+    return std::nullopt;
+  }
+  return common::milliseconds(wanted_ms);
+}
+
+/// Reads what a caller asks of a pipeline.
+/// @return kOk, or what is wrong with the request
+result_code ReadRequest(const net::http_request& request,
+                        const core::pipeline_plan& plan,
+                        int64_t max_deadline_ms,
+                        core::request_description* description) {
+  if (!json::accept(request.body)) return result_code::kMalformedJson;
+  const std::optional<common::milliseconds> deadline =
+      ReadDeadline(request, plan, max_deadline_ms);
+  if (!deadline) return result_code::kBadDeadline;
+  const std::string_view key = request.Header("idempotency-key");
+  if (plan.HasNonIdempotentStage() &&
+      (key.empty() || key.size() > kMaxKeyBytes)) {
+    return result_code::kMissingIdempotencyKey;
+  }
+  description->deadline = *deadline;
+  description->idempotency_key = key;
+  description->body = request.body;
+  description->digest = common::Sha256Hex(plan.name + "\n" + request.body);
+  description->plan = plan;
+  return result_code::kOk;
+}
+
+/// Parts of a stream are JSON strings, so none may end inside a UTF-8 sequence.
+/// @return bytes up to the end of the last whole sequence
 size_t CompleteUtf8(std::string_view text) {
   size_t end = text.size();
   for (size_t back = 1; back <= 3 && back <= text.size(); ++back) {
@@ -220,25 +279,9 @@
     SendError(responder.get(), result_code::kDraining, "");
     return;
   }
-  if (request.method != "POST") {
-    SendError(responder.get(), result_code::kMethodNotAllowed, "");
-    return;
-  }
-  if (request.body_timed_out) {
-    SendError(responder.get(), result_code::kSlowCaller, "");
-    return;
-  }
-  if (request.length_missing) {
-    SendError(responder.get(), result_code::kLengthRequired, "");
-    return;
-  }
-  if (request.header_too_long) {
-    SendError(responder.get(), result_code::kBadRequest,
-              "a header is too long");
-    return;
-  }
-  if (request.body_too_large) {
-    SendError(responder.get(), result_code::kBodyTooLarge, "");
+  if (const result_code fault = TransportFault(request);
+      fault != result_code::kOk) {
+    SendError(responder.get(), fault, "");
     return;
   }
   const core::organisation_entry* organisation =
@@ -247,40 +290,17 @@
     SendError(responder.get(), result_code::kUnauthorised, "");
     return;
   }
-  const std::string_view name =
-      std::string_view(request.path)
-          .substr(sizeof(kRequestPrefix) - 1, request.path.size() -
-                                                  sizeof(kRequestPrefix) -
-                                                  sizeof(kRequestSuffix) + 2);
-  const core::pipeline_plan* plan = configuration->FindPipeline(name);
+  const core::pipeline_plan* plan =
+      configuration->FindPipeline(PipelineName(request.path));
   if (plan == nullptr) {
     SendError(responder.get(), result_code::kUnknownPipeline, "");
     return;
   }
-  if (!json::accept(request.body)) {
-    SendError(responder.get(), result_code::kMalformedJson, "");
-    return;
-  }
   core::request_description description;
-  description.deadline = plan->default_deadline;
-  const std::string_view timeout = request.Header("request-timeout-ms");
-  if (!timeout.empty()) {
-    int64_t wanted_ms = 0;
-    const std::from_chars_result parsed = std::from_chars(
-        timeout.data(), timeout.data() + timeout.size(), wanted_ms);
-    if (parsed.ec != std::errc() ||
-        parsed.ptr != timeout.data() + timeout.size() || wanted_ms <= 0 ||
-        wanted_ms > limits_.max_deadline_ms) {
-      SendError(responder.get(), result_code::kBadDeadline, "");
-      return;
-    }
-    description.deadline = common::milliseconds(wanted_ms);
-  }
-  description.idempotency_key = request.Header("idempotency-key");
-  if (plan->HasNonIdempotentStage() &&
-      (description.idempotency_key.empty() ||
-       description.idempotency_key.size() > kMaxKeyBytes)) {
-    SendError(responder.get(), result_code::kMissingIdempotencyKey, "");
+  if (const result_code fault =
+          ReadRequest(request, *plan, limits_.max_deadline_ms, &description);
+      fault != result_code::kOk) {
+    SendError(responder.get(), fault, "");
     return;
   }
   if (Refused(*configuration, *organisation, *plan, description.deadline,
@@ -290,30 +310,37 @@
   description.id = context_.random.HexId();
   description.organisation = organisation->name;
   description.organisation_weight = organisation->weight;
-  description.body = request.body;
-  description.digest = common::Sha256Hex(plan->name + "\n" + request.body);
-  if (context_.crashes != nullptr &&
-      context_.crashes->Verdict(description.digest) ==
-          core::quarantine_verdict::kConvicted) {
+  description.configuration_in_force = configuration;
+  description.trace =
+      common::ChildOf(common::ParseTraceparent(request.Header("traceparent"))
+                          .value_or(common::trace_context()),
+                      context_.random);
+  if (Convicted(description)) {
     // An earlier request under the same key may have run.
     SendError(responder.get(), result_code::kDigestQuarantined, "",
               plan->HasNonIdempotentStage() ? "unknown" : "not_run");
     return;
   }
-  description.plan = *plan;
-  description.configuration_in_force = configuration;
-  const common::trace_context parent =
-      common::ParseTraceparent(request.Header("traceparent"))
-          .value_or(common::trace_context());
-  description.trace = common::ChildOf(parent, context_.random);
-  const bool events = request.Header("accept").find("text/event-stream") !=
-                      std::string_view::npos;
+  Execute(std::move(description), responder,
+          request.Header("accept").find("text/event-stream") !=
+              std::string_view::npos);
+}
+
+bool caller_api::Convicted(const core::request_description& description) const {
+  return context_.crashes != nullptr &&
+         context_.crashes->Verdict(description.digest) ==
+             core::quarantine_verdict::kConvicted;
+}
+
+void caller_api::Execute(core::request_description description,
+                         const std::shared_ptr<net::http_responder>& responder,
+                         bool events) {
   ++in_flight_;
   recent_.OnAdmitted(description.id, description.organisation);
   const std::shared_ptr<answer_sink> sink =
       std::make_shared<answer_sink>(*this, responder, description, events);
   const std::shared_ptr<core::request_executor> executor =
-      core::request_executor::Create(context_, description, sink);
+      core::request_executor::Create(context_, std::move(description), sink);
   responder->OnClose([weak = std::weak_ptr<core::request_executor>(executor)] {
     const std::shared_ptr<core::request_executor> live = weak.lock();
     if (live) live->Abandon();
--- a/source/router/caller_api.h
+++ b/source/router/caller_api.h
@@ -42,6 +42,10 @@
                const core::organisation_entry& organisation,
                const core::pipeline_plan& plan, common::milliseconds deadline,
                net::http_responder* responder);
+  bool Convicted(const core::request_description& description) const;
+  void Execute(core::request_description description,
+               const std::shared_ptr<net::http_responder>& responder,
+               bool events);
   void LookRequest(const net::http_request& request,
                    net::http_responder* responder);
   void LookOperation(const net::http_request& request,
