Let what a timer holds cancel other timers when the loop ends

Cause: scenario_platform_down failed once at its very end, the stand-in's exit code -11 in place of 0. The loop's destructor cleared its timers; a delayed answer held by one of them cancels its own timer when it is destroyed, and so changed the map that was being cleared.

--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -108,7 +108,10 @@
 event_loop::~event_loop() {
   if (signal_context == context_) signal_context = nullptr;
   for (auto& [id, entry] : timers_) lws_sul_cancel(&entry->scheduled.sul);
-  timers_.clear();
+  // What an action holds may cancel timers when it is destroyed.
+  std::unordered_map<common::timer_id, std::unique_ptr<timer>> dropped;
+  dropped.swap(timers_);
+  dropped.clear();
   if (context_ == nullptr) return;
   // The components behind the handlers are destroyed before the loop.
   DropChannelHandlers(context_);
