Share the dispatch of a router's messages to the attempt host

The agent and the long run's agent each listed the same four handlers; both now derive from core/agent/host_dispatch, so the long run drives the product's. Behaviour is unchanged.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -3,6 +3,7 @@
 #include "common/last_reason.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "core/agent/host_dispatch.h"
 #include "core/control_traffic.h"
 #include "core/policy/agent_policy.h"
 #include "platform/platform_settings.h"
@@ -23,24 +24,11 @@
 // Routers learn from the last messages that the agent is leaving.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
-/// Hands a decoded message of a router to the attempt host.
-struct message_handler {
-  core::attempt_host& host;
+/// Hands a router's message to the attempt host or to control.
+struct message_handler : core::host_dispatch {
   agent_process& process;
-  core::router_link link;
 
-  void operator()(const core::execute_message& message) const {
-    host.OnExecute(link, message);
-  }
-  void operator()(const core::cancel_message& message) const {
-    host.OnCancel(message);
-  }
-  void operator()(const core::resume_message& message) const {
-    host.OnResume(link, message);
-  }
-  void operator()(const core::revoke_message& message) const {
-    host.OnRevoke(link, message);
-  }
+  using core::host_dispatch::operator();
   void operator()(const core::ping_message& message) const {
     core::ping_message answer;
     answer.sequence = message.sequence;
@@ -243,7 +231,7 @@
     return;
   }
   core::CountControl("received", *message, frame.size());
-  std::visit(message_handler{*host_, *this, link}, *message);
+  std::visit(message_handler{{*host_, link}, *this}, *message);
 }
 
 void agent_process::Send(core::router_link link, const core::message& message) {
--- a/source/unit_tests/longrun/agent_node.cc
+++ b/source/unit_tests/longrun/agent_node.cc
@@ -1,5 +1,7 @@
 #include "unit_tests/longrun/agent_node.h"
 
+#include "core/agent/host_dispatch.h"
+
 namespace wisteriadale::longrun {
 namespace {
 
@@ -17,24 +19,11 @@
   return options;
 }
 
-/// Hands a router's message to the attempt host.
-struct message_handler {
-  core::attempt_host& host;
+/// Hands a router's message to the attempt host, or answers a ping.
+struct message_handler : core::host_dispatch {
   agent_node& node;
-  core::router_link link;
 
-  void operator()(const core::execute_message& message) const {
-    host.OnExecute(link, message);
-  }
-  void operator()(const core::cancel_message& message) const {
-    host.OnCancel(message);
-  }
-  void operator()(const core::resume_message& message) const {
-    host.OnResume(link, message);
-  }
-  void operator()(const core::revoke_message& message) const {
-    host.OnRevoke(link, message);
-  }
+  using core::host_dispatch::operator();
   void operator()(const core::ping_message& message) const {
     core::ping_message answer;
     answer.sequence = message.sequence;
@@ -91,7 +80,7 @@
 
 void agent_node::OnMessage(core::router_link link,
                            const core::message& message) {
-  std::visit(message_handler{host_, *this, link}, message);
+  std::visit(message_handler{{host_, link}, *this}, message);
 }
 
 void agent_node::Send(core::router_link link, const core::message& message) {
