--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -179,6 +179,10 @@
 
 void agent_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
+  loop_->OnReloadSignal([] {
+    common::Log(common::log_channel::kMain, common::log_level::kInfo,
+                "changed settings take effect at the next start");
+  });
   control_->Start(hello_);
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -36,6 +36,7 @@
   uint32_t priority = 0;
   common::milliseconds to_objective{0};
   common::milliseconds to_deadline{0};
+  std::string data_centre;  ///< where its results are wanted
 };
 
 /// How a stage ended.
--- a/source/core/forwarding/target_choice.cc
+++ b/source/core/forwarding/target_choice.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "common/digest.h"
+#include "core/routing/target_subset.h"
+
 namespace wisteriadale::core {
 namespace {
 
@@ -11,6 +14,17 @@
 // do not all choose the same target.
 constexpr double kJitterMs = 2;
 
+/// @return the parts that other requests may share: the last is a request's own
+std::span<const prompt_part> SharedParts(std::span<const prompt_part> parts) {
+  return parts.empty() ? parts : parts.first(parts.size() - 1);
+}
+
+uint32_t TokensOf(std::span<const prompt_part> parts) {
+  uint32_t tokens = 0;
+  for (const prompt_part& part : parts) tokens += part.tokens;
+  return tokens;
+}
+
 bool Contains(std::span<const std::string> list, const std::string& text) {
   return std::find(list.begin(), list.end(), text) != list.end();
 }
@@ -51,9 +65,34 @@
   targets_.erase(std::string(target));
 }
 
+std::shared_ptr<fleet_target> target_choice::HomeOf(
+    const choice_question& question) const {
+  const std::span<const prompt_part> shared = SharedParts(question.parts);
+  if (shared.empty()) return nullptr;
+  const uint64_t key = common::Hash64(shared.back().id);
+  std::shared_ptr<fleet_target> home;
+  uint64_t best = 0;
+  for (const std::shared_ptr<fleet_target>& each :
+       targets_.Pool(question.service)) {
+    const uint64_t weight =
+        RendezvousWeight(common::Hash64(each->entry.id), key);
+    if (home && weight <= best) continue;
+    home = each;
+    best = weight;
+  }
+  return home;
+}
+
+std::string target_choice::LikelyDataCentre(const choice_question& question) {
+  const std::shared_ptr<fleet_target> likely = Choose(question);
+  return likely ? likely->entry.data_centre : std::string();
+}
+
 double target_choice::Cost(const fleet_target& target,
-                           const choice_question& question) const {
-  const uint32_t held = hints_.HeldTokens(target.entry.id, question.parts);
+                           const choice_question& question,
+                           bool is_home) const {
+  uint32_t held = hints_.HeldTokens(target.entry.id, question.parts);
+  if (is_home) held = std::max(held, TokensOf(SharedParts(question.parts)));
   const double to_read =
       question.prompt_tokens > held ? question.prompt_tokens - held : 0;
   double cost = (target.outstanding_tokens + to_read) / options_.tokens_per_ms +
@@ -72,6 +111,7 @@
     const choice_question& question) {
   const common::time_point now = clock_.Now();
   const target_directory::pool& pool = targets_.Pool(question.service);
+  const std::shared_ptr<fleet_target> home = HomeOf(question);
   std::shared_ptr<fleet_target> best;
   double best_cost = 0;
   bool best_resting = false;
@@ -79,7 +119,8 @@
     if (each->leaving || Contains(question.tried, each->entry.id)) continue;
     // A target that failed or refused is asked only if there is no other.
     const bool resting = each->ejected_until > now || each->full_until > now;
-    const double cost = Cost(*each, question) + random_.Uniform() * kJitterMs;
+    const double cost =
+        Cost(*each, question, each == home) + random_.Uniform() * kJitterMs;
     const bool better = !best || (best_resting && !resting) ||
                         (best_resting == resting && cost < best_cost);
     if (!better) continue;
--- a/source/core/forwarding/target_choice.h
+++ b/source/core/forwarding/target_choice.h
@@ -63,7 +63,10 @@
 
 /// Chooses the target with the least time to the first event: what it still
 /// has to read, the part of the prompt that it does not hold, and inputs from
-/// other data centres. Load it answers: long prompts with shared beginnings.
+/// other data centres. All gateways take the same target for the home of a
+/// shared beginning, which is expected to hold it. Load it answers: long
+/// prompts with shared beginnings, and one beginning that gets much of the
+/// traffic.
 class target_choice {
  public:
   target_choice(const choice_options& options, target_directory& targets,
@@ -77,11 +80,15 @@
 
   /// @return a target, or null when none can be asked
   std::shared_ptr<fleet_target> Choose(const choice_question& question);
+  /// @return the data centre in which a request is likely to run
+  std::string LikelyDataCentre(const choice_question& question);
   prompt_hints& hints() { return hints_; }
 
  private:
-  double Cost(const fleet_target& target,
-              const choice_question& question) const;
+  double Cost(const fleet_target& target, const choice_question& question,
+              bool is_home) const;
+  /// @return the home of the prompt's shared parts, or null
+  std::shared_ptr<fleet_target> HomeOf(const choice_question& question) const;
 
   choice_options options_;
   target_directory& targets_;
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -15,6 +15,11 @@
 // Weight of the newest call in a target's smoothed slowness.
 constexpr double kSlownessWeight = 0.3;
 constexpr double kNormalSlowness = 1.6;
+// Results of this size are worth a wait for a target where they are wanted: a
+// fifth of what a full call takes, and no more than a third of the spare time.
+constexpr uint64_t kLargeResult = 500000;
+constexpr common::duration kPlaceWait = std::chrono::milliseconds(60);
+constexpr int kSpareShare = 3;
 
 void NoteFailure(fleet_target* target, common::time_point now) {
   const uint32_t doublings = std::min(target->failures_in_row, kMostDoublings);
@@ -31,10 +36,11 @@
 
 }  // namespace
 
-void piece_queue::Add(const stage_order& order) {
+void piece_queue::Add(const stage_order& order, common::time_point now) {
   Remove(order.request_id, order.stage);
   std::unique_ptr<queued_order> queued = std::make_unique<queued_order>();
   queued->order = order;
+  queued->added = now;
   queued->handles.resize(order.pieces);
   for (uint32_t i = 0; i < order.pieces; ++i) queued->waiting.push_back(i);
   orders_.push_back(std::move(queued));
@@ -87,13 +93,22 @@
   return spec_.room_bytes > reserved ? spec_.room_bytes - reserved : 0;
 }
 
+bool piece_queue::IsFree(const fleet_target& target,
+                         common::time_point now) const {
+  if (!target.Usable(now) || target.full_until > now) return false;
+  const auto calls = calls_on_.find(target.entry.id);
+  return calls == calls_on_.end() || calls->second < spec_.slots;
+}
+
 std::shared_ptr<fleet_target> piece_queue::FreeTarget(
-    const target_directory::pool& targets, common::time_point now) const {
+    const target_directory::pool& targets, const std::string& data_centre,
+    common::time_point now) const {
   std::shared_ptr<fleet_target> best;
   for (const std::shared_ptr<fleet_target>& each : targets) {
-    if (!each->Usable(now) || each->full_until > now) continue;
-    const auto calls = calls_on_.find(each->entry.id);
-    if (calls != calls_on_.end() && calls->second >= spec_.slots) continue;
+    if (!data_centre.empty() && each->entry.data_centre != data_centre) {
+      continue;
+    }
+    if (!IsFree(*each, now)) continue;
     const bool better = !best || each->slowness < best->slowness ||
                         (each->slowness == best->slowness &&
                          RoomLeft(each->entry.id) > RoomLeft(best->entry.id));
@@ -102,6 +117,21 @@
   return best;
 }
 
+bool piece_queue::WaitsForPlace(const queued_order& queued,
+                                const std::string& data_centre,
+                                common::time_point now) const {
+  const stage_order& order = queued.order;
+  if (order.data_centre.empty() || order.data_centre == data_centre) {
+    return false;
+  }
+  if (order.result_bytes * order.pieces < kLargeResult) return false;
+  const common::duration spare =
+      order.objective - queued.added - CallTime(spec_.batch);
+  const common::duration wait =
+      std::min(kPlaceWait, std::max(spare, common::duration(0)) / kSpareShare);
+  return now < queued.added + wait;
+}
+
 void piece_queue::Sort(common::time_point now) {
   const common::duration least = CallTime(1);
   const auto meets = [&](const queued_order& each) {
@@ -120,11 +150,14 @@
                    });
 }
 
-void piece_queue::Fill(piece_batch* batch, uint64_t room) {
+void piece_queue::Fill(piece_batch* batch, uint64_t room,
+                       common::time_point now) {
+  const std::string& data_centre = batch->target->entry.data_centre;
   size_t left = spec_.batch;
   for (const std::unique_ptr<queued_order>& each : orders_) {
     if (left == 0) break;
     if (each->waiting.empty()) continue;
+    if (WaitsForPlace(*each, data_centre, now)) continue;
     // An order is split only where it cannot be made in one call.
     size_t take = std::min(each->waiting.size(), left);
     if (take < each->waiting.size() && !batch->pieces.empty()) continue;
@@ -137,13 +170,13 @@
     for (size_t i = 0; i < take; ++i) {
       batch->pieces.push_back({each->order.request_id, each->order.stage,
                                each->waiting[i], each->order.key,
-                               each->order.inputs, each->order.deadline});
+                               each->order.inputs, each->order.result_bytes,
+                               each->order.deadline});
     }
     each->waiting.erase(each->waiting.begin(),
                         each->waiting.begin() + static_cast<ptrdiff_t>(take));
     left -= take;
     room -= take * each->order.result_bytes;
-    batch->reserved_bytes += take * each->order.result_bytes;
   }
 }
 
@@ -151,18 +184,28 @@
     const target_directory::pool& targets, common::time_point now) {
   DropExpiredResults(now);
   if (queued_pieces() == 0) return std::nullopt;
-  const std::shared_ptr<fleet_target> target = FreeTarget(targets, now);
-  if (!target) return std::nullopt;
   Sort(now);
   piece_batch batch;
-  batch.target = target;
-  Fill(&batch, RoomLeft(target->entry.id));
+  // The first order that can begin chooses the target.
+  for (const std::unique_ptr<queued_order>& each : orders_) {
+    if (each->waiting.empty()) continue;
+    batch.target = FreeTarget(targets, each->order.data_centre, now);
+    if (!batch.target && !WaitsForPlace(*each, "", now)) {
+      batch.target = FreeTarget(targets, "", now);
+    }
+    if (!batch.target) continue;
+    Fill(&batch, RoomLeft(batch.target->entry.id), now);
+    if (!batch.pieces.empty()) break;
+  }
   if (batch.pieces.empty()) return std::nullopt;
   batch.id = next_batch_++;
   batch.expected = CallTime(batch.pieces.size());
-  reserved_[target->entry.id] += batch.reserved_bytes;
-  calls_on_[target->entry.id] += 1;
-  target->in_flight += 1;
+  const std::string& target_id = batch.target->entry.id;
+  for (const piece_ref& piece : batch.pieces) {
+    reserved_[target_id] += piece.result_bytes;
+  }
+  calls_on_[target_id] += 1;
+  batch.target->in_flight += 1;
   calls_ += 1;
   return batch;
 }
@@ -170,66 +213,96 @@
 std::vector<order_end> piece_queue::OnCall(
     const piece_batch& batch, std::span<const piece_result> results,
     common::duration took, common::time_point now) {
+  NoteCall(batch, results, took, now);
+  std::vector<order_end> ended;
+  for (size_t i = 0; i < batch.pieces.size(); ++i) {
+    const piece_ref& ref = batch.pieces[i];
+    const piece_result result =
+        i < results.size() ? results[i] : piece_result();
+    std::optional<order_end> end =
+        result.end == piece_end::kMade
+            ? OnMade(ref, result.handle, batch.target->entry.id, now)
+            : OnNotMade(ref, result.end);
+    if (end) ended.push_back(std::move(*end));
+  }
+  return ended;
+}
+
+void piece_queue::NoteCall(const piece_batch& batch,
+                           std::span<const piece_result> results,
+                           common::duration took, common::time_point now) {
   fleet_target* target = batch.target.get();
   const std::string& target_id = target->entry.id;
   calls_ -= 1;
   target->in_flight -= 1;
   if (--calls_on_[target_id] == 0) calls_on_.erase(target_id);
   uint64_t& reserved = reserved_[target_id];
-  reserved -= std::min(reserved, batch.reserved_bytes);
+  for (const piece_ref& piece : batch.pieces) {
+    reserved -= std::min(reserved, piece.result_bytes);
+  }
   const piece_end first = results.empty() ? piece_end::kLost : results[0].end;
   if (first == piece_end::kLost) {
     NoteFailure(target, now);
-  } else if (first == piece_end::kNotRun) {
+    return;
+  }
+  if (first == piece_end::kNotRun) {
     target->full_until = now + kFullPause;
-  } else {
-    target->failures_in_row = 0;
-    const double ratio = static_cast<double>(took.count()) /
-                         std::max<double>(1, batch.expected.count());
-    target->slowness += kSlownessWeight * (ratio - target->slowness);
-    if (target->slowness < kNormalSlowness && ratio < kNormalSlowness) {
-      target->slowness = 1.0;
-    }
+    return;
   }
-  std::vector<order_end> ended;
-  for (size_t i = 0; i < batch.pieces.size(); ++i) {
-    const piece_ref& ref = batch.pieces[i];
-    const piece_result result =
-        i < results.size() ? results[i] : piece_result();
-    queued_order* queued = FindOrder(ref.request_id, ref.stage);
-    if (result.end == piece_end::kMade) {
-      const uint64_t bytes = queued == nullptr ? 0 : queued->order.result_bytes;
-      results_[result.handle] = {target_id, bytes, now + spec_.result_lifetime};
-      reserved_[target_id] += bytes;
-      // Nobody waits for it: the caller frees it.
-      if (queued == nullptr) {
-        ended.push_back({ref.request_id,
-                         ref.stage,
-                         false,
-                         piece_end::kMade,
-                         {result.handle}});
-        continue;
-      }
-      queued->handles[ref.piece] = result.handle;
-      if (++queued->made < queued->order.pieces) continue;
-      ended.push_back({ref.request_id, ref.stage, true, piece_end::kMade,
-                       std::move(queued->handles)});
-      Remove(ref.request_id, ref.stage);
-      continue;
-    }
-    if (queued == nullptr) continue;
-    const bool final_end =
-        result.end == piece_end::kLate || result.end == piece_end::kGone;
-    const bool counts = result.end != piece_end::kNotRun;
-    if (counts) queued->failures += 1;
-    if (final_end || queued->failures > kMostFailures) {
-      ended.push_back({ref.request_id, ref.stage, false, result.end,
-                       Remove(ref.request_id, ref.stage)});
-      continue;
-    }
+  const bool no_room = std::any_of(
+      results.begin(), results.end(),
+      [](const piece_result& each) { return each.end == piece_end::kRoom; });
+  if (no_room) target->full_until = now + kFullPause;
+  target->failures_in_row = 0;
+  const double ratio = static_cast<double>(took.count()) /
+                       std::max<double>(1, batch.expected.count());
+  target->slowness += kSlownessWeight * (ratio - target->slowness);
+  if (target->slowness < kNormalSlowness && ratio < kNormalSlowness) {
+    target->slowness = 1.0;
+  }
+}
+
+bool piece_queue::Wants(const queued_order* queued, uint32_t piece) {
+  return queued != nullptr && piece < queued->handles.size() &&
+         queued->handles[piece].empty();
+}
+
+std::optional<order_end> piece_queue::OnMade(const piece_ref& ref,
+                                             const std::string& handle,
+                                             const std::string& target_id,
+                                             common::time_point now) {
+  results_[handle] = {target_id, ref.result_bytes, now + spec_.result_lifetime};
+  reserved_[target_id] += ref.result_bytes;
+  queued_order* queued = FindOrder(ref.request_id, ref.stage);
+  // The piece may come from a call for an earlier order of the same stage:
+  // each piece counts once, and a second copy is freed.
+  if (!Wants(queued, ref.piece)) {
+    return order_end{
+        ref.request_id, ref.stage, false, piece_end::kMade, {handle}};
+  }
+  std::erase(queued->waiting, ref.piece);
+  queued->handles[ref.piece] = handle;
+  if (++queued->made < queued->order.pieces) return std::nullopt;
+  return order_end{ref.request_id, ref.stage, true, piece_end::kMade,
+                   Remove(ref.request_id, ref.stage)};
+}
+
+std::optional<order_end> piece_queue::OnNotMade(const piece_ref& ref,
+                                                piece_end end) {
+  queued_order* queued = FindOrder(ref.request_id, ref.stage);
+  if (!Wants(queued, ref.piece)) return std::nullopt;
+  const bool refused = end == piece_end::kNotRun || end == piece_end::kRoom;
+  if (!refused) queued->failures += 1;
+  const bool final_end = end == piece_end::kLate || end == piece_end::kGone;
+  if (final_end || queued->failures > kMostFailures) {
+    return order_end{ref.request_id, ref.stage, false, end,
+                     Remove(ref.request_id, ref.stage)};
+  }
+  if (std::find(queued->waiting.begin(), queued->waiting.end(), ref.piece) ==
+      queued->waiting.end()) {
     queued->waiting.push_back(ref.piece);
   }
-  return ended;
+  return std::nullopt;
 }
 
 std::vector<order_end> piece_queue::TakeExpired(common::time_point now) {
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -31,7 +31,7 @@
   common::time_point objective;
   /// After it the pieces are of no use.
   common::time_point deadline;
-  std::string data_centre;  ///< where its inputs are; empty: no matter
+  std::string data_centre;  ///< where its results are wanted; empty: no matter
 };
 
 /// How a piece ended in a call.
@@ -57,6 +57,7 @@
   uint32_t piece = 0;
   std::string key;
   std::vector<std::string> inputs;
+  uint64_t result_bytes = 0;
   common::time_point deadline;
 };
 
@@ -66,7 +67,6 @@
   std::shared_ptr<fleet_target> target;
   std::vector<piece_ref> pieces;
   common::duration expected{0};  ///< time that the call should take
-  uint64_t reserved_bytes = 0;
 };
 
 /// How an order ended.
@@ -92,11 +92,11 @@
   const batch_spec& spec() const { return spec_; }
 
   /// Queues an order; one of the same request and stage is replaced.
-  void Add(const stage_order& order);
+  void Add(const stage_order& order, common::time_point now);
   /// Drops what is queued for a request.
   /// @return results that were already made for it
   std::vector<std::string> Withdraw(std::string_view request_id);
-  /// Results are not needed any more.
+  /// Results were freed at their makers.
   void Free(std::span<const std::string> handles);
 
   /// @return the next call that can be made now, if any
@@ -134,11 +134,27 @@
   };
   using order_list = std::vector<std::unique_ptr<queued_order>>;
 
+  bool IsFree(const fleet_target& target, common::time_point now) const;
+  /// @return the best target that can take a call now, or null
   std::shared_ptr<fleet_target> FreeTarget(
-      const target_directory::pool& targets, common::time_point now) const;
+      const target_directory::pool& targets, const std::string& data_centre,
+      common::time_point now) const;
+  /// @return whether an order waits for a target where its results are wanted
+  bool WaitsForPlace(const queued_order& queued,
+                     const std::string& data_centre,
+                     common::time_point now) const;
   uint64_t RoomLeft(const std::string& target_id) const;
   void Sort(common::time_point now);
-  void Fill(piece_batch* batch, uint64_t room);
+  void Fill(piece_batch* batch, uint64_t room, common::time_point now);
+  void NoteCall(const piece_batch& batch, std::span<const piece_result> results,
+                common::duration took, common::time_point now);
+  /// @return whether an order still lacks a piece
+  static bool Wants(const queued_order* queued, uint32_t piece);
+  std::optional<order_end> OnMade(const piece_ref& ref,
+                                  const std::string& handle,
+                                  const std::string& target_id,
+                                  common::time_point now);
+  std::optional<order_end> OnNotMade(const piece_ref& ref, piece_end end);
   /// Removes an order. @return results that were already made for it
   std::vector<std::string> Remove(std::string_view request_id, uint32_t stage);
   queued_order* FindOrder(std::string_view request_id, uint32_t stage);
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -262,6 +262,7 @@
     if (order.inputs.empty() && key != nullptr) order.key = *key;
     order.result_bytes = plan_->result_bytes(stage);
     order.priority = priority_;
+    order.data_centre = context_.choice.LikelyDataCentre(Question());
     common::duration least(0);
     common::duration usual(0);
     for (uint32_t later = stage + 1; later < route_->stages.size(); ++later) {
@@ -283,9 +284,6 @@
 void forward_request::OnStageEnd(const core::stage_end_message& end) {
   if (end.made) {
     plan_->Complete(end.stage, end.handles);
-    for (uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
-      if (stage == end.stage) continue;
-    }
     RunStages();
     return;
   }
@@ -316,12 +314,17 @@
   plan_.reset();
 }
 
-void forward_request::SendToTarget() {
+core::choice_question forward_request::Question() const {
   core::choice_question question;
   question.service = service_;
   question.parts = prompt_parts_;
   question.prompt_tokens = prompt_tokens_;
   question.tried = tried_;
+  return question;
+}
+
+void forward_request::SendToTarget() {
+  core::choice_question question = Question();
   if (plan_) {
     for (const uint32_t stage : plan_->FinalStages()) {
       for (const std::string& handle : plan_->handles(stage)) {
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -48,6 +48,7 @@
   void RestartStages();
   void ReleaseInputs();
 
+  core::choice_question Question() const;
   void SendToTarget();
   std::vector<net::http_header> HeadersFor(const core::fleet_target& target,
                                            common::duration left) const;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -97,14 +97,30 @@
   const uint64_t incarnation = common::SystemSeed() >> 1 | 1;
   links_ =
       std::make_unique<gateway_links>(*loop_, clock_, name_, *own, incarnation);
+  AddSeeds(settings);
+  return true;
+}
+
+void gateway_process::AddSeeds(const settings::settings_document& settings) {
   const nlohmann::json seeds =
       nlohmann::json::parse(settings.Json(settings::kGatewaySeeds));
-  for (const nlohmann::json& seed_address : seeds) {
-    if (seed_address.is_string()) {
-      links_->AddAddress(seed_address.get<std::string>());
-    }
+  for (const nlohmann::json& address : seeds) {
+    if (address.is_string()) links_->AddAddress(address.get<std::string>());
   }
-  return true;
+}
+
+void gateway_process::Reload(const settings_reader& read_again) {
+  const std::optional<settings::settings_document> settings = read_again();
+  if (!settings) {
+    common::Log(log_channel::kMain, log_level::kError,
+                "the changed settings have faults and are not used: " +
+                    common::LastReason().text);
+    return;
+  }
+  AddSeeds(*settings);
+  common::Log(log_channel::kMain, log_level::kInfo,
+              "the settings were read again: seeds are in use, the rest takes "
+              "effect at the next start");
 }
 
 void gateway_process::ConnectParts() {
@@ -174,8 +190,9 @@
   return true;
 }
 
-void gateway_process::Run() {
+void gateway_process::Run(const settings_reader& read_again) {
   loop_->OnStopSignal([this] { Stop(); });
+  loop_->OnReloadSignal([this, read_again] { Reload(read_again); });
   watch_->Start();
   links_->Start();
   rows_->Put(codec_->places().gateways_table, name_, link_address_,
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -30,8 +31,13 @@
   /// @return the process, or nothing with LastReason set
   static std::optional<std::unique_ptr<gateway_process>> Create(
       const settings::settings_document& settings);
+  /// Reads the settings again.
+  using settings_reader =
+      std::function<std::optional<settings::settings_document>()>;
+
   /// Runs until a signal stops it.
-  void Run();
+  /// @param read_again called when a signal tells that the settings changed
+  void Run(const settings_reader& read_again);
 
  private:
   gateway_process() = default;
@@ -44,6 +50,8 @@
   void OnRoutes();
   void OnOperator(const std::shared_ptr<net::http1_exchange>& exchange);
   void ReadGateways();
+  void AddSeeds(const settings::settings_document& settings);
+  void Reload(const settings_reader& read_again);
   void Stop();
   void EndWhenIdle();
   bool Ready() const;
--- a/source/gateway/main.cc
+++ b/source/gateway/main.cc
@@ -1,5 +1,3 @@
-#include <gflags/gflags.h>
-
 #include <cstdio>
 
 #include "common/last_reason.h"
@@ -23,6 +21,9 @@
                  common::LastReason().text.c_str());
     return settings::kExitFailed;
   }
-  (*process)->Run();
+  (*process)->Run([] {
+    return settings::ReadSettingsAgain(settings::GatewaySettings(),
+                                       platform::SettingsPathFromPlatform());
+  });
   return settings::kExitOk;
 }
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -114,10 +114,17 @@
 /// One call that frees results. A result that is not freed lapses by itself.
 class stage_host::release_call final : public net::call_handler {
  public:
-  explicit release_call(stage_host& owner) : owner_(owner) {}
+  release_call(stage_host& owner, std::string service,
+               std::vector<std::string> handles)
+      : owner_(owner),
+        service_(std::move(service)),
+        handles_(std::move(handles)) {}
 
-  void Start(const std::string& address, std::span<const std::string> handles) {
-    const std::string body = owner_.codec_.EncodeRelease(handles);
+  const std::string& service() const { return service_; }
+  const std::vector<std::string>& handles() const { return handles_; }
+
+  void Start(const std::string& address) {
+    const std::string body = owner_.codec_.EncodeRelease(handles_);
     net::outgoing_request request;
     request.to = *net::EndpointFrom(address);
     request.method = "POST";
@@ -129,14 +136,16 @@
   }
   void OnHead(const net::message_head&) override {}
   void OnBody(std::string_view) override {}
-  void OnComplete() override { owner_.releases_.erase(this); }
+  void OnComplete() override { owner_.OnReleased(this); }
   void OnFailure(net::call_failure) override {
     common::Metrics().Count("wisteria_releases_failed_total");
-    owner_.releases_.erase(this);
+    owner_.OnReleased(this);
   }
 
  private:
   stage_host& owner_;
+  std::string service_;
+  std::vector<std::string> handles_;
   std::unique_ptr<net::http1_call> call_;
 };
 
@@ -187,7 +196,7 @@
     return;
   }
   askers_[order.request_id] = gateway;
-  queue->Add(order);
+  queue->Add(order, clock_.Now());
   Pump(order.service, queue);
 }
 
@@ -211,10 +220,8 @@
                          std::span<const std::string> handles) {
   if (handles.empty()) return;
   for (const std::string& handle : handles) {
-    to_free_[handle.substr(0, handle.find('/'))].push_back(handle);
+    to_free_[{service, handle.substr(0, handle.find('/'))}].push_back(handle);
   }
-  core::piece_queue* queue = QueueOf(service);
-  if (queue != nullptr) queue->Free(handles);
   if (release_timer_ != 0) return;
   release_timer_ = loop_.Schedule(kReleaseDelay, [this] {
     release_timer_ = 0;
@@ -223,16 +230,26 @@
 }
 
 void stage_host::SendReleases() {
-  std::map<std::string, std::vector<std::string>> batch;
+  std::map<maker, std::vector<std::string>> batch;
   batch.swap(to_free_);
-  for (const auto& [address, handles] : batch) {
-    if (!net::EndpointFrom(address)) continue;
-    std::unique_ptr<release_call> call = std::make_unique<release_call>(*this);
+  for (auto& [where, handles] : batch) {
+    if (!net::EndpointFrom(where.second)) continue;
+    std::unique_ptr<release_call> call =
+        std::make_unique<release_call>(*this, where.first, std::move(handles));
     release_call* raw = call.get();
     releases_.emplace(raw, std::move(call));
-    raw->Start(address, handles);
+    raw->Start(where.second);
   }
-  PumpAll();
+}
+
+void stage_host::OnReleased(release_call* ended) {
+  const auto found = releases_.find(ended);
+  const std::unique_ptr<release_call> call = std::move(found->second);
+  releases_.erase(found);
+  core::piece_queue* queue = QueueOf(call->service());
+  if (queue == nullptr) return;
+  queue->Free(call->handles());
+  Pump(call->service(), queue);
 }
 
 void stage_host::PumpAll() {
--- a/source/gateway/stage_host.h
+++ b/source/gateway/stage_host.h
@@ -51,6 +51,8 @@
  private:
   class stage_call;
   class release_call;
+  /// Service and address of a target.
+  using maker = std::pair<std::string, std::string>;
 
   core::piece_queue* QueueOf(const std::string& service);
   void PumpAll();
@@ -61,6 +63,7 @@
   void Report(const std::string& service, core::piece_queue* queue,
               const std::vector<core::order_end>& ends);
   void SendReleases();
+  void OnReleased(release_call* ended);
 
   net::event_loop& loop_;
   common::clock& clock_;
@@ -74,8 +77,7 @@
   std::unordered_map<std::string, std::string> askers_;
   std::unordered_map<stage_call*, std::unique_ptr<stage_call>> calls_;
   std::unordered_map<release_call*, std::unique_ptr<release_call>> releases_;
-  /// Handles to free, by the address of their maker.
-  std::map<std::string, std::vector<std::string>> to_free_;
+  std::map<maker, std::vector<std::string>> to_free_;
   common::timer_id pump_timer_ = 0;
   common::timer_id release_timer_ = 0;
 };
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -26,6 +26,7 @@
   message.inputs = order.inputs;
   message.result_bytes = order.result_bytes;
   message.priority = order.priority;
+  message.data_centre = order.data_centre;
   message.to_objective = MillisUntil(order.objective, now);
   message.to_deadline = MillisUntil(order.deadline, now);
   return message;
@@ -43,6 +44,7 @@
   order.inputs = message.inputs;
   order.result_bytes = message.result_bytes;
   order.priority = message.priority;
+  order.data_centre = message.data_centre;
   order.objective = now + message.to_objective;
   order.deadline = now + message.to_deadline;
   return order;
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -15,6 +15,7 @@
 
 // Signal handlers may touch only these.
 volatile std::sig_atomic_t stop_signals = 0;
+volatile std::sig_atomic_t reload_signals = 0;
 lws_context* signal_context = nullptr;
 
 void HandleStopSignal(int) {
@@ -22,6 +23,11 @@
   if (signal_context != nullptr) lws_cancel_service(signal_context);
 }
 
+void HandleReloadSignal(int) {
+  reload_signals = reload_signals + 1;
+  if (signal_context != nullptr) lws_cancel_service(signal_context);
+}
+
 const char* PathOrNull(const std::string& path) {
   return path.empty() ? nullptr : path.c_str();
 }
@@ -124,6 +130,7 @@
 
 void event_loop::Run() {
   int handled_signals = 0;
+  int handled_reloads = 0;
   stopping_ = false;
   while (!stopping_) {
     if (lws_service(context_, 0) < 0) break;
@@ -131,6 +138,10 @@
       ++handled_signals;
       if (on_stop_signal_) on_stop_signal_();
     }
+    while (handled_reloads < reload_signals) {
+      ++handled_reloads;
+      if (on_reload_signal_) on_reload_signal_();
+    }
   }
 }
 
@@ -149,6 +160,14 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+void event_loop::OnReloadSignal(std::function<void()> action) {
+  on_reload_signal_ = std::move(action);
+  signal_context = context_;
+  struct sigaction handler {};
+  handler.sa_handler = HandleReloadSignal;
+  sigaction(SIGHUP, &handler, nullptr);
+}
+
 common::timer_id event_loop::Schedule(common::duration delay,
                                       std::function<void()> action) {
   std::unique_ptr<timer> entry = std::make_unique<timer>();
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -45,6 +45,9 @@
 
   /// Calls the action on the loop for each SIGTERM or SIGINT.
   void OnStopSignal(std::function<void()> action);
+  /// Calls the action on the loop for each SIGHUP, which otherwise ends the
+  /// process.
+  void OnReloadSignal(std::function<void()> action);
 
   common::timer_id Schedule(common::duration delay,
                             std::function<void()> action) override;
@@ -70,6 +73,7 @@
   common::timer_id next_timer_ = 1;
   std::unordered_map<common::timer_id, std::unique_ptr<timer>> timers_;
   std::function<void()> on_stop_signal_;
+  std::function<void()> on_reload_signal_;
 };
 
 }  // namespace wisteriadale::net
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -160,6 +160,10 @@
 
 void router_process::Run() {
   loop_->OnStopSignal([this] { Stop(); });
+  loop_->OnReloadSignal([] {
+    common::Log(common::log_channel::kMain, common::log_level::kInfo,
+                "changed settings take effect at the next start");
+  });
   root_->Start();
   common::Log(log_channel::kMain, log_level::kInfo,
               "listening on port " + std::to_string(server_->port()));
--- a/source/settings/process_setup.cc
+++ b/source/settings/process_setup.cc
@@ -55,9 +55,7 @@
     std::fputs(SettingsMarkdown(table).c_str(), stdout);
     return start;
   }
-  start.settings = settings_document::Load(
-      FLAGS_settings.empty() ? default_path : FLAGS_settings,
-      SplitOverrides(FLAGS_set), table);
+  start.settings = ReadSettingsAgain(table, default_path);
   if (!start.settings) {
     std::fprintf(stderr, "%s: the settings have faults:\n%s\n", binary.c_str(),
                  common::LastReason().text.c_str());
@@ -73,4 +71,11 @@
   return start;
 }
 
+std::optional<settings_document> ReadSettingsAgain(
+    setting_table table, const std::string& default_path) {
+  return settings_document::Load(
+      FLAGS_settings.empty() ? default_path : FLAGS_settings,
+      SplitOverrides(FLAGS_set), table);
+}
+
 }  // namespace wisteriadale::settings
--- a/source/settings/process_setup.h
+++ b/source/settings/process_setup.h
@@ -26,4 +26,9 @@
                            const std::string& about, setting_table table,
                            const std::string& default_path = "");
 
+/// Reads the settings again, as StartProcess did.
+/// @return the settings, or nothing with LastReason naming every fault
+std::optional<settings_document> ReadSettingsAgain(
+    setting_table table, const std::string& default_path = "");
+
 }  // namespace wisteriadale::settings
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -49,6 +49,7 @@
     to.priority = static_cast<int32_t>(from.priority);
     to.to_objective_ms = Millis(from.to_objective);
     to.to_deadline_ms = Millis(from.to_deadline);
+    to.data_centre = from.data_centre;
     frame->__set_order_part(to);
   }
   void operator()(const core::stage_end_message& from) const {
@@ -98,6 +99,7 @@
   to.priority = static_cast<uint32_t>(from.priority);
   to.to_objective = common::milliseconds(from.to_objective_ms);
   to.to_deadline = common::milliseconds(from.to_deadline_ms);
+  to.data_centre = from.data_centre;
   return to;
 }
 
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -26,6 +26,7 @@
   9: i32 priority
   10: i32 to_objective_ms
   11: i32 to_deadline_ms
+  12: string data_centre
 }
 
 struct stage_end {
