--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "core/stages/path_estimate.h"
 
 namespace wisteriadale::core {
 
@@ -34,6 +35,7 @@
   std::vector<std::string> inputs;
   uint64_t result_bytes = 0;
   uint32_t priority = 0;
+  bool late = false;  ///< its request cannot meet its objective
   common::milliseconds to_objective{0};
   common::milliseconds to_deadline{0};
   std::string data_centre;  ///< where its results are wanted
@@ -46,7 +48,22 @@
   bool made = false;
   bool late = false;  ///< not made: its time had run out
   std::vector<std::string> handles;
-  common::milliseconds queue_wait{0};  ///< that a new order would have
+};
+
+/// Tells the owner of a queue of an order that will come.
+struct stage_notice_message {
+  std::string request_id;
+  std::string service;
+  uint32_t stage = 0;
+  uint32_t pieces = 0;
+  uint32_t priority = 0;
+  common::milliseconds to_expiry{0};
+};
+
+/// Load of a queue that the sender owns.
+struct service_load_message {
+  std::string service;
+  service_load load;
 };
 
 /// The request needs its stages no more.
@@ -74,6 +91,7 @@
 using gateway_message =
     std::variant<gateway_hello, gateway_ping, stage_order_message,
                  stage_end_message, stage_withdrawal_message,
-                 stage_release_message, routes_message, leaving_message>;
+                 stage_release_message, routes_message, leaving_message,
+                 stage_notice_message, service_load_message>;
 
 }  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/stages/path_estimate.cc
@@ -0,0 +1,98 @@
+#include "core/stages/path_estimate.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace wisteriadale::core {
+namespace {
+
+common::duration Seconds(double value) {
+  constexpr double kMicros = 1e6;
+  constexpr double kLongest = 3600;
+  return common::duration(
+      static_cast<int64_t>(std::min(value, kLongest) * kMicros));
+}
+
+}  // namespace
+
+void path_estimate::Note(const std::string& service, const service_load& load) {
+  loads_[service] = {load, clock_.Now()};
+}
+
+void path_estimate::AddOwn(const std::string& service, uint32_t pieces,
+                           uint32_t priority) {
+  const auto found = loads_.find(service);
+  if (found == loads_.end()) return;
+  for (size_t level = PriorityLevel(priority); level < kPriorityLevels;
+       ++level) {
+    found->second.load.ahead[level] += pieces;
+  }
+}
+
+const service_load* path_estimate::Find(std::string_view service) const {
+  const auto found = loads_.find(service);
+  if (found == loads_.end() ||
+      clock_.Now() - found->second.at > options_.report_life) {
+    return nullptr;
+  }
+  return &found->second.load;
+}
+
+common::duration path_estimate::CallTime(const service_spec& spec,
+                                         const service_load* load) const {
+  if (load != nullptr && load->call_time.count() > 0) return load->call_time;
+  const batch_spec& batches = *spec.batches;
+  return batches.call_time +
+         batches.piece_time * static_cast<int64_t>(batches.batch) / 2;
+}
+
+path_time path_estimate::Estimate(const route_table& table,
+                                  std::span<const stage_spec> stages,
+                                  std::span<const uint32_t> pieces,
+                                  uint32_t priority) const {
+  path_time total;
+  std::vector<path_time> ends(stages.size());
+  for (size_t i = 0; i < stages.size() && i < pieces.size(); ++i) {
+    path_time begin;
+    for (const uint32_t before : stages[i].after) {
+      begin.in_time = std::max(begin.in_time, ends[before].in_time);
+      begin.late = std::max(begin.late, ends[before].late);
+    }
+    ends[i] = begin;
+    const service_spec* spec = table.FindService(stages[i].service);
+    if (pieces[i] == 0 || spec == nullptr || !spec->batches) continue;
+    const service_load* load = Find(stages[i].service);
+    const common::duration call = CallTime(*spec, load);
+    if (load != nullptr && load->pieces_per_s > 0) {
+      // What is ahead is worked on while the stages before are made.
+      const double ahead = load->ahead[PriorityLevel(priority)];
+      const common::duration work = Seconds(ahead / load->pieces_per_s);
+      ends[i].in_time = std::max(begin.in_time, work);
+      const double all = load->ahead.back();
+      const double late_rate = load->pieces_per_s * options_.late_share;
+      ends[i].late = std::max(
+          begin.late, Seconds(all / load->pieces_per_s +
+                              load->late_pieces / late_rate));
+    }
+    ends[i].in_time += call;
+    ends[i].late += call;
+    total.in_time = std::max(total.in_time, ends[i].in_time);
+    total.late = std::max(total.late, ends[i].late);
+  }
+  return total;
+}
+
+common::duration path_estimate::StageTime(const route_table& table,
+                                          const std::string& service,
+                                          uint32_t priority) const {
+  const service_spec* spec = table.FindService(service);
+  if (spec == nullptr || !spec->batches) return common::duration(0);
+  const service_load* load = Find(service);
+  common::duration time = CallTime(*spec, load);
+  if (load != nullptr && load->pieces_per_s > 0) {
+    time += Seconds(load->ahead[PriorityLevel(priority)] / load->pieces_per_s);
+  }
+  return time;
+}
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/stages/path_estimate.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "common/clock.h"
+#include "core/routes/route_table.h"
+
+namespace wisteriadale::core {
+
+/// Levels of priority that a queue tells apart; lower priorities share the
+/// last.
+inline constexpr size_t kPriorityLevels = 4;
+
+/// What the owner of a queue tells of it.
+struct service_load {
+  double pieces_per_s = 0;  ///< that the targets make when calls are full
+  common::duration call_time{0};  ///< usual time of one call
+  /// Pieces that go before a new order of each level and can still meet their
+  /// objective, announced ones too.
+  std::array<uint32_t, kPriorityLevels> ahead{};
+  uint32_t late_pieces = 0;  ///< that cannot meet their objective any more
+};
+
+struct path_estimate_options {
+  /// A report counts for this long; it is renewed while anything is queued.
+  common::duration report_life = std::chrono::milliseconds(400);
+  /// Least part of a queue's work that orders which are late already get.
+  double late_share = 0.25;
+};
+
+/// How long the stages of a new request would take.
+struct path_time {
+  common::duration in_time{0};  ///< among the orders that meet their objective
+  common::duration late{0};     ///< behind all of them
+};
+
+/// Estimates the time of a request's stages from what the owners of the queues
+/// last told and from what this gateway asked for since. Load it answers: more
+/// requests than a stage can make, known before their first stage begins.
+class path_estimate {
+ public:
+  path_estimate(const path_estimate_options& options, common::clock& clock)
+      : options_(options), clock_(clock) {}
+
+  void Note(const std::string& service, const service_load& load);
+  /// This gateway asked for pieces that no report tells of yet.
+  void AddOwn(const std::string& service, uint32_t pieces, uint32_t priority);
+
+  /// @param stages stages of the route
+  /// @param pieces number of pieces of each
+  path_time Estimate(const route_table& table,
+                     std::span<const stage_spec> stages,
+                     std::span<const uint32_t> pieces,
+                     uint32_t priority) const;
+  /// @return time that a stage should still be given after the ones before
+  common::duration StageTime(const route_table& table,
+                             const std::string& service,
+                             uint32_t priority) const;
+
+ private:
+  struct noted_load {
+    service_load load;
+    common::time_point at;
+  };
+
+  const service_load* Find(std::string_view service) const;
+  common::duration CallTime(const service_spec& spec,
+                            const service_load* load) const;
+
+  path_estimate_options options_;
+  common::clock& clock_;
+  std::map<std::string, noted_load, std::less<>> loads_;
+};
+
+/// @return the level that a queue counts a priority in
+inline size_t PriorityLevel(uint32_t priority) {
+  return priority < kPriorityLevels ? priority : kPriorityLevels - 1;
+}
+
+}  // namespace wisteriadale::core
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -15,6 +15,8 @@
 // Weight of the newest call in a target's smoothed slowness.
 constexpr double kSlownessWeight = 0.3;
 constexpr double kNormalSlowness = 1.6;
+// The newest call is one part in this many of the smoothed time of calls.
+constexpr int kUsualCallParts = 8;
 // Results of this size are worth a wait for a target where they are wanted: a
 // fifth of what a full call takes, and no more than a third of the spare time.
 constexpr uint64_t kLargeResult = 500000;
@@ -38,6 +40,7 @@
 
 void piece_queue::Add(const stage_order& order, common::time_point now) {
   Remove(order.request_id, order.stage);
+  notices_.erase({order.request_id, order.stage});
   std::unique_ptr<queued_order> queued = std::make_unique<queued_order>();
   queued->order = order;
   queued->added = now;
@@ -46,7 +49,16 @@
   orders_.push_back(std::move(queued));
 }
 
+void piece_queue::Announce(const stage_notice& notice) {
+  notices_[{notice.request_id, notice.stage}] = notice;
+}
+
 std::vector<std::string> piece_queue::Withdraw(std::string_view request_id) {
+  const std::string id(request_id);
+  auto notice = notices_.lower_bound({id, 0});
+  while (notice != notices_.end() && notice->first.first == id) {
+    notice = notices_.erase(notice);
+  }
   std::vector<std::string> made;
   std::erase_if(orders_, [&](const std::unique_ptr<queued_order>& each) {
     if (each->order.request_id != request_id) return false;
@@ -132,10 +144,14 @@
   return now < queued.added + wait;
 }
 
+bool piece_queue::IsLate(const queued_order& queued,
+                         common::time_point now) const {
+  return queued.order.late || now + CallTime(1) > queued.order.objective;
+}
+
 void piece_queue::Sort(common::time_point now) {
-  const common::duration least = CallTime(1);
   const auto meets = [&](const queued_order& each) {
-    return now + least <= each.order.objective;
+    return !IsLate(each, now);
   };
   std::stable_sort(orders_.begin(), orders_.end(),
                    [&](const std::unique_ptr<queued_order>& left,
@@ -182,7 +198,8 @@
 
 std::optional<piece_batch> piece_queue::Next(
     const target_directory::pool& targets, common::time_point now) {
-  DropExpiredResults(now);
+  DropExpired(now);
+  last_rate_ = PiecesPerSecond(targets, now);
   if (queued_pieces() == 0) return std::nullopt;
   Sort(now);
   piece_batch batch;
@@ -254,6 +271,9 @@
       [](const piece_result& each) { return each.end == piece_end::kRoom; });
   if (no_room) target->full_until = now + kFullPause;
   target->failures_in_row = 0;
+  usual_call_ = usual_call_.count() == 0
+                    ? took
+                    : usual_call_ + (took - usual_call_) / kUsualCallParts;
   const double ratio = static_cast<double>(took.count()) /
                        std::max<double>(1, batch.expected.count());
   target->slowness += kSlownessWeight * (ratio - target->slowness);
@@ -308,8 +328,18 @@
 std::vector<order_end> piece_queue::TakeExpired(common::time_point now) {
   std::vector<order_end> ended;
   const common::duration least = CallTime(1);
+  Sort(now);
+  // Late orders are served last: one that cannot have its turn in time is told
+  // so now.
+  double ahead = 0;
   for (const std::unique_ptr<queued_order>& each : orders_) {
-    if (each->waiting.empty() || now + least <= each->order.deadline) continue;
+    if (each->waiting.empty()) continue;
+    common::duration wait(0);
+    if (IsLate(*each, now) && last_rate_ > 0) {
+      wait = common::duration(static_cast<int64_t>(ahead / last_rate_ * 1e6));
+    }
+    ahead += static_cast<double>(each->waiting.size());
+    if (now + wait + least <= each->order.deadline) continue;
     ended.push_back({each->order.request_id,
                      each->order.stage,
                      false,
@@ -322,23 +352,41 @@
   return ended;
 }
 
-common::duration piece_queue::Wait(const target_directory::pool& targets,
-                                   common::time_point now) const {
-  size_t usable = 0;
+double piece_queue::PiecesPerSecond(const target_directory::pool& targets,
+                                    common::time_point now) const {
+  constexpr double kMicros = 1e6;
+  const double full = static_cast<double>(CallTime(spec_.batch).count());
+  double rate = 0;
   for (const std::shared_ptr<fleet_target>& each : targets) {
-    if (each->Usable(now)) ++usable;
+    if (!each->Usable(now)) continue;
+    rate += kMicros * spec_.slots * spec_.batch /
+            (full * std::max(1.0, each->slowness));
   }
-  if (usable == 0) return std::chrono::hours(1);
-  const size_t slots = usable * spec_.slots;
-  // A new order waits for the full calls ahead of it, shared by the targets,
-  // and on average half of a call that is in progress.
-  const double calls_ahead =
-      static_cast<double>(queued_pieces()) / static_cast<double>(spec_.batch);
-  double rounds = calls_ahead / static_cast<double>(slots);
-  if (calls_ >= slots) rounds += 0.5;
-  const common::duration full = CallTime(spec_.batch);
-  return common::duration(
-      static_cast<int64_t>(rounds * static_cast<double>(full.count())));
+  return rate;
+}
+
+service_load piece_queue::Load(const target_directory::pool& targets,
+                               common::time_point now) const {
+  service_load load;
+  load.pieces_per_s = PiecesPerSecond(targets, now);
+  load.call_time = usual_call_;
+  const auto add = [&](uint32_t priority, size_t pieces) {
+    for (size_t level = PriorityLevel(priority); level < kPriorityLevels;
+         ++level) {
+      load.ahead[level] += static_cast<uint32_t>(pieces);
+    }
+  };
+  for (const std::unique_ptr<queued_order>& each : orders_) {
+    if (IsLate(*each, now)) {
+      load.late_pieces += static_cast<uint32_t>(each->waiting.size());
+    } else {
+      add(each->order.priority, each->waiting.size());
+    }
+  }
+  for (const auto& [key, notice] : notices_) {
+    if (notice.expires > now) add(notice.priority, notice.pieces);
+  }
+  return load;
 }
 
 piece_queue::queued_order* piece_queue::FindOrder(std::string_view request_id,
@@ -351,7 +399,10 @@
   return nullptr;
 }
 
-void piece_queue::DropExpiredResults(common::time_point now) {
+void piece_queue::DropExpired(common::time_point now) {
+  std::erase_if(notices_, [now](const auto& entry) {
+    return entry.second.expires <= now;
+  });
   for (auto entry = results_.begin(); entry != results_.end();) {
     if (entry->second.expires > now) {
       ++entry;
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -13,6 +13,7 @@
 #include "common/clock.h"
 #include "core/fleet/target_directory.h"
 #include "core/routes/route_table.h"
+#include "core/stages/path_estimate.h"
 
 namespace wisteriadale::core {
 
@@ -27,6 +28,7 @@
   std::vector<std::string> inputs;  ///< of the others
   uint64_t result_bytes = 0;        ///< of one piece, approximately
   uint32_t priority = 0;            ///< 0 first
+  bool late = false;  ///< its request cannot meet its objective
   /// When the pieces should be made for the request to meet its objective.
   common::time_point objective;
   /// After it the pieces are of no use.
@@ -34,6 +36,16 @@
   std::string data_centre;  ///< where its results are wanted; empty: no matter
 };
 
+/// Tells a queue of an order that follows once the stages before are made.
+struct stage_notice {
+  std::string request_id;
+  std::string service;
+  uint32_t stage = 0;
+  uint32_t pieces = 0;
+  uint32_t priority = 0;
+  common::time_point expires;
+};
+
 /// How a piece ended in a call.
 enum class piece_end {
   kMade,
@@ -93,6 +105,8 @@
 
   /// Queues an order; one of the same request and stage is replaced.
   void Add(const stage_order& order, common::time_point now);
+  /// An order will come.
+  void Announce(const stage_notice& notice);
   /// Drops what is queued for a request.
   /// @return results that were already made for it
   std::vector<std::string> Withdraw(std::string_view request_id);
@@ -112,9 +126,9 @@
   /// Ends the orders that cannot be made in time any more.
   std::vector<order_end> TakeExpired(common::time_point now);
 
-  /// @return the wait that a new order would have before its call
-  common::duration Wait(const target_directory::pool& targets,
-                        common::time_point now) const;
+  /// @return what a gateway needs to know to estimate the time of an order
+  service_load Load(const target_directory::pool& targets,
+                    common::time_point now) const;
   size_t queued_pieces() const;
   size_t calls() const { return calls_; }
 
@@ -144,6 +158,9 @@
                      const std::string& data_centre,
                      common::time_point now) const;
   uint64_t RoomLeft(const std::string& target_id) const;
+  bool IsLate(const queued_order& queued, common::time_point now) const;
+  double PiecesPerSecond(const target_directory::pool& targets,
+                         common::time_point now) const;
   void Sort(common::time_point now);
   void Fill(piece_batch* batch, uint64_t room, common::time_point now);
   void NoteCall(const piece_batch& batch, std::span<const piece_result> results,
@@ -158,7 +175,7 @@
   /// Removes an order. @return results that were already made for it
   std::vector<std::string> Remove(std::string_view request_id, uint32_t stage);
   queued_order* FindOrder(std::string_view request_id, uint32_t stage);
-  void DropExpiredResults(common::time_point now);
+  void DropExpired(common::time_point now);
   common::duration CallTime(size_t pieces) const {
     return spec_.call_time + spec_.piece_time * static_cast<int64_t>(pieces);
   }
@@ -169,6 +186,10 @@
   std::unordered_map<std::string, uint32_t> calls_on_;
   std::unordered_map<std::string, uint64_t> reserved_;
   std::unordered_map<std::string, held_result> results_;
+  /// Orders that will come, by request and stage.
+  std::map<std::pair<std::string, uint32_t>, stage_notice> notices_;
+  common::duration usual_call_{0};  ///< smoothed time of a call
+  double last_rate_ = 0;            ///< pieces a second, at the last look
   size_t calls_ = 0;
   uint64_t next_batch_ = 1;
 };
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -30,7 +30,8 @@
 constexpr uint32_t kMostStageRestarts = 1;
 // Time that an engine needs before its first event, for the stages' split of
 // the objective.
-constexpr common::duration kEngineTime = std::chrono::milliseconds(150);
+constexpr common::duration kEngineTime = std::chrono::milliseconds(60);
+constexpr common::duration kPromptTokenTime{9};
 // Rest of a target after failures, doubled by each in a row.
 constexpr common::duration kFirstEjection = std::chrono::milliseconds(400);
 constexpr uint32_t kMostDoublings = 4;
@@ -38,8 +39,8 @@
 constexpr uint32_t kFailuresBeforeRest = 4;
 constexpr common::duration kFullPause = std::chrono::milliseconds(100);
 // Bounds of Retry-After, in seconds.
-constexpr double kLeastRetryAfter = 0.15;
-constexpr double kRetryAfterSpread = 0.35;
+constexpr common::duration kNotReadyReturn = std::chrono::milliseconds(500);
+constexpr common::duration kRefusedReturn = std::chrono::milliseconds(200);
 
 constexpr int kStatusConflict = 409;
 constexpr int kStatusMisdirected = 421;
@@ -127,7 +128,8 @@
   exchange_->OnGone([this] { OnGone(); });
   table_ = context_.routes.current();
   if (!table_) {
-    Answer({503, "Service Unavailable", "no configuration yet"}, true);
+    Answer({503, "Service Unavailable", "no configuration yet"},
+           kNotReadyReturn);
     return;
   }
   if (!FindRoute() || !FindOrganisation()) return;
@@ -140,7 +142,8 @@
         OnTimeout();
       });
   if (!route_->stages.empty()) {
-    if (!MakePlan()) return;
+    if (!MakePlan() || !AdmitStages()) return;
+    AnnounceStages();
     RunStages();
     return;
   }
@@ -153,7 +156,7 @@
   const std::string_view name = host == nullptr ? "" : HostOf(*host);
   route_ = table_->Find(name, PathOf(head.target));
   if (route_ == nullptr) {
-    Answer({404, "Not Found", "no route"}, false);
+    Answer({404, "Not Found", "no route"}, common::duration(0));
     return false;
   }
   if (const std::string* id = head.Find(context_.codec.headers().request_id)) {
@@ -181,7 +184,7 @@
     organisation_ = table_->FindKey(*key);
   }
   if (organisation_ != nullptr) return true;
-  Answer({401, "Unauthorized", "unknown key"}, false);
+  Answer({401, "Unauthorized", "unknown key"}, common::duration(0));
   return false;
 }
 
@@ -228,7 +231,8 @@
 bool forward_request::MakePlan() {
   const core::header_names& names = context_.codec.headers();
   const std::string* counts = exchange_->head().Find(names.piece_counts);
-  std::vector<uint32_t> pieces;
+  std::vector<uint32_t>& pieces = piece_counts_;
+  pieces.clear();
   bool valid = counts != nullptr;
   if (valid) {
     for (const std::string_view text : SplitList(*counts)) {
@@ -239,10 +243,43 @@
   }
   if (valid) plan_ = core::stage_plan::Create(route_->stages, pieces);
   if (plan_) return true;
-  Answer({400, "Bad Request", "the pieces of the stages are not given"}, false);
+  Answer({400, "Bad Request", "the pieces of the stages are not given"},
+         common::duration(0));
   return false;
 }
 
+common::duration forward_request::EngineTime() const {
+  return kEngineTime + kPromptTokenTime * prompt_tokens_;
+}
+
+bool forward_request::AdmitStages() {
+  const common::time_point now = context_.clock.Now();
+  core::stage_question question;
+  question.path = context_.estimate.Estimate(*table_, route_->stages,
+                                             piece_counts_, priority_);
+  question.rest = EngineTime();
+  question.to_objective = objective_ - now;
+  question.to_deadline = deadline_ - now;
+  const core::stage_answer answer = context_.admission.Decide(question);
+  late_ = answer.verdict != core::stage_verdict::kInTime;
+  if (answer.verdict != core::stage_verdict::kRefuse) return true;
+  common::Metrics().Count("wisteria_refused_at_arrival_total");
+  Answer({503, "Service Unavailable", "its stages have no room in time"},
+         answer.return_after);
+  return false;
+}
+
+void forward_request::AnnounceStages() {
+  for (uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
+    const core::stage_spec& spec = route_->stages[stage];
+    if (piece_counts_[stage] == 0 || late_) continue;
+    context_.estimate.AddOwn(spec.service, piece_counts_[stage], priority_);
+    if (spec.after.empty()) continue;
+    context_.stages.Announce({request_id_, spec.service, stage,
+                              piece_counts_[stage], priority_, objective_});
+  }
+}
+
 void forward_request::RunStages() {
   if (plan_->complete()) {
     inputs_ = plan_->FinalInputs();
@@ -271,10 +308,11 @@
       const std::vector<uint32_t>& after = route_->stages[later].after;
       if (spec == nullptr || !spec->batches || after.empty()) continue;
       least += spec->batches->call_time + spec->batches->piece_time;
-      usual += spec->batches->call_time +
-               spec->batches->piece_time * spec->batches->batch;
+      usual += context_.estimate.StageTime(
+          *table_, route_->stages[later].service, priority_);
     }
-    order.objective = objective_ - usual - kEngineTime;
+    order.late = late_;
+    order.objective = objective_ - usual - EngineTime();
     order.deadline = deadline_ - least - kLeastTime;
     context_.stages.Submit(
         order, [this](const core::stage_end_message& end) { OnStageEnd(end); });
@@ -623,23 +661,36 @@
 void forward_request::AnswerNotRun(std::string_view why) {
   common::Log(log_channel::kRequest, log_level::kInfo,
               "not run: " + std::string(why), {request_id_, {}});
-  Answer({503, "Service Unavailable", why}, true);
+  Answer({503, "Service Unavailable", why}, ReturnAfter());
 }
 
 void forward_request::AnswerUnknown(std::string_view why) {
   common::Log(log_channel::kRequest, log_level::kInfo,
               "may have run: " + std::string(why), {request_id_, {}});
-  Answer({502, "Bad Gateway", why}, false);
+  Answer({502, "Bad Gateway", why}, common::duration(0));
+}
+
+common::duration forward_request::ReturnAfter() {
+  const common::time_point now = context_.clock.Now();
+  common::duration until = kRefusedReturn;
+  if (!route_->stages.empty() &&
+      piece_counts_.size() == route_->stages.size()) {
+    until = std::max(until, context_.estimate
+                                .Estimate(*table_, route_->stages,
+                                          piece_counts_, priority_)
+                                .in_time);
+  }
+  return context_.admission.ReturnAfter(until, deadline_ - now);
 }
 
-void forward_request::Answer(const own_answer& answer, bool retry) {
+void forward_request::Answer(const own_answer& answer,
+                             common::duration return_after) {
   std::vector<net::http_header> headers;
   headers.push_back({"Content-Type", "text/plain"});
-  if (retry) {
+  if (return_after.count() > 0) {
     std::array<char, 16> seconds{};
-    std::snprintf(
-        seconds.data(), seconds.size(), "%.2f",
-        kLeastRetryAfter + kRetryAfterSpread * context_.random.Uniform());
+    std::snprintf(seconds.data(), seconds.size(), "%.2f",
+                  std::chrono::duration<double>(return_after).count());
     headers.push_back({"Retry-After", seconds.data()});
   }
   common::Metrics().Count("wisteria_own_answers_total",
@@ -660,7 +711,8 @@
   if (sent || may_have_run_) {
     common::Log(log_channel::kRequest, log_level::kInfo,
                 "no answer within the bound", {request_id_, {}});
-    Answer({504, "Gateway Timeout", "no answer in time"}, false);
+    Answer({504, "Gateway Timeout", "no answer in time"},
+           common::duration(0));
   } else {
     AnswerNotRun("its time ran out before it was sent");
   }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -43,6 +43,9 @@
   bool MakePlan();
   void ReadPrompt();
 
+  bool AdmitStages();
+  void AnnounceStages();
+  common::duration EngineTime() const;
   void RunStages();
   void OnStageEnd(const core::stage_end_message& end);
   void RestartStages();
@@ -60,7 +63,9 @@
   void PassOnAnswer();
   void AnswerNotRun(std::string_view why);
   void AnswerUnknown(std::string_view why);
-  void Answer(const own_answer& answer, bool retry);
+  /// @param return_after when the caller should come back; 0: not told
+  void Answer(const own_answer& answer, common::duration return_after);
+  common::duration ReturnAfter();
   void OnTimeout();
   void OnGone();
   void LeaveTarget();
@@ -87,6 +92,8 @@
   uint32_t prompt_tokens_ = 0;
 
   std::optional<core::stage_plan> plan_;
+  std::vector<uint32_t> piece_counts_;
+  bool late_ = false;  ///< the objective cannot be met
   std::vector<std::string> inputs_;
   uint32_t stage_restarts_ = 0;
 
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -8,11 +8,13 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "core/admission/stage_admission.h"
 #include "core/fleet/target_directory.h"
 #include "core/forwarding/repeat_budget.h"
 #include "core/forwarding/target_choice.h"
 #include "core/ports/deployment_codec.h"
 #include "core/routes/route_table.h"
+#include "core/stages/path_estimate.h"
 #include "gateway/stage_router.h"
 #include "net/event_loop.h"
 #include "net/http1_client.h"
@@ -32,6 +34,8 @@
   core::target_choice& choice;
   core::repeat_budget& repeats;
   stage_router& stages;
+  core::path_estimate& estimate;
+  core::stage_admission& admission;
 };
 
 class forward_request;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -124,15 +124,25 @@
 }
 
 void gateway_process::ConnectParts() {
-  stages_ = std::make_unique<stage_router>(name_, *links_, clock_);
+  estimate_ = std::make_unique<core::path_estimate>(
+      core::path_estimate_options(), clock_);
+  admission_ = std::make_unique<core::stage_admission>(
+      core::stage_admission_options(), *random_);
+  stages_ = std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   host_ = std::make_unique<stage_host>(
       *loop_, clock_, *client_, *codec_, routes_, targets_,
-      [this](const std::string& gateway, const core::order_end& end,
-             common::duration wait) { stages_->TellEnd(gateway, end, wait); });
+      [this](const std::string& gateway, const core::order_end& end) {
+        stages_->TellEnd(gateway, end);
+      },
+      [this](const std::string& service, const core::service_load& load) {
+        estimate_->Note(service, load);
+        links_->SendAll(core::service_load_message{service, load});
+      });
   stages_->SetHost(*host_);
   forwarder_ = std::make_unique<forwarder>(
       forward_context{*loop_, clock_, *random_, *client_, *codec_, routes_,
-                      targets_, *choice_, *repeats_, *stages_});
+                      targets_, *choice_, *repeats_, *stages_, *estimate_,
+                      *admission_});
   watch_->OnRoutes([this] { OnRoutes(); });
   targets_.OnLeaving([this](const core::fleet_target& target) {
     choice_->hints().Forget(target.entry.id);
@@ -246,6 +256,12 @@
     stages_->OnRelease(*release);
   } else if (const auto* routes = std::get_if<core::routes_message>(&message)) {
     watch_->TakeRoutes(routes->document);
+  } else if (const auto* notice =
+                 std::get_if<core::stage_notice_message>(&message)) {
+    stages_->OnNotice(*notice);
+  } else if (const auto* load =
+                 std::get_if<core::service_load_message>(&message)) {
+    estimate_->Note(load->service, load->load);
   } else if (const auto* leaving =
                  std::get_if<core::leaving_message>(&message)) {
     for (const std::string& id : leaving->target_ids) targets_.MarkLeaving(id);
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "core/admission/stage_admission.h"
 #include "core/fleet/fleet_watch.h"
 #include "core/fleet/target_directory.h"
 #include "core/forwarding/repeat_budget.h"
@@ -13,6 +14,7 @@
 #include "core/ports/deployment_codec.h"
 #include "core/ports/row_store.h"
 #include "core/routes/route_table.h"
+#include "core/stages/path_estimate.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_links.h"
 #include "gateway/stage_host.h"
@@ -67,6 +69,8 @@
   std::unique_ptr<core::fleet_watch> watch_;
   std::unique_ptr<core::repeat_budget> repeats_;
   std::unique_ptr<core::target_choice> choice_;
+  std::unique_ptr<core::path_estimate> estimate_;
+  std::unique_ptr<core::stage_admission> admission_;
   std::unique_ptr<gateway_links> links_;
   std::unique_ptr<stage_router> stages_;
   std::unique_ptr<stage_host> host_;
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -12,6 +12,8 @@
 using common::log_channel;
 using common::log_level;
 
+// Gateways estimate from reports of this age, besides what they asked for.
+constexpr common::duration kLoadPeriod = std::chrono::milliseconds(50);
 // Targets that rest, and orders whose time runs out, are looked at this often.
 constexpr common::duration kPumpPeriod = std::chrono::milliseconds(20);
 // Results that end within this time are freed in one call for each target.
@@ -153,18 +155,23 @@
                        net::http1_client& client,
                        const core::deployment_codec& codec,
                        const core::route_holder& routes,
-                       core::target_directory& targets, end_handler on_end)
+                       core::target_directory& targets, end_handler on_end,
+                       load_handler on_load)
     : loop_(loop),
       clock_(clock),
       client_(client),
       codec_(codec),
       routes_(routes),
       targets_(targets),
-      on_end_(std::move(on_end)) {}
+      on_end_(std::move(on_end)),
+      on_load_(std::move(on_load)) {
+  TellLoads();
+}
 
 stage_host::~stage_host() {
   loop_.Cancel(pump_timer_);
   loop_.Cancel(release_timer_);
+  loop_.Cancel(load_timer_);
 }
 
 core::piece_queue* stage_host::QueueOf(const std::string& service) {
@@ -191,8 +198,7 @@
                 "service " + order.service + " takes no pieces",
                 {order.request_id, {}});
     on_end_(gateway,
-            {order.request_id, order.stage, false, core::piece_end::kError, {}},
-            common::duration(0));
+            {order.request_id, order.stage, false, core::piece_end::kError, {}});
     return;
   }
   askers_[order.request_id] = gateway;
@@ -200,6 +206,24 @@
   Pump(order.service, queue);
 }
 
+void stage_host::Announce(const core::stage_notice& notice) {
+  core::piece_queue* queue = QueueOf(notice.service);
+  if (queue != nullptr) queue->Announce(notice);
+}
+
+void stage_host::TellLoads() {
+  const common::time_point now = clock_.Now();
+  for (const auto& [service, queue] : queues_) {
+    const core::service_load load = queue->Load(targets_.Pool(service), now);
+    if (load.ahead.back() == 0 && load.late_pieces == 0 &&
+        queue->calls() == 0) {
+      continue;
+    }
+    on_load_(service, load);
+  }
+  load_timer_ = loop_.Schedule(kLoadPeriod, [this] { TellLoads(); });
+}
+
 void stage_host::Withdraw(std::string_view request_id) {
   askers_.erase(std::string(request_id));
   for (const auto& [service, queue] : queues_) {
@@ -258,7 +282,7 @@
 
 void stage_host::Pump(const std::string& service, core::piece_queue* queue) {
   const common::time_point now = clock_.Now();
-  Report(service, queue, queue->TakeExpired(now));
+  Report(service, queue->TakeExpired(now));
   while (true) {
     std::optional<core::piece_batch> batch =
         queue->Next(targets_.Pool(service), now);
@@ -293,26 +317,20 @@
   const common::time_point now = clock_.Now();
   const std::vector<core::order_end> ends =
       queue->OnCall(call->batch(), results, now - call->started(), now);
-  Report(call->service(), queue, ends);
+  Report(call->service(), ends);
   Pump(call->service(), queue);
 }
 
-void stage_host::Report(const std::string& service, core::piece_queue* queue,
+void stage_host::Report(const std::string& service,
                         const std::vector<core::order_end>& ends) {
-  if (ends.empty()) return;
-  const common::duration wait =
-      queue->Wait(targets_.Pool(service), clock_.Now());
   for (const core::order_end& end : ends) {
     const auto asker = askers_.find(end.request_id);
-    // Nobody asks for a result of a withdrawn order.
-    if (!end.made) Release(service, end.handles);
-    if (asker == askers_.end()) {
-      if (end.made) Release(service, end.handles);
-      continue;
-    }
+    const bool wanted = asker != askers_.end();
+    if (!end.made || !wanted) Release(service, end.handles);
     const bool surplus = !end.made && end.failure == core::piece_end::kMade;
-    if (surplus) continue;
-    on_end_(asker->second, end, wait);
+    if (!wanted || surplus) continue;
+    const std::string gateway = asker->second;
+    on_end_(gateway, end);
   }
 }
 
--- a/source/gateway/stage_host.h
+++ b/source/gateway/stage_host.h
@@ -26,19 +26,23 @@
  public:
   /// Takes how an order of a gateway ended.
   using end_handler =
-      std::function<void(const std::string& gateway, const core::order_end&,
-                         common::duration queue_wait)>;
+      std::function<void(const std::string& gateway, const core::order_end&)>;
+  /// Takes the load of a queue, now and then while there is any.
+  using load_handler = std::function<void(const std::string& service,
+                                          const core::service_load&)>;
 
   stage_host(net::event_loop& loop, common::clock& clock,
              net::http1_client& client, const core::deployment_codec& codec,
              const core::route_holder& routes, core::target_directory& targets,
-             end_handler on_end);
+             end_handler on_end, load_handler on_load);
   ~stage_host();
   stage_host(const stage_host&) = delete;
   stage_host& operator=(const stage_host&) = delete;
 
   /// @param gateway who asked
   void Add(const std::string& gateway, const core::stage_order& order);
+  /// An order will come.
+  void Announce(const core::stage_notice& notice);
   void Withdraw(std::string_view request_id);
   /// Frees results of a service soon.
   void Release(const std::string& service,
@@ -60,8 +64,9 @@
   void StartCall(const std::string& service, core::piece_batch batch);
   void OnCallEnd(stage_call* ended,
                  const std::vector<core::piece_result>& results);
-  void Report(const std::string& service, core::piece_queue* queue,
+  void Report(const std::string& service,
               const std::vector<core::order_end>& ends);
+  void TellLoads();
   void SendReleases();
   void OnReleased(release_call* ended);
 
@@ -72,6 +77,7 @@
   const core::route_holder& routes_;
   core::target_directory& targets_;
   end_handler on_end_;
+  load_handler on_load_;
   std::map<std::string, std::unique_ptr<core::piece_queue>> queues_;
   /// Which gateway asked for a request's stages.
   std::unordered_map<std::string, std::string> askers_;
@@ -80,6 +86,7 @@
   std::map<maker, std::vector<std::string>> to_free_;
   common::timer_id pump_timer_ = 0;
   common::timer_id release_timer_ = 0;
+  common::timer_id load_timer_ = 0;
 };
 
 }  // namespace wisteriadale::gateway
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -27,6 +27,7 @@
   message.result_bytes = order.result_bytes;
   message.priority = order.priority;
   message.data_centre = order.data_centre;
+  message.late = order.late;
   message.to_objective = MillisUntil(order.objective, now);
   message.to_deadline = MillisUntil(order.deadline, now);
   return message;
@@ -45,6 +46,7 @@
   order.result_bytes = message.result_bytes;
   order.priority = message.priority;
   order.data_centre = message.data_centre;
+  order.late = message.late;
   order.objective = now + message.to_objective;
   order.deadline = now + message.to_deadline;
   return order;
@@ -53,8 +55,8 @@
 }  // namespace
 
 stage_router::stage_router(std::string name, gateway_links& links,
-                           common::clock& clock)
-    : name_(std::move(name)), links_(links), clock_(clock) {}
+                           common::clock& clock, common::timer_service& timers)
+    : name_(std::move(name)), links_(links), clock_(clock), timers_(timers) {}
 
 std::string stage_router::OwnerOf(std::string_view service) const {
   const uint64_t key = common::Hash64(service);
@@ -77,6 +79,24 @@
   Send(&pending);
 }
 
+void stage_router::Announce(const core::stage_notice& notice) {
+  const std::string owner = OwnerOf(notice.service);
+  if (owner == name_) {
+    host_->Announce(notice);
+    return;
+  }
+  links_.Send(owner, core::stage_notice_message{
+                         notice.request_id, notice.service, notice.stage,
+                         notice.pieces, notice.priority,
+                         MillisUntil(notice.expires, clock_.Now())});
+}
+
+void stage_router::OnNotice(const core::stage_notice_message& message) {
+  host_->Announce({message.request_id, message.service, message.stage,
+                   message.pieces, message.priority,
+                   clock_.Now() + message.to_expiry});
+}
+
 void stage_router::Send(pending_order* pending) {
   const core::stage_order& order = pending->order;
   pending->owner = OwnerOf(order.service);
@@ -147,18 +167,16 @@
 }
 
 void stage_router::TellEnd(const std::string& gateway,
-                           const core::order_end& end,
-                           common::duration queue_wait) {
+                           const core::order_end& end) {
   core::stage_end_message message;
   message.request_id = end.request_id;
   message.stage = end.stage;
   message.made = end.made;
   message.late = end.failure == core::piece_end::kLate;
   if (end.made) message.handles = end.handles;
-  message.queue_wait =
-      std::chrono::duration_cast<common::milliseconds>(queue_wait);
   if (gateway == name_) {
-    OnEnd(message);
+    // An order may end while it is being submitted.
+    timers_.Schedule(common::duration(0), [this, message] { OnEnd(message); });
   } else if (!links_.Send(gateway, message)) {
     common::Log(common::log_channel::kRequest, common::log_level::kWarning,
                 "the end of a stage has nobody to go to: " + gateway,
--- a/source/gateway/stage_router.h
+++ b/source/gateway/stage_router.h
@@ -23,14 +23,17 @@
  public:
   using end_handler = std::function<void(const core::stage_end_message&)>;
 
-  stage_router(std::string name, gateway_links& links, common::clock& clock);
+  stage_router(std::string name, gateway_links& links, common::clock& clock,
+               common::timer_service& timers);
 
   /// @param host runs the queues that this gateway owns
   void SetHost(stage_host& host) { host_ = &host; }
 
   /// Asks for a stage.
-  /// @param on_end called once, unless withdrawn
+  /// @param on_end called once, unless withdrawn, and never within Submit
   void Submit(const core::stage_order& order, end_handler on_end);
+  /// Announces an order that will be submitted.
+  void Announce(const core::stage_notice& notice);
   /// The request needs its stages no more.
   void Withdraw(const std::string& request_id);
   void Release(const std::string& service,
@@ -39,13 +42,13 @@
   /// A message of another gateway, or what the own host tells.
   void OnOrder(const std::string& gateway,
                const core::stage_order_message& message);
+  void OnNotice(const core::stage_notice_message& message);
   void OnEnd(const core::stage_end_message& message);
   void OnWithdrawal(const core::stage_withdrawal_message& message);
   void OnRelease(const core::stage_release_message& message);
   void OnLost(const std::string& gateway);
   /// Tells a gateway how its order ended.
-  void TellEnd(const std::string& gateway, const core::order_end& end,
-               common::duration queue_wait);
+  void TellEnd(const std::string& gateway, const core::order_end& end);
 
  private:
   struct pending_order {
@@ -60,6 +63,7 @@
   std::string name_;
   gateway_links& links_;
   common::clock& clock_;
+  common::timer_service& timers_;
   stage_host* host_ = nullptr;
   /// By request id and stage.
   std::map<std::pair<std::string, uint32_t>, pending_order> pending_;
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -50,6 +50,7 @@
     to.to_objective_ms = Millis(from.to_objective);
     to.to_deadline_ms = Millis(from.to_deadline);
     to.data_centre = from.data_centre;
+    to.late = from.late;
     frame->__set_order_part(to);
   }
   void operator()(const core::stage_end_message& from) const {
@@ -59,7 +60,6 @@
     to.made = from.made;
     to.late = from.late;
     to.handles = from.handles;
-    to.queue_wait_ms = Millis(from.queue_wait);
     frame->__set_end_part(to);
   }
   void operator()(const core::stage_withdrawal_message& from) const {
@@ -79,6 +79,25 @@
     to.document = from.document;
     frame->__set_routes_part(to);
   }
+  void operator()(const core::stage_notice_message& from) const {
+    generated::stage_notice to;
+    to.request_id = from.request_id;
+    to.service_name = from.service;
+    to.stage = static_cast<int32_t>(from.stage);
+    to.pieces = static_cast<int32_t>(from.pieces);
+    to.priority = static_cast<int32_t>(from.priority);
+    to.to_expiry_ms = Millis(from.to_expiry);
+    frame->__set_notice_part(to);
+  }
+  void operator()(const core::service_load_message& from) const {
+    generated::service_load to;
+    to.service_name = from.service;
+    to.pieces_per_s = from.load.pieces_per_s;
+    to.call_time_us = from.load.call_time.count();
+    to.ahead.assign(from.load.ahead.begin(), from.load.ahead.end());
+    to.late_pieces = static_cast<int32_t>(from.load.late_pieces);
+    frame->__set_load_part(to);
+  }
   void operator()(const core::leaving_message& from) const {
     generated::leaving to;
     to.target_ids = from.target_ids;
@@ -100,6 +119,30 @@
   to.to_objective = common::milliseconds(from.to_objective_ms);
   to.to_deadline = common::milliseconds(from.to_deadline_ms);
   to.data_centre = from.data_centre;
+  to.late = from.late;
+  return to;
+}
+
+core::stage_notice_message FromWire(const generated::stage_notice& from) {
+  core::stage_notice_message to;
+  to.request_id = from.request_id;
+  to.service = from.service_name;
+  to.stage = static_cast<uint32_t>(from.stage);
+  to.pieces = static_cast<uint32_t>(from.pieces);
+  to.priority = static_cast<uint32_t>(from.priority);
+  to.to_expiry = common::milliseconds(from.to_expiry_ms);
+  return to;
+}
+
+core::service_load_message FromWire(const generated::service_load& from) {
+  core::service_load_message to;
+  to.service = from.service_name;
+  to.load.pieces_per_s = from.pieces_per_s;
+  to.load.call_time = common::duration(from.call_time_us);
+  for (size_t i = 0; i < from.ahead.size() && i < to.load.ahead.size(); ++i) {
+    to.load.ahead[i] = static_cast<uint32_t>(from.ahead[i]);
+  }
+  to.load.late_pieces = static_cast<uint32_t>(from.late_pieces);
   return to;
 }
 
@@ -122,7 +165,7 @@
     return core::stage_end_message{
         part.request_id, static_cast<uint32_t>(part.stage),
         part.made,       part.late,
-        part.handles,    common::milliseconds(part.queue_wait_ms)};
+        part.handles};
   }
   if (frame.__isset.withdrawal_part) {
     return core::stage_withdrawal_message{frame.withdrawal_part.request_id};
@@ -139,6 +182,8 @@
   if (frame.__isset.leaving_part) {
     return core::leaving_message{frame.leaving_part.target_ids};
   }
+  if (frame.__isset.notice_part) return FromWire(frame.notice_part);
+  if (frame.__isset.load_part) return FromWire(frame.load_part);
   return std::nullopt;
 }
 
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -27,6 +27,7 @@
   10: i32 to_objective_ms
   11: i32 to_deadline_ms
   12: string data_centre
+  13: bool late
 }
 
 struct stage_end {
@@ -35,7 +36,6 @@
   3: bool made
   4: bool late
   5: list<string> handles
-  6: i32 queue_wait_ms
 }
 
 struct stage_withdrawal {
@@ -56,6 +56,23 @@
   1: list<string> target_ids
 }
 
+struct stage_notice {
+  1: string request_id
+  2: string service_name
+  3: i32 stage
+  4: i32 pieces
+  5: i32 priority
+  6: i32 to_expiry_ms
+}
+
+struct service_load {
+  1: string service_name
+  2: double pieces_per_s
+  3: i64 call_time_us
+  4: list<i32> ahead
+  5: i32 late_pieces
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -65,4 +82,6 @@
   6: optional stage_release release_part
   7: optional routes routes_part
   8: optional leaving leaving_part
+  9: optional stage_notice notice_part
+  10: optional service_load load_part
 }
