Make pieces where their inputs are, and correct the estimates by what stages took

Cause: most bytes between data centres were the inputs of third stages, which each piece takes anew; estimates ran 15% short, so orders that were in time when they came were late at the end.

--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -38,7 +38,8 @@
   bool late = false;  ///< its request cannot meet its objective
   common::milliseconds to_objective{0};
   common::milliseconds to_deadline{0};
-  std::string data_centre;  ///< where its results are wanted
+  std::string data_centre;   ///< where it is best made
+  uint64_t place_bytes = 0;  ///< that are moved if it is made elsewhere
 };
 
 /// How a stage ended.
--- a/source/core/stages/path_estimate.cc
+++ b/source/core/stages/path_estimate.cc
@@ -6,6 +6,11 @@
 namespace wisteriadale::core {
 namespace {
 
+// Weight of the newest request in the correction of the estimates.
+constexpr double kCorrectionWeight = 0.08;
+constexpr double kLeastCorrection = 0.7;
+constexpr double kMostCorrection = 2.0;
+
 common::duration Seconds(double value) {
   constexpr double kMicros = 1e6;
   constexpr double kLongest = 3600;
@@ -79,20 +84,25 @@
     total.in_time = std::max(total.in_time, ends[i].in_time);
     total.late = std::max(total.late, ends[i].late);
   }
+  total.in_time = common::duration(static_cast<int64_t>(
+      static_cast<double>(total.in_time.count()) * correction_));
   return total;
 }
 
 common::duration path_estimate::StageTime(const route_table& table,
-                                          const std::string& service,
-                                          uint32_t priority) const {
+                                          const std::string& service) const {
   const service_spec* spec = table.FindService(service);
   if (spec == nullptr || !spec->batches) return common::duration(0);
-  const service_load* load = Find(service);
-  common::duration time = CallTime(*spec, load);
-  if (load != nullptr && load->pieces_per_s > 0) {
-    time += Seconds(load->ahead[PriorityLevel(priority)] / load->pieces_per_s);
-  }
-  return time;
+  return CallTime(*spec, Find(service));
+}
+
+void path_estimate::NoteOutcome(common::duration estimated,
+                                common::duration took) {
+  if (estimated.count() <= 0) return;
+  const double ratio = correction_ * static_cast<double>(took.count()) /
+                       static_cast<double>(estimated.count());
+  correction_ += kCorrectionWeight * (ratio - correction_);
+  correction_ = std::clamp(correction_, kLeastCorrection, kMostCorrection);
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/stages/path_estimate.h
+++ b/source/core/stages/path_estimate.h
@@ -57,10 +57,12 @@
                      std::span<const stage_spec> stages,
                      std::span<const uint32_t> pieces,
                      uint32_t priority) const;
-  /// @return time that a stage should still be given after the ones before
+  /// @return time that a stage takes once its call begins
   common::duration StageTime(const route_table& table,
-                             const std::string& service,
-                             uint32_t priority) const;
+                             const std::string& service) const;
+  /// The stages of a request that was expected to meet its objective are made.
+  /// @param estimated as Estimate returned it for the request
+  void NoteOutcome(common::duration estimated, common::duration took);
 
  private:
   struct noted_load {
@@ -75,6 +77,7 @@
   path_estimate_options options_;
   common::clock& clock_;
   std::map<std::string, noted_load, std::less<>> loads_;
+  double correction_ = 1.0;  ///< smoothed time taken over time estimated
 };
 
 /// @return the level that a queue counts a priority in
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -17,9 +17,9 @@
 constexpr double kNormalSlowness = 1.6;
 // The newest call is one part in this many of the smoothed time of calls.
 constexpr int kUsualCallParts = 8;
-// Results of this size are worth a wait for a target where they are wanted: a
-// fifth of what a full call takes, and no more than a third of the spare time.
-constexpr uint64_t kLargeResult = 500000;
+// Bytes worth a wait for a target of the right data centre: a fifth of what a
+// full call takes, and no more than a third of the spare time.
+constexpr uint64_t kLargeMove = 500000;
 constexpr common::duration kPlaceWait = std::chrono::milliseconds(60);
 constexpr int kSpareShare = 3;
 
@@ -136,7 +136,7 @@
   if (order.data_centre.empty() || order.data_centre == data_centre) {
     return false;
   }
-  if (order.result_bytes * order.pieces < kLargeResult) return false;
+  if (order.place_bytes < kLargeMove) return false;
   const common::duration spare =
       order.objective - queued.added - CallTime(spec_.batch);
   const common::duration wait =
@@ -166,33 +166,40 @@
                    });
 }
 
-void piece_queue::Fill(piece_batch* batch, uint64_t room,
-                       common::time_point now) {
+void piece_queue::Take(queued_order* from, bool may_split, piece_batch* batch,
+                       uint64_t* room) {
+  const size_t left = spec_.batch - batch->pieces.size();
+  size_t take = std::min(from->waiting.size(), left);
+  const uint64_t bytes = std::max<uint64_t>(1, from->order.result_bytes);
+  take = std::min(take, static_cast<size_t>(*room / bytes));
+  // A split order needs two calls: only where it cannot be made in one, or
+  // where the queue fills more than this call.
+  const bool split = take < from->waiting.size();
+  if (take == 0 || (split && !may_split && !batch->pieces.empty())) return;
+  for (size_t i = 0; i < take; ++i) {
+    batch->pieces.push_back({from->order.request_id, from->order.stage,
+                             from->waiting[i], from->order.key,
+                             from->order.inputs, from->order.result_bytes,
+                             from->order.deadline});
+  }
+  from->waiting.erase(from->waiting.begin(),
+                      from->waiting.begin() + static_cast<ptrdiff_t>(take));
+  *room -= take * from->order.result_bytes;
+}
+
+void piece_queue::Fill(piece_batch* batch, common::time_point now) {
   const std::string& data_centre = batch->target->entry.data_centre;
-  size_t left = spec_.batch;
-  for (const std::unique_ptr<queued_order>& each : orders_) {
-    if (left == 0) break;
-    if (each->waiting.empty()) continue;
-    if (WaitsForPlace(*each, data_centre, now)) continue;
-    // An order is split only where it cannot be made in one call.
-    size_t take = std::min(each->waiting.size(), left);
-    if (take < each->waiting.size() && !batch->pieces.empty()) continue;
-    const uint64_t bytes = std::max<uint64_t>(1, each->order.result_bytes);
-    const size_t fits = static_cast<size_t>(room / bytes);
-    if (fits < take) {
-      if (fits == 0 || !batch->pieces.empty()) continue;
-      take = fits;
-    }
-    for (size_t i = 0; i < take; ++i) {
-      batch->pieces.push_back({each->order.request_id, each->order.stage,
-                               each->waiting[i], each->order.key,
-                               each->order.inputs, each->order.result_bytes,
-                               each->order.deadline});
+  uint64_t room = RoomLeft(batch->target->entry.id);
+  const bool may_split = queued_pieces() > spec_.batch;
+  for (const bool here : {true, false}) {
+    for (const std::unique_ptr<queued_order>& each : orders_) {
+      if (batch->pieces.size() >= spec_.batch) return;
+      const std::string& wanted = each->order.data_centre;
+      const bool is_here = wanted.empty() || wanted == data_centre;
+      if (each->waiting.empty() || is_here != here) continue;
+      if (WaitsForPlace(*each, data_centre, now)) continue;
+      Take(each.get(), may_split, batch, &room);
     }
-    each->waiting.erase(each->waiting.begin(),
-                        each->waiting.begin() + static_cast<ptrdiff_t>(take));
-    left -= take;
-    room -= take * each->order.result_bytes;
   }
 }
 
@@ -211,7 +218,7 @@
       batch.target = FreeTarget(targets, "", now);
     }
     if (!batch.target) continue;
-    Fill(&batch, RoomLeft(batch.target->entry.id), now);
+    Fill(&batch, now);
     if (!batch.pieces.empty()) break;
   }
   if (batch.pieces.empty()) return std::nullopt;
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -33,7 +33,8 @@
   common::time_point objective;
   /// After it the pieces are of no use.
   common::time_point deadline;
-  std::string data_centre;  ///< where its results are wanted; empty: no matter
+  std::string data_centre;   ///< where it is best made; empty: no matter
+  uint64_t place_bytes = 0;  ///< that are moved if it is made elsewhere
 };
 
 /// Tells a queue of an order that follows once the stages before are made.
@@ -153,7 +154,7 @@
   std::shared_ptr<fleet_target> FreeTarget(
       const target_directory::pool& targets, const std::string& data_centre,
       common::time_point now) const;
-  /// @return whether an order waits for a target where its results are wanted
+  /// @return whether an order still waits for a target of its data centre
   bool WaitsForPlace(const queued_order& queued,
                      const std::string& data_centre,
                      common::time_point now) const;
@@ -162,7 +163,11 @@
   double PiecesPerSecond(const target_directory::pool& targets,
                          common::time_point now) const;
   void Sort(common::time_point now);
-  void Fill(piece_batch* batch, uint64_t room, common::time_point now);
+  /// Fills a call with the orders for the target's data centre, then others.
+  void Fill(piece_batch* batch, common::time_point now);
+  /// Puts as much of an order into a call as is sensible.
+  void Take(queued_order* from, bool may_split, piece_batch* batch,
+            uint64_t* room);
   void NoteCall(const piece_batch& batch, std::span<const piece_result> results,
                 common::duration took, common::time_point now);
   /// @return whether an order still lacks a piece
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -262,6 +262,8 @@
   question.to_deadline = deadline_ - now;
   const core::stage_answer answer = context_.admission.Decide(question);
   late_ = answer.verdict != core::stage_verdict::kInTime;
+  stages_estimate_ = question.path.in_time;
+  stages_begun_ = now;
   if (answer.verdict != core::stage_verdict::kRefuse) return true;
   common::Metrics().Count("wisteria_refused_at_arrival_total");
   Answer({503, "Service Unavailable", "its stages have no room in time"},
@@ -282,6 +284,10 @@
 
 void forward_request::RunStages() {
   if (plan_->complete()) {
+    if (!late_ && stage_restarts_ == 0) {
+      context_.estimate.NoteOutcome(stages_estimate_,
+                                    context_.clock.Now() - stages_begun_);
+    }
     inputs_ = plan_->FinalInputs();
     SendToTarget();
     return;
@@ -299,7 +305,7 @@
     if (order.inputs.empty() && key != nullptr) order.key = *key;
     order.result_bytes = plan_->result_bytes(stage);
     order.priority = priority_;
-    order.data_centre = context_.choice.LikelyDataCentre(Question());
+    SetPlace(&order);
     common::duration least(0);
     common::duration usual(0);
     for (uint32_t later = stage + 1; later < route_->stages.size(); ++later) {
@@ -309,7 +315,7 @@
       if (spec == nullptr || !spec->batches || after.empty()) continue;
       least += spec->batches->call_time + spec->batches->piece_time;
       usual += context_.estimate.StageTime(
-          *table_, route_->stages[later].service, priority_);
+          *table_, route_->stages[later].service);
     }
     order.late = late_;
     order.objective = objective_ - usual - EngineTime();
@@ -319,6 +325,28 @@
   }
 }
 
+void forward_request::SetPlace(core::stage_order* order) {
+  if (order->inputs.empty()) {
+    order->data_centre = context_.choice.LikelyDataCentre(Question());
+    order->place_bytes = order->result_bytes * order->pieces;
+    return;
+  }
+  // Each piece takes all inputs: it is best made where most of them are.
+  std::unordered_map<std::string, uint64_t> bytes;
+  for (const uint32_t before : route_->stages[order->stage].after) {
+    for (const std::string& handle : plan_->handles(before)) {
+      const std::shared_ptr<core::fleet_target> maker =
+          context_.targets.AtAddress(handle.substr(0, handle.find('/')));
+      if (!maker) continue;
+      uint64_t& here = bytes[maker->entry.data_centre];
+      here += plan_->result_bytes(before) * order->pieces;
+      if (here <= order->place_bytes) continue;
+      order->place_bytes = here;
+      order->data_centre = maker->entry.data_centre;
+    }
+  }
+}
+
 void forward_request::OnStageEnd(const core::stage_end_message& end) {
   if (end.made) {
     plan_->Complete(end.stage, end.handles);
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -47,6 +47,8 @@
   void AnnounceStages();
   common::duration EngineTime() const;
   void RunStages();
+  /// Sets where the pieces of a stage are best made.
+  void SetPlace(core::stage_order* order);
   void OnStageEnd(const core::stage_end_message& end);
   void RestartStages();
   void ReleaseInputs();
@@ -94,6 +96,8 @@
   std::optional<core::stage_plan> plan_;
   std::vector<uint32_t> piece_counts_;
   bool late_ = false;  ///< the objective cannot be met
+  common::duration stages_estimate_{0};
+  common::time_point stages_begun_{};
   std::vector<std::string> inputs_;
   uint32_t stage_restarts_ = 0;
 
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -28,6 +28,7 @@
   message.priority = order.priority;
   message.data_centre = order.data_centre;
   message.late = order.late;
+  message.place_bytes = order.place_bytes;
   message.to_objective = MillisUntil(order.objective, now);
   message.to_deadline = MillisUntil(order.deadline, now);
   return message;
@@ -47,6 +48,7 @@
   order.priority = message.priority;
   order.data_centre = message.data_centre;
   order.late = message.late;
+  order.place_bytes = message.place_bytes;
   order.objective = now + message.to_objective;
   order.deadline = now + message.to_deadline;
   return order;
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -51,6 +51,7 @@
     to.to_deadline_ms = Millis(from.to_deadline);
     to.data_centre = from.data_centre;
     to.late = from.late;
+    to.place_bytes = static_cast<int64_t>(from.place_bytes);
     frame->__set_order_part(to);
   }
   void operator()(const core::stage_end_message& from) const {
@@ -120,6 +121,7 @@
   to.to_deadline = common::milliseconds(from.to_deadline_ms);
   to.data_centre = from.data_centre;
   to.late = from.late;
+  to.place_bytes = static_cast<uint64_t>(from.place_bytes);
   return to;
 }
 
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -28,6 +28,7 @@
   11: i32 to_deadline_ms
   12: string data_centre
   13: bool late
+  14: i64 place_bytes
 }
 
 struct stage_end {
