Correct the estimates for each service and priority, and trust a target's room less after it had none

Cause: one correction for all stages let the waits of large sketches mark care answers late that another queue would have made in time.

--- a/source/core/stages/path_estimate.cc
+++ b/source/core/stages/path_estimate.cc
@@ -10,6 +10,12 @@
 constexpr double kCorrectionWeight = 0.08;
 constexpr double kLeastCorrection = 0.7;
 constexpr double kMostCorrection = 2.0;
+constexpr std::array<double, kPriorityLevels> kNoCorrections = {1, 1, 1, 1};
+
+common::duration Scale(common::duration of, double by) {
+  return common::duration(
+      static_cast<int64_t>(static_cast<double>(of.count()) * by));
+}
 
 common::duration Seconds(double value) {
   constexpr double kMicros = 1e6;
@@ -68,24 +74,24 @@
     if (pieces[i] == 0 || spec == nullptr || !spec->batches) continue;
     const service_load* load = Find(stages[i].service);
     const common::duration call = CallTime(*spec, load);
+    common::duration wait(0);
     if (load != nullptr && load->pieces_per_s > 0) {
       // What is ahead is worked on while the stages before are made.
       const double ahead = load->ahead[PriorityLevel(priority)];
       const common::duration work = Seconds(ahead / load->pieces_per_s);
-      ends[i].in_time = std::max(begin.in_time, work);
+      wait = std::max(work - begin.in_time, common::duration(0));
       const double all = load->ahead.back();
       const double late_rate = load->pieces_per_s * options_.late_share;
       ends[i].late = std::max(
           begin.late, Seconds(all / load->pieces_per_s +
                               load->late_pieces / late_rate));
     }
-    ends[i].in_time += call;
+    ends[i].in_time +=
+        Scale(wait + call, Correction(stages[i].service, priority));
     ends[i].late += call;
     total.in_time = std::max(total.in_time, ends[i].in_time);
     total.late = std::max(total.late, ends[i].late);
   }
-  total.in_time = common::duration(static_cast<int64_t>(
-      static_cast<double>(total.in_time.count()) * correction_));
   return total;
 }
 
@@ -96,13 +102,39 @@
   return CallTime(*spec, Find(service));
 }
 
-void path_estimate::NoteOutcome(common::duration estimated,
+common::duration path_estimate::StageEnd(const route_table& table,
+                                         const std::string& service,
+                                         uint32_t priority) const {
+  const service_spec* spec = table.FindService(service);
+  if (spec == nullptr || !spec->batches) return common::duration(0);
+  const service_load* load = Find(service);
+  common::duration time = CallTime(*spec, load);
+  if (load != nullptr && load->pieces_per_s > 0) {
+    time += Seconds(load->ahead[PriorityLevel(priority)] / load->pieces_per_s);
+  }
+  return Scale(time, Correction(service, priority));
+}
+
+double path_estimate::Correction(std::string_view service,
+                                 uint32_t priority) const {
+  const auto found = corrections_.find(service);
+  return found == corrections_.end() ? 1.0
+                                     : found->second[PriorityLevel(priority)];
+}
+
+void path_estimate::NoteOutcome(const std::string& service, uint32_t priority,
+                                common::duration estimated,
                                 common::duration took) {
   if (estimated.count() <= 0) return;
-  const double ratio = correction_ * static_cast<double>(took.count()) /
+  auto found = corrections_.find(service);
+  if (found == corrections_.end()) {
+    found = corrections_.emplace(service, kNoCorrections).first;
+  }
+  double& correction = found->second[PriorityLevel(priority)];
+  const double ratio = correction * static_cast<double>(took.count()) /
                        static_cast<double>(estimated.count());
-  correction_ += kCorrectionWeight * (ratio - correction_);
-  correction_ = std::clamp(correction_, kLeastCorrection, kMostCorrection);
+  correction += kCorrectionWeight * (ratio - correction);
+  correction = std::clamp(correction, kLeastCorrection, kMostCorrection);
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/stages/path_estimate.h
+++ b/source/core/stages/path_estimate.h
@@ -60,9 +60,14 @@
   /// @return time that a stage takes once its call begins
   common::duration StageTime(const route_table& table,
                              const std::string& service) const;
-  /// The stages of a request that was expected to meet its objective are made.
-  /// @param estimated as Estimate returned it for the request
-  void NoteOutcome(common::duration estimated, common::duration took);
+  /// @return time from now to the end of a stage that is asked for now
+  common::duration StageEnd(const route_table& table,
+                            const std::string& service,
+                            uint32_t priority) const;
+  /// A stage that was expected to be made in time is made.
+  /// @param estimated as StageEnd returned it when the stage was asked for
+  void NoteOutcome(const std::string& service, uint32_t priority,
+                   common::duration estimated, common::duration took);
 
  private:
   struct noted_load {
@@ -70,6 +75,7 @@
     common::time_point at;
   };
 
+  double Correction(std::string_view service, uint32_t priority) const;
   const service_load* Find(std::string_view service) const;
   common::duration CallTime(const service_spec& spec,
                             const service_load* load) const;
@@ -77,7 +83,9 @@
   path_estimate_options options_;
   common::clock& clock_;
   std::map<std::string, noted_load, std::less<>> loads_;
-  double correction_ = 1.0;  ///< smoothed time taken over time estimated
+  /// Smoothed time taken over time estimated, of each service and level.
+  std::map<std::string, std::array<double, kPriorityLevels>, std::less<>>
+      corrections_;
 };
 
 /// @return the level that a queue counts a priority in
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -15,6 +15,10 @@
 // Weight of the newest call in a target's smoothed slowness.
 constexpr double kSlownessWeight = 0.3;
 constexpr double kNormalSlowness = 1.6;
+// The trusted part of a target's room, cut by each call that found none left.
+constexpr double kLeastRoomShare = 0.5;
+constexpr double kRoomShareCut = 0.9;
+constexpr double kRoomShareGain = 0.01;
 // The newest call is one part in this many of the smoothed time of calls.
 constexpr int kUsualCallParts = 8;
 // Bytes worth a wait for a target of the right data centre: a fifth of what a
@@ -102,7 +106,11 @@
 uint64_t piece_queue::RoomLeft(const std::string& target_id) const {
   const auto found = reserved_.find(target_id);
   const uint64_t reserved = found == reserved_.end() ? 0 : found->second;
-  return spec_.room_bytes > reserved ? spec_.room_bytes - reserved : 0;
+  const auto share = room_share_.find(target_id);
+  const double trusted = share == room_share_.end() ? 1.0 : share->second;
+  const uint64_t room = static_cast<uint64_t>(
+      static_cast<double>(spec_.room_bytes) * trusted);
+  return room > reserved ? room - reserved : 0;
 }
 
 bool piece_queue::IsFree(const fleet_target& target,
@@ -276,7 +284,13 @@
   const bool no_room = std::any_of(
       results.begin(), results.end(),
       [](const piece_result& each) { return each.end == piece_end::kRoom; });
-  if (no_room) target->full_until = now + kFullPause;
+  double& share = room_share_.try_emplace(target_id, 1.0).first->second;
+  if (no_room) {
+    target->full_until = now + kFullPause;
+    share = std::max(kLeastRoomShare, share * kRoomShareCut);
+  } else {
+    share = std::min(1.0, share + kRoomShareGain);
+  }
   target->failures_in_row = 0;
   usual_call_ = usual_call_.count() == 0
                     ? took
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -191,6 +191,8 @@
   std::unordered_map<std::string, uint32_t> calls_on_;
   std::unordered_map<std::string, uint64_t> reserved_;
   std::unordered_map<std::string, held_result> results_;
+  /// Part of its room that a target is trusted with: results differ in size.
+  std::unordered_map<std::string, double> room_share_;
   /// Orders that will come, by request and stage.
   std::map<std::pair<std::string, uint32_t>, stage_notice> notices_;
   common::duration usual_call_{0};  ///< smoothed time of a call
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -262,8 +262,6 @@
   question.to_deadline = deadline_ - now;
   const core::stage_answer answer = context_.admission.Decide(question);
   late_ = answer.verdict != core::stage_verdict::kInTime;
-  stages_estimate_ = question.path.in_time;
-  stages_begun_ = now;
   if (answer.verdict != core::stage_verdict::kRefuse) return true;
   common::Metrics().Count("wisteria_refused_at_arrival_total");
   Answer({503, "Service Unavailable", "its stages have no room in time"},
@@ -284,45 +282,48 @@
 
 void forward_request::RunStages() {
   if (plan_->complete()) {
-    if (!late_ && stage_restarts_ == 0) {
-      context_.estimate.NoteOutcome(stages_estimate_,
-                                    context_.clock.Now() - stages_begun_);
-    }
     inputs_ = plan_->FinalInputs();
     SendToTarget();
     return;
   }
+  begun_.resize(route_->stages.size());
+  for (const uint32_t stage : plan_->TakeReady()) SubmitStage(stage);
+}
+
+void forward_request::SubmitStage(uint32_t stage) {
   const std::string* key =
       exchange_->head().Find(context_.codec.headers().piece_key);
-  for (const uint32_t stage : plan_->TakeReady()) {
-    core::stage_order order;
-    order.request_id = request_id_;
-    order.service = route_->stages[stage].service;
-    order.organisation = organisation_name();
-    order.stage = stage;
-    order.pieces = plan_->pieces(stage);
-    order.inputs = plan_->InputsOf(stage);
-    if (order.inputs.empty() && key != nullptr) order.key = *key;
-    order.result_bytes = plan_->result_bytes(stage);
-    order.priority = priority_;
-    SetPlace(&order);
-    common::duration least(0);
-    common::duration usual(0);
-    for (uint32_t later = stage + 1; later < route_->stages.size(); ++later) {
-      const core::service_spec* spec =
-          table_->FindService(route_->stages[later].service);
-      const std::vector<uint32_t>& after = route_->stages[later].after;
-      if (spec == nullptr || !spec->batches || after.empty()) continue;
-      least += spec->batches->call_time + spec->batches->piece_time;
-      usual += context_.estimate.StageTime(
-          *table_, route_->stages[later].service);
-    }
-    order.late = late_;
-    order.objective = objective_ - usual - EngineTime();
-    order.deadline = deadline_ - least - kLeastTime;
-    context_.stages.Submit(
-        order, [this](const core::stage_end_message& end) { OnStageEnd(end); });
-  }
+  core::stage_order order;
+  order.request_id = request_id_;
+  order.service = route_->stages[stage].service;
+  order.organisation = organisation_name();
+  order.stage = stage;
+  order.pieces = plan_->pieces(stage);
+  order.inputs = plan_->InputsOf(stage);
+  if (order.inputs.empty() && key != nullptr) order.key = *key;
+  order.result_bytes = plan_->result_bytes(stage);
+  order.priority = priority_;
+  order.late = late_;
+  SetPlace(&order);
+  common::duration least(0);
+  common::duration usual(0);
+  for (uint32_t later = stage + 1; later < route_->stages.size(); ++later) {
+    const core::service_spec* spec =
+        table_->FindService(route_->stages[later].service);
+    const std::vector<uint32_t>& after = route_->stages[later].after;
+    if (spec == nullptr || !spec->batches || after.empty()) continue;
+    least += spec->batches->call_time + spec->batches->piece_time;
+    usual += context_.estimate.StageTime(*table_,
+                                         route_->stages[later].service);
+  }
+  order.objective = objective_ - usual - EngineTime();
+  order.deadline = deadline_ - least - kLeastTime;
+  begun_[stage] = {
+      context_.clock.Now(),
+      context_.estimate.StageEnd(*table_, order.service, priority_)};
+  context_.stages.Submit(order, [this](const core::stage_end_message& end) {
+    OnStageEnd(end);
+  });
 }
 
 void forward_request::SetPlace(core::stage_order* order) {
@@ -350,6 +351,12 @@
 void forward_request::OnStageEnd(const core::stage_end_message& end) {
   if (end.made) {
     plan_->Complete(end.stage, end.handles);
+    if (!late_) {
+      const begun_stage& begun = begun_[end.stage];
+      context_.estimate.NoteOutcome(route_->stages[end.stage].service,
+                                    priority_, begun.estimate,
+                                    context_.clock.Now() - begun.at);
+    }
     RunStages();
     return;
   }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -49,6 +49,7 @@
   void RunStages();
   /// Sets where the pieces of a stage are best made.
   void SetPlace(core::stage_order* order);
+  void SubmitStage(uint32_t stage);
   void OnStageEnd(const core::stage_end_message& end);
   void RestartStages();
   void ReleaseInputs();
@@ -96,8 +97,12 @@
   std::optional<core::stage_plan> plan_;
   std::vector<uint32_t> piece_counts_;
   bool late_ = false;  ///< the objective cannot be met
-  common::duration stages_estimate_{0};
-  common::time_point stages_begun_{};
+  /// When a stage was asked for, and the time that it was expected to take.
+  struct begun_stage {
+    common::time_point at{};
+    common::duration estimate{0};
+  };
+  std::vector<begun_stage> begun_;
   std::vector<std::string> inputs_;
   uint32_t stage_restarts_ = 0;
 
