Make large results last, free spent results at once, and count with callers who leave a stream

Cause: results of 3 MB were made first and held while three other stages ran, so the ledger and sketch pools ran out of room and results lapsed; results of middle stages were freed only at the end.

--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -42,7 +42,10 @@
   common::duration timeout{0};        ///< longest time a caller is kept waiting
   common::duration objective{0};      ///< to the answer, or to the first event
   common::duration gap_objective{0};  ///< longest pause between two events
-  uint32_t priority = 0;              ///< 0 is served first
+  /// Callers of a stream leave if it does not begin within this time; 0: only
+  /// the deadline counts.
+  common::duration patience{0};
+  uint32_t priority = 0;  ///< 0 is served first
   uint32_t max_attempts = 1;  ///< targets that one request may be sent to
   bool is_public = false;     ///< needs no key
   bool resumable = false;
--- a/source/core/stages/stage_plan.cc
+++ b/source/core/stages/stage_plan.cc
@@ -33,16 +33,15 @@
   return plan;
 }
 
-std::vector<uint32_t> stage_plan::TakeReady() {
+std::vector<uint32_t> stage_plan::Ready() const {
   std::vector<uint32_t> ready;
   for (uint32_t i = 0; i < entries_.size(); ++i) {
-    entry& each = entries_[i];
+    const entry& each = entries_[i];
     if (each.begun) continue;
     const bool can_begin = std::all_of(
         each.after.begin(), each.after.end(),
         [this](uint32_t before) { return entries_[before].complete; });
     if (!can_begin) continue;
-    each.begun = true;
     ready.push_back(i);
   }
   return ready;
@@ -84,8 +83,8 @@
   return inputs;
 }
 
-std::vector<std::string> stage_plan::TakeSpent() {
-  std::vector<std::string> spent;
+std::vector<uint32_t> stage_plan::TakeSpent() {
+  std::vector<uint32_t> spent;
   for (uint32_t i = 0; i < entries_.size(); ++i) {
     entry& each = entries_[i];
     if (!each.complete || each.spent || !each.followed) continue;
@@ -97,19 +96,34 @@
         });
     if (needed) continue;
     each.spent = true;
-    spent.insert(spent.end(), each.handles.begin(), each.handles.end());
+    spent.push_back(i);
   }
   return spent;
 }
 
-std::vector<std::string> stage_plan::TakeAll() {
-  std::vector<std::string> all;
-  for (entry& each : entries_) {
-    if (each.spent) continue;
-    each.spent = true;
-    all.insert(all.end(), each.handles.begin(), each.handles.end());
+std::vector<uint32_t> stage_plan::TakeHeld() {
+  std::vector<uint32_t> held;
+  for (uint32_t i = 0; i < entries_.size(); ++i) {
+    if (entries_[i].spent || entries_[i].handles.empty()) continue;
+    entries_[i].spent = true;
+    held.push_back(i);
+  }
+  return held;
+}
+
+common::duration stage_plan::TimeOfOthers(
+    uint32_t stage, std::span<const common::duration> left) const {
+  common::duration longest(0);
+  std::vector<common::duration> ends(entries_.size(), common::duration(0));
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    if (i == stage || entries_[i].complete) continue;
+    for (const uint32_t before : entries_[i].after) {
+      ends[i] = std::max(ends[i], ends[before]);
+    }
+    ends[i] += left[i];
+    longest = std::max(longest, ends[i]);
   }
-  return all;
+  return longest;
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/stages/stage_plan.h
+++ b/source/core/stages/stage_plan.h
@@ -19,8 +19,12 @@
   static std::optional<stage_plan> Create(std::span<const stage_spec> stages,
                                           std::span<const uint32_t> pieces);
 
-  /// @return stages that can begin now; they then count as begun
-  std::vector<uint32_t> TakeReady();
+  /// @return stages that can begin now
+  std::vector<uint32_t> Ready() const;
+  void Begin(uint32_t stage) { entries_[stage].begun = true; }
+  bool begun(uint32_t stage) const { return entries_[stage].begun; }
+  /// @return whether another stage takes the stage's results
+  bool followed(uint32_t stage) const { return entries_[stage].followed; }
   /// @param handles of all pieces of a stage, in their order
   void Complete(uint32_t stage, std::vector<std::string> handles);
   /// @return whether every stage is complete
@@ -31,11 +35,15 @@
   std::vector<std::string> InputsOf(uint32_t stage) const;
   /// @return handles of the stages that no other stage follows
   std::vector<std::string> FinalInputs() const;
-  /// @return handles that no stage needs any more; they are given once
-  std::vector<std::string> TakeSpent();
-  /// @return all handles that were not given up yet
-  std::vector<std::string> TakeAll();
-  /// @return bytes of all pieces of the final stages in one place
+  /// @return stages whose results no stage needs any more; each is told once
+  std::vector<uint32_t> TakeSpent();
+  /// @return stages with results that were not given up yet
+  std::vector<uint32_t> TakeHeld();
+  /// @param left time that each stage still takes by itself
+  /// @return time until the other stages are made, without those behind `stage`
+  common::duration TimeOfOthers(uint32_t stage,
+                                std::span<const common::duration> left) const;
+  /// @return bytes of the result of one piece, approximately
   uint64_t result_bytes(uint32_t stage) const {
     return entries_[stage].result_bytes;
   }
@@ -57,8 +65,6 @@
     std::vector<std::string> handles;
   };
 
-  bool Followed(uint32_t stage) const { return entries_[stage].followed; }
-
   std::vector<entry> entries_;
 };
 
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -32,6 +32,11 @@
 // the objective.
 constexpr common::duration kEngineTime = std::chrono::milliseconds(60);
 constexpr common::duration kPromptTokenTime{9};
+// Results from this size on are made as late as the other stages allow: room
+// for them is short. They are begun this much earlier than the estimate says.
+constexpr uint64_t kLargeResults = 500000;
+constexpr common::duration kDelayMargin = std::chrono::milliseconds(40);
+constexpr common::duration kShortestDelay = std::chrono::milliseconds(5);
 // Rest of a target after failures, doubled by each in a row.
 constexpr common::duration kFirstEjection = std::chrono::milliseconds(400);
 constexpr uint32_t kMostDoublings = 4;
@@ -113,6 +118,7 @@
 forward_request::~forward_request() {
   context_.loop.Cancel(timeout_timer_);
   context_.loop.Cancel(resume_timer_);
+  context_.loop.Cancel(stage_timer_);
 }
 
 const std::string& forward_request::organisation_name() const {
@@ -201,6 +207,10 @@
         static_cast<int64_t>(std::min(*given, 1e9) * 1000.0));
     deadline_ = std::min(deadline_, received + wait);
   }
+  begin_by_ = deadline_;
+  if (route_->patience.count() > 0) {
+    begin_by_ = std::min(begin_by_, received + route_->patience);
+  }
   objective_ = received + route_->objective;
   priority_ = route_->priority;
   if (organisation_ != nullptr && organisation_->priority) {
@@ -259,7 +269,7 @@
                                              piece_counts_, priority_);
   question.rest = EngineTime();
   question.to_objective = objective_ - now;
-  question.to_deadline = deadline_ - now;
+  question.to_deadline = begin_by_ - now;
   const core::stage_answer answer = context_.admission.Decide(question);
   late_ = answer.verdict != core::stage_verdict::kInTime;
   if (answer.verdict != core::stage_verdict::kRefuse) return true;
@@ -274,7 +284,7 @@
     const core::stage_spec& spec = route_->stages[stage];
     if (piece_counts_[stage] == 0 || late_) continue;
     context_.estimate.AddOwn(spec.service, piece_counts_[stage], priority_);
-    if (spec.after.empty()) continue;
+    if (spec.after.empty() && DelayOf(stage) <= kShortestDelay) continue;
     context_.stages.Announce({request_id_, spec.service, stage,
                               piece_counts_[stage], priority_, objective_});
   }
@@ -287,10 +297,43 @@
     return;
   }
   begun_.resize(route_->stages.size());
-  for (const uint32_t stage : plan_->TakeReady()) SubmitStage(stage);
+  common::duration shortest(0);
+  for (const uint32_t stage : plan_->Ready()) {
+    const common::duration delay = DelayOf(stage);
+    if (delay <= kShortestDelay) {
+      SubmitStage(stage);
+    } else if (shortest.count() == 0 || delay < shortest) {
+      shortest = delay;
+    }
+  }
+  context_.loop.Cancel(stage_timer_);
+  stage_timer_ = 0;
+  if (shortest.count() == 0) return;
+  stage_timer_ = context_.loop.Schedule(shortest, [this] {
+    stage_timer_ = 0;
+    RunStages();
+  });
+}
+
+common::duration forward_request::DelayOf(uint32_t stage) const {
+  const uint64_t bytes = plan_->result_bytes(stage) * plan_->pieces(stage);
+  if (plan_->followed(stage) || bytes < kLargeResults) {
+    return common::duration(0);
+  }
+  const common::time_point now = context_.clock.Now();
+  std::vector<common::duration> left(route_->stages.size());
+  for (uint32_t i = 0; i < left.size(); ++i) {
+    const common::duration whole = context_.estimate.StageEnd(
+        *table_, route_->stages[i].service, priority_);
+    const common::duration passed =
+        plan_->begun(i) ? now - begun_[i].at : common::duration(0);
+    left[i] = std::max(whole - passed, common::duration(0));
+  }
+  return plan_->TimeOfOthers(stage, left) - left[stage] - kDelayMargin;
 }
 
 void forward_request::SubmitStage(uint32_t stage) {
+  plan_->Begin(stage);
   const std::string* key =
       exchange_->head().Find(context_.codec.headers().piece_key);
   core::stage_order order;
@@ -317,7 +360,7 @@
                                          route_->stages[later].service);
   }
   order.objective = objective_ - usual - EngineTime();
-  order.deadline = deadline_ - least - kLeastTime;
+  order.deadline = begin_by_ - least - EngineTime();
   begun_[stage] = {
       context_.clock.Now(),
       context_.estimate.StageEnd(*table_, order.service, priority_)};
@@ -357,6 +400,7 @@
                                     priority_, begun.estimate,
                                     context_.clock.Now() - begun.at);
     }
+    ReleaseSpent();
     RunStages();
     return;
   }
@@ -375,14 +419,21 @@
   if (MakePlan()) RunStages();
 }
 
+void forward_request::ReleaseSpent() {
+  for (const uint32_t stage : plan_->TakeSpent()) {
+    context_.stages.Release(route_->stages[stage].service,
+                            plan_->handles(stage));
+  }
+}
+
 void forward_request::ReleaseInputs() {
   if (!plan_) return;
-  context_.stages.Withdraw(request_id_);
-  for (uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
-    const std::vector<std::string>& handles = plan_->handles(stage);
-    if (!handles.empty()) {
-      context_.stages.Release(route_->stages[stage].service, handles);
-    }
+  context_.loop.Cancel(stage_timer_);
+  stage_timer_ = 0;
+  if (!plan_->complete()) context_.stages.Withdraw(request_id_);
+  for (const uint32_t stage : plan_->TakeHeld()) {
+    context_.stages.Release(route_->stages[stage].service,
+                            plan_->handles(stage));
   }
   plan_.reset();
 }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -50,6 +50,10 @@
   /// Sets where the pieces of a stage are best made.
   void SetPlace(core::stage_order* order);
   void SubmitStage(uint32_t stage);
+  /// @return how long a stage can wait, so that large results are not held
+  /// while other stages are made
+  common::duration DelayOf(uint32_t stage) const;
+  void ReleaseSpent();
   void OnStageEnd(const core::stage_end_message& end);
   void RestartStages();
   void ReleaseInputs();
@@ -89,6 +93,7 @@
   std::string service_;
   common::time_point give_up_at_{};  ///< the route's bound
   common::time_point deadline_{};    ///< the caller's, or the route's
+  common::time_point begin_by_{};      ///< the caller waits for a first event
   common::time_point objective_{};
   uint32_t priority_ = 0;
   std::vector<core::prompt_part> prompt_parts_;
@@ -123,6 +128,7 @@
   bool caller_gone_ = false;
   common::timer_id timeout_timer_ = 0;
   common::timer_id resume_timer_ = 0;
+  common::timer_id stage_timer_ = 0;  ///< of stages that wait for others
 };
 
 }  // namespace wisteriadale::gateway
--- a/source/platform/route_decoder.cc
+++ b/source/platform/route_decoder.cc
@@ -1,5 +1,6 @@
 #include "platform/route_decoder.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -13,6 +14,9 @@
 using nlohmann::json;
 
 constexpr double kBytesPerMegabyte = 1e6;
+// Callers abandon a stream after a gap of this, of four times the objective or
+// of eight times the pause, whichever is longest.
+constexpr common::duration kLeastPatience = std::chrono::seconds(2);
 
 /// A document that does not have the form it must have. It never leaves this
 /// file.
@@ -105,6 +109,10 @@
   route.objective =
       Millis(NumberOr(from, "target-latency-ms", Number(from, "timeout-ms")));
   route.gap_objective = Millis(NumberOr(from, "target-gap-ms", 0));
+  if (route.kind == core::request_kind::kStreaming) {
+    route.patience = std::max({kLeastPatience, 4 * route.objective,
+                               8 * route.gap_objective});
+  }
   route.priority = static_cast<uint32_t>(NumberOr(from, "priority", 0));
   route.max_attempts = static_cast<uint32_t>(NumberOr(from, "max-attempts", 1));
   route.is_public = FlagOr(from, "public", false);
