--- /dev/null
+++ b/scenarios/gateway_stages.lua
@@ -0,0 +1,81 @@
+-- The stages of a request are made once each over all gateways, their results
+-- reach the engine whole, and are freed.
+local gateways = require("gateways")
+local fleet = gateways.start{count = 2}
+
+local function draft(gateway, pieces)
+  return fleet:ask{method = "POST", path = "/drafts/1", body = "x",
+                   gateway = gateway,
+                   headers = {Accept = "text/event-stream",
+                              ["X-Wisteriadale-Pieces"] = pieces or "2,3",
+                              ["X-Wisteriadale-Piece-Key"] = "key-1"}}
+end
+local function pieces_of(id)
+  local made = {}
+  for _, run in ipairs(fleet:runs(id)) do
+    if run.path == "/v1/stage-run" then
+      for _, item in ipairs(decode(run.body).items) do
+        if item.id == id then
+          local name = item.stage .. "/" .. item.piece
+          made[name] = (made[name] or 0) + 1
+          made.last = item
+        end
+      end
+    end
+  end
+  return made
+end
+local function inputs_of(id)
+  local list = fleet:own_runs(id)[1].headers["x-wisteriadale-inputs"] or ""
+  return select(2, list:gsub("[^,]+", ""))
+end
+
+for number = 1, 6 do
+  local answer = draft(fleet.all[1 + number % 2])
+  expect(answer.complete and answer.status == 200, "a draft: " .. answer.body)
+  local made = pieces_of(answer.id)
+  for _, name in ipairs{"0/0", "0/1", "1/0", "1/1", "1/2"} do
+    expect_equal(1, made[name], "piece " .. name)
+  end
+  expect_equal(2, #made.last.inputs, "all results of the stage before")
+  expect_equal(3, inputs_of(answer.id), "results that reach the engine")
+end
+local without = draft(nil, "0,0")
+expect_equal(200, without.status, "no stage at all")
+expect_equal(0, inputs_of(without.id), "and no results")
+
+wait_until(function()
+  local freed = 0
+  for _, run in ipairs(fleet:runs()) do
+    if run.path == "/v1/stage-free" then
+      freed = freed + #decode(run.body).handles
+    end
+  end
+  return freed >= 30
+end, 3000, "results are freed")
+
+-- A target that loses its calls: its pieces are made elsewhere.
+fleet:behave{id = "first-1", how = "lose"}
+for _ = 1, 4 do expect_equal(200, draft().status, "beside a lost target") end
+fleet:behave{service = "first"}
+
+-- The gateway that owns the queues dies while orders wait there.
+fleet:behave{service = "second", work_ms = 200}
+local open = {}
+for number = 1, 2 do
+  open[number] = connect(fleet.all[1].callers)
+  open[number]:send(gateways.bytes{
+    method = "POST", path = "/drafts/1", body = "x",
+    headers = {Accept = "text/event-stream", ["X-Wisteriadale-Pieces"] = "1,1",
+               ["X-Wisteriadale-Piece-Key"] = "key-1"}})
+end
+runner.pump(150)
+fleet.all[2].process:kill()
+for number = 1, 2 do
+  wait_until(function()
+    local answer = gateways.parse(open[number]:read())
+    return answer and answer.complete and answer.status == 200
+  end, 6000, "a draft whose owner died")
+end
+
+fleet:stop()
--- /dev/null
+++ b/scenarios/gateway_start_and_stop.lua
@@ -0,0 +1,48 @@
+-- Without routes a gateway says that nothing ran; a planned stop cuts nothing
+-- off; what cannot listen ends with a code.
+local gateways = require("gateways")
+local fleet = gateways.start{without_routes = true}
+local gateway = fleet.all[1]
+
+fleet:wait_answering(gateway.operators, "/healthz", 200)
+expect_equal(503, http{port = gateway.operators, path = "/readyz"}.status,
+             "not ready without routes")
+expect_equal(503, fleet:ask{path = "/stock/1", key = "any"}.status,
+             "never 401 or 404 without routes")
+fleet:configure(gateways.document(1))
+fleet:wait_answering(gateway.operators, "/readyz", 200)
+
+-- Changed settings cut nothing off, also ones with faults.
+gateway.process:reload()
+expect_equal(200, fleet:ask{path = "/stock/1"}.status, "after a reload")
+
+-- A second gateway on the same port ends, with the reason.
+local other = start("wisteria-gateway", gateway.settings)
+expect_equal(1, other:wait(3000), "a port that is taken")
+
+-- A stream that runs when the stop begins ends whole; new requests on open
+-- connections are served and told to close.
+fleet:behave{service = "engine", events = 40, event_ms = 20}
+local stream = connect(gateway.callers)
+stream:send(gateways.bytes{method = "POST", path = "/notes/1", body = "x",
+                           headers = {Accept = "text/event-stream"}})
+stream:wait_for("part1", 3000)
+local kept = connect(gateway.callers)
+kept:send(gateways.bytes{path = "/stock/1"})
+kept:wait_for("ran", 3000)
+gateway.process:stop()
+wait_until(function()
+  return http{port = gateway.operators, path = "/readyz"}.status == 503
+end, 1000, "not ready at once")
+local answer = fleet:ask{path = "/stock/2"}
+expect_equal(200, answer.status, "a new connection while it stops")
+expect_equal("close", answer.headers["connection"], "told to close")
+kept:send(gateways.bytes{path = "/stock/3"})
+kept:wait_for("Connection: close", 3000)
+wait_until(function()
+  local read = gateways.parse(stream:read())
+  return read and read.complete
+end, 3000, "the stream ends whole")
+expect_equal(0, gateway.process:wait(9000), "a clean end")
+
+fleet:stop()
--- /dev/null
+++ b/scenarios/gateway_streams.lua
@@ -0,0 +1,64 @@
+-- Events arrive as they are made. A stream that breaks goes on at another
+-- target where its route allows it, and is never completed falsely.
+local gateways = require("gateways")
+local fleet = gateways.start{}
+
+local function stream(path, more)
+  local options = more or {}
+  options.method, options.path, options.body = "POST", path, "prompt"
+  options.headers = options.headers or {}
+  options.headers.Accept = "text/event-stream"
+  return fleet:ask(options)
+end
+local function events(count, from)
+  local text = ""
+  for number = from or 1, count do
+    text = text .. "id: " .. number .. "\ndata: part" .. number .. "\n\n"
+  end
+  return text
+end
+
+local whole = stream("/notes/1")
+expect(whole.complete, "a whole stream")
+expect_equal(events(4), whole.body, "its events")
+
+-- A resumable stream that is cut within an event goes on after the last whole
+-- one, as one answer.
+fleet:behave{id = "engine-1", how = "cut", cut_after = 2}
+for _ = 1, 6 do
+  local answer = stream("/answers/1")
+  expect(answer.complete, "a resumed stream")
+  expect_equal(events(4), answer.body, "each event once")
+end
+local resumed = 0
+for _, run in ipairs(fleet:runs()) do
+  if run.headers["last-event-id"] == "2" then resumed = resumed + 1 end
+end
+expect(resumed > 0, "a run went on after event 2")
+
+-- One that may not be resumed breaks visibly.
+fleet:behave{service = "engine", how = "cut", cut_after = 2}
+local cut = stream("/notes/2")
+expect(cut.closed and not cut.complete, "a cut stream does not look complete")
+expect_equal(1, #fleet:own_runs(cut.id), "and ran once")
+
+-- A caller's own resumption is passed on.
+fleet:behave{service = "engine"}
+local continued = stream("/answers/2", {headers = {["Last-Event-Id"] = "2"}})
+expect_equal(events(4, 3), continued.body, "only what follows event 2")
+
+-- A caller that leaves ends its run.
+fleet:behave{service = "engine", events = 10000, event_ms = 5}
+local socket = connect(fleet.all[1].callers)
+socket:send(gateways.bytes{method = "POST", path = "/notes/3", body = "x",
+                           headers = {Accept = "text/event-stream"}})
+socket:wait_for("part3", 5000)
+socket:close()
+local function metric(name)
+  local text = http{port = fleet.all[1].operators, path = "/metrics"}.body
+  return tonumber(text:match(name .. " (%d+)")) or 0
+end
+wait_until(function() return metric("wisteria_callers_left_total") > 0 end, 500,
+           "the caller's leaving is noticed")
+
+fleet:stop()
--- a/scenarios/lib/verbs.lua
+++ b/scenarios/lib/verbs.lua
@@ -58,6 +58,7 @@
 function process:kill() runner.signal(self.id, "KILL") end
 function process:stop() runner.signal(self.id, "TERM") end
 function process:pause() runner.signal(self.id, "STOP") end
+function process:reload() runner.signal(self.id, "HUP") end
 function process:continue() runner.signal(self.id, "CONT") end
 function process:exit_code() return runner.exit_code(self.id) end
 function process:running() return runner.exit_code(self.id) == nil end
--- a/source/core/admission/stage_admission.cc
+++ b/source/core/admission/stage_admission.cc
@@ -14,8 +14,7 @@
 
 common::duration stage_admission::ReturnAfter(common::duration until,
                                               common::duration to_deadline) {
-  const common::duration most =
-      Share(to_deadline, options_.most_return_share);
+  const common::duration most = Share(to_deadline, options_.most_return_share);
   const common::duration begin =
       std::clamp(until, options_.least_return,
                  std::max(options_.least_return, Share(most, 0.6)));
--- a/source/core/admission/stage_admission.h
+++ b/source/core/admission/stage_admission.h
@@ -25,8 +25,8 @@
 };
 
 struct stage_question {
-  path_time path;              ///< of the stages
-  common::duration rest{0};    ///< what follows them
+  path_time path;            ///< of the stages
+  common::duration rest{0};  ///< what follows them
   common::duration to_objective{0};
   common::duration to_deadline{0};
 };
--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -45,7 +45,7 @@
   /// Callers of a stream leave if it does not begin within this time; 0: only
   /// the deadline counts.
   common::duration patience{0};
-  uint32_t priority = 0;  ///< 0 is served first
+  uint32_t priority = 0;      ///< 0 is served first
   uint32_t max_attempts = 1;  ///< targets that one request may be sent to
   bool is_public = false;     ///< needs no key
   bool resumable = false;
--- a/source/core/stages/path_estimate.cc
+++ b/source/core/stages/path_estimate.cc
@@ -83,8 +83,8 @@
       const double all = load->ahead.back();
       const double late_rate = load->pieces_per_s * options_.late_share;
       ends[i].late = std::max(
-          begin.late, Seconds(all / load->pieces_per_s +
-                              load->late_pieces / late_rate));
+          begin.late,
+          Seconds(all / load->pieces_per_s + load->late_pieces / late_rate));
     }
     ends[i].in_time +=
         Scale(wait + call, Correction(stages[i].service, priority));
--- a/source/core/stages/path_estimate.h
+++ b/source/core/stages/path_estimate.h
@@ -18,7 +18,7 @@
 
 /// What the owner of a queue tells of it.
 struct service_load {
-  double pieces_per_s = 0;  ///< that the targets make when calls are full
+  double pieces_per_s = 0;        ///< that the targets make when calls are full
   common::duration call_time{0};  ///< usual time of one call
   /// Pieces that go before a new order of each level and can still meet their
   /// objective, announced ones too.
@@ -55,8 +55,7 @@
   /// @param pieces number of pieces of each
   path_time Estimate(const route_table& table,
                      std::span<const stage_spec> stages,
-                     std::span<const uint32_t> pieces,
-                     uint32_t priority) const;
+                     std::span<const uint32_t> pieces, uint32_t priority) const;
   /// @return time that a stage takes once its call begins
   common::duration StageTime(const route_table& table,
                              const std::string& service) const;
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -108,8 +108,8 @@
   const uint64_t reserved = found == reserved_.end() ? 0 : found->second;
   const auto share = room_share_.find(target_id);
   const double trusted = share == room_share_.end() ? 1.0 : share->second;
-  const uint64_t room = static_cast<uint64_t>(
-      static_cast<double>(spec_.room_bytes) * trusted);
+  const uint64_t room =
+      static_cast<uint64_t>(static_cast<double>(spec_.room_bytes) * trusted);
   return room > reserved ? room - reserved : 0;
 }
 
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -28,7 +28,7 @@
   std::vector<std::string> inputs;  ///< of the others
   uint64_t result_bytes = 0;        ///< of one piece, approximately
   uint32_t priority = 0;            ///< 0 first
-  bool late = false;  ///< its request cannot meet its objective
+  bool late = false;                ///< its request cannot meet its objective
   /// When the pieces should be made for the request to meet its objective.
   common::time_point objective;
   /// After it the pieces are of no use.
@@ -155,8 +155,7 @@
       const target_directory::pool& targets, const std::string& data_centre,
       common::time_point now) const;
   /// @return whether an order still waits for a target of its data centre
-  bool WaitsForPlace(const queued_order& queued,
-                     const std::string& data_centre,
+  bool WaitsForPlace(const queued_order& queued, const std::string& data_centre,
                      common::time_point now) const;
   uint64_t RoomLeft(const std::string& target_id) const;
   bool IsLate(const queued_order& queued, common::time_point now) const;
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -356,17 +356,16 @@
     const std::vector<uint32_t>& after = route_->stages[later].after;
     if (spec == nullptr || !spec->batches || after.empty()) continue;
     least += spec->batches->call_time + spec->batches->piece_time;
-    usual += context_.estimate.StageTime(*table_,
-                                         route_->stages[later].service);
+    usual +=
+        context_.estimate.StageTime(*table_, route_->stages[later].service);
   }
   order.objective = objective_ - usual - EngineTime();
   order.deadline = begin_by_ - least - EngineTime();
   begun_[stage] = {
       context_.clock.Now(),
       context_.estimate.StageEnd(*table_, order.service, priority_)};
-  context_.stages.Submit(order, [this](const core::stage_end_message& end) {
-    OnStageEnd(end);
-  });
+  context_.stages.Submit(
+      order, [this](const core::stage_end_message& end) { OnStageEnd(end); });
 }
 
 void forward_request::SetPlace(core::stage_order* order) {
@@ -761,10 +760,10 @@
   common::duration until = kRefusedReturn;
   if (!route_->stages.empty() &&
       piece_counts_.size() == route_->stages.size()) {
-    until = std::max(until, context_.estimate
-                                .Estimate(*table_, route_->stages,
-                                          piece_counts_, priority_)
-                                .in_time);
+    until = std::max(
+        until, context_.estimate
+                   .Estimate(*table_, route_->stages, piece_counts_, priority_)
+                   .in_time);
   }
   return context_.admission.ReturnAfter(until, deadline_ - now);
 }
@@ -797,8 +796,7 @@
   if (sent || may_have_run_) {
     common::Log(log_channel::kRequest, log_level::kInfo,
                 "no answer within the bound", {request_id_, {}});
-    Answer({504, "Gateway Timeout", "no answer in time"},
-           common::duration(0));
+    Answer({504, "Gateway Timeout", "no answer in time"}, common::duration(0));
   } else {
     AnswerNotRun("its time ran out before it was sent");
   }
@@ -806,6 +804,7 @@
 
 void forward_request::OnGone() {
   caller_gone_ = true;
+  common::Metrics().Count("wisteria_callers_left_total");
   // A request that must not be repeated is left to end: its effect may be
   // wanted, and cutting it would leave it in doubt.
   const bool keep = route_ != nullptr &&
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -93,7 +93,7 @@
   std::string service_;
   common::time_point give_up_at_{};  ///< the route's bound
   common::time_point deadline_{};    ///< the caller's, or the route's
-  common::time_point begin_by_{};      ///< the caller waits for a first event
+  common::time_point begin_by_{};    ///< the caller waits for a first event
   common::time_point objective_{};
   uint32_t priority_ = 0;
   std::vector<core::prompt_part> prompt_parts_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -139,10 +139,9 @@
         links_->SendAll(core::service_load_message{service, load});
       });
   stages_->SetHost(*host_);
-  forwarder_ = std::make_unique<forwarder>(
-      forward_context{*loop_, clock_, *random_, *client_, *codec_, routes_,
-                      targets_, *choice_, *repeats_, *stages_, *estimate_,
-                      *admission_});
+  forwarder_ = std::make_unique<forwarder>(forward_context{
+      *loop_, clock_, *random_, *client_, *codec_, routes_, targets_, *choice_,
+      *repeats_, *stages_, *estimate_, *admission_});
   watch_->OnRoutes([this] { OnRoutes(); });
   targets_.OnLeaving([this](const core::fleet_target& target) {
     choice_->hints().Forget(target.entry.id);
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -197,8 +197,9 @@
     common::Log(log_channel::kRequest, log_level::kWarning,
                 "service " + order.service + " takes no pieces",
                 {order.request_id, {}});
-    on_end_(gateway,
-            {order.request_id, order.stage, false, core::piece_end::kError, {}});
+    on_end_(
+        gateway,
+        {order.request_id, order.stage, false, core::piece_end::kError, {}});
     return;
   }
   askers_[order.request_id] = gateway;
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -87,10 +87,10 @@
     host_->Announce(notice);
     return;
   }
-  links_.Send(owner, core::stage_notice_message{
-                         notice.request_id, notice.service, notice.stage,
-                         notice.pieces, notice.priority,
-                         MillisUntil(notice.expires, clock_.Now())});
+  links_.Send(
+      owner, core::stage_notice_message{
+                 notice.request_id, notice.service, notice.stage, notice.pieces,
+                 notice.priority, MillisUntil(notice.expires, clock_.Now())});
 }
 
 void stage_router::OnNotice(const core::stage_notice_message& message) {
--- a/source/platform/route_decoder.cc
+++ b/source/platform/route_decoder.cc
@@ -110,8 +110,8 @@
       Millis(NumberOr(from, "target-latency-ms", Number(from, "timeout-ms")));
   route.gap_objective = Millis(NumberOr(from, "target-gap-ms", 0));
   if (route.kind == core::request_kind::kStreaming) {
-    route.patience = std::max({kLeastPatience, 4 * route.objective,
-                               8 * route.gap_objective});
+    route.patience = std::max(
+        {kLeastPatience, 4 * route.objective, 8 * route.gap_objective});
   }
   route.priority = static_cast<uint32_t>(NumberOr(from, "priority", 0));
   route.max_attempts = static_cast<uint32_t>(NumberOr(from, "max-attempts", 1));
--- /dev/null
+++ b/source/unit_tests/core/stages/path_estimate_test.cc
@@ -0,0 +1,127 @@
+#include "core/stages/path_estimate.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "core/admission/stage_admission.h"
+#include "unit_tests/fakes/virtual_time.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using common::milliseconds;
+
+namespace {
+
+core::route_document Document() {
+  core::route_document document;
+  for (const char* name : {"intake", "stock"}) {
+    core::service_spec service;
+    service.name = name;
+    core::batch_spec batches;
+    batches.batch = 10;
+    batches.call_time = milliseconds(150);
+    batches.piece_time = milliseconds(10);
+    service.batches = batches;
+    document.services.push_back(service);
+  }
+  return document;
+}
+
+core::service_load Load(double rate, uint32_t ahead) {
+  core::service_load load;
+  load.pieces_per_s = rate;
+  load.call_time = milliseconds(200);
+  load.ahead.fill(ahead);
+  return load;
+}
+
+}  // namespace
+
+TEST_GROUP(PathEstimate) {
+  fakes::virtual_time time;
+  core::route_table table{Document()};
+  core::path_estimate estimate{{}, time};
+  std::vector<core::stage_spec> stages = {{"intake", {}, 0}, {"stock", {0}, 0}};
+  std::vector<uint32_t> pieces = {1, 4};
+
+  core::path_time Estimate(uint32_t priority = 1) {
+    return estimate.Estimate(table, stages, pieces, priority);
+  }
+};
+
+TEST(PathEstimate, IdleStagesTakeTheirCalls) {
+  CHECK(Estimate().in_time == milliseconds(400));
+}
+
+TEST(PathEstimate, WhatIsAheadIsWorkedOnWhileEarlierStagesAreMade) {
+  estimate.Note("stock", Load(100, 10));
+  CHECK(Estimate().in_time == milliseconds(400));
+  estimate.Note("stock", Load(100, 50));
+  CHECK(Estimate().in_time == milliseconds(700));
+}
+
+TEST(PathEstimate, AStageThatIsLeftOutTakesNoTime) {
+  pieces = {1, 0};
+  estimate.Note("stock", Load(100, 500));
+  CHECK(Estimate().in_time == milliseconds(200));
+}
+
+TEST(PathEstimate, OldReportsDoNotCount) {
+  estimate.Note("stock", Load(100, 500));
+  time.Advance(std::chrono::seconds(1));
+  CHECK(Estimate().in_time == milliseconds(400));
+}
+
+TEST(PathEstimate, OwnOrdersCountBeforeTheNextReport) {
+  estimate.Note("stock", Load(100, 20));
+  estimate.AddOwn("stock", 30, 1);
+  CHECK(Estimate().in_time == milliseconds(700));
+  CHECK(Estimate(0).in_time == milliseconds(400));
+}
+
+TEST(PathEstimate, WaitsOfOneServiceDoNotDarkenAnother) {
+  for (int i = 0; i < 100; ++i) {
+    estimate.NoteOutcome("intake", 1, milliseconds(200), milliseconds(400));
+  }
+  CHECK(Estimate(1).in_time > milliseconds(500));
+  CHECK(Estimate(1).in_time < milliseconds(650));
+  CHECK(Estimate(0).in_time == milliseconds(400));
+}
+
+TEST_GROUP(StageAdmission) {
+  common::seeded_random random{7};
+  core::stage_admission admission{{}, random};
+
+  core::stage_answer Decide(int64_t in_time_ms, int64_t late_ms) {
+    core::stage_question question;
+    question.path = {milliseconds(in_time_ms), milliseconds(late_ms)};
+    question.rest = milliseconds(100);
+    question.to_objective = milliseconds(1000);
+    question.to_deadline = milliseconds(5000);
+    return admission.Decide(question);
+  }
+};
+
+TEST(StageAdmission, WhatCanMeetItsObjectiveIsInTime) {
+  CHECK(Decide(800, 9000).verdict == core::stage_verdict::kInTime);
+}
+
+TEST(StageAdmission, WhatCannotGoesBehind) {
+  CHECK(Decide(1000, 2000).verdict == core::stage_verdict::kLate);
+}
+
+TEST(StageAdmission, WhatHasNoRoomBeforeItsDeadlineIsRefusedAtOnce) {
+  const core::stage_answer answer = Decide(1000, 6000);
+  CHECK(answer.verdict == core::stage_verdict::kRefuse);
+  CHECK(answer.return_after >= milliseconds(250));
+  CHECK(answer.return_after <= milliseconds(5000) / 3);
+}
+
+TEST(StageAdmission, RefusedCallersDoNotComeBackTogether) {
+  common::duration least = std::chrono::hours(1);
+  common::duration most(0);
+  for (int i = 0; i < 50; ++i) {
+    const common::duration after = Decide(1000, 6000).return_after;
+    least = std::min(least, after);
+    most = std::max(most, after);
+  }
+  CHECK(most - least > milliseconds(200));
+}
--- /dev/null
+++ b/source/unit_tests/platform/route_decoder_test.cc
@@ -0,0 +1,147 @@
+#include "platform/route_decoder.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/deployment.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+json Target() {
+  return {{"service", "plain"},   {"address", "10.0.0.1:8080"},
+          {"zone", "a"},          {"version", "v1"},
+          {"slots", 4},           {"state", "ready"},
+          {"sequence", 3},        {"cold-remaining-ms", 0},
+          {"born", 1700000000000}};
+}
+
+json Routes() {
+  return {{"version", 7},
+          {"routes",
+           {{{"name", "r"},
+             {"host", "a.example"},
+             {"path-prefix", "/x/"},
+             {"kind", "streaming"},
+             {"timeout-ms", 6000},
+             {"target-latency-ms", 690},
+             {"target-gap-ms", 150},
+             {"weighted-services",
+              {{{"service", "one"}, {"weight", 9}},
+               {{"service", "two"}, {"weight", 1}}}},
+             {"stages",
+              {{{"service", "s"}, {"after", json::array()}},
+               {{"service", "s"}, {"after", {0}}}}}}}},
+          {"services",
+           {{{"name", "s"},
+             {"pieces",
+              {{"slots", 1},
+               {"batch", 14},
+               {"call-ms", 150.0},
+               {"item-ms", 9.2},
+               {"headroom-mb", 87.0},
+               {"handle-s", 4.0}}}}}}};
+}
+
+}  // namespace
+
+TEST_GROUP(RouteDecoder){};
+
+TEST(RouteDecoder, ReadsRoutesServicesAndStages) {
+  const std::optional<core::route_document> read =
+      platform::DecodeRoutes(Routes().dump());
+  CHECK(read.has_value());
+  const core::route& route = read->routes[0];
+  CHECK(route.kind == core::request_kind::kStreaming);
+  CHECK(route.timeout == std::chrono::seconds(6));
+  // Four times the objective is the longest of the three bounds.
+  CHECK(route.patience == std::chrono::milliseconds(2760));
+  CHECK_EQUAL(2, route.services.size());
+  CHECK_EQUAL(0, route.stages[1].after[0]);
+  CHECK_EQUAL(87000000, read->services[0].batches->room_bytes);
+  CHECK(read->services[0].batches->piece_time ==
+        std::chrono::microseconds(9200));
+}
+
+TEST(RouteDecoder, AStageCannotFollowItselfOrALaterOne) {
+  json routes = Routes();
+  routes["routes"][0]["stages"][0]["after"] = {1};
+  CHECK(!platform::DecodeRoutes(routes.dump()).has_value());
+}
+
+TEST(RouteDecoder, UnknownKindsAreRefused) {
+  json routes = Routes();
+  routes["routes"][0]["kind"] = "sometimes";
+  CHECK(!platform::DecodeRoutes(routes.dump()).has_value());
+}
+
+TEST(RouteDecoder, ReadsATarget) {
+  const std::optional<core::target_entry> read =
+      platform::DecodeTarget("i-1", Target().dump());
+  CHECK(read.has_value());
+  CHECK_EQUAL("i-1", read->id);
+  CHECK(!read->draining);
+}
+
+TEST(RouteDecoder, ATargetMustHaveEachFieldInItsForm) {
+  for (const char* field : {"service", "address", "zone", "version", "slots",
+                            "state", "sequence", "cold-remaining-ms"}) {
+    json missing = Target();
+    missing.erase(field);
+    CHECK_TEXT(!platform::DecodeTarget("i-1", missing.dump()), field);
+    json other = Target();
+    other[field] = json::array();
+    CHECK_TEXT(!platform::DecodeTarget("i-1", other.dump()), field);
+  }
+  json state = Target();
+  state["state"] = "resting";
+  CHECK(!platform::DecodeTarget("i-1", state.dump()));
+  json address = Target();
+  address["address"] = "host:80";
+  CHECK(!platform::DecodeTarget("i-1", address.dump()));
+  json born = Target();
+  born["born"] = 1.5;
+  CHECK(!platform::DecodeTarget("i-1", born.dump()));
+  CHECK(!platform::DecodeTarget("i-1", "\xff\xfe"));
+}
+
+TEST_GROUP(Pieces) {
+  std::unique_ptr<core::deployment_codec> codec =
+      platform::MakeDeploymentCodec();
+};
+
+TEST(Pieces, AResultMustNameItsMaker) {
+  const std::string body =
+      R"({"items":[{"handle":"10.0.0.1:80/a1"},{"handle":"10.0.0.2:80/a2"},)"
+      R"({"reason":"room"},{"handle":"10.0.0.1:80/a,b"}]})";
+  const std::optional<std::vector<core::piece_result>> results =
+      codec->DecodePieces("10.0.0.1:80", 4, body);
+  CHECK(results.has_value());
+  CHECK((*results)[0].end == core::piece_end::kMade);
+  CHECK((*results)[1].end == core::piece_end::kError);
+  CHECK((*results)[2].end == core::piece_end::kRoom);
+  CHECK((*results)[3].end == core::piece_end::kError);
+}
+
+TEST(Pieces, AnAnswerMustTellOfEachPiece) {
+  CHECK(!codec->DecodePieces("a", 2, R"({"items":[{"reason":"late"}]})"));
+  CHECK(!codec->DecodePieces("a", 1, "[]"));
+  CHECK(!codec->DecodePieces("a", 1, "nonsense"));
+}
+
+TEST(Pieces, StagesThatFollowOthersGetInputsAndNoKey) {
+  core::piece_ref first;
+  first.request_id = "r1";
+  first.key = "k1";
+  core::piece_ref second = first;
+  second.stage = 1;
+  second.inputs = {"10.0.0.1:80/a1"};
+  const std::vector<core::piece_ref> pieces = {first, second};
+  const json body = json::parse(codec->EncodePieces(pieces, {}));
+  CHECK_EQUAL("k1", body["items"][0]["key"].get<std::string>());
+  CHECK(!body["items"][0].contains("inputs"));
+  CHECK(!body["items"][1].contains("key"));
+}
--- /dev/null
+++ b/source/unit_tests/platform_standin/main.cc
@@ -0,0 +1,146 @@
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "common/last_reason.h"
+#include "unit_tests/platform_standin/played_target.h"
+#include "unit_tests/platform_standin/row_service.h"
+
+namespace wisteriadale::platform_standin {
+namespace {
+
+using nlohmann::json;
+
+/// The store, the targets and what tests ask of them, in one process.
+///
+///   POST /control/rows     {table, key, value}: a null value removes the row
+///   POST /control/store    store_faults
+///   POST /control/targets  {id or service, how, ...}: target_behaviour
+///   GET  /control/runs     what the targets ran
+///   GET  /control/store    {calls}
+class standin {
+ public:
+  standin(net::event_loop& loop, common::clock& clock)
+      : loop_(loop), clock_(clock), rows_(loop, clock) {}
+
+  bool Listen(const json& settings) {
+    for (const json& entry : settings.value("targets", json::array())) {
+      targets_.push_back(
+          std::make_unique<played_target>(loop_, clock_, entry.value("id", ""),
+                                          entry.value("service", ""), runs_));
+      if (!targets_.back()->Listen(entry.value("port", uint16_t{0}))) {
+        return false;
+      }
+    }
+    server_ = net::http1_server::Create(
+        loop_, clock_, {"127.0.0.1", settings.value("port", uint16_t{0})},
+        net::http1_server_limits(),
+        [this](const std::shared_ptr<net::http1_exchange>& exchange) {
+          Handle(exchange);
+        });
+    return server_ != nullptr;
+  }
+
+ private:
+  void Handle(const std::shared_ptr<net::http1_exchange>& exchange) {
+    const std::string& target = exchange->head().target;
+    if (!target.starts_with("/control/")) {
+      rows_.Handle(exchange);
+      return;
+    }
+    const json body = json::parse(exchange->body(), nullptr, false);
+    json answer = json::object();
+    if (target == "/control/rows") {
+      SetRow(body);
+    } else if (target == "/control/store" && body.is_object()) {
+      rows_.SetFaults({body.value("how", ""), body.value("delay_ms", 0),
+                       body.value("forgotten", false)});
+    } else if (target == "/control/store") {
+      answer = {{"calls", rows_.calls()}};
+    } else if (target == "/control/targets") {
+      SetBehaviour(body);
+    } else if (target == "/control/runs") {
+      answer = Runs();
+    }
+    exchange->Send(200, "OK", {}, answer.dump());
+  }
+
+  void SetRow(const json& body) {
+    const json value = body.value("value", json());
+    std::optional<std::string> text;
+    if (value.is_string()) text = value.get<std::string>();
+    if (value.is_object()) text = value.dump();
+    rows_.Set(body.value("table", ""), body.value("key", ""), text);
+  }
+
+  void SetBehaviour(const json& body) {
+    target_behaviour behaviour;
+    behaviour.how = body.value("how", behaviour.how);
+    behaviour.events = body.value("events", behaviour.events);
+    behaviour.event_ms = body.value("event_ms", behaviour.event_ms);
+    behaviour.work_ms = body.value("work_ms", behaviour.work_ms);
+    behaviour.cut_after = body.value("cut_after", behaviour.cut_after);
+    for (const std::unique_ptr<played_target>& each : targets_) {
+      if (each->id() == body.value("id", each->id()) &&
+          each->service() == body.value("service", each->service())) {
+        each->SetBehaviour(behaviour);
+      }
+    }
+  }
+
+  json Runs() const {
+    json list = json::array();
+    for (const target_run& run : runs_) {
+      list.push_back({{"target", run.target_id},
+                      {"request_id", run.request_id},
+                      {"method", run.method},
+                      {"path", run.path},
+                      {"headers", run.headers},
+                      {"body", run.body}});
+    }
+    return {{"runs", list}};
+  }
+
+  net::event_loop& loop_;
+  common::clock& clock_;
+  row_service rows_;
+  std::vector<target_run> runs_;
+  std::vector<std::unique_ptr<played_target>> targets_;
+  std::unique_ptr<net::http1_server> server_;
+};
+
+int Run(const std::string& path) {
+  std::ifstream file(path);
+  const json settings = json::parse(file, nullptr, false);
+  if (!settings.is_object()) {
+    std::fprintf(stderr, "%s is not a JSON object\n", path.c_str());
+    return 2;
+  }
+  const std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  if (!loop) return 1;
+  common::system_clock clock;
+  standin played(**loop, clock);
+  if (!played.Listen(settings)) {
+    std::fprintf(stderr, "%s\n", common::LastReason().text.c_str());
+    return 1;
+  }
+  (*loop)->OnStopSignal([&loop] { (*loop)->Stop(); });
+  (*loop)->Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace wisteriadale::platform_standin
+
+int main(int argc, char** argv) {
+  constexpr char kFlag[] = "--settings=";
+  const std::string argument = argc == 2 ? argv[1] : "";
+  if (!argument.starts_with(kFlag)) {
+    std::fputs("usage: wisteria-platform-standin --settings=FILE\n", stderr);
+    return 2;
+  }
+  return wisteriadale::platform_standin::Run(
+      argument.substr(sizeof(kFlag) - 1));
+}
--- /dev/null
+++ b/source/unit_tests/platform_standin/played_target.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "common/clock.h"
+#include "net/http1_server.h"
+
+namespace wisteriadale::platform_standin {
+
+/// How a target behaves, set by tests.
+struct target_behaviour {
+  /// "" serves; "shed" refuses as not run; "fail" runs and answers 500; "lose"
+  /// runs and drops the connection; "mute" runs and never answers; "cut" breaks
+  /// its stream in the middle of an event; "unsigned" leaves the receipt out;
+  /// "foreign" echoes another request's id.
+  std::string how;
+  uint32_t events = 4;     ///< of a stream
+  int64_t event_ms = 5;    ///< between two events
+  int64_t work_ms = 1;     ///< before an answer
+  uint32_t cut_after = 2;  ///< whole events before a cut
+};
+
+/// One run of a request, or one call for pieces.
+struct target_run {
+  std::string target_id;
+  std::string request_id;
+  std::string method;
+  std::string path;
+  nlohmann::json headers;  ///< by lower-case name
+  std::string body;
+};
+
+/// Plays a target of the platform: a plain service, an engine that streams
+/// events, or a target that makes pieces of stages.
+class played_target {
+ public:
+  played_target(net::event_loop& loop, common::clock& clock, std::string id,
+                std::string service, std::vector<target_run>& runs)
+      : loop_(loop),
+        clock_(clock),
+        id_(std::move(id)),
+        service_(std::move(service)),
+        runs_(runs) {}
+
+  /// @return whether the target listens
+  bool Listen(uint16_t port);
+  void SetBehaviour(const target_behaviour& behaviour) {
+    behaviour_ = behaviour;
+  }
+  const std::string& id() const { return id_; }
+  const std::string& service() const { return service_; }
+
+ private:
+  void Handle(const std::shared_ptr<net::http1_exchange>& exchange);
+  void MakePieces(const std::shared_ptr<net::http1_exchange>& exchange);
+  void Run(const std::shared_ptr<net::http1_exchange>& exchange);
+  void Stream(const std::shared_ptr<net::http1_exchange>& exchange);
+  void SendEvent(const std::shared_ptr<net::http1_exchange>& exchange,
+                 uint32_t number);
+  void Record(const net::http1_exchange& exchange);
+  std::vector<net::http_header> Headers(
+      const net::http1_exchange& exchange) const;
+
+  net::event_loop& loop_;
+  common::clock& clock_;
+  std::string id_;
+  std::string service_;
+  std::string address_;
+  std::vector<target_run>& runs_;
+  target_behaviour behaviour_;
+  uint64_t handles_ = 0;
+  std::unique_ptr<net::http1_server> server_;
+  std::vector<std::shared_ptr<net::http1_exchange>> unanswered_;
+};
+
+}  // namespace wisteriadale::platform_standin
--- /dev/null
+++ b/source/unit_tests/platform_standin/row_service.cc
@@ -0,0 +1,173 @@
+#include "unit_tests/platform_standin/row_service.h"
+
+#include <libwebsockets.h>
+
+#include <algorithm>
+
+namespace wisteriadale::platform_standin {
+namespace {
+
+using nlohmann::json;
+
+constexpr common::duration kFeedCheck = std::chrono::milliseconds(10);
+
+std::string ToBase64(const std::string& text) {
+  std::string out((text.size() + 2) / 3 * 4 + 2, '\0');
+  const int length =
+      lws_b64_encode_string(text.data(), static_cast<int>(text.size()),
+                            out.data(), static_cast<int>(out.size()));
+  out.resize(static_cast<size_t>(std::max(length, 0)));
+  return out;
+}
+
+std::string FromBase64(const std::string& text) {
+  std::string out(text.size() + 4, '\0');
+  const int length =
+      lws_b64_decode_string_len(text.data(), static_cast<int>(text.size()),
+                                out.data(), static_cast<int>(out.size()));
+  out.resize(static_cast<size_t>(std::max(length, 0)));
+  return out;
+}
+
+std::string Argument(const std::string& target, const std::string& name) {
+  const size_t query = target.find('?');
+  size_t at = query == std::string::npos ? target.size() : query + 1;
+  while (at < target.size()) {
+    const size_t end = std::min(target.find('&', at), target.size());
+    const std::string pair = target.substr(at, end - at);
+    const size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name && equals != std::string::npos) {
+      return pair.substr(equals + 1);
+    }
+    at = end + 1;
+  }
+  return "";
+}
+
+uint64_t NumberArgument(const std::string& target, const std::string& name) {
+  return std::strtoull(Argument(target, name).c_str(), nullptr, 10);
+}
+
+}  // namespace
+
+void row_service::Set(const std::string& table, const std::string& key,
+                      const std::optional<std::string>& value) {
+  rows_[{table, key}] = {value.value_or(""), ++version_, !value.has_value()};
+  CheckFeeds();
+}
+
+std::optional<std::string> row_service::Find(const std::string& table,
+                                             const std::string& key) const {
+  const auto found = rows_.find({table, key});
+  if (found == rows_.end() || found->second.removed) return std::nullopt;
+  return found->second.value;
+}
+
+void row_service::Handle(const std::shared_ptr<net::http1_exchange>& exchange) {
+  ++calls_;
+  if (faults_.how == "silent") {
+    unanswered_.push_back(exchange);
+    return;
+  }
+  if (faults_.how == "busy") {
+    exchange->Send(503, "Busy", {}, "");
+    return;
+  }
+  if (faults_.delay_ms == 0) {
+    Serve(exchange);
+    return;
+  }
+  loop_.Schedule(common::milliseconds(faults_.delay_ms),
+                 [this, exchange] { Serve(exchange); });
+}
+
+void row_service::Serve(const std::shared_ptr<net::http1_exchange>& exchange) {
+  const std::string& target = exchange->head().target;
+  const std::string table = Argument(target, "table");
+  if (target.starts_with("/v1/rows-get")) {
+    Answer(exchange.get(), 200,
+           {{"rows", Rows(table, 0, false)}, {"truncated", false}});
+  } else if (target.starts_with("/v1/rows-feed")) {
+    if (faults_.forgotten) {
+      faults_.forgotten = false;
+      Answer(exchange.get(), 410, json::object());
+      return;
+    }
+    const waiting_feed feed{
+        exchange, table, NumberArgument(target, "after"),
+        clock_.Now() + common::milliseconds(NumberArgument(target, "wait-ms"))};
+    if (!AnswerFeed(feed)) {
+      feeds_.push_back(feed);
+      loop_.Schedule(kFeedCheck, [this] { CheckFeeds(); });
+    }
+  } else if (target == "/v1/rows-tx") {
+    Write(exchange);
+  } else {
+    Answer(exchange.get(), 404, json::object());
+  }
+}
+
+void row_service::Write(const std::shared_ptr<net::http1_exchange>& exchange) {
+  const json body = json::parse(exchange->body(), nullptr, false);
+  for (const json& entry : body.value("set-keys", json::array())) {
+    Set(entry.value("table", ""), entry.value("key", ""),
+        FromBase64(entry.value("value", "")));
+  }
+  for (const json& entry : body.value("remove", json::array())) {
+    Set(entry.value("table", ""), entry.value("key", ""), std::nullopt);
+  }
+  if (faults_.how == "lose") {
+    unanswered_.push_back(exchange);
+    return;
+  }
+  Answer(exchange.get(), 200, json::object());
+}
+
+bool row_service::AnswerFeed(const waiting_feed& feed) {
+  const json rows = Rows(feed.table, feed.after, true);
+  if (rows.empty() && clock_.Now() < feed.until) return false;
+  Answer(feed.exchange.get(), 200, {{"rows", rows}});
+  return true;
+}
+
+void row_service::CheckFeeds() {
+  std::vector<waiting_feed> waiting;
+  waiting.swap(feeds_);
+  for (const waiting_feed& feed : waiting) {
+    if (!AnswerFeed(feed)) feeds_.push_back(feed);
+  }
+  if (feeds_.empty()) return;
+  loop_.Schedule(kFeedCheck, [this] { CheckFeeds(); });
+}
+
+json row_service::Rows(const std::string& table, uint64_t after,
+                       bool removed_too) const {
+  json rows = json::array();
+  for (const auto& [key, stored] : rows_) {
+    if (key.first != table || stored.version <= after) continue;
+    if (stored.removed && !removed_too) continue;
+    json row = {{"table", table},
+                {"part", ""},
+                {"key", key.second},
+                {"row-version", stored.version}};
+    if (stored.removed) {
+      row["tombstone"] = true;
+    } else {
+      row["value"] = ToBase64(stored.value);
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+void row_service::Answer(net::http1_exchange* exchange, int status,
+                         const json& body) const {
+  json whole = body;
+  whole["row-version"] = version_;
+  whole["now-ms"] = 1;
+  const std::vector<net::http_header> headers = {
+      {"Content-Type", "application/json"}};
+  exchange->Send(status, "Answer", headers, whole.dump());
+}
+
+}  // namespace wisteriadale::platform_standin
--- a/source/unit_tests/scenario/verbs.cc
+++ b/source/unit_tests/scenario/verbs.cc
@@ -81,6 +81,7 @@
   if (name == "TERM") child->Signal(SIGTERM);
   if (name == "STOP") child->Signal(SIGSTOP);
   if (name == "CONT") child->Signal(SIGCONT);
+  if (name == "HUP") child->Signal(SIGHUP);
   return 0;
 }
 
