--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -7,9 +7,9 @@
 
 #include "common/last_reason.h"
 #include "common/metrics.h"
-#include "net/endpoint.h"
 #include "net/lws_protocols.h"
 #include "net/socket_bytes.h"
+#include "net/tcp_stream.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -537,6 +537,9 @@
 std::optional<std::unique_ptr<http_server>> http_server::Create(
     event_loop& loop, const options& chosen, http_handler on_request,
     channel_acceptor on_channel) {
+  // libwebsockets waits for an address that this VM does not have, and tells
+  // nobody.
+  if (!CanListen({chosen.address, chosen.port})) return std::nullopt;
   std::unique_ptr<http_server> server(new http_server());
   server->loop_ = &loop;
   server->limits_ = chosen;
@@ -564,18 +567,14 @@
     }
   }
   server->vhost_ = lws_create_vhost(loop.context(), &info);
-  if (server->vhost_ != nullptr) {
-    server->port_ =
-        static_cast<uint16_t>(lws_get_vhost_listen_port(server->vhost_));
-  }
-  // libwebsockets may make a vhost without a socket behind it.
-  if (server->vhost_ == nullptr ||
-      !IsListening({chosen.address, server->port_})) {
+  if (server->vhost_ == nullptr) {
     common::SetLastReason(
-        common::result_code::kCannotListen,
-        "cannot listen on " + EndpointText({chosen.address, chosen.port}));
+        common::result_code::kBadSettings,
+        "cannot serve on " + EndpointText({chosen.address, chosen.port}));
     return std::nullopt;
   }
+  server->port_ =
+      static_cast<uint16_t>(lws_get_vhost_listen_port(server->vhost_));
   return server;
 }
 
--- a/source/net/socket_bytes.h
+++ b/source/net/socket_bytes.h
@@ -2,8 +2,6 @@
 
 #include <cstdint>
 
-#include "net/endpoint.h"
-
 namespace wisteriadale::net {
 
 /// @param fd a connected TCP socket
@@ -14,7 +12,4 @@
 /// @return whether the peer sends no more and everything it sent was read
 bool PeerHasClosed(int fd);
 
-/// @return whether a socket of this VM already has the address and port
-bool IsListening(const endpoint& at);
-
 }  // namespace wisteriadale::net
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -56,6 +56,24 @@
   return what + " " + EndpointText(where) + ": " + std::strerror(errno);
 }
 
+/// @return a socket that listens, or -1 with LastReason set to kCannotListen
+int OpenListener(const endpoint& at) {
+  sockaddr_in address{};
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+                          IPPROTO_TCP);
+  if (fd >= 0) SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (fd >= 0 && ToAddress(at, &address) &&
+      bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
+          0 &&
+      listen(fd, kBacklog) == 0) {
+    return fd;
+  }
+  common::SetLastReason(common::result_code::kCannotListen,
+                        ErrorText("cannot listen on", at));
+  if (fd >= 0) ::close(fd);
+  return -1;
+}
+
 /// What libwebsockets tells about one descriptor.
 class polled {
  public:
@@ -292,6 +310,13 @@
   return std::make_unique<tcp_stream>(made);
 }
 
+bool CanListen(const endpoint& at) {
+  const int fd = OpenListener(at);
+  if (fd < 0) return false;
+  ::close(fd);
+  return true;
+}
+
 class tcp_listener::socket final : public polled,
                                    public std::enable_shared_from_this<socket> {
  public:
@@ -359,19 +384,8 @@
 std::unique_ptr<tcp_listener> tcp_listener::Create(event_loop& loop,
                                                    const endpoint& at,
                                                    acceptor on_accept) {
-  sockaddr_in address{};
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-                          IPPROTO_TCP);
-  if (fd >= 0) SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
-  if (fd < 0 || !ToAddress(at, &address) ||
-      bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
-          0 ||
-      listen(fd, kBacklog) != 0) {
-    common::SetLastReason(common::result_code::kCannotListen,
-                          ErrorText("cannot listen on", at));
-    if (fd >= 0) ::close(fd);
-    return nullptr;
-  }
+  const int fd = OpenListener(at);
+  if (fd < 0) return nullptr;
   sockaddr_in bound{};
   socklen_t size = sizeof(bound);
   getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -63,6 +63,11 @@
   std::shared_ptr<connection> connection_;
 };
 
+/// Listens for a moment, for those whose library does not tell that it cannot.
+/// @return whether the address and port can be listened on, else with
+/// LastReason set to kCannotListen
+bool CanListen(const endpoint& at);
+
 /// Accepts TCP connections.
 class tcp_listener {
  public:
