--- /dev/null
+++ b/scenarios/gateway_stop_under_load.lua
@@ -0,0 +1,47 @@
+-- Callers that keep coming while a gateway stops: each request that it read ends
+-- whole, and the process ends within its grace.
+local gateways = require("gateways")
+local kGraceS = 5
+local fleet = gateways.start{settings = {["/stop/grace_s"] = kGraceS}}
+local gateway = fleet.all[1]
+
+-- Streams of about a second and a half.
+fleet:behave{service = "engine", events = 30, event_ms = 50}
+local function begin()
+  local opened, socket = pcall(connect, gateway.callers)
+  if not opened then return nil end
+  socket:send(gateways.bytes{method = "POST", path = "/notes/1", body = "x",
+                             headers = {Accept = "text/event-stream"}})
+  return socket
+end
+
+local idle = connect(gateway.callers)
+idle:send(gateways.bytes{path = "/stock/1"})
+idle:wait_for("ran", 3000)
+
+local streams, refused = {}, 0
+local stopped_at
+for round = 1, 120 do
+  if round == 10 then
+    gateway.process:stop()
+    stopped_at = now_ms()
+  end
+  local socket = begin()
+  if socket then streams[#streams + 1] = socket else refused = refused + 1 end
+  runner.pump(45)
+  if not gateway.process:running() then break end
+end
+expect_equal(0, gateway.process:wait(kGraceS * 1000), "a clean end")
+expect(now_ms() - stopped_at < kGraceS * 1000, "within the grace")
+expect(refused > 0, "callers that come late are turned to other gateways")
+local cut = 0
+for _, socket in ipairs(streams) do
+  local answer = gateways.parse(socket:read())
+  -- A connection that was not taken any more has no answer at all.
+  if answer and not answer.complete then cut = cut + 1 end
+end
+expect_equal(0, cut, "streams that were cut, of " .. #streams)
+idle:read()
+expect(idle.closed, "the idle connection was closed")
+
+fleet:stop()
--- a/source/core/fleet/fleet_watch.cc
+++ b/source/core/fleet/fleet_watch.cc
@@ -64,9 +64,9 @@
 
 void fleet_watch::OnRoutesAnswer(const rows_answer& answer, bool whole) {
   if (answer.status == row_store_status::kHistoryGone) {
-    common::LogEvent(log_event::kDependencyLost, "",
-                     {{"dependency", "history of the store"},
-                      {"read_again", "routes"}});
+    common::LogEvent(
+        log_event::kDependencyLost, "",
+        {{"dependency", "history of the store"}, {"read_again", "routes"}});
     ReadRoutes();
     return;
   }
@@ -133,9 +133,9 @@
 
 void fleet_watch::OnTargetsAnswer(const rows_answer& answer, bool whole) {
   if (answer.status == row_store_status::kHistoryGone) {
-    common::LogEvent(log_event::kDependencyLost, "",
-                     {{"dependency", "history of the store"},
-                      {"read_again", "targets"}});
+    common::LogEvent(
+        log_event::kDependencyLost, "",
+        {{"dependency", "history of the store"}, {"read_again", "targets"}});
     ReadTargets();
     return;
   }
@@ -187,9 +187,8 @@
     return;
   }
   common::Metrics().Count("wisteria_target_entries_refused_total");
-  common::LogEvent(
-      log_event::kEntryRefused, "",
-      {{"entry", row.key}, {"reason", common::LastReason().text}});
+  common::LogEvent(log_event::kEntryRefused, "",
+                   {{"entry", row.key}, {"reason", common::LastReason().text}});
   targets_.Remove(row.key);
 }
 
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -24,6 +24,10 @@
   bool answer = false;
 };
 
+/// The sender stops soon and owns no queue from now on; what it was asked for
+/// it still ends.
+struct gateway_farewell {};
+
 /// Asks the owner of a service's queue for the pieces of a stage.
 struct stage_order_message {
   std::string request_id;
@@ -93,6 +97,6 @@
     std::variant<gateway_hello, gateway_ping, stage_order_message,
                  stage_end_message, stage_withdrawal_message,
                  stage_release_message, routes_message, leaving_message,
-                 stage_notice_message, service_load_message>;
+                 stage_notice_message, service_load_message, gateway_farewell>;
 
 }  // namespace wisteriadale::core
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -43,7 +43,7 @@
 }  // namespace
 
 std::string_view ToString(piece_end end) {
-  constexpr std::string_view kNames[] = {"made", "late",  "gone",   "room",
+  constexpr std::string_view kNames[] = {"made",  "late", "gone",   "room",
                                          "error", "lost", "not_run"};
   return kNames[static_cast<size_t>(end)];
 }
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -6,8 +6,8 @@
 #include <cstdio>
 #include <utility>
 
-#include "common/last_reason.h"
 #include "common/event_log.h"
+#include "common/last_reason.h"
 #include "common/metrics.h"
 
 namespace wisteriadale::gateway {
@@ -155,7 +155,7 @@
   timeout_timer_ =
       context_.loop.Schedule(std::max(TimeLeft(), common::duration(0)), [this] {
         timeout_timer_ = 0;
-        OnTimeout();
+        GiveUp();
       });
   if (!route_->stages.empty()) {
     if (!MakePlan() || !AdmitStages()) return;
@@ -413,10 +413,9 @@
                                     priority_, begun.estimate,
                                     context_.clock.Now() - begun.at);
     }
-    common::Metrics().Observe(
-        "wisteria_stage_seconds",
-        context_.clock.Now() - begun_[end.stage].at,
-        {{"service", route_->stages[end.stage].service}});
+    common::Metrics().Observe("wisteria_stage_seconds",
+                              context_.clock.Now() - begun_[end.stage].at,
+                              {{"service", route_->stages[end.stage].service}});
     ReleaseSpent();
     RunStages();
     return;
@@ -847,13 +846,13 @@
   End();
 }
 
-void forward_request::OnTimeout() {
+void forward_request::GiveUp() {
   const bool sent = call_ && call_->sent();
   call_.reset();
   LeaveTarget();
   if (relaying_) {
     exchange_->Abort();
-    Conclude("cut at the route's bound", answer_.status, "");
+    Conclude("cut for want of time", answer_.status, "");
     return;
   }
   if (sent || may_have_run_) {
@@ -899,6 +898,12 @@
   raw->Start();
 }
 
+size_t forwarder::EndAll() {
+  const size_t count = requests_.size();
+  while (!requests_.empty()) requests_.begin()->first->GiveUp();
+  return count;
+}
+
 void forwarder::Remove(forward_request* ended) {
   const auto found = requests_.find(ended);
   if (found == requests_.end()) return;
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -24,6 +24,9 @@
   /// Begins. The request may end, and this object with it, within.
   void Start();
 
+  /// Ends now, with the truest answer that is left. The object is destroyed.
+  void GiveUp();
+
   void OnHead(const net::message_head& head) override;
   void OnBody(std::string_view data) override;
   void OnComplete() override;
@@ -75,7 +78,6 @@
   /// @param return_after when the caller should come back; 0: not told
   void Answer(const own_answer& answer, common::duration return_after);
   common::duration ReturnAfter();
-  void OnTimeout();
   void OnGone();
   void LeaveTarget();
   /// Ends the request; `this` is destroyed.
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -51,6 +51,9 @@
   void Handle(const std::shared_ptr<net::http1_exchange>& exchange);
   /// @return requests in progress
   size_t active() const { return requests_.size(); }
+  /// Ends every request now: what has not run is told so.
+  /// @return how many there were
+  size_t EndAll();
   /// A request has ended.
   void Remove(forward_request* ended);
 
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -149,6 +149,12 @@
     }
     return;
   }
+  if (std::holds_alternative<core::gateway_farewell>(*message)) {
+    for (const std::shared_ptr<link>& each : links_) {
+      if (each->gateway == from->gateway) each->stopping = true;
+    }
+    return;
+  }
   if (const core::gateway_hello* hello =
           std::get_if<core::gateway_hello>(&*message)) {
     OnHello(from, *hello);
@@ -225,14 +231,23 @@
   }
 }
 
-std::vector<std::string> gateway_links::Live() const {
-  std::set<std::string> names{name_};
+std::vector<std::string> gateway_links::Owners() const {
+  std::set<std::string> names;
+  if (!stopping_) names.insert(name_);
   for (const std::shared_ptr<link>& each : links_) {
-    if (each->open && !each->gateway.empty()) names.insert(each->gateway);
+    if (each->open && !each->stopping && !each->gateway.empty()) {
+      names.insert(each->gateway);
+    }
   }
+  if (names.empty()) names.insert(name_);
   return {names.begin(), names.end()};
 }
 
+void gateway_links::SayFarewell() {
+  stopping_ = true;
+  SendAll(core::gateway_farewell{});
+}
+
 size_t gateway_links::RecentCount() const {
   const common::time_point now = clock_.Now();
   size_t count = 1;
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -34,6 +34,8 @@
   /// Begins to dial.
   void Start() { Tick(); }
   void Stop();
+  /// Tells the others that this gateway owns no queue any more.
+  void SayFarewell();
 
   /// @return whether the gateway has an open link and the message was queued
   bool Send(std::string_view gateway, const core::gateway_message& message);
@@ -53,8 +55,9 @@
     on_lost_ = std::move(handler);
   }
 
-  /// @return names of the gateways with an open link, and this one's
-  std::vector<std::string> Live() const;
+  /// @return names of the gateways that may own queues: those with an open link
+  /// and this one, unless they are stopping; never empty
+  std::vector<std::string> Owners() const;
   /// @return gateways that were linked within the last minute, and this one
   size_t RecentCount() const;
 
@@ -66,6 +69,7 @@
     std::string dialled;  ///< address; empty when the other end dialled
     uint64_t incarnation = 0;
     bool open = true;
+    bool stopping = false;
   };
 
   void Tick();
@@ -96,6 +100,7 @@
   std::vector<std::shared_ptr<link>> links_;
   std::map<std::string, common::time_point, std::less<>> seen_;
   common::timer_id timer_ = 0;
+  bool stopping_ = false;
   std::function<void(const std::string&, const core::gateway_message&)>
       on_message_;
   std::function<void(const std::string&)> on_joined_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -19,8 +19,12 @@
 constexpr common::duration kGatewaysPeriod = std::chrono::seconds(5);
 constexpr common::duration kFirstGatewaysDelay = std::chrono::milliseconds(300);
 // New connections still come until the balancer has seen twice, a second
-// apart, that the process is not ready.
-constexpr common::duration kLeastStop = std::chrono::milliseconds(2600);
+// apart, that the process is not ready. Later ones are refused: what they ask
+// for might not end within the grace.
+constexpr common::duration kTurnAwayAfter = std::chrono::milliseconds(2200);
+constexpr common::duration kLeastStop = std::chrono::milliseconds(2400);
+// What is kept of the grace for the end itself.
+constexpr common::duration kStopMargin = std::chrono::milliseconds(500);
 constexpr common::duration kStopCheck = std::chrono::milliseconds(100);
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(50);
 
@@ -56,7 +60,9 @@
   process->loop_ = std::move(*loop);
   process->name_ = settings.Text(settings::kName);
   process->stop_limit_ =
-      common::milliseconds(settings.Integer(settings::kStopLimitMs));
+      common::duration(static_cast<int64_t>(
+          settings.Number(settings::kStopGraceS) * 1000000.0)) -
+      kStopMargin;
   if (!process->MakeFleet(settings)) return std::nullopt;
   process->ConnectParts();
   if (!process->MakeServers(settings)) return std::nullopt;
@@ -216,7 +222,7 @@
                    {{"port", int64_t{callers_->port()}}});
   loop_->Run();
   common::LogEvent(log_event::kStopped, "",
-                   {{"requests_cut", static_cast<int64_t>(forwarder_->active())}});
+                   {{"requests_given_up", static_cast<int64_t>(given_up_)}});
 }
 
 void gateway_process::ReadGateways() {
@@ -297,6 +303,7 @@
   common::LogEvent(log_event::kStopping, "",
                    {{"requests", static_cast<int64_t>(forwarder_->active())}});
   callers_->CloseAfterAnswers();
+  links_->SayFarewell();
   rows_->Remove(codec_->places().gateways_table, name_,
                 [](const core::rows_answer&) {});
   EndWhenIdle();
@@ -304,9 +311,15 @@
 
 void gateway_process::EndWhenIdle() {
   const common::duration passed = clock_.Now() - stop_began_;
+  if (passed >= kTurnAwayAfter) {
+    callers_->StopAccepting();
+    callers_->CloseIdle();
+  }
   const bool idle =
       forwarder_->active() == 0 && callers_->Busy() == 0 && !host_->busy();
-  if ((passed >= kLeastStop && idle) || passed >= stop_limit_) {
+  const bool over = passed >= stop_limit_;
+  if (over) given_up_ = forwarder_->EndAll();
+  if ((passed >= kLeastStop && idle) || over) {
     callers_->CloseIdle();
     loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); });
     return;
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -83,6 +83,7 @@
   common::duration stop_limit_{};
   common::time_point stop_began_{};
   bool stopping_ = false;
+  size_t given_up_ = 0;  ///< requests that the grace was too short for
 };
 
 }  // namespace wisteriadale::gateway
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -294,10 +294,9 @@
 
 void stage_host::StartCall(const std::string& service,
                            core::piece_batch batch) {
-  common::Metrics().Count("wisteria_stage_calls_total",
-                          {{"service", service}});
-  common::Metrics().Count("wisteria_stage_pieces_total",
-                          {{"service", service}}, batch.pieces.size());
+  common::Metrics().Count("wisteria_stage_calls_total", {{"service", service}});
+  common::Metrics().Count("wisteria_stage_pieces_total", {{"service", service}},
+                          batch.pieces.size());
   std::unique_ptr<stage_call> call =
       std::make_unique<stage_call>(*this, service, std::move(batch));
   stage_call* raw = call.get();
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -64,7 +64,7 @@
   const uint64_t key = common::Hash64(service);
   std::string owner;
   uint64_t best = 0;
-  for (const std::string& gateway : links_.Live()) {
+  for (const std::string& gateway : links_.Owners()) {
     const uint64_t weight =
         core::RendezvousWeight(common::Hash64(gateway), key);
     if (!owner.empty() && weight <= best) continue;
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -328,6 +328,7 @@
         raw->Accept(std::move(stream));
       });
   if (!server->listener_) return nullptr;
+  server->port_ = server->listener_->port();
   server->Sweep();
   return server;
 }
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -79,11 +79,13 @@
   void SetLimits(const http1_server_limits& limits) { limits_ = limits; }
   /// From now on each answer ends its connection.
   void CloseAfterAnswers() { closing_ = true; }
+  /// Takes no more connections: new ones are refused.
+  void StopAccepting() { listener_.reset(); }
   /// Closes the connections on which no request is in progress.
   void CloseIdle();
   /// @return requests whose answers are not complete, partly read ones too
   size_t Busy() const;
-  uint16_t port() const { return listener_->port(); }
+  uint16_t port() const { return port_; }
 
   class caller;
 
@@ -104,6 +106,7 @@
   std::unique_ptr<tcp_listener> listener_;
   std::unordered_map<caller*, std::shared_ptr<caller>> callers_;
   common::timer_id sweep_timer_ = 0;
+  uint16_t port_ = 0;
   bool closing_ = false;
 };
 
--- a/source/settings/common_settings.cc
+++ b/source/settings/common_settings.cc
@@ -99,10 +99,13 @@
     0,
     1,
     "Write one JSON object a line, decisions too; otherwise plain lines."};
-const setting kLogFile = {"/log/file", setting_type::kText,
-                          "\"\"",      0,
-                          kMaxPath,    "Log file; empty means standard output, "
-                                       "or standard error for plain lines."};
+const setting kLogFile = {"/log/file",
+                          setting_type::kText,
+                          "\"\"",
+                          0,
+                          kMaxPath,
+                          "Log file; empty means standard output, "
+                          "or standard error for plain lines."};
 const setting kTraceFile = {
     "/trace/file", setting_type::kText,
     "\"\"",        0,
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -79,13 +79,14 @@
                                 0.1,
                                 3600,
                                 "Length of a window of repeats, in seconds."};
-const setting kStopLimitMs = {
-    "/stop/limit_ms",
-    setting_type::kInteger,
-    "7000",
-    100,
-    600000,
-    "Longest time from the signal to the end of the process, in milliseconds."};
+const setting kStopGraceS = {
+    "/stop/grace_s",
+    setting_type::kNumber,
+    "8",
+    1,
+    600,
+    "Time from the signal that stops the process to the one that kills it, in "
+    "seconds."};
 const setting kMaxConnections = {"/net/max_connections",
                                  setting_type::kInteger,
                                  "4096",
@@ -107,7 +108,7 @@
                                     &kRepeatRatio,
                                     &kRepeatSlack,
                                     &kRepeatWindowS,
-                                    &kStopLimitMs,
+                                    &kStopGraceS,
                                     &kMaxConnections,
                                     &kDialTimeoutMs,
                                     &kLogLevel,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -15,7 +15,7 @@
 extern const setting kRepeatRatio;
 extern const setting kRepeatSlack;
 extern const setting kRepeatWindowS;
-extern const setting kStopLimitMs;
+extern const setting kStopGraceS;
 extern const setting kMaxConnections;
 
 /// @return the settings of wisteria-gateway
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -99,6 +99,9 @@
     to.late_pieces = static_cast<int32_t>(from.load.late_pieces);
     frame->__set_load_part(to);
   }
+  void operator()(const core::gateway_farewell&) const {
+    frame->__set_farewell_part(generated::farewell());
+  }
   void operator()(const core::leaving_message& from) const {
     generated::leaving to;
     to.target_ids = from.target_ids;
@@ -164,10 +167,9 @@
   if (frame.__isset.order_part) return FromWire(frame.order_part);
   if (frame.__isset.end_part) {
     const generated::stage_end& part = frame.end_part;
-    return core::stage_end_message{
-        part.request_id, static_cast<uint32_t>(part.stage),
-        part.made,       part.late,
-        part.handles};
+    return core::stage_end_message{part.request_id,
+                                   static_cast<uint32_t>(part.stage), part.made,
+                                   part.late, part.handles};
   }
   if (frame.__isset.withdrawal_part) {
     return core::stage_withdrawal_message{frame.withdrawal_part.request_id};
@@ -184,6 +186,7 @@
   if (frame.__isset.leaving_part) {
     return core::leaving_message{frame.leaving_part.target_ids};
   }
+  if (frame.__isset.farewell_part) return core::gateway_farewell{};
   if (frame.__isset.notice_part) return FromWire(frame.notice_part);
   if (frame.__isset.load_part) return FromWire(frame.load_part);
   return std::nullopt;
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -74,6 +74,9 @@
   5: i32 late_pieces
 }
 
+struct farewell {
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -85,4 +88,5 @@
   8: optional leaving leaving_part
   9: optional stage_notice notice_part
   10: optional service_load load_part
+  11: optional farewell farewell_part
 }
