--- a/source/core/fleet/fleet_watch.h
+++ b/source/core/fleet/fleet_watch.h
@@ -65,6 +65,8 @@
   }
   /// @return the text of the routes in force
   const std::string& routes_text() const { return routes_text_; }
+  /// @return whether the store has not answered lately
+  bool failing() const { return failing_; }
   /// @return whether the targets were read since the start
   bool targets_known() const { return targets_version_ > 0; }
 
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -88,9 +88,10 @@
   std::string document;
 };
 
-/// Targets that are leaving.
+/// What the sender read in the store of targets that leave.
 struct leaving_message {
-  std::vector<std::string> target_ids;
+  std::vector<std::string> draining;  ///< ids
+  std::vector<std::string> gone;      ///< ids whose entries are gone
 };
 
 using gateway_message =
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -4,6 +4,12 @@
 
 namespace wisteriadale::core {
 
+std::string_view ToString(leave_reason why) {
+  constexpr std::string_view kNames[] = {"draining", "gone", "replaced",
+                                         "told"};
+  return kNames[static_cast<size_t>(why)];
+}
+
 void target_directory::Replace(std::span<const target_entry> entries) {
   std::set<std::string_view> listed;
   for (const target_entry& entry : entries) {
@@ -29,7 +35,7 @@
   if (found != by_id_.end()) {
     const std::shared_ptr<fleet_target> target = found->second;
     if (entry.draining) {
-      Leave(target);
+      Leave(target, leave_reason::kDraining);
       return;
     }
     const bool moved = target->entry.service != entry.service ||
@@ -40,7 +46,7 @@
       return;
     }
     // Another start of the target: it knows nothing of the one before.
-    Leave(target);
+    Leave(target, leave_reason::kReplaced);
     left_.erase(entry.id);
   }
   if (entry.draining) {
@@ -58,7 +64,7 @@
   const auto found = by_id_.find(std::string(id));
   if (found == by_id_.end()) return;
   const std::shared_ptr<fleet_target> target = found->second;
-  Leave(target);
+  Leave(target, leave_reason::kGone);
   // Entries may lapse while the store is away and come back as they were.
   left_.erase(target->entry.id);
 }
@@ -66,18 +72,19 @@
 bool target_directory::MarkLeaving(std::string_view id) {
   const auto found = by_id_.find(std::string(id));
   if (found == by_id_.end()) return false;
-  Leave(found->second);
+  Leave(found->second, leave_reason::kTold);
   return true;
 }
 
-void target_directory::Leave(const std::shared_ptr<fleet_target>& target) {
+void target_directory::Leave(const std::shared_ptr<fleet_target>& target,
+                             leave_reason why) {
   target->leaving = true;
   left_[target->entry.id] = target->entry.born_ms;
   by_id_.erase(target->entry.id);
   const auto at = by_address_.find(target->entry.address);
   if (at != by_address_.end() && at->second == target) by_address_.erase(at);
   std::erase(pools_[target->entry.service], target);
-  if (on_leaving_) on_leaving_(*target);
+  if (on_leaving_) on_leaving_(*target, why);
 }
 
 void target_directory::AddToPool(const std::shared_ptr<fleet_target>& target) {
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -44,6 +44,17 @@
   }
 };
 
+/// Why a target gets no more work.
+enum class leave_reason {
+  kDraining,  ///< its own entry says so
+  kGone,      ///< its entry is gone
+  kReplaced,  ///< another start of it is there
+  kTold,      ///< another gateway says so
+};
+
+/// @return the name in logs
+std::string_view ToString(leave_reason why);
+
 /// The targets of all services, from their own entries. A target that left
 /// stays known while calls to it are in progress.
 class target_directory {
@@ -68,13 +79,13 @@
   /// @return the number of targets that may take work
   size_t size() const { return by_id_.size(); }
 
+  using leaving_handler =
+      std::function<void(const fleet_target&, leave_reason)>;
   /// @param action called with each target that turns out to be leaving
-  void OnLeaving(std::function<void(const fleet_target&)> action) {
-    on_leaving_ = std::move(action);
-  }
+  void OnLeaving(leaving_handler action) { on_leaving_ = std::move(action); }
 
  private:
-  void Leave(const std::shared_ptr<fleet_target>& target);
+  void Leave(const std::shared_ptr<fleet_target>& target, leave_reason why);
   void AddToPool(const std::shared_ptr<fleet_target>& target);
 
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_id_;
@@ -82,7 +93,7 @@
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_address_;
   /// Starts that are leaving, by id, with their time of birth.
   std::map<std::string, int64_t, std::less<>> left_;
-  std::function<void(const fleet_target&)> on_leaving_;
+  leaving_handler on_leaving_;
 };
 
 }  // namespace wisteriadale::core
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -248,6 +248,14 @@
   SendAll(core::gateway_farewell{});
 }
 
+size_t gateway_links::LinkedCount() const {
+  std::set<std::string_view> names;
+  for (const std::shared_ptr<link>& each : links_) {
+    if (each->open && !each->gateway.empty()) names.insert(each->gateway);
+  }
+  return names.size();
+}
+
 size_t gateway_links::RecentCount() const {
   const common::time_point now = clock_.Now();
   size_t count = 1;
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -58,6 +58,8 @@
   /// @return names of the gateways that may own queues: those with an open link
   /// and this one, unless they are stopping; never empty
   std::vector<std::string> Owners() const;
+  /// @return gateways with an open link
+  size_t LinkedCount() const;
   /// @return gateways that were linked within the last minute, and this one
   size_t RecentCount() const;
 
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -146,13 +146,10 @@
       *loop_, clock_, *random_, *client_, *codec_, routes_, targets_, *choice_,
       *repeats_, *stages_, *estimate_, *admission_});
   watch_->OnRoutes([this] { OnRoutes(); });
-  targets_.OnLeaving([this](const core::fleet_target& target) {
-    choice_->hints().Forget(target.entry.id);
-    common::LogEvent(log_event::kTargetLeaving, "",
-                     {{"target", target.entry.id},
-                      {"service", target.entry.service},
-                      {"in_flight", int64_t{target.in_flight}}});
-  });
+  targets_.OnLeaving(
+      [this](const core::fleet_target& target, core::leave_reason why) {
+        OnLeaving(target, why);
+      });
   links_->OnMessage(
       [this](const std::string& gateway, const core::gateway_message& message) {
         OnGatewayMessage(gateway, message);
@@ -270,7 +267,25 @@
     estimate_->Note(load->service, load->load);
   } else if (const auto* leaving =
                  std::get_if<core::leaving_message>(&message)) {
-    for (const std::string& id : leaving->target_ids) targets_.MarkLeaving(id);
+    for (const std::string& id : leaving->draining) targets_.MarkLeaving(id);
+    // Entries may lapse and come back: the own view of them goes first.
+    if (!watch_->failing()) return;
+    for (const std::string& id : leaving->gone) targets_.Remove(id);
+  }
+}
+
+void gateway_process::OnLeaving(const core::fleet_target& target,
+                                core::leave_reason why) {
+  choice_->hints().Forget(target.entry.id);
+  common::LogEvent(log_event::kTargetLeaving, "",
+                   {{"target", target.entry.id},
+                    {"service", target.entry.service},
+                    {"why", core::ToString(why)},
+                    {"in_flight", int64_t{target.in_flight}}});
+  if (why == core::leave_reason::kDraining) {
+    links_->SendAll(core::leaving_message{{target.entry.id}, {}});
+  } else if (why == core::leave_reason::kGone && !watch_->failing()) {
+    links_->SendAll(core::leaving_message{{}, {target.entry.id}});
   }
 }
 
@@ -287,6 +302,8 @@
   } else if (path == "/metrics") {
     const std::vector<net::http_header> headers = {
         {"Content-Type", "text/plain; version=0.0.4"}};
+    common::Metrics().Set("wisteria_gateways_linked",
+                          static_cast<double>(links_->LinkedCount()));
     exchange->Send(200, "OK", headers, common::Metrics().PrometheusText());
   } else if (path == "/healthz") {
     exchange->Send(200, "OK", {}, "ok\n");
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -50,6 +50,7 @@
   void OnGatewayMessage(const std::string& gateway,
                         const core::gateway_message& message);
   void OnRoutes();
+  void OnLeaving(const core::fleet_target& target, core::leave_reason why);
   void OnOperator(const std::shared_ptr<net::http1_exchange>& exchange);
   void ReadGateways();
   void AddSeeds(const settings::settings_document& settings);
--- a/source/unit_tests/core/fleet/target_directory_test.cc
+++ b/source/unit_tests/core/fleet/target_directory_test.cc
@@ -73,7 +73,8 @@
 
 TEST(TargetDirectory, LeavingIsToldOnce) {
   int told = 0;
-  targets.OnLeaving([&told](const core::fleet_target&) { ++told; });
+  targets.OnLeaving(
+      [&told](const core::fleet_target&, core::leave_reason) { ++told; });
   targets.Update(Entry("t1", "10.0.0.1:1"));
   CHECK(targets.MarkLeaving("t1"));
   CHECK(!targets.MarkLeaving("t1"));
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -104,7 +104,8 @@
   }
   void operator()(const core::leaving_message& from) const {
     generated::leaving to;
-    to.target_ids = from.target_ids;
+    to.draining = from.draining;
+    to.gone = from.gone;
     frame->__set_leaving_part(to);
   }
 };
@@ -184,7 +185,8 @@
                                 part.document};
   }
   if (frame.__isset.leaving_part) {
-    return core::leaving_message{frame.leaving_part.target_ids};
+    return core::leaving_message{frame.leaving_part.draining,
+                                 frame.leaving_part.gone};
   }
   if (frame.__isset.farewell_part) return core::gateway_farewell{};
   if (frame.__isset.notice_part) return FromWire(frame.notice_part);
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -54,7 +54,8 @@
 }
 
 struct leaving {
-  1: list<string> target_ids
+  1: list<string> draining
+  2: list<string> gone
 }
 
 struct stage_notice {
