--- /dev/null
+++ b/scenarios/gateway_ways_to_a_cause.lua
@@ -0,0 +1,72 @@
+-- docs/OPERATIONS.md tells three ways from the id of a failed request to its
+-- cause; this follows them.
+local gateways = require("gateways")
+local fleet = gateways.start{}
+local gateway = fleet.all[1]
+local event = gateways.event
+
+local function draft(id)
+  return gateways.bytes{method = "POST", path = "/drafts/1", body = "x", id = id,
+                        headers = {Accept = "text/event-stream",
+                                   ["X-Wisteriadale-Pieces"] = "2,8",
+                                   ["X-Wisteriadale-Piece-Key"] = "key-1",
+                                   ["X-Wisteriadale-Deadline-Ms"] = "1500"}}
+end
+local function routed(lines)
+  local line = event(lines, "routed")
+  expect(line, "the request was routed")
+  return line
+end
+
+-- Refused under load: the line of the refusal holds the estimates.
+fleet:behave{service = "second", work_ms = 250}
+local open, refused = {}, nil
+for _ = 1, 80 do
+  local id = gateways.new_id()
+  open[#open + 1] = connect(gateway.callers)
+  open[#open]:send(draft(id))
+  runner.pump(12)
+  local answer = gateways.parse(open[#open]:read())
+  if answer and answer.status == 503 then refused = id break end
+end
+expect(refused, "a request is refused under load")
+local lines = fleet:lines(gateway, refused)
+expect_equal(10, routed(lines).version, "version of the routes")
+local refusal = event(lines, "refused")
+expect(refusal.estimate_ms > 1000, "stages that take longer than the objective")
+expect(refusal.return_after_ms > 0, "when to come back")
+local answered = event(lines, "answered")
+expect_equal(503, answered.status, "its answer")
+expect_equal(false, answered.may_have_run, "it has not run")
+for _, socket in ipairs(open) do socket:close() end
+
+-- Failed midway at a target: the line of the attempt names it.
+fleet:behave{service = "engine", how = "cut", cut_after = 1}
+local cut = fleet:ask{method = "POST", path = "/notes/1", body = "x",
+                      headers = {Accept = "text/event-stream"}}
+lines = fleet:lines(gateway, cut.id)
+routed(lines)
+local sent, ended = event(lines, "sent"), event(lines, "attempt_ended")
+expect_equal(sent.target, ended.target, "the target that broke off")
+expect_equal("lost", ended["end"], "how the attempt ended")
+expect_equal(true, ended.may_have_run, "it may have run")
+expect_equal("cut", event(lines, "answered").outcome, "what the caller saw")
+
+-- Lost at a VM that died: the lines end, and the process starts again.
+fleet:behave{service = "engine", events = 1000, event_ms = 20}
+local id = gateways.new_id()
+local socket = connect(gateway.callers)
+socket:send(gateways.bytes{method = "POST", path = "/notes/2", body = "x",
+                           id = id, headers = {Accept = "text/event-stream"}})
+socket:wait_for("part2", 3000)
+gateway.process:kill()
+gateway.process:wait(3000)
+lines = fleet:lines(gateway, id)
+expect(event(lines, "sent").target, "where it ran")
+expect_equal(nil, event(lines, "answered"), "no line of its end")
+expect_equal(nil, event(fleet:lines(gateway), "stopping"), "nor of a stop")
+gateway.process = start("wisteria-gateway", gateway.settings)
+fleet:wait_answering(gateway.operators, "/readyz", 200)
+expect(event(fleet:lines(gateway), "started"), "the next start")
+
+fleet:stop()
--- a/scenarios/lib/gateways.lua
+++ b/scenarios/lib/gateways.lua
@@ -237,6 +237,27 @@
   return answer
 end
 
+--- Log lines of a gateway, of one request where an id is given.
+function gateways:lines(gateway, id)
+  local found = {}
+  local name = runner.logs() .. "/" .. gateway.process.id .. "-" ..
+                   gateway.name .. ".log"
+  for text in io.lines(name) do
+    local line = decode(text)
+    if line and (not id or line.request_id == id) then
+      found[#found + 1] = line
+    end
+  end
+  return found
+end
+
+--- The first line of an event, or nil.
+function gateways.event(lines, event)
+  for _, line in ipairs(lines) do
+    if line.event == event then return line end
+  end
+end
+
 function gateways:stop()
   for _, gateway in ipairs(self.all) do
     if gateway.process:running() then gateway.process:kill() end
