--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -38,6 +38,7 @@
   common::time_point full_until{};  ///< it refused for load
   /// Own calls: time taken over time expected, smoothed; 1 is as expected.
   double slowness = 1.0;
+  common::time_point slowness_noted{};
 
   bool Usable(common::time_point now) const {
     return !leaving && ejected_until <= now;
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -15,6 +15,9 @@
 // Weight of the newest call in a target's smoothed slowness.
 constexpr double kSlownessWeight = 0.3;
 constexpr double kNormalSlowness = 1.6;
+constexpr double kAnySlowness = 1e9;
+// A slow target is tried again after this time.
+constexpr common::duration kSlownessRetry = std::chrono::milliseconds(1500);
 // The trusted part of a target's room, cut by each call that found none left.
 constexpr double kLeastRoomShare = 0.5;
 constexpr double kRoomShareCut = 0.9;
@@ -119,9 +122,43 @@
   return room > reserved ? room - reserved : 0;
 }
 
+bool piece_queue::IsTooSlow(const fleet_target& target,
+                            common::time_point now) const {
+  if (target.slowness <= kNormalSlowness || fast_rate_ <= 0) return false;
+  // Now and then a slow target is asked again: it may have recovered.
+  if (now - target.slowness_noted > kSlownessRetry) return false;
+  const size_t queued = queued_pieces();
+  const double call = static_cast<double>(
+      CallTime(std::min<size_t>(queued, spec_.batch)).count());
+  const double wait = static_cast<double>(queued) / fast_rate_ * 1e6;
+  return call * target.slowness > wait + call;
+}
+
+void piece_queue::NoteSlowness(fleet_target* target, double ratio) {
+  target->slowness += kSlownessWeight * (ratio - target->slowness);
+  if (target->slowness < kNormalSlowness && ratio < kNormalSlowness) {
+    target->slowness = 1.0;
+  }
+}
+
+void piece_queue::OnOverdue(const piece_batch& batch, common::duration took) {
+  const double ratio = static_cast<double>(took.count()) /
+                       std::max<double>(1, batch.expected.count());
+  batch.target->slowness = std::max(batch.target->slowness, ratio);
+  for (const piece_ref& ref : batch.pieces) {
+    queued_order* queued = FindOrder(ref.request_id, ref.stage);
+    if (!Wants(queued, ref.piece)) continue;
+    if (std::find(queued->waiting.begin(), queued->waiting.end(), ref.piece) ==
+        queued->waiting.end()) {
+      queued->waiting.push_back(ref.piece);
+    }
+  }
+}
+
 bool piece_queue::IsFree(const fleet_target& target,
                          common::time_point now) const {
   if (!target.Usable(now) || target.full_until > now) return false;
+  if (IsTooSlow(target, now)) return false;
   const auto calls = calls_on_.find(target.entry.id);
   return calls == calls_on_.end() || calls->second < spec_.slots;
 }
@@ -220,7 +257,8 @@
 std::optional<piece_batch> piece_queue::Next(
     const target_directory::pool& targets, common::time_point now) {
   DropExpired(now);
-  last_rate_ = PiecesPerSecond(targets, now);
+  last_rate_ = PiecesPerSecond(targets, kAnySlowness, now);
+  fast_rate_ = PiecesPerSecond(targets, kNormalSlowness, now);
   if (queued_pieces() == 0) return std::nullopt;
   Sort(now);
   piece_batch batch;
@@ -303,10 +341,8 @@
                     : usual_call_ + (took - usual_call_) / kUsualCallParts;
   const double ratio = static_cast<double>(took.count()) /
                        std::max<double>(1, batch.expected.count());
-  target->slowness += kSlownessWeight * (ratio - target->slowness);
-  if (target->slowness < kNormalSlowness && ratio < kNormalSlowness) {
-    target->slowness = 1.0;
-  }
+  NoteSlowness(target, ratio);
+  target->slowness_noted = now;
 }
 
 bool piece_queue::Wants(const queued_order* queued, uint32_t piece) {
@@ -380,12 +416,13 @@
 }
 
 double piece_queue::PiecesPerSecond(const target_directory::pool& targets,
+                                    double most_slowness,
                                     common::time_point now) const {
   constexpr double kMicros = 1e6;
   const double full = static_cast<double>(CallTime(spec_.batch).count());
   double rate = 0;
   for (const std::shared_ptr<fleet_target>& each : targets) {
-    if (!each->Usable(now)) continue;
+    if (!each->Usable(now) || each->slowness > most_slowness) continue;
     rate += kMicros * spec_.slots * spec_.batch /
             (full * std::max(1.0, each->slowness));
   }
@@ -395,7 +432,7 @@
 service_load piece_queue::Load(const target_directory::pool& targets,
                                common::time_point now) const {
   service_load load;
-  load.pieces_per_s = PiecesPerSecond(targets, now);
+  load.pieces_per_s = PiecesPerSecond(targets, kAnySlowness, now);
   load.call_time = usual_call_;
   const auto add = [&](uint32_t priority, size_t pieces) {
     for (size_t level = PriorityLevel(priority); level < kPriorityLevels;
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -120,6 +120,10 @@
   /// @return the next call that can be made now, if any
   std::optional<piece_batch> Next(const target_directory::pool& targets,
                                   common::time_point now);
+  /// A call takes much longer than it should: what it was to make is queued
+  /// again, and the first copy of each piece counts.
+  /// @param took time since the call began
+  void OnOverdue(const piece_batch& batch, common::duration took);
   /// A call ended.
   /// @param results one for each piece of the batch
   /// @param took    time of the call
@@ -153,6 +157,9 @@
   using order_list = std::vector<std::unique_ptr<queued_order>>;
 
   bool IsFree(const fleet_target& target, common::time_point now) const;
+  /// @return whether waiting for other targets is quicker than a slow one
+  bool IsTooSlow(const fleet_target& target, common::time_point now) const;
+  static void NoteSlowness(fleet_target* target, double ratio);
   /// @return the best target that can take a call now, or null
   std::shared_ptr<fleet_target> FreeTarget(
       const target_directory::pool& targets, const std::string& data_centre,
@@ -162,8 +169,9 @@
                      common::time_point now) const;
   uint64_t RoomLeft(const std::string& target_id) const;
   bool IsLate(const queued_order& queued, common::time_point now) const;
+  /// @param most_slowness slower targets do not count
   double PiecesPerSecond(const target_directory::pool& targets,
-                         common::time_point now) const;
+                         double most_slowness, common::time_point now) const;
   void Sort(common::time_point now);
   /// Fills a call with the orders for the target's data centre, then others.
   void Fill(piece_batch* batch, common::time_point now);
@@ -198,7 +206,8 @@
   /// Orders that will come, by request and stage.
   std::map<std::pair<std::string, uint32_t>, stage_notice> notices_;
   common::duration usual_call_{0};  ///< smoothed time of a call
-  double last_rate_ = 0;            ///< pieces a second, at the last look
+  double last_rate_ = 0;  ///< pieces a second, at the last look
+  double fast_rate_ = 0;  ///< ... of the targets that are not slow
   size_t calls_ = 0;
   uint64_t next_batch_ = 1;
 };
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -828,7 +828,8 @@
                                std::string_view target) {
   const common::time_point now = context_.clock.Now();
   const common::duration took = now - exchange_->received();
-  const std::string_view route = route_ == nullptr ? "" : route_->name;
+  const std::string_view route =
+      route_ == nullptr ? std::string_view() : std::string_view(route_->name);
   const std::string answered = std::to_string(status);
   common::Metrics().Count("wisteria_requests_total",
                           {{"route", route}, {"status", answered}});
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -133,7 +133,7 @@
       core::stage_admission_options(), *random_);
   stages_ = std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   host_ = std::make_unique<stage_host>(
-      *loop_, clock_, *client_, *codec_, routes_, targets_,
+      *loop_, clock_, *client_, *codec_, routes_, targets_, *repeats_,
       [this](const std::string& gateway, const core::order_end& end) {
         stages_->TellEnd(gateway, end);
       },
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -1,6 +1,7 @@
 #include "gateway/stage_host.h"
 
 #include <algorithm>
+#include <set>
 
 #include "common/event_log.h"
 #include "common/metrics.h"
@@ -18,6 +19,10 @@
 constexpr common::duration kReleaseDelay = std::chrono::milliseconds(50);
 // A call may take this many times as long as it should, and this much more.
 constexpr int kSlowestCall = 5;
+// A call that takes this many times as long as it should, and this much more,
+// is overdue: its pieces are made elsewhere too.
+constexpr int kOverdueCall = 2;
+constexpr common::duration kOverdueMargin = std::chrono::milliseconds(50);
 constexpr common::duration kCallMargin = std::chrono::milliseconds(200);
 constexpr common::duration kReleaseTimeout = std::chrono::milliseconds(1000);
 
@@ -43,6 +48,8 @@
   const std::string& service() const { return service_; }
   const core::piece_batch& batch() const { return batch_; }
   common::time_point started() const { return started_; }
+  bool overdue() const { return overdue_; }
+  void SetOverdue() { overdue_ = true; }
 
   void Start() {
     const core::target_entry& target = batch_.target->entry;
@@ -104,6 +111,7 @@
   std::unique_ptr<net::http1_call> call_;
   int status_ = 0;
   bool not_run_ = false;
+  bool overdue_ = false;
   std::string body_;
 };
 
@@ -149,7 +157,8 @@
                        net::http1_client& client,
                        const core::deployment_codec& codec,
                        const core::route_holder& routes,
-                       core::target_directory& targets, end_handler on_end,
+                       core::target_directory& targets,
+                       core::repeat_budget& repeats, end_handler on_end,
                        load_handler on_load)
     : loop_(loop),
       clock_(clock),
@@ -157,6 +166,7 @@
       codec_(codec),
       routes_(routes),
       targets_(targets),
+      repeats_(repeats),
       on_end_(std::move(on_end)),
       on_load_(std::move(on_load)) {
   TellLoads();
@@ -198,6 +208,7 @@
     return;
   }
   askers_[order.request_id] = gateway;
+  repeats_.OnRequest(order.service);
   queue->Add(order, clock_.Now());
   Pump(order.service, queue);
 }
@@ -272,6 +283,38 @@
   Pump(call->service(), queue);
 }
 
+bool stage_host::MayRepeat(const stage_call& call) {
+  std::set<std::string_view> requests;
+  for (const core::piece_ref& piece : call.batch().pieces) {
+    requests.insert(piece.request_id);
+  }
+  return std::all_of(requests.begin(), requests.end(), [&](std::string_view) {
+    return repeats_.Take(call.service());
+  });
+}
+
+void stage_host::CheckOverdue() {
+  const common::time_point now = clock_.Now();
+  for (const auto& [raw, call] : calls_) {
+    const common::duration took = now - call->started();
+    if (call->overdue() ||
+        took < call->batch().expected * kOverdueCall + kOverdueMargin) {
+      continue;
+    }
+    call->SetOverdue();
+    core::piece_queue* queue = QueueOf(call->service());
+    if (queue == nullptr || !MayRepeat(*call)) continue;
+    common::LogEvent(log_event::kCallEnded,
+                     call->batch().pieces.front().request_id,
+                     {{"service", call->service()},
+                      {"target", call->batch().target->entry.id},
+                      {"end", "overdue"},
+                      {"expected_ms", Millis(call->batch().expected)},
+                      {"took_ms", Millis(took)}});
+    queue->OnOverdue(call->batch(), took);
+  }
+}
+
 void stage_host::PumpAll() {
   for (const auto& [service, queue] : queues_) Pump(service, queue.get());
 }
@@ -285,9 +328,12 @@
     if (!batch) break;
     StartCall(service, std::move(*batch));
   }
-  if (queue->queued_pieces() == 0 || pump_timer_ != 0) return;
+  if (pump_timer_ != 0 || (queue->queued_pieces() == 0 && calls_.empty())) {
+    return;
+  }
   pump_timer_ = loop_.Schedule(kPumpPeriod, [this] {
     pump_timer_ = 0;
+    CheckOverdue();
     PumpAll();
   });
 }
--- a/source/gateway/stage_host.h
+++ b/source/gateway/stage_host.h
@@ -34,7 +34,7 @@
   stage_host(net::event_loop& loop, common::clock& clock,
              net::http1_client& client, const core::deployment_codec& codec,
              const core::route_holder& routes, core::target_directory& targets,
-             end_handler on_end, load_handler on_load);
+             core::repeat_budget& repeats, end_handler on_end, load_handler on_load);
   ~stage_host();
   stage_host(const stage_host&) = delete;
   stage_host& operator=(const stage_host&) = delete;
@@ -60,6 +60,9 @@
 
   core::piece_queue* QueueOf(const std::string& service);
   void PumpAll();
+  /// Queues again what calls that are overdue were to make.
+  void CheckOverdue();
+  bool MayRepeat(const stage_call& call);
   void Pump(const std::string& service, core::piece_queue* queue);
   void StartCall(const std::string& service, core::piece_batch batch);
   void OnCallEnd(stage_call* ended,
@@ -76,6 +79,7 @@
   const core::deployment_codec& codec_;
   const core::route_holder& routes_;
   core::target_directory& targets_;
+  core::repeat_budget& repeats_;
   end_handler on_end_;
   load_handler on_load_;
   std::map<std::string, std::unique_ptr<core::piece_queue>> queues_;
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -270,6 +270,43 @@
   CHECK_EQUAL(2, load.ahead[2]);
 }
 
+TEST(PieceQueue, WhatAnOverdueCallWasToMakeIsMadeElsewhere) {
+  targets.push_back(Target("t2", "a"));
+  queue.Add(Order("r1", 2), kStart);
+  const core::piece_batch slow = Next();
+  queue.OnOverdue(slow, milliseconds(400));
+  const core::piece_batch second = Next(kStart + milliseconds(400));
+  CHECK(second.target != slow.target);
+  CHECK_EQUAL(2, second.pieces.size());
+  const std::vector<core::order_end> ends =
+      queue.OnCall(second, Made(second, "new"), milliseconds(110),
+                   kStart + milliseconds(510));
+  CHECK_EQUAL(1, ends.size());
+  CHECK(ends[0].made);
+  // What the slow call makes in the end is freed.
+  for (const core::order_end& end :
+       queue.OnCall(slow, Made(slow, "old"), milliseconds(600),
+                    kStart + milliseconds(600))) {
+    CHECK(!end.made);
+    CHECK_EQUAL(1, end.handles.size());
+  }
+}
+
+TEST(PieceQueue, ASlowTargetIsPassedOverWhileWaitingIsQuicker) {
+  targets.push_back(Target("t2", "a"));
+  targets[0]->slowness = 5;
+  targets[0]->slowness_noted = kStart;
+  queue.Add(Order("r1", 4), kStart);
+  CHECK(Next().target == targets[1]);
+  queue.Add(Order("r2", 4), kStart);
+  CHECK(!queue.Next(targets, kStart + milliseconds(10)).has_value());
+  // A long queue is worth a slow call, and so is a try after a while.
+  for (int i = 3; i < 12; ++i) {
+    queue.Add(Order("r" + std::to_string(i), 4), kStart);
+  }
+  CHECK(queue.Next(targets, kStart + milliseconds(20)).has_value());
+}
+
 TEST(PieceQueue, BatchesServeABurstThatSingleCallsCannot) {
   // 40 requests of two pieces a second, one target: single calls of 120 ms
   // make 17 pieces a second, full calls of 140 ms make 28.
