--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -16,6 +16,9 @@
 constexpr double kSlownessWeight = 0.3;
 constexpr double kNormalSlowness = 1.6;
 constexpr double kAnySlowness = 1e9;
+// Calls begin no closer together than this part of an even spacing: targets that
+// become free together would else take a call each with little in it.
+constexpr int64_t kGapParts = 2;
 // A slow target is tried again after this time.
 constexpr common::duration kSlownessRetry = std::chrono::milliseconds(1500);
 // The trusted part of a target's room, cut by each call that found none left.
@@ -259,7 +262,11 @@
   DropExpired(now);
   last_rate_ = PiecesPerSecond(targets, kAnySlowness, now);
   fast_rate_ = PiecesPerSecond(targets, kNormalSlowness, now);
-  if (queued_pieces() == 0) return std::nullopt;
+  const size_t queued = queued_pieces();
+  if (queued == 0) return std::nullopt;
+  if (queued < spec_.batch && now < last_call_ + CallGap(targets, now)) {
+    return std::nullopt;
+  }
   Sort(now);
   piece_batch batch;
   // The first order that can begin chooses the target.
@@ -283,9 +290,21 @@
   calls_on_[target_id] += 1;
   batch.target->in_flight += 1;
   calls_ += 1;
+  last_call_ = now;
   return batch;
 }
 
+common::duration piece_queue::CallGap(const target_directory::pool& targets,
+                                      common::time_point now) const {
+  const int64_t usable =
+      std::count_if(targets.begin(), targets.end(),
+                    [now](const std::shared_ptr<fleet_target>& each) {
+                      return each->Usable(now);
+                    });
+  if (usable == 0 || calls_ == 0) return common::duration(0);
+  return usual_call_ / (usable * spec_.slots * kGapParts);
+}
+
 std::vector<order_end> piece_queue::OnCall(
     const piece_batch& batch, std::span<const piece_result> results,
     common::duration took, common::time_point now) {
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -14,7 +14,7 @@
 // Gateways estimate from reports of this age, besides what they asked for.
 constexpr common::duration kLoadPeriod = std::chrono::milliseconds(50);
 // Targets that rest, and orders whose time runs out, are looked at this often.
-constexpr common::duration kPumpPeriod = std::chrono::milliseconds(20);
+constexpr common::duration kPumpPeriod = std::chrono::milliseconds(5);
 // Results that end within this time are freed in one call for each target.
 constexpr common::duration kReleaseDelay = std::chrono::milliseconds(50);
 // A call may take this many times as long as it should, and this much more.
