--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -16,9 +16,6 @@
 constexpr double kSlownessWeight = 0.3;
 constexpr double kNormalSlowness = 1.6;
 constexpr double kAnySlowness = 1e9;
-// Calls begin no closer together than this part of an even spacing: targets that
-// become free together would else take a call each with little in it.
-constexpr int64_t kGapParts = 2;
 // A slow target is tried again after this time.
 constexpr common::duration kSlownessRetry = std::chrono::milliseconds(1500);
 // The trusted part of a target's room, cut by each call that found none left.
@@ -302,7 +299,7 @@
                       return each->Usable(now);
                     });
   if (usable == 0 || calls_ == 0) return common::duration(0);
-  return usual_call_ / (usable * spec_.slots * kGapParts);
+  return usual_call_ / (usable * spec_.slots);
 }
 
 std::vector<order_end> piece_queue::OnCall(
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -168,7 +168,9 @@
   bool WaitsForPlace(const queued_order& queued, const std::string& data_centre,
                      common::time_point now) const;
   uint64_t RoomLeft(const std::string& target_id) const;
-  /// @return the least time between the begins of two calls
+  /// @return the time between the begins of evenly spaced calls. Targets that
+  /// become free together would else take a call each with little in it, and
+  /// what comes next would wait for all of them.
   common::duration CallGap(const target_directory::pool& targets,
                            common::time_point now) const;
   bool IsLate(const queued_order& queued, common::time_point now) const;
@@ -209,8 +211,8 @@
   /// Orders that will come, by request and stage.
   std::map<std::pair<std::string, uint32_t>, stage_notice> notices_;
   common::duration usual_call_{0};  ///< smoothed time of a call
-  double last_rate_ = 0;  ///< pieces a second, at the last look
-  double fast_rate_ = 0;  ///< ... of the targets that are not slow
+  double last_rate_ = 0;            ///< pieces a second, at the last look
+  double fast_rate_ = 0;            ///< ... of the targets that are not slow
   common::time_point last_call_{};
   size_t calls_ = 0;
   uint64_t next_batch_ = 1;
--- a/source/gateway/stage_host.h
+++ b/source/gateway/stage_host.h
@@ -34,7 +34,8 @@
   stage_host(net::event_loop& loop, common::clock& clock,
              net::http1_client& client, const core::deployment_codec& codec,
              const core::route_holder& routes, core::target_directory& targets,
-             core::repeat_budget& repeats, end_handler on_end, load_handler on_load);
+             core::repeat_budget& repeats, end_handler on_end,
+             load_handler on_load);
   ~stage_host();
   stage_host(const stage_host&) = delete;
   stage_host& operator=(const stage_host&) = delete;
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -307,6 +307,35 @@
   CHECK(queue.Next(targets, kStart + milliseconds(20)).has_value());
 }
 
+TEST(PieceQueue, CallsAreSpacedEvenlyOverTheTargets) {
+  targets.push_back(Target("t2", "a"));
+  queue.Add(Order("r1", 1), kStart);
+  const core::piece_batch first = Next();
+  queue.OnCall(first, Made(first, "h"), milliseconds(200),
+               kStart + milliseconds(200));
+  const common::time_point now = kStart + milliseconds(200);
+  queue.Add(Order("r2", 1), now);
+  CHECK(queue.Next(targets, now).has_value());
+  queue.Add(Order("r3", 1), now);
+  CHECK(!queue.Next(targets, now + milliseconds(50)).has_value());
+  queue.Add(Order("r4", 1), now + milliseconds(60));
+  const core::piece_batch together = Next(now + milliseconds(100));
+  CHECK_EQUAL(2, together.pieces.size());
+}
+
+TEST(PieceQueue, AFullCallIsNotHeldBack) {
+  targets.push_back(Target("t2", "a"));
+  queue.Add(Order("r1", 1), kStart);
+  const core::piece_batch first = Next();
+  queue.OnCall(first, Made(first, "h"), milliseconds(200),
+               kStart + milliseconds(200));
+  const common::time_point now = kStart + milliseconds(200);
+  queue.Add(Order("r2", 1), now);
+  CHECK(queue.Next(targets, now).has_value());
+  queue.Add(Order("r3", 4), now);
+  CHECK(queue.Next(targets, now + milliseconds(5)).has_value());
+}
+
 TEST(PieceQueue, BatchesServeABurstThatSingleCallsCannot) {
   // 40 requests of two pieces a second, one target: single calls of 120 ms
   // make 17 pieces a second, full calls of 140 ms make 28.
