--- a/scenarios/gateway_stages.lua
+++ b/scenarios/gateway_stages.lua
@@ -59,6 +59,19 @@
 for _ = 1, 4 do expect_equal(200, draft().status, "beside a lost target") end
 fleet:behave{service = "first"}
 
+-- A gateway on a small VM owns no queue, and its requests are served all the same.
+local small = fleet:add{["/capacity/cores"] = 0.1}
+fleet:wait_answering(small.operators, "/readyz", 200)
+local function metrics(of)
+  return http{port = of.operators, path = "/metrics"}.body
+end
+wait_until(function()
+  return metrics(small):find("wisteria_gateways_linked 2", 1, true)
+end, 3000, "all gateways are linked")
+for _ = 1, 4 do expect_equal(200, draft(small).status, "from a small VM") end
+expect(not metrics(small):find("wisteria_stage_calls_total", 1, true),
+       "a small VM makes no calls for pieces")
+
 -- The gateway that owns the queues dies while orders wait there.
 fleet:behave{service = "second", work_ms = 200}
 local open = {}
--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -11,13 +11,14 @@
 
 constexpr size_t kEvents = static_cast<size_t>(log_event::kCount);
 constexpr std::array<std::string_view, kEvents> kNames = {
-    "started",        "stopping",        "stopped",       "settings_read",
-    "dependency_lost", "dependency_regained", "routes_applied",
-    "routes_refused", "key_dropped",     "target_leaving", "target_rests",
-    "entry_refused",  "gateway_linked",  "gateway_lost",  "owner_changed",
-    "routed",         "refused",         "sent",          "attempt_ended",
-    "resumed",        "stage_ended",     "call_ended",    "answered",
-    "cancelled"};
+    "started",        "stopping",        "stopped",
+    "settings_read",  "dependency_lost", "dependency_regained",
+    "routes_applied", "routes_refused",  "key_dropped",
+    "target_leaving", "target_rests",    "entry_refused",
+    "gateway_linked", "gateway_lost",    "owner_changed",
+    "routed",         "refused",         "sent",
+    "attempt_ended",  "resumed",         "stage_ended",
+    "call_ended",     "answered",        "cancelled"};
 // Lines a second of each kind: a request has three of them, and a gateway of a
 // fifth of a core serves some 60 requests a second.
 constexpr double kLinesPerSecond = 120;
@@ -26,7 +27,8 @@
   return []<size_t... index>(std::index_sequence<index...>) {
     return std::array<line_rate, kEvents>{
         ((void)index, line_rate(kLinesPerSecond))...};
-  }(std::make_index_sequence<kEvents>());
+  }
+  (std::make_index_sequence<kEvents>());
 }
 
 void AppendNumber(auto value, std::string* to) {
--- a/source/common/log.cc
+++ b/source/common/log.cc
@@ -145,11 +145,9 @@
 }
 
 void AppendJsonText(std::string_view text, std::string* to) {
-  const bool plain =
-      std::all_of(text.begin(), text.end(), [](char letter) {
-        return letter >= ' ' && letter < 0x7f && letter != '"' &&
-               letter != '\\';
-      });
+  const bool plain = std::all_of(text.begin(), text.end(), [](char letter) {
+    return letter >= ' ' && letter < 0x7f && letter != '"' && letter != '\\';
+  });
   if (plain) {
     to->append("\"").append(text).append("\"");
     return;
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -16,6 +16,7 @@
   uint64_t incarnation = 0;  ///< changes at each start of the process
   std::string address;       ///< "ip:port" that the sender's links listen on
   std::vector<std::string> known_addresses;  ///< of other gateways
+  double capacity = 0;  ///< of its VM, compared with those of others
 };
 
 /// Keeps a link known to be alive; answered by an equal message.
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -16,6 +16,9 @@
 constexpr common::duration kTickPeriod = std::chrono::milliseconds(100);
 constexpr common::duration kFirstRedial = std::chrono::milliseconds(200);
 constexpr uint32_t kMostDoublings = 4;
+// A queue's traffic passes its owner's link and processor: VMs with less than
+// this part of the largest one's capacity own none.
+constexpr double kLeastOwnerShare = 0.5;
 // A gateway that was seen within this time still takes its share of budgets.
 constexpr common::duration kRecent = std::chrono::minutes(1);
 
@@ -29,12 +32,13 @@
 
 gateway_links::gateway_links(net::event_loop& loop, common::clock& clock,
                              std::string name, net::endpoint own_address,
-                             uint64_t incarnation)
+                             uint64_t incarnation, double capacity)
     : loop_(loop),
       clock_(clock),
       name_(std::move(name)),
       own_address_(net::EndpointText(own_address)),
-      incarnation_(incarnation) {}
+      incarnation_(incarnation),
+      capacity_(capacity) {}
 
 gateway_links::~gateway_links() { Stop(); }
 
@@ -55,7 +59,8 @@
 
 core::gateway_hello gateway_links::Hello() const {
   return {name_, incarnation_, own_address_,
-          std::vector<std::string>(addresses_.begin(), addresses_.end())};
+          std::vector<std::string>(addresses_.begin(), addresses_.end()),
+          capacity_};
 }
 
 void gateway_links::Tick() {
@@ -177,6 +182,7 @@
       });
   from->gateway = hello.name;
   from->incarnation = hello.incarnation;
+  from->capacity = hello.capacity;
   AddAddress(hello.address);
   for (const std::string& address : hello.known_addresses) AddAddress(address);
   seen_[hello.name] = clock_.Now();
@@ -232,15 +238,23 @@
 }
 
 std::vector<std::string> gateway_links::Owners() const {
-  std::set<std::string> names;
-  if (!stopping_) names.insert(name_);
+  std::map<std::string, double> candidates;
+  if (!stopping_) candidates[name_] = capacity_;
   for (const std::shared_ptr<link>& each : links_) {
     if (each->open && !each->stopping && !each->gateway.empty()) {
-      names.insert(each->gateway);
+      candidates[each->gateway] = each->capacity;
     }
   }
-  if (names.empty()) names.insert(name_);
-  return {names.begin(), names.end()};
+  double largest = 0;
+  for (const auto& [name, capacity] : candidates) {
+    largest = std::max(largest, capacity);
+  }
+  std::vector<std::string> owners;
+  for (const auto& [name, capacity] : candidates) {
+    if (capacity >= largest * kLeastOwnerShare) owners.push_back(name);
+  }
+  if (owners.empty()) owners.push_back(name_);
+  return owners;
 }
 
 void gateway_links::SayFarewell() {
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -20,8 +20,10 @@
 /// one knows, it tells the others.
 class gateway_links {
  public:
+  /// @param capacity of this VM, in any unit that all gateways share
   gateway_links(net::event_loop& loop, common::clock& clock, std::string name,
-                net::endpoint own_address, uint64_t incarnation);
+                net::endpoint own_address, uint64_t incarnation,
+                double capacity);
   ~gateway_links();
   gateway_links(const gateway_links&) = delete;
   gateway_links& operator=(const gateway_links&) = delete;
@@ -56,7 +58,8 @@
   }
 
   /// @return names of the gateways that may own queues: those with an open link
-  /// and this one, unless they are stopping; never empty
+  /// and this one, unless they are stopping or their VMs are small beside the
+  /// largest; never empty
   std::vector<std::string> Owners() const;
   /// @return gateways with an open link
   size_t LinkedCount() const;
@@ -72,6 +75,7 @@
     uint64_t incarnation = 0;
     bool open = true;
     bool stopping = false;
+    double capacity = 0;
   };
 
   void Tick();
@@ -90,6 +94,7 @@
   std::string name_;
   std::string own_address_;
   uint64_t incarnation_;
+  double capacity_;
   uint64_t pings_ = 0;
   std::set<std::string> addresses_;
   std::set<std::string> dialling_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -25,6 +25,8 @@
 constexpr common::duration kLeastStop = std::chrono::milliseconds(2400);
 // What is kept of the grace for the end itself.
 constexpr common::duration kStopMargin = std::chrono::milliseconds(500);
+// Mbit/s that a core of a busy owner of queues sends and takes.
+constexpr double kMbpsPerCore = 400;
 constexpr common::duration kStopCheck = std::chrono::milliseconds(100);
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(50);
 
@@ -100,8 +102,11 @@
   link_address_ = net::EndpointText(*own);
   // Differs after a restart, whatever the seed.
   const uint64_t incarnation = common::SystemSeed() >> 1 | 1;
-  links_ =
-      std::make_unique<gateway_links>(*loop_, clock_, name_, *own, incarnation);
+  const double capacity =
+      std::min(settings.Number(settings::kCapacityCores),
+               settings.Number(settings::kCapacityLinkMbps) / kMbpsPerCore);
+  links_ = std::make_unique<gateway_links>(*loop_, clock_, name_, *own,
+                                           incarnation, capacity);
   AddSeeds(settings);
   return true;
 }
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -94,6 +94,21 @@
                                  1000000,
                                  "Most open descriptors of the process."};
 
+const setting kCapacityCores = {
+    "/capacity/cores",
+    setting_type::kNumber,
+    "1",
+    0.001,
+    1024,
+    "Processor that this VM gives the process, in cores; larger VMs own the "
+    "queues of stages."};
+const setting kCapacityLinkMbps = {"/capacity/link_mbps",
+                                   setting_type::kNumber,
+                                   "1000",
+                                   0.1,
+                                   1000000,
+                                   "Bandwidth of this VM's link, in Mbit/s."};
+
 setting_table GatewaySettings() {
   static const std::array kTable = {&kName,
                                     &kDataCentre,
@@ -110,6 +125,8 @@
                                     &kRepeatWindowS,
                                     &kStopGraceS,
                                     &kMaxConnections,
+                                    &kCapacityCores,
+                                    &kCapacityLinkMbps,
                                     &kDialTimeoutMs,
                                     &kLogLevel,
                                     &kLogJson,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -17,6 +17,8 @@
 extern const setting kRepeatWindowS;
 extern const setting kStopGraceS;
 extern const setting kMaxConnections;
+extern const setting kCapacityCores;
+extern const setting kCapacityLinkMbps;
 
 /// @return the settings of wisteria-gateway
 setting_table GatewaySettings();
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -28,6 +28,7 @@
     to.incarnation = static_cast<int64_t>(from.incarnation);
     to.address = from.address;
     to.known_addresses = from.known_addresses;
+    to.capacity = from.capacity;
     frame->__set_hello_part(to);
   }
   void operator()(const core::gateway_ping& from) const {
@@ -156,9 +157,9 @@
     const generated::gateway_frame& frame) {
   if (frame.__isset.hello_part) {
     const generated::link_hello& part = frame.hello_part;
-    return core::gateway_hello{part.name,
-                               static_cast<uint64_t>(part.incarnation),
-                               part.address, part.known_addresses};
+    return core::gateway_hello{
+        part.name, static_cast<uint64_t>(part.incarnation), part.address,
+        part.known_addresses, part.capacity};
   }
   if (frame.__isset.ping_part) {
     const generated::link_ping& part = frame.ping_part;
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -7,6 +7,7 @@
   2: i64 incarnation
   3: string address
   4: list<string> known_addresses
+  5: double capacity
 }
 
 struct link_ping {
