--- a/source/common/clock.h
+++ b/source/common/clock.h
@@ -10,6 +10,11 @@
 using duration = std::chrono::microseconds;
 using milliseconds = std::chrono::milliseconds;
 
+/// @return whole milliseconds, for texts and logs
+inline int64_t WholeMillis(duration value) {
+  return std::chrono::duration_cast<milliseconds>(value).count();
+}
+
 /// Instant on a process-local monotonic clock, in microseconds. It has no
 /// meaning outside the process that read it.
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -142,8 +142,9 @@
 }
 
 void piece_queue::OnOverdue(const piece_batch& batch, common::duration took) {
-  const double ratio = static_cast<double>(took.count()) /
-                       std::max<double>(1, batch.expected.count());
+  const double ratio =
+      static_cast<double>(took.count()) /
+      std::max(1.0, static_cast<double>(batch.expected.count()));
   batch.target->slowness = std::max(batch.target->slowness, ratio);
   for (const piece_ref& ref : batch.pieces) {
     queued_order* queued = FindOrder(ref.request_id, ref.stage);
@@ -355,8 +356,9 @@
   usual_call_ = usual_call_.count() == 0
                     ? took
                     : usual_call_ + (took - usual_call_) / kUsualCallParts;
-  const double ratio = static_cast<double>(took.count()) /
-                       std::max<double>(1, batch.expected.count());
+  const double ratio =
+      static_cast<double>(took.count()) /
+      std::max(1.0, static_cast<double>(batch.expected.count()));
   NoteSlowness(target, ratio);
   target->slowness_noted = now;
 }
--- a/source/ctl/router_client.cc
+++ b/source/ctl/router_client.cc
@@ -89,20 +89,13 @@
   while (!text.empty()) {
     const std::string_view one = text.substr(0, text.find(','));
     text.remove_prefix(std::min(text.size(), one.size() + 1));
-    const size_t colon = one.rfind(':');
-    net::endpoint endpoint;
-    const char* end = one.data() + one.size();
-    const bool has_port = colon != std::string_view::npos && colon > 0;
-    if (!has_port ||
-        std::from_chars(one.data() + colon + 1, end, endpoint.port).ptr !=
-            end ||
-        endpoint.port == 0) {
+    const std::optional<net::endpoint> endpoint = net::EndpointFrom(one);
+    if (!endpoint || endpoint->port == 0) {
       common::SetLastReason(common::result_code::kBadRequest,
                             "'" + std::string(one) + "' is not address:port");
       return std::nullopt;
     }
-    endpoint.address = one.substr(0, colon);
-    endpoints.push_back(endpoint);
+    endpoints.push_back(*endpoint);
   }
   return endpoints;
 }
--- /dev/null
+++ b/source/gateway/forward_headers.cc
@@ -0,0 +1,58 @@
+#include "gateway/forward_headers.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wisteriadale::gateway {
+namespace {
+
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "TE",
+    "Trailer",    "Upgrade",    "Proxy-Connection",  "Expect"};
+
+bool Contains(const auto& names, std::string_view name) {
+  return std::any_of(
+      names.begin(), names.end(),
+      [name](std::string_view listed) { return net::SameName(listed, name); });
+}
+
+}  // namespace
+
+bool IsOfConnection(std::string_view name, const net::message_head& head) {
+  if (Contains(kConnectionHeaders, name)) return true;
+  const std::string* listed = head.Find("Connection");
+  return listed != nullptr && Contains(SplitList(*listed), name);
+}
+
+std::vector<net::http_header> PassedHeaders(const net::message_head& head) {
+  std::vector<net::http_header> headers;
+  headers.reserve(head.headers.size());
+  for (const net::http_header& header : head.headers) {
+    if (!IsOfConnection(header.name, head)) headers.push_back(header);
+  }
+  return headers;
+}
+
+std::vector<std::string_view> SplitList(std::string_view text) {
+  std::vector<std::string_view> parts;
+  while (!text.empty()) {
+    const size_t comma = std::min(text.find(','), text.size());
+    std::string_view part = text.substr(0, comma);
+    while (part.starts_with(' ')) part.remove_prefix(1);
+    while (part.ends_with(' ')) part.remove_suffix(1);
+    parts.push_back(part);
+    text.remove_prefix(std::min(text.size(), comma + 1));
+  }
+  return parts;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view HostOf(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  return colon == std::string_view::npos ? host : host.substr(0, colon);
+}
+
+}  // namespace wisteriadale::gateway
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <utility>
 
 #include "common/event_log.h"
 #include "common/last_reason.h"
 #include "common/metrics.h"
+#include "gateway/forward_headers.h"
 
 namespace wisteriadale::gateway {
 namespace {
@@ -26,16 +26,6 @@
 // No attempt begins with less time than this: a target could not answer.
 constexpr common::duration kLeastTime = std::chrono::milliseconds(10);
 constexpr uint32_t kMostFailedDials = 4;
-constexpr uint32_t kMostStageRestarts = 1;
-// Time that an engine needs before its first event, for the stages' split of
-// the objective.
-constexpr common::duration kEngineTime = std::chrono::milliseconds(60);
-constexpr common::duration kPromptTokenTime{9};
-// Results from this size on are made as late as the other stages allow: room
-// for them is short. They are begun this much earlier than the estimate says.
-constexpr uint64_t kLargeResults = 500000;
-constexpr common::duration kDelayMargin = std::chrono::milliseconds(40);
-constexpr common::duration kShortestDelay = std::chrono::milliseconds(5);
 // Rest of a target after failures, doubled by each in a row.
 constexpr common::duration kFirstEjection = std::chrono::milliseconds(400);
 constexpr uint32_t kMostDoublings = 4;
@@ -49,69 +39,6 @@
 constexpr int kStatusConflict = 409;
 constexpr int kStatusMisdirected = 421;
 
-constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "TE",
-    "Trailer",    "Upgrade",    "Proxy-Connection",  "Expect"};
-
-bool IsListed(std::string_view name, const std::string* list) {
-  if (list == nullptr) return false;
-  std::string_view rest = *list;
-  while (!rest.empty()) {
-    const size_t comma = std::min(rest.find(','), rest.size());
-    std::string_view token = rest.substr(0, comma);
-    rest.remove_prefix(std::min(rest.size(), comma + 1));
-    while (token.starts_with(' ')) token.remove_prefix(1);
-    while (token.ends_with(' ')) token.remove_suffix(1);
-    if (net::SameName(token, name)) return true;
-  }
-  return false;
-}
-
-/// @return whether a header concerns one connection only
-bool IsOfConnection(std::string_view name, const net::message_head& head) {
-  for (const std::string_view known : kConnectionHeaders) {
-    if (net::SameName(known, name)) return true;
-  }
-  return IsListed(name, head.Find("Connection"));
-}
-
-template <typename Number>
-std::optional<Number> NumberFrom(std::string_view text) {
-  Number value{};
-  const std::from_chars_result read =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-std::vector<std::string_view> SplitList(std::string_view text) {
-  std::vector<std::string_view> parts;
-  while (!text.empty()) {
-    const size_t comma = std::min(text.find(','), text.size());
-    std::string_view part = text.substr(0, comma);
-    while (part.starts_with(' ')) part.remove_prefix(1);
-    while (part.ends_with(' ')) part.remove_suffix(1);
-    parts.push_back(part);
-    text.remove_prefix(std::min(text.size(), comma + 1));
-  }
-  return parts;
-}
-
-int64_t Millis(common::duration value) {
-  return std::chrono::duration_cast<common::milliseconds>(value).count();
-}
-
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
-std::string_view HostOf(std::string_view host) {
-  const size_t colon = host.rfind(':');
-  return colon == std::string_view::npos ? host : host.substr(0, colon);
-}
-
 }  // namespace
 
 forward_request::forward_request(forwarder& owner, forward_context& context,
@@ -150,7 +77,7 @@
                     {"version", static_cast<int64_t>(table_->version())},
                     {"organisation", organisation_name()},
                     {"priority", int64_t{priority_}},
-                    {"deadline_ms", Millis(TimeLeft())}});
+                    {"deadline_ms", common::WholeMillis(TimeLeft())}});
   ReadPrompt();
   timeout_timer_ =
       context_.loop.Schedule(std::max(TimeLeft(), common::duration(0)), [this] {
@@ -248,221 +175,6 @@
   }
 }
 
-bool forward_request::MakePlan() {
-  const core::header_names& names = context_.codec.headers();
-  const std::string* counts = exchange_->head().Find(names.piece_counts);
-  std::vector<uint32_t>& pieces = piece_counts_;
-  pieces.clear();
-  bool valid = counts != nullptr;
-  if (valid) {
-    for (const std::string_view text : SplitList(*counts)) {
-      const std::optional<uint32_t> count = NumberFrom<uint32_t>(text);
-      valid = valid && count.has_value();
-      pieces.push_back(count.value_or(0));
-    }
-  }
-  if (valid) plan_ = core::stage_plan::Create(route_->stages, pieces);
-  if (plan_) return true;
-  Answer({400, "Bad Request", "the pieces of the stages are not given"},
-         common::duration(0));
-  return false;
-}
-
-common::duration forward_request::EngineTime() const {
-  return kEngineTime + kPromptTokenTime * prompt_tokens_;
-}
-
-bool forward_request::AdmitStages() {
-  const common::time_point now = context_.clock.Now();
-  core::stage_question question;
-  question.path = context_.estimate.Estimate(*table_, route_->stages,
-                                             piece_counts_, priority_);
-  question.rest = EngineTime();
-  question.to_objective = objective_ - now;
-  question.to_deadline = begin_by_ - now;
-  const core::stage_answer answer = context_.admission.Decide(question);
-  late_ = answer.verdict != core::stage_verdict::kInTime;
-  if (answer.verdict != core::stage_verdict::kRefuse) return true;
-  common::LogEvent(log_event::kRefused, request_id_,
-                   {{"route", route_->name},
-                    {"estimate_ms", Millis(question.path.in_time)},
-                    {"late_estimate_ms", Millis(question.path.late)},
-                    {"return_after_ms", Millis(answer.return_after)}});
-  Answer({503, "Service Unavailable", "its stages have no room in time"},
-         answer.return_after);
-  return false;
-}
-
-void forward_request::AnnounceStages() {
-  for (uint32_t stage = 0; stage < route_->stages.size(); ++stage) {
-    const core::stage_spec& spec = route_->stages[stage];
-    if (piece_counts_[stage] == 0 || late_) continue;
-    context_.estimate.AddOwn(spec.service, piece_counts_[stage], priority_);
-    if (spec.after.empty() && DelayOf(stage) <= kShortestDelay) continue;
-    context_.stages.Announce({request_id_, spec.service, stage,
-                              piece_counts_[stage], priority_, objective_});
-  }
-}
-
-void forward_request::RunStages() {
-  if (plan_->complete()) {
-    inputs_ = plan_->FinalInputs();
-    SendToTarget();
-    return;
-  }
-  begun_.resize(route_->stages.size());
-  common::duration shortest(0);
-  for (const uint32_t stage : plan_->Ready()) {
-    const common::duration delay = DelayOf(stage);
-    if (delay <= kShortestDelay) {
-      SubmitStage(stage);
-    } else if (shortest.count() == 0 || delay < shortest) {
-      shortest = delay;
-    }
-  }
-  context_.loop.Cancel(stage_timer_);
-  stage_timer_ = 0;
-  if (shortest.count() == 0) return;
-  stage_timer_ = context_.loop.Schedule(shortest, [this] {
-    stage_timer_ = 0;
-    RunStages();
-  });
-}
-
-common::duration forward_request::DelayOf(uint32_t stage) const {
-  const uint64_t bytes = plan_->result_bytes(stage) * plan_->pieces(stage);
-  if (plan_->followed(stage) || bytes < kLargeResults) {
-    return common::duration(0);
-  }
-  const common::time_point now = context_.clock.Now();
-  std::vector<common::duration> left(route_->stages.size());
-  for (uint32_t i = 0; i < left.size(); ++i) {
-    const common::duration whole = context_.estimate.StageEnd(
-        *table_, route_->stages[i].service, priority_);
-    const common::duration passed =
-        plan_->begun(i) ? now - begun_[i].at : common::duration(0);
-    left[i] = std::max(whole - passed, common::duration(0));
-  }
-  return plan_->TimeOfOthers(stage, left) - left[stage] - kDelayMargin;
-}
-
-void forward_request::SubmitStage(uint32_t stage) {
-  plan_->Begin(stage);
-  const std::string* key =
-      exchange_->head().Find(context_.codec.headers().piece_key);
-  core::stage_order order;
-  order.request_id = request_id_;
-  order.service = route_->stages[stage].service;
-  order.organisation = organisation_name();
-  order.stage = stage;
-  order.pieces = plan_->pieces(stage);
-  order.inputs = plan_->InputsOf(stage);
-  if (order.inputs.empty() && key != nullptr) order.key = *key;
-  order.result_bytes = plan_->result_bytes(stage);
-  order.priority = priority_;
-  order.late = late_;
-  SetPlace(&order);
-  common::duration least(0);
-  common::duration usual(0);
-  for (uint32_t later = stage + 1; later < route_->stages.size(); ++later) {
-    const core::service_spec* spec =
-        table_->FindService(route_->stages[later].service);
-    const std::vector<uint32_t>& after = route_->stages[later].after;
-    if (spec == nullptr || !spec->batches || after.empty()) continue;
-    least += spec->batches->call_time + spec->batches->piece_time;
-    usual +=
-        context_.estimate.StageTime(*table_, route_->stages[later].service);
-  }
-  order.objective = objective_ - usual - EngineTime();
-  order.deadline = begin_by_ - least - EngineTime();
-  begun_[stage] = {
-      context_.clock.Now(),
-      context_.estimate.StageEnd(*table_, order.service, priority_)};
-  context_.stages.Submit(
-      order, [this](const core::stage_end_message& end) { OnStageEnd(end); });
-}
-
-void forward_request::SetPlace(core::stage_order* order) {
-  if (order->inputs.empty()) {
-    order->data_centre = context_.choice.LikelyDataCentre(Question());
-    order->place_bytes = order->result_bytes * order->pieces;
-    return;
-  }
-  // Each piece takes all inputs: it is best made where most of them are.
-  std::unordered_map<std::string, uint64_t> bytes;
-  for (const uint32_t before : route_->stages[order->stage].after) {
-    for (const std::string& handle : plan_->handles(before)) {
-      const std::shared_ptr<core::fleet_target> maker =
-          context_.targets.AtAddress(handle.substr(0, handle.find('/')));
-      if (!maker) continue;
-      uint64_t& here = bytes[maker->entry.data_centre];
-      here += plan_->result_bytes(before) * order->pieces;
-      if (here <= order->place_bytes) continue;
-      order->place_bytes = here;
-      order->data_centre = maker->entry.data_centre;
-    }
-  }
-}
-
-void forward_request::OnStageEnd(const core::stage_end_message& end) {
-  if (end.made) {
-    plan_->Complete(end.stage, end.handles);
-    if (!late_) {
-      const begun_stage& begun = begun_[end.stage];
-      context_.estimate.NoteOutcome(route_->stages[end.stage].service,
-                                    priority_, begun.estimate,
-                                    context_.clock.Now() - begun.at);
-    }
-    common::Metrics().Observe("wisteria_stage_seconds",
-                              context_.clock.Now() - begun_[end.stage].at,
-                              {{"service", route_->stages[end.stage].service}});
-    ReleaseSpent();
-    RunStages();
-    return;
-  }
-  common::LogEvent(
-      log_event::kStageEnded, request_id_,
-      {{"stage", int64_t{end.stage}},
-       {"service", route_->stages[end.stage].service},
-       {"made", false},
-       {"late", end.late},
-       {"estimate_ms", Millis(begun_[end.stage].estimate)},
-       {"took_ms", Millis(context_.clock.Now() - begun_[end.stage].at)}});
-  if (!end.late && stage_restarts_ < kMostStageRestarts) {
-    RestartStages();
-    return;
-  }
-  AnswerNotRun(end.late ? "its stages cannot be made in time"
-                        : "its stages were not made");
-}
-
-void forward_request::RestartStages() {
-  ++stage_restarts_;
-  common::Metrics().Count("wisteria_stage_restarts_total",
-                          {{"route", route_->name}});
-  ReleaseInputs();
-  if (MakePlan()) RunStages();
-}
-
-void forward_request::ReleaseSpent() {
-  for (const uint32_t stage : plan_->TakeSpent()) {
-    context_.stages.Release(route_->stages[stage].service,
-                            plan_->handles(stage));
-  }
-}
-
-void forward_request::ReleaseInputs() {
-  if (!plan_) return;
-  context_.loop.Cancel(stage_timer_);
-  stage_timer_ = 0;
-  if (!plan_->complete()) context_.stages.Withdraw(request_id_);
-  for (const uint32_t stage : plan_->TakeHeld()) {
-    context_.stages.Release(route_->stages[stage].service,
-                            plan_->handles(stage));
-  }
-  plan_.reset();
-}
-
 core::choice_question forward_request::Question() const {
   core::choice_question question;
   question.service = service_;
@@ -472,19 +184,23 @@
   return question;
 }
 
-void forward_request::SendToTarget() {
+core::choice_question forward_request::QuestionWithInputs() const {
   core::choice_question question = Question();
-  if (plan_) {
-    for (const uint32_t stage : plan_->FinalStages()) {
-      for (const std::string& handle : plan_->handles(stage)) {
-        const std::shared_ptr<core::fleet_target> maker =
-            context_.targets.AtAddress(handle.substr(0, handle.find('/')));
-        if (!maker) continue;
-        question.input_bytes[maker->entry.data_centre] +=
-            plan_->result_bytes(stage);
-      }
+  if (!plan_) return question;
+  for (const uint32_t stage : plan_->FinalStages()) {
+    for (const std::string& handle : plan_->handles(stage)) {
+      const std::shared_ptr<core::fleet_target> maker =
+          context_.targets.AtAddress(handle.substr(0, handle.find('/')));
+      if (!maker) continue;
+      question.input_bytes[maker->entry.data_centre] +=
+          plan_->result_bytes(stage);
     }
   }
+  return question;
+}
+
+void forward_request::SendToTarget() {
+  const core::choice_question question = QuestionWithInputs();
   target_ = context_.choice.Choose(question);
   if (!target_) {
     if (may_have_run_) {
@@ -512,6 +228,11 @@
     request.echo_value = request_id_;
   }
   request.reuse = MayRepeat();
+  NoteSent(left);
+  call_ = context_.client.Start(request, *this);
+}
+
+void forward_request::NoteSent(common::duration left) {
   tried_.push_back(target_->entry.id);
   ++attempts_;
   target_->in_flight += 1;
@@ -533,9 +254,9 @@
        {"held_tokens", int64_t{held}},
        {"resting", target_->ejected_until > context_.clock.Now()},
        {"after_event", std::string_view(stream_.last_id().value_or(""))},
-       {"left_ms", Millis(left)},
-       {"since_ms", Millis(context_.clock.Now() - exchange_->received())}});
-  call_ = context_.client.Start(request, *this);
+       {"left_ms", common::WholeMillis(left)},
+       {"since_ms",
+        common::WholeMillis(context_.clock.Now() - exchange_->received())}});
 }
 
 std::vector<net::http_header> forward_request::HeadersFor(
@@ -596,10 +317,7 @@
 void forward_request::BeginRelay(const net::message_head& head) {
   relaying_ = true;
   events_ = route_->kind == core::request_kind::kStreaming;
-  std::vector<net::http_header> headers;
-  for (const net::http_header& header : head.headers) {
-    if (!IsOfConnection(header.name, head)) headers.push_back(header);
-  }
+  const std::vector<net::http_header> headers = PassedHeaders(head);
   std::optional<uint64_t> length;
   if (!events_ || !MayRepeat()) length = head.content_length;
   exchange_->SendHead(head.status, head.reason, headers, length);
@@ -702,6 +420,25 @@
   call_.reset();
 }
 
+core::attempt_question forward_request::QuestionAfter(attempt_end end) const {
+  core::attempt_question question;
+  question.end = end;
+  question.repeatable = MayRepeat();
+  question.may_have_run = may_have_run_;
+  question.attempts = attempts_;
+  question.max_attempts = route_->max_attempts;
+  question.time_left = TimeLeft() > kLeastTime && !caller_gone_;
+  question.targets_left =
+      dials_failed_ < kMostFailedDials &&
+      context_.targets.Pool(service_).size() > tried_.size();
+  // A client error of the target's own would only be repeated.
+  const bool client_error = end == attempt_end::kFailed && answer_.status < 500;
+  question.budget_left = !client_error;
+  // The inputs of stages are given up once a target has begun.
+  if (!inputs_.empty() && !plan_ && !relaying_) question.targets_left = false;
+  return question;
+}
+
 void forward_request::EndAttempt(attempt_end end) {
   NoteTarget(end);
   const std::string target = target_->entry.id;
@@ -715,28 +452,15 @@
   }
   const bool inputs_gone =
       end == attempt_end::kNotRun && answer_.status == kStatusConflict;
-  if (inputs_gone && !relaying_ && stage_restarts_ < kMostStageRestarts) {
+  if (inputs_gone && !relaying_ && MayRestartStages()) {
     tried_.clear();
     RestartStages();
     return;
   }
-  core::attempt_question question;
-  question.end = end;
-  question.repeatable = MayRepeat();
-  question.may_have_run = may_have_run_;
-  question.attempts = attempts_;
-  question.max_attempts = route_->max_attempts;
-  question.time_left = TimeLeft() > kLeastTime && !caller_gone_;
-  question.targets_left =
-      dials_failed_ < kMostFailedDials &&
-      context_.targets.Pool(service_).size() > tried_.size();
-  // A client error of the target's own would only be repeated.
-  const bool client_error = end == attempt_end::kFailed && answer_.status < 500;
-  question.budget_left = !client_error;
-  // The inputs of stages are given up once a target has begun.
-  if (!inputs_.empty() && !plan_ && !relaying_) question.targets_left = false;
-  if (AfterAttempt(question) == next_step::kRetry &&
-      end != attempt_end::kNotSent) {
+  core::attempt_question question = QuestionAfter(end);
+  const bool would_repeat = AfterAttempt(question) == next_step::kRetry &&
+                            end != attempt_end::kNotSent;
+  if (would_repeat) {
     question.budget_left = context_.repeats.Take(service_);
   }
   const next_step next = AfterAttempt(question);
@@ -774,10 +498,7 @@
 }
 
 void forward_request::PassOnAnswer(const std::string& target) {
-  std::vector<net::http_header> headers;
-  for (const net::http_header& header : answer_.headers) {
-    if (!IsOfConnection(header.name, answer_)) headers.push_back(header);
-  }
+  const std::vector<net::http_header> headers = PassedHeaders(answer_);
   if (exchange_->head().method == "HEAD") {
     exchange_->SendHead(answer_.status, answer_.reason, headers,
                         answer_.content_length);
@@ -843,7 +564,7 @@
                     {"attempts", int64_t{attempts_}},
                     {"may_have_run", may_have_run_},
                     {"late", late_},
-                    {"took_ms", Millis(took)}});
+                    {"took_ms", common::WholeMillis(took)}});
   End();
 }
 
@@ -871,11 +592,11 @@
   const bool keep = route_ != nullptr &&
                     route_->kind == core::request_kind::kNonIdempotent &&
                     call_ && call_->sent();
-  common::LogEvent(
-      log_event::kCancelled, request_id_,
-      {{"took_ms", Millis(context_.clock.Now() - exchange_->received())},
-       {"sent", call_ && call_->sent()},
-       {"left_to_end", keep}});
+  common::LogEvent(log_event::kCancelled, request_id_,
+                   {{"took_ms", common::WholeMillis(context_.clock.Now() -
+                                                    exchange_->received())},
+                    {"sent", call_ && call_->sent()},
+                    {"left_to_end", keep}});
   if (keep) return;
   End();
 }
@@ -888,28 +609,4 @@
   owner_.Remove(this);
 }
 
-forwarder::forwarder(forward_context context) : context_(context) {}
-forwarder::~forwarder() = default;
-
-void forwarder::Handle(const std::shared_ptr<net::http1_exchange>& exchange) {
-  std::unique_ptr<forward_request> made =
-      std::make_unique<forward_request>(*this, context_, exchange);
-  forward_request* raw = made.get();
-  requests_.emplace(raw, std::move(made));
-  raw->Start();
-}
-
-size_t forwarder::EndAll() {
-  const size_t count = requests_.size();
-  while (!requests_.empty()) requests_.begin()->first->GiveUp();
-  return count;
-}
-
-void forwarder::Remove(forward_request* ended) {
-  const auto found = requests_.find(ended);
-  if (found == requests_.end()) return;
-  const std::unique_ptr<forward_request> kept = std::move(found->second);
-  requests_.erase(found);
-}
-
 }  // namespace wisteriadale::gateway
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -50,6 +50,8 @@
   void AnnounceStages();
   common::duration EngineTime() const;
   void RunStages();
+  /// Sets until when the pieces of a stage should be, and must be, made.
+  void SetTimes(core::stage_order* order) const;
   /// Sets where the pieces of a stage are best made.
   void SetPlace(core::stage_order* order);
   void SubmitStage(uint32_t stage);
@@ -58,10 +60,15 @@
   common::duration DelayOf(uint32_t stage) const;
   void ReleaseSpent();
   void OnStageEnd(const core::stage_end_message& end);
+  bool MayRestartStages() const;
   void RestartStages();
   void ReleaseInputs();
 
   core::choice_question Question() const;
+  core::choice_question QuestionWithInputs() const;
+  core::attempt_question QuestionAfter(core::attempt_end end) const;
+  /// An attempt begins at the target.
+  void NoteSent(common::duration left);
   void SendToTarget();
   std::vector<net::http_header> HeadersFor(const core::fleet_target& target,
                                            common::duration left) const;
--- /dev/null
+++ b/source/gateway/forwarder.cc
@@ -0,0 +1,31 @@
+#include "gateway/forwarder.h"
+
+#include "gateway/forward_request.h"
+
+namespace wisteriadale::gateway {
+
+forwarder::forwarder(forward_context context) : context_(context) {}
+forwarder::~forwarder() = default;
+
+void forwarder::Handle(const std::shared_ptr<net::http1_exchange>& exchange) {
+  std::unique_ptr<forward_request> made =
+      std::make_unique<forward_request>(*this, context_, exchange);
+  forward_request* raw = made.get();
+  requests_.emplace(raw, std::move(made));
+  raw->Start();
+}
+
+size_t forwarder::EndAll() {
+  const size_t count = requests_.size();
+  while (!requests_.empty()) requests_.begin()->first->GiveUp();
+  return count;
+}
+
+void forwarder::Remove(forward_request* ended) {
+  const auto found = requests_.find(ended);
+  if (found == requests_.end()) return;
+  const std::unique_ptr<forward_request> kept = std::move(found->second);
+  requests_.erase(found);
+}
+
+}  // namespace wisteriadale::gateway
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -31,7 +31,7 @@
 }  // namespace
 
 gateway_links::gateway_links(net::event_loop& loop, common::clock& clock,
-                             std::string name, net::endpoint own_address,
+                             std::string name, const net::endpoint& own_address,
                              uint64_t incarnation, double capacity)
     : loop_(loop),
       clock_(clock),
@@ -108,7 +108,7 @@
       });
 }
 
-void gateway_links::Accept(std::shared_ptr<net::channel> channel) {
+void gateway_links::Accept(const std::shared_ptr<net::channel>& channel) {
   Adopt(channel, "");
 }
 
@@ -156,7 +156,9 @@
   }
   if (std::holds_alternative<core::gateway_farewell>(*message)) {
     for (const std::shared_ptr<link>& each : links_) {
-      if (each->gateway == from->gateway) each->stopping = true;
+      if (each->gateway == from->gateway) {
+        each->stopping = true;
+      }
     }
     return;
   }
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -22,7 +22,7 @@
  public:
   /// @param capacity of this VM, in any unit that all gateways share
   gateway_links(net::event_loop& loop, common::clock& clock, std::string name,
-                net::endpoint own_address, uint64_t incarnation,
+                const net::endpoint& own_address, uint64_t incarnation,
                 double capacity);
   ~gateway_links();
   gateway_links(const gateway_links&) = delete;
@@ -32,7 +32,7 @@
   /// @param address "ip:port"
   void AddAddress(const std::string& address);
   /// Takes a link that another gateway opened.
-  void Accept(std::shared_ptr<net::channel> channel);
+  void Accept(const std::shared_ptr<net::channel>& channel);
   /// Begins to dial.
   void Start() { Tick(); }
   void Stop();
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -200,8 +200,8 @@
              const std::shared_ptr<net::http_responder>& responder) {
             responder->Send(404, "text/plain", "only links end here\n");
           },
-          [this](std::shared_ptr<net::channel> channel) {
-            links_->Accept(std::move(channel));
+          [this](const std::shared_ptr<net::channel>& channel) {
+            links_->Accept(channel);
           });
   if (!server) return false;
   gateways_ = std::move(*server);
--- a/source/gateway/stage_host.cc
+++ b/source/gateway/stage_host.cc
@@ -26,10 +26,6 @@
 constexpr common::duration kCallMargin = std::chrono::milliseconds(200);
 constexpr common::duration kReleaseTimeout = std::chrono::milliseconds(1000);
 
-int64_t Millis(common::duration value) {
-  return std::chrono::duration_cast<common::milliseconds>(value).count();
-}
-
 std::vector<core::piece_result> AllOf(size_t count, core::piece_end end) {
   return std::vector<core::piece_result>(count, core::piece_result{end, ""});
 }
@@ -183,8 +179,9 @@
       routes_.current() ? routes_.current()->FindService(service) : nullptr;
   const auto found = queues_.find(service);
   if (found != queues_.end()) {
-    if (spec != nullptr && spec->batches)
+    if (spec != nullptr && spec->batches) {
       found->second->SetSpec(*spec->batches);
+    }
     return found->second.get();
   }
   if (spec == nullptr || !spec->batches) return nullptr;
@@ -304,13 +301,13 @@
     call->SetOverdue();
     core::piece_queue* queue = QueueOf(call->service());
     if (queue == nullptr || !MayRepeat(*call)) continue;
-    common::LogEvent(log_event::kCallEnded,
-                     call->batch().pieces.front().request_id,
-                     {{"service", call->service()},
-                      {"target", call->batch().target->entry.id},
-                      {"end", "overdue"},
-                      {"expected_ms", Millis(call->batch().expected)},
-                      {"took_ms", Millis(took)}});
+    common::LogEvent(
+        log_event::kCallEnded, call->batch().pieces.front().request_id,
+        {{"service", call->service()},
+         {"target", call->batch().target->entry.id},
+         {"end", "overdue"},
+         {"expected_ms", common::WholeMillis(call->batch().expected)},
+         {"took_ms", common::WholeMillis(took)}});
     queue->OnOverdue(call->batch(), took);
   }
 }
@@ -369,8 +366,8 @@
          {"target", batch.target->entry.id},
          {"pieces", static_cast<int64_t>(batch.pieces.size())},
          {"end", core::ToString(first)},
-         {"expected_ms", Millis(batch.expected)},
-         {"took_ms", Millis(now - call->started())},
+         {"expected_ms", common::WholeMillis(batch.expected)},
+         {"took_ms", common::WholeMillis(now - call->started())},
          {"failures_in_row", int64_t{batch.target->failures_in_row}}});
   }
   const std::vector<core::order_end> ends =
--- a/source/load/plan.cc
+++ b/source/load/plan.cc
@@ -16,7 +16,7 @@
   std::vector<net::endpoint> endpoints;
   for (const json& text : list) {
     const std::optional<net::endpoint> read =
-        ParseEndpoint(text.get<std::string>());
+        net::EndpointFrom(text.get<std::string>());
     if (read) endpoints.push_back(*read);
   }
   return endpoints;
@@ -60,7 +60,7 @@
   plan.name = from.value("name", "load");
   plan.seed = from.value("seed", plan.seed);
   plan.routers = ReadEndpoints(from.value("routers", json::array()));
-  plan.platform = ParseEndpoint(from.value("platform", ""))
+  plan.platform = net::EndpointFrom(from.value("platform", ""))
                       .value_or(net::endpoint{"127.0.0.1", 0});
   for (const json& entry : from.at("phases")) {
     plan.phases.push_back(ReadPhase(entry));
@@ -105,19 +105,6 @@
   return total;
 }
 
-std::optional<net::endpoint> ParseEndpoint(std::string_view text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  net::endpoint read;
-  read.address = text.substr(0, colon);
-  const std::from_chars_result parsed = std::from_chars(
-      text.data() + colon + 1, text.data() + text.size(), read.port);
-  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return read;
-}
-
 std::optional<load_plan> ParsePlan(std::string_view text) {
   const json parsed = json::parse(text, nullptr, false);
   // A value that is missing or of the wrong type is reported by an exception
--- a/source/load/plan.h
+++ b/source/load/plan.h
@@ -73,9 +73,6 @@
 /// @return the plan, or nothing with LastReason set
 std::optional<load_plan> ParsePlan(std::string_view text);
 
-/// @return address and port, or nothing
-std::optional<net::endpoint> ParseEndpoint(std::string_view text);
-
 /// @return the requests of a plan in order of time: a Poisson process in each
 /// phase, the same for the same seed
 std::vector<arrival> Arrivals(const load_plan& plan);
--- a/source/platform/route_decoder.cc
+++ b/source/platform/route_decoder.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "common/last_reason.h"
+#include "net/endpoint.h"
 
 namespace wisteriadale::platform {
 namespace {
@@ -210,13 +211,9 @@
 }
 
 bool IsAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon == 0 || colon + 1 == text.size()) {
-    return false;
-  }
-  return text.find_first_not_of("0123456789", colon + 1) == std::string::npos &&
-         text.find_first_not_of("0123456789.") >= colon &&
-         std::strtoul(text.c_str() + colon + 1, nullptr, 10) <= UINT16_MAX;
+  const std::optional<net::endpoint> endpoint = net::EndpointFrom(text);
+  return endpoint && endpoint->address.find_first_not_of("0123456789.") ==
+                         std::string::npos;
 }
 
 core::target_entry Target(std::string_view id, std::string_view text) {
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -34,12 +34,9 @@
       nlohmann::json::parse(settings.Json(settings::kPeerSeeds));
   for (const nlohmann::json& entry : list) {
     if (!entry.is_string()) continue;
-    const std::string text = entry;
-    const size_t colon = text.rfind(':');
-    if (colon == std::string::npos) continue;
-    const uint64_t port =
-        std::strtoull(text.substr(colon + 1).c_str(), nullptr, 10);
-    seeds.push_back({text.substr(0, colon), static_cast<uint16_t>(port)});
+    const std::optional<net::endpoint> seed =
+        net::EndpointFrom(entry.get<std::string>());
+    if (seed) seeds.push_back(*seed);
   }
   return seeds;
 }
