--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -77,8 +77,6 @@
   /// @return the target at an address, or null
   std::shared_ptr<fleet_target> AtAddress(std::string_view address) const;
   std::shared_ptr<fleet_target> Find(std::string_view id) const;
-  /// @return the number of targets that may take work
-  size_t size() const { return by_id_.size(); }
 
   using leaving_handler =
       std::function<void(const fleet_target&, leave_reason)>;
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -279,7 +279,6 @@
     if (!batch.pieces.empty()) break;
   }
   if (batch.pieces.empty()) return std::nullopt;
-  batch.id = next_batch_++;
   batch.expected = CallTime(batch.pieces.size());
   const std::string& target_id = batch.target->entry.id;
   for (const piece_ref& piece : batch.pieces) {
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -79,7 +79,6 @@
 
 /// A call to one target.
 struct piece_batch {
-  uint64_t id = 0;
   std::shared_ptr<fleet_target> target;
   std::vector<piece_ref> pieces;
   common::duration expected{0};  ///< time that the call should take
@@ -215,7 +214,6 @@
   double fast_rate_ = 0;            ///< ... of the targets that are not slow
   common::time_point last_call_{};
   size_t calls_ = 0;
-  uint64_t next_batch_ = 1;
 };
 
 }  // namespace wisteriadale::core
--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -320,7 +320,6 @@
   if (request.reuse) carrier = TakeIdle(server);
   if (!carrier) {
     carrier = std::make_unique<connection>(*this, server);
-    ++dials_;
     if (!carrier->Dial(request.to)) {
       carrier.reset();
       common::Log(common::log_channel::kNet, common::log_level::kWarning,
--- a/source/net/http1_client.h
+++ b/source/net/http1_client.h
@@ -82,8 +82,6 @@
   /// Start.
   std::unique_ptr<http1_call> Start(const outgoing_request& request,
                                     call_handler& handler);
-  /// @return connections opened so far
-  uint64_t dials() const { return dials_; }
 
   class connection;
   class call;
@@ -101,7 +99,6 @@
   http1_client_options options_;
   std::map<std::string, idle_list, std::less<>> idle_;
   common::timer_id sweep_timer_ = 0;
-  uint64_t dials_ = 0;
 };
 
 }  // namespace wisteriadale::net
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -172,12 +172,6 @@
     stream_->Write(out);
   }
 
-  /// Sends the head now, before any part of the body.
-  void Flush() {
-    if (stream_ == nullptr || head_text_.empty()) return;
-    stream_->Write(std::exchange(head_text_, {}));
-  }
-
   void Finish() override {
     if (stream_ == nullptr || !head_sent_ || finished_) return;
     finished_ = true;
