--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -167,8 +167,8 @@
     OnHello(from, *hello);
     return;
   }
-  if (!from->gateway.empty() && on_message_)
-    on_message_(from->gateway, *message);
+  if (from->gateway.empty() || !on_message_) return;
+  on_message_(from->gateway, *message);
 }
 
 void gateway_links::OnHello(const std::shared_ptr<link>& from,
