--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -55,7 +55,7 @@
 
   static std::shared_ptr<core::fleet_target> Target(const std::string& id,
                                                     const std::string& centre) {
-    const std::shared_ptr<core::fleet_target> made =
+    std::shared_ptr<core::fleet_target> made =
         std::make_shared<core::fleet_target>();
     made->entry.id = id;
     made->entry.data_centre = centre;
