Keep the stream running while its link is silenced in scenario_silent_connection

So the link went silent within the last 250 ms of a stream of 1.5 s, and was idle when the next ping was due; an idle link is noticed after three seconds and a tick, as LinkMonitor.AnIdleLinkThatFallsSilentIsNoticedWithinThreeSeconds has it. The scenario means a link with work on it. Its stream now lasts 3.75 s and must still run when the link is silenced; the bound stays.

--- a/scenarios/silent_connection.lua
+++ b/scenarios/silent_connection.lua
@@ -6,7 +6,8 @@
 
 local deployment = fleet.start{
   routers = 1, relay_agents = true, relay_platform = true,
-  engine = {tokens = 100, token_us = 15000},
+  -- Long enough to be still running when its link goes silent.
+  engine = {tokens = 250, token_us = 15000},
   service = {service_us = 600000},
   router = {["/platform/timeout_ms"] = 1000}}
 local engine_relay = deployment.agent_relays["generate-1"]
@@ -28,6 +29,7 @@
              8000, "first token")
   local before = engine_relay:accepted()
   engine_relay:silence(way)
+  expect(not whole:done(), "a stream runs while its link goes silent, " .. way)
   wait_until(function() return engine_relay:accepted() > before end, kNoticedMs,
              "a new connection to the agent, " .. way)
   local answer = whole:wait()
