Pass a large answer on only if it is the target's own, and a large failure whole

Found on reading: an answer of more than 1 MB was passed on before its receipt was looked at, so one without a receipt became a success; a large 5xx was begun and then broken off. The scenario gateway_retries failed first (200 in place of 502).

--- a/scenarios/gateway_retries.lua
+++ b/scenarios/gateway_retries.lua
@@ -36,6 +36,24 @@
 local unsigned = book()
 expect_equal(502, unsigned.status, "an answer without a receipt")
 expect_equal(1, #fleet:own_runs(unsigned.id), "it ran once")
+-- Also where the answer is too large to be held until it is complete.
+local kLarge = 2000000
+both{how = "unsigned", padding = kLarge}
+local large = book()
+expect_equal(502, large.status, "a large answer without a receipt")
+both{padding = kLarge}
+large = book()
+expect_equal(200, large.status, "a large answer")
+expect(large.complete, "whole")
+expect_equal(#"ran order" + kLarge, #large.body, "with all of its bytes")
+both{how = "fail", padding = kLarge}
+large = book()
+expect_equal(500, large.status, "a large failure is the target's own")
+expect_equal(#"broken" + kLarge, #large.body, "with all of its bytes")
+fleet:behave{service = "engine", how = "fail", padding = kLarge}
+large = fleet:ask{method = "POST", path = "/notes/1", body = "x"}
+expect_equal(500, large.status, "so is one of a stream's target")
+expect_equal(#"broken" + kLarge, #large.body, "with all of its bytes")
 both{how = "fail"}
 local failed = book()
 expect_equal(500, failed.status, "the target's own failure is passed on")
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -243,7 +243,7 @@
   context_.choice.hints().NoteSent(target_->entry.id, prompt_parts_);
   answer_ = net::message_head();
   answer_body_.clear();
-  answer_not_run_ = false;
+  answer_not_run_ = answer_signed_ = false;
   common::LogEvent(
       log_event::kSent, request_id_,
       {{"target", target_->entry.id},
@@ -301,11 +301,10 @@
   answer_ = head;
   answer_not_run_ = head.Find(context_.codec.headers().not_run) != nullptr ||
                     head.status == kStatusMisdirected;
+  answer_signed_ = head.Find(context_.codec.headers().signature) != nullptr;
   target_->outstanding_tokens -= counted_tokens_;
   counted_tokens_ = 0;
-  const bool success = head.status / 100 == 2 && !answer_not_run_ &&
-                       head.Find(context_.codec.headers().signature) != nullptr;
-  if (!success) return;
+  if (!Succeeded()) return;
   may_have_run_ = true;
   if (route_->kind == core::request_kind::kStreaming) {
     // The target fetched its inputs before it began.
@@ -316,7 +315,7 @@
 
 void forward_request::BeginRelay(const net::message_head& head) {
   relaying_ = true;
-  events_ = route_->kind == core::request_kind::kStreaming;
+  events_ = route_->kind == core::request_kind::kStreaming && Succeeded();
   const std::vector<net::http_header> headers = PassedHeaders(head);
   std::optional<uint64_t> length;
   if (!events_ || !MayRepeat()) length = head.content_length;
@@ -324,15 +323,22 @@
 }
 
 void forward_request::OnBody(std::string_view data) {
-  if (!relaying_ || answer_.status / 100 != 2 || answer_not_run_) {
-    answer_body_.append(data);
-    if (relaying_ || answer_body_.size() <= kMostHeldBytes) return;
-    // Too large to hold.
-    BeginRelay(answer_);
-    exchange_->SendBody(std::exchange(answer_body_, {}));
+  // Of a stream that goes on, only a success continues it.
+  if (relaying_ && (!events_ || Succeeded())) {
+    Relay(data);
     return;
   }
-  Relay(data);
+  // Only the target's own answer is passed on, a failure too.
+  if (relaying_ || answer_not_run_ || !answer_signed_) return;
+  answer_body_.append(data);
+  if (answer_body_.size() <= kMostHeldBytes) return;
+  // Too large to hold.
+  BeginRelay(answer_);
+  exchange_->SendBody(std::exchange(answer_body_, {}));
+}
+
+bool forward_request::Succeeded() const {
+  return answer_.status / 100 == 2 && answer_signed_ && !answer_not_run_;
 }
 
 void forward_request::Relay(std::string_view data) {
@@ -361,18 +367,17 @@
 }
 
 void forward_request::OnComplete() {
-  const bool success = answer_.status / 100 == 2 && !answer_not_run_;
-  const bool has_signature =
-      answer_.Find(context_.codec.headers().signature) != nullptr;
   if (answer_not_run_) {
     EndAttempt(attempt_end::kNotRun);
     return;
   }
-  if (!has_signature) {
+  if (!answer_signed_) {
     EndAttempt(attempt_end::kLost);
     return;
   }
-  if (!success) {
+  // A large failure is passed on already.
+  const bool passed_on = relaying_ && !events_;
+  if (!Succeeded() && !passed_on) {
     EndAttempt(attempt_end::kFailed);
     return;
   }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -72,6 +72,8 @@
   void SendToTarget();
   std::vector<net::http_header> HeadersFor(const core::fleet_target& target,
                                            common::duration left) const;
+  /// @return whether the answer is a target's own success
+  bool Succeeded() const;
   void BeginRelay(const net::message_head& head);
   void Relay(std::string_view data);
   void LimitPending();
@@ -133,8 +135,9 @@
   net::message_head answer_;  ///< of the current attempt
   std::string answer_body_;
   bool answer_not_run_ = false;
-  bool relaying_ = false;  ///< the answer is passed on as it arrives
-  bool events_ = false;    ///< ... event by event
+  bool answer_signed_ = false;  ///< it bears the target's receipt
+  bool relaying_ = false;       ///< the answer is passed on as it arrives
+  bool events_ = false;         ///< ... event by event
   core::event_stream stream_;
   bool caller_gone_ = false;
   common::timer_id timeout_timer_ = 0;
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -81,6 +81,7 @@
     behaviour.event_ms = body.value("event_ms", behaviour.event_ms);
     behaviour.work_ms = body.value("work_ms", behaviour.work_ms);
     behaviour.cut_after = body.value("cut_after", behaviour.cut_after);
+    behaviour.padding = body.value("padding", behaviour.padding);
     for (const std::unique_ptr<played_target>& each : targets_) {
       if (each->id() == body.value("id", each->id()) &&
           each->service() == body.value("service", each->service())) {
--- a/source/unit_tests/platform_standin/played_target.cc
+++ b/source/unit_tests/platform_standin/played_target.cc
@@ -89,14 +89,18 @@
     unanswered_.push_back(exchange);
   } else if (behaviour_.how == "fail") {
     headers.push_back({kSignature, id_});
-    exchange->Send(500, "Internal Server Error", headers, "broken");
+    exchange->Send(500, "Internal Server Error", headers,
+                   "broken" + std::string(behaviour_.padding, '.'));
   } else if (behaviour_.how == "unsigned") {
-    exchange->Send(200, "OK", headers, "not mine");
+    exchange->Send(200, "OK", headers,
+                   "not mine" + std::string(behaviour_.padding, '.'));
   } else if (exchange->head().Find("Accept") != nullptr) {
     Stream(exchange);
   } else {
     headers.push_back({kSignature, id_});
-    exchange->Send(200, "OK", headers, "ran " + exchange->body());
+    exchange->Send(
+        200, "OK", headers,
+        "ran " + exchange->body() + std::string(behaviour_.padding, '.'));
   }
 }
 
--- a/source/unit_tests/platform_standin/played_target.h
+++ b/source/unit_tests/platform_standin/played_target.h
@@ -23,6 +23,7 @@
   int64_t event_ms = 5;    ///< between two events
   int64_t work_ms = 1;     ///< before an answer
   uint32_t cut_after = 2;  ///< whole events before a cut
+  uint32_t padding = 0;    ///< bytes added to the body of a plain answer
 };
 
 /// One run of a request, or one call for pieces.
