Refuse a request that crashes each target that runs it; derive the store's questions from the deployment's bounds

A request that crashes whatever runs it, and that its caller sends again, reached targets without end: the gateways had no quarantine. core/quarantine/crash_suspects counts the targets lost in a row without an answer, by digest of method, path, organisation and body; gateways tell each other, and the third loss refuses the request at all of them.

The pace of questions to the store stood as two constants that fit one deployment; now the bounds for routes and leaving targets are settings, filled in by the template, and core derives the pace.

budgeted_table decides how calls are shared, so it lies in the core.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -168,7 +168,7 @@
 void agent_process::SetRecorder(const settings::settings_document& settings) {
   http_table_ =
       platform::MakeHttpTable(*loop_, platform::OptionsFrom(settings));
-  table_ = std::make_unique<platform::budgeted_table>(
+  table_ = std::make_unique<core::budgeted_table>(
       *http_table_, platform::BudgetFrom(settings), clock_, *loop_, *random_);
   operations_ =
       std::make_unique<core::operation_log>(*table_, *loop_, clock_, *random_);
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -52,7 +52,7 @@
   std::unique_ptr<common::span_export> spans_;  ///< null without a trace file
   std::unique_ptr<http_target> target_;
   std::unique_ptr<core::table> http_table_;
-  std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
+  std::unique_ptr<core::table> table_;  ///< the platform's, under a budget
   std::unique_ptr<core::operation_log> operations_;
   std::unique_ptr<core::operation_recorder> recorder_;
   std::unique_ptr<core::attempt_host> host_;
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -37,6 +37,7 @@
   kCallEnded,  ///< of the owner of a queue, to a target
   kAnswered,
   kCancelled,
+  kQuarantined,  ///< a request is refused, as it crashes targets
   kCount
 };
 
--- a/source/core/fleet/fleet_watch.cc
+++ b/source/core/fleet/fleet_watch.cc
@@ -1,5 +1,6 @@
 #include "core/fleet/fleet_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/event_log.h"
@@ -27,8 +28,28 @@
   }
 }
 
+// Part of the bound for leaving targets between two questions: the rest is for
+// an answer that is lost and asked for again.
+constexpr double kTargetsPeriodShare = 0.3;
+constexpr common::milliseconds kLeastPeriod{100};
+
 }  // namespace
 
+fleet_watch_options WatchOptionsFor(common::duration routes_bound,
+                                    common::duration leaving_bound,
+                                    common::duration answer_bound) {
+  fleet_watch_options options;
+  options.routes_wait =
+      std::max(kLeastPeriod, std::chrono::duration_cast<common::milliseconds>(
+                                 routes_bound - answer_bound));
+  options.targets_period =
+      std::max(common::duration(kLeastPeriod),
+               common::FromSeconds(
+                   kTargetsPeriodShare *
+                   std::chrono::duration<double>(leaving_bound).count()));
+  return options;
+}
+
 fleet_watch::~fleet_watch() {
   timers_.Cancel(routes_timer_);
   timers_.Cancel(targets_timer_);
--- a/source/core/fleet/fleet_watch.h
+++ b/source/core/fleet/fleet_watch.h
@@ -22,8 +22,7 @@
   /// How long one question for a new configuration may wait. A connection that
   /// went silent is noticed this much later.
   common::milliseconds routes_wait{1200};
-  /// Between two questions for changes of targets: a third of the time within
-  /// which a leaving target must get no more work.
+  /// Between two questions for changes of targets.
   common::duration targets_period = std::chrono::milliseconds(600);
   /// After a call that failed.
   common::duration retry_delay = std::chrono::milliseconds(250);
@@ -32,6 +31,15 @@
   common::duration removal_hold = std::chrono::milliseconds(2200);
 };
 
+/// Asks the store as seldom as the bounds allow: a connection that went silent
+/// is noticed, and a lost answer asked for again, within them.
+/// @param routes_bound  time within which new routes must be in force
+/// @param leaving_bound time within which a leaving target gets no more work
+/// @param answer_bound  how long an answer of the store may take
+fleet_watch_options WatchOptionsFor(common::duration routes_bound,
+                                    common::duration leaving_bound,
+                                    common::duration answer_bound);
+
 /// Keeps the routes and the targets in step with the store. Load it answers:
 /// a store that is slow, away, behind or that lost its history, and entries
 /// that others wrote.
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "core/quarantine/crash_suspects.h"
 #include "core/stages/path_estimate.h"
 
 namespace wisteriadale::core {
@@ -99,6 +100,7 @@
     std::variant<gateway_hello, gateway_ping, stage_order_message,
                  stage_end_message, stage_withdrawal_message,
                  stage_release_message, routes_message, leaving_message,
-                 stage_notice_message, service_load_message, gateway_farewell>;
+                 stage_notice_message, service_load_message, gateway_farewell,
+                 crash_report>;
 
 }  // namespace wisteriadale::core
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -117,4 +117,15 @@
   return found == by_id_.end() ? nullptr : found->second;
 }
 
+bool target_directory::MostRest(std::string_view service,
+                                common::time_point now) const {
+  const pool& members = Pool(service);
+  const auto resting =
+      std::count_if(members.begin(), members.end(),
+                    [now](const std::shared_ptr<fleet_target>& each) {
+                      return each->ejected_until > now;
+                    });
+  return static_cast<size_t>(resting) * 2 > members.size();
+}
+
 }  // namespace wisteriadale::core
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -77,6 +77,8 @@
   /// @return the target at an address, or null
   std::shared_ptr<fleet_target> AtAddress(std::string_view address) const;
   std::shared_ptr<fleet_target> Find(std::string_view id) const;
+  /// @return whether more than half of a service's targets rest after failures
+  bool MostRest(std::string_view service, common::time_point now) const;
 
   using leaving_handler =
       std::function<void(const fleet_target&, leave_reason)>;
--- a/source/platform/budgeted_table.cc
+++ b/source/core/operations/budgeted_table.cc
@@ -1,4 +1,4 @@
-#include "platform/budgeted_table.h"
+#include "core/operations/budgeted_table.h"
 
 #include <algorithm>
 #include <string>
@@ -6,11 +6,9 @@
 
 #include "common/metrics.h"
 
-namespace wisteriadale::platform {
+namespace wisteriadale::core {
 namespace {
 
-using core::table_priority;
-using core::table_status;
 
 constexpr uint32_t kMostDoublings = 16;
 
@@ -26,8 +24,8 @@
       {{"kind", kind}, {"priority", NameOf(priority)}});
 }
 
-core::table_answer Refused(std::string_view key) {
-  core::table_answer answer;
+table_answer Refused(std::string_view key) {
+  table_answer answer;
   answer.status = table_status::kRefused;
   answer.row.key = key;
   return answer;
@@ -44,7 +42,7 @@
   return true;
 }
 
-budgeted_table::budgeted_table(core::table& inner, const table_budget& budget,
+budgeted_table::budgeted_table(table& inner, const table_budget& budget,
                                common::clock& clock,
                                common::timer_service& timers,
                                common::random_source& random)
@@ -99,7 +97,7 @@
 }
 
 void budgeted_table::Read(std::string_view key, table_priority priority,
-                          core::table_handler handler) {
+                          table_handler handler) {
   const bool allowed = reads_.Take(clock_.Now(), KeptFrom(priority));
   CountCall("read", priority, allowed);
   if (!allowed) {
@@ -111,17 +109,16 @@
   }
   Submit(
       [this, key = std::string(key), priority, handler = std::move(handler)] {
-        inner_.Read(key, priority,
-                    [this, handler](const core::table_answer& answer) {
-                      Answered(answer.status);
-                      handler(answer);
-                    });
+        inner_.Read(key, priority, [this, handler](const table_answer& answer) {
+          Answered(answer.status);
+          handler(answer);
+        });
       });
 }
 
 void budgeted_table::Write(std::string_view key, uint64_t expected_version,
                            std::string_view value, table_priority priority,
-                           core::table_handler handler) {
+                           table_handler handler) {
   const bool allowed = writes_.Take(clock_.Now(), KeptFrom(priority));
   CountCall("write", priority, allowed);
   if (!allowed) {
@@ -134,23 +131,23 @@
   Submit([this, key = std::string(key), expected_version,
           value = std::string(value), priority, handler = std::move(handler)] {
     inner_.Write(key, expected_version, value, priority,
-                 [this, handler](const core::table_answer& answer) {
+                 [this, handler](const table_answer& answer) {
                    Answered(answer.status);
                    handler(answer);
                  });
   });
 }
 
-void budgeted_table::WriteBatch(const std::vector<core::table_write>& writes,
+void budgeted_table::WriteBatch(const std::vector<table_write>& writes,
                                 table_priority priority,
-                                core::table_batch_handler handler) {
+                                table_batch_handler handler) {
   // A batch is one call of the service, whatever the number of rows.
   const bool allowed = writes_.Take(clock_.Now(), KeptFrom(priority));
   CountCall("batch", priority, allowed);
   if (!allowed) {
-    std::vector<core::table_answer> refused;
+    std::vector<table_answer> refused;
     refused.reserve(writes.size());
-    for (const core::table_write& write : writes) {
+    for (const table_write& write : writes) {
       refused.push_back(Refused(write.key));
     }
     timers_.Schedule(
@@ -161,7 +158,7 @@
   Submit([this, writes, priority, handler = std::move(handler)] {
     inner_.WriteBatch(
         writes, priority,
-        [this, handler](const std::vector<core::table_answer>& answers) {
+        [this, handler](const std::vector<table_answer>& answers) {
           if (!answers.empty()) Answered(answers.front().status);
           handler(answers);
         });
@@ -169,18 +166,17 @@
 }
 
 void budgeted_table::List(std::string_view prefix, uint32_t limit,
-                          table_priority priority,
-                          core::table_list_handler handler) {
+                          table_priority priority, table_list_handler handler) {
   ListAfter(prefix, "", limit, priority, std::move(handler));
 }
 
 void budgeted_table::ListAfter(std::string_view prefix, std::string_view after,
                                uint32_t limit, table_priority priority,
-                               core::table_list_handler handler) {
+                               table_list_handler handler) {
   const bool allowed = reads_.Take(clock_.Now(), KeptFrom(priority));
   CountCall("list", priority, allowed);
   if (!allowed) {
-    core::table_list_answer refused;
+    table_list_answer refused;
     refused.status = table_status::kRefused;
     timers_.Schedule(
         common::duration(0),
@@ -190,11 +186,11 @@
   Submit([this, prefix = std::string(prefix), after = std::string(after), limit,
           priority, handler = std::move(handler)] {
     inner_.ListAfter(prefix, after, limit, priority,
-                     [this, handler](const core::table_list_answer& answer) {
+                     [this, handler](const table_list_answer& answer) {
                        Answered(answer.status);
                        handler(answer);
                      });
   });
 }
 
-}  // namespace wisteriadale::platform
+}  // namespace wisteriadale::core
--- a/source/platform/budgeted_table.h
+++ b/source/core/operations/budgeted_table.h
@@ -9,7 +9,7 @@
 #include "common/random.h"
 #include "core/ports/table.h"
 
-namespace wisteriadale::platform {
+namespace wisteriadale::core {
 
 /// This process's share of the platform's calls.
 struct table_budget {
@@ -49,40 +49,38 @@
 /// Keeps a process's calls to the table under a budget that its priorities
 /// share, and spreads them out while the platform fails. A call that the budget
 /// does not allow ends as kRefused and is not sent.
-class budgeted_table final : public core::table {
+class budgeted_table final : public table {
  public:
-  budgeted_table(core::table& inner, const table_budget& budget,
-                 common::clock& clock, common::timer_service& timers,
-                 common::random_source& random);
+  budgeted_table(table& inner, const table_budget& budget, common::clock& clock,
+                 common::timer_service& timers, common::random_source& random);
 
-  void Read(std::string_view key, core::table_priority priority,
-            core::table_handler handler) override;
+  void Read(std::string_view key, table_priority priority,
+            table_handler handler) override;
   void Write(std::string_view key, uint64_t expected_version,
-             std::string_view value, core::table_priority priority,
-             core::table_handler handler) override;
-  void WriteBatch(const std::vector<core::table_write>& writes,
-                  core::table_priority priority,
-                  core::table_batch_handler handler) override;
-  void List(std::string_view prefix, uint32_t limit,
-            core::table_priority priority,
-            core::table_list_handler handler) override;
+             std::string_view value, table_priority priority,
+             table_handler handler) override;
+  void WriteBatch(const std::vector<table_write>& writes,
+                  table_priority priority,
+                  table_batch_handler handler) override;
+  void List(std::string_view prefix, uint32_t limit, table_priority priority,
+            table_list_handler handler) override;
   void ListAfter(std::string_view prefix, std::string_view after,
-                 uint32_t limit, core::table_priority priority,
-                 core::table_list_handler handler) override;
+                 uint32_t limit, table_priority priority,
+                 table_list_handler handler) override;
 
   /// @return calls without an answer since the last answer
   uint32_t failures() const { return failures_; }
 
  private:
   /// @return the share of the budget that a priority leaves to higher ones
-  double KeptFrom(core::table_priority priority) const;
+  double KeptFrom(table_priority priority) const;
   /// @return how long a call waits, so that a failing platform is not pressed
   common::duration Backoff();
   /// Sends a call, at once or after the backoff.
   void Submit(std::function<void()> send);
-  void Answered(core::table_status status);
+  void Answered(table_status status);
 
-  core::table& inner_;
+  table& inner_;
   table_budget budget_;
   common::clock& clock_;
   common::timer_service& timers_;
@@ -92,4 +90,4 @@
   uint32_t failures_ = 0;
 };
 
-}  // namespace wisteriadale::platform
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/quarantine/crash_suspects.cc
@@ -0,0 +1,95 @@
+#include "core/quarantine/crash_suspects.h"
+
+#include <algorithm>
+
+#include "common/event_log.h"
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+
+common::duration crash_suspects::TermOf(uint32_t crashes) const {
+  if (crashes < options_.crashes_to_refuse) return options_.suspicion_time;
+  common::duration term = options_.first_refusal;
+  for (uint32_t i = options_.crashes_to_refuse; i < crashes; ++i) {
+    term *= options_.refusal_growth;
+    if (term >= options_.longest_refusal) return options_.longest_refusal;
+  }
+  return term;
+}
+
+common::duration crash_suspects::RefusedFor(std::string_view digest) {
+  const auto found = entries_.find(digest);
+  if (found == entries_.end() ||
+      found->second.crashes < options_.crashes_to_refuse) {
+    return common::duration(0);
+  }
+  const common::duration left = found->second.until - clock_.Now();
+  // One that comes after its term is tried once more; the count stays.
+  return std::max(left, common::duration(0));
+}
+
+void crash_suspects::OnLost(const std::string& digest, bool widespread) {
+  if (widespread) return;
+  const auto found = entries_.find(digest);
+  const uint32_t crashes =
+      found == entries_.end() ? 1 : found->second.crashes + 1;
+  Note(digest, crashes);
+  if (on_report_) on_report_({digest, crashes});
+}
+
+void crash_suspects::OnAnswered(std::string_view digest) {
+  const auto found = entries_.find(digest);
+  if (found == entries_.end()) return;
+  const std::string cleared = found->first;
+  entries_.erase(found);
+  if (on_report_) on_report_({cleared, 0});
+}
+
+void crash_suspects::Take(const crash_report& report) {
+  const auto found = entries_.find(report.digest);
+  if (report.crashes == 0) {
+    if (found != entries_.end()) entries_.erase(found);
+    return;
+  }
+  if (found != entries_.end() && found->second.crashes >= report.crashes) {
+    return;
+  }
+  Note(report.digest, report.crashes);
+}
+
+std::vector<crash_report> crash_suspects::Reports() const {
+  std::vector<crash_report> reports;
+  for (const auto& [digest, known] : entries_) {
+    reports.push_back({digest, known.crashes});
+  }
+  return reports;
+}
+
+void crash_suspects::Note(const std::string& digest, uint32_t crashes) {
+  Expire();
+  if (entries_.size() >= options_.most_suspects && !entries_.contains(digest)) {
+    common::Metrics().Count("wisteria_suspects_not_kept_total");
+    return;
+  }
+  entries_[digest] = {crashes, clock_.Now() + TermOf(crashes)};
+  if (crashes < options_.crashes_to_refuse) return;
+  common::Metrics().Count("wisteria_convictions_total");
+  common::LogEvent(common::log_event::kQuarantined, "",
+                   {{"digest", digest},
+                    {"crashes", int64_t{crashes}},
+                    {"for_ms", common::WholeMillis(TermOf(crashes))}});
+}
+
+void crash_suspects::Expire() {
+  const common::time_point now = clock_.Now();
+  std::erase_if(entries_, [&](const auto& each) {
+    const entry& known = each.second;
+    // A refusal's count outlives its term: the next crash makes it longer.
+    const common::duration kept = known.crashes < options_.crashes_to_refuse
+                                      ? common::duration(0)
+                                      : options_.longest_refusal;
+    return known.until + kept <= now;
+  });
+}
+
+}  // namespace wisteriadale::core
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "common/digest.h"
 #include "common/event_log.h"
 #include "common/last_reason.h"
 #include "common/metrics.h"
@@ -64,7 +65,7 @@
            kNotReadyReturn);
     return;
   }
-  if (!FindRoute() || !FindOrganisation()) return;
+  if (!FindRoute() || !FindOrganisation() || IsQuarantined()) return;
   SetTimes();
   context_.repeats.OnRequest(service_);
   common::LogEvent(log_event::kRouted, request_id_,
@@ -127,6 +128,36 @@
   return false;
 }
 
+std::string forward_request::Digest() const {
+  // A caller that sends a request again gives it a new id.
+  const net::message_head& head = exchange_->head();
+  std::string content =
+      head.method + ' ' + head.target + '\n' + organisation_name() + '\n';
+  content.append(exchange_->body());
+  return common::Sha256Hex(content);
+}
+
+bool forward_request::IsQuarantined() {
+  if (context_.suspects.empty()) return false;
+  const common::duration refused = context_.suspects.RefusedFor(Digest());
+  if (refused.count() == 0) return false;
+  common::LogEvent(log_event::kRefused, request_id_,
+                   {{"route", route_->name},
+                    {"why", "it crashes targets"},
+                    {"return_after_ms", common::WholeMillis(refused)}});
+  Answer({503, "Service Unavailable", "its earlier runs crashed targets"},
+         refused);
+  return true;
+}
+
+void forward_request::NoteLoss(net::call_failure why) {
+  if (why != net::call_failure::kLost && why != net::call_failure::kCutShort) {
+    return;
+  }
+  context_.suspects.OnLost(
+      Digest(), context_.targets.MostRest(service_, context_.clock.Now()));
+}
+
 void forward_request::SetTimes() {
   const common::time_point received = exchange_->received();
   deadline_ = received + route_->timeout;
@@ -364,6 +395,7 @@
     EndAttempt(attempt_end::kLost);
     return;
   }
+  if (!context_.suspects.empty()) context_.suspects.OnAnswered(Digest());
   // A large failure is passed on already.
   const bool passed_on = relaying_ && !events_;
   if (!Succeeded() && !passed_on) {
@@ -385,6 +417,7 @@
 }
 
 void forward_request::OnFailure(net::call_failure why) {
+  NoteLoss(why);
   EndAttempt(why == net::call_failure::kNotSent ? attempt_end::kNotSent
                                                 : attempt_end::kLost);
 }
@@ -428,6 +461,10 @@
   // A client error of the target's own would only be repeated.
   const bool client_error = end == attempt_end::kFailed && answer_.status < 500;
   question.budget_left = !client_error;
+  if (!context_.suspects.empty() &&
+      context_.suspects.RefusedFor(Digest()).count() > 0) {
+    question.targets_left = false;
+  }
   // The inputs of stages are given up once a target has begun.
   if (!inputs_.empty() && !plan_ && !relaying_) question.targets_left = false;
   return question;
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -44,6 +44,11 @@
 
   bool FindRoute();
   bool FindOrganisation();
+  /// @return what stays the same when a caller sends the request again
+  std::string Digest() const;
+  /// @return whether it was refused, as it crashes targets
+  bool IsQuarantined();
+  void NoteLoss(net::call_failure why);
   void SetTimes();
   bool MakePlan();
   void ReadPrompt();
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -14,6 +14,7 @@
 #include "core/forwarding/repeat_budget.h"
 #include "core/forwarding/target_choice.h"
 #include "core/ports/deployment_codec.h"
+#include "core/quarantine/crash_suspects.h"
 #include "core/routes/route_table.h"
 #include "core/stages/path_estimate.h"
 #include "gateway/stage_router.h"
@@ -35,6 +36,7 @@
   core::target_choice& choice;
   core::repeat_budget& repeats;
   const core::target_ejection& ejection;
+  core::crash_suspects& suspects;
   stage_router& stages;
   core::path_estimate& estimate;
   core::stage_admission& admission;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -78,14 +78,13 @@
   const std::optional<net::endpoint> own =
       EndpointOf(settings, settings::kListenGateways);
   if (!store || !own) return false;
-  rows_ = platform::MakeRowStore(
-      *loop_, *client_, *store,
-      common::milliseconds(settings.Integer(settings::kStoreTimeoutMs)));
-  core::fleet_watch_options watching;
-  watching.routes_wait =
-      common::milliseconds(settings.Integer(settings::kGatewayRoutesWaitMs));
-  watching.targets_period =
-      common::milliseconds(settings.Integer(settings::kTargetsPeriodMs));
+  const common::milliseconds store_timeout(
+      settings.Integer(settings::kStoreTimeoutMs));
+  rows_ = platform::MakeRowStore(*loop_, *client_, *store, store_timeout);
+  const core::fleet_watch_options watching = core::WatchOptionsFor(
+      common::milliseconds(settings.Integer(settings::kRoutesApplyMs)),
+      common::milliseconds(settings.Integer(settings::kTargetsLeaveMs)),
+      store_timeout);
   watch_ = std::make_unique<core::fleet_watch>(
       watching, *rows_, *codec_, routes_, targets_, clock_, *loop_);
   core::repeat_budget_options repeats;
@@ -158,6 +157,9 @@
   void operator()(const core::leaving_message& leaving) const {
     process->watch_->TakeLeaving(leaving.draining, leaving.gone);
   }
+  void operator()(const core::crash_report& report) const {
+    process->suspects_->Take(report);
+  }
   // The links keep these to themselves.
   void operator()(const core::gateway_hello&) const {}
   void operator()(const core::gateway_ping&) const {}
@@ -169,6 +171,10 @@
       core::path_estimate_options(), clock_);
   admission_ = std::make_unique<core::stage_admission>(
       core::stage_admission_options(), *random_);
+  suspects_ = std::make_unique<core::crash_suspects>(
+      core::crash_suspects_options(), clock_);
+  suspects_->OnReport(
+      [this](const core::crash_report& report) { links_->SendAll(report); });
   stages_ = std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   host_ = std::make_unique<stage_host>(
       *loop_, clock_, *client_, *codec_, routes_, targets_, *repeats_,
@@ -182,7 +188,7 @@
   stages_->SetHost(*host_);
   forwarder_ = std::make_unique<forwarder>(forward_context{
       *loop_, clock_, *random_, *client_, *codec_, routes_, targets_, *choice_,
-      *repeats_, ejection_, *stages_, *estimate_, *admission_});
+      *repeats_, ejection_, *suspects_, *stages_, *estimate_, *admission_});
   watch_->OnRoutes([this] { OnRoutes(); });
   targets_.OnLeaving(
       [this](const core::fleet_target& target, core::leave_reason why) {
@@ -198,6 +204,9 @@
       links_->Send(gateway, core::routes_message{routes_.current()->version(),
                                                  watch_->routes_text()});
     }
+    for (const core::crash_report& report : suspects_->Reports()) {
+      links_->Send(gateway, report);
+    }
   });
   links_->OnLost(
       [this](const std::string& gateway) { stages_->OnLost(gateway); });
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -74,7 +74,7 @@
 void router_process::MakePlatform(const settings::settings_document& settings) {
   const platform::platform_options platform = platform::OptionsFrom(settings);
   http_table_ = platform::MakeHttpTable(*loop_, platform);
-  table_ = std::make_unique<platform::budgeted_table>(
+  table_ = std::make_unique<core::budgeted_table>(
       *http_table_, platform::BudgetFrom(settings), clock_, *loop_, *random_);
   objects_ = platform::MakeHttpObjectStore(*loop_, platform);
   vms_ = platform::MakeHttpVmList(*loop_, platform);
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -50,7 +50,7 @@
   std::unique_ptr<common::span_export> spans_;  ///< null without a trace file
   core::hello_message hello_;
   std::unique_ptr<core::table> http_table_;
-  std::unique_ptr<core::table> table_;  ///< http_table_ under its budget
+  std::unique_ptr<core::table> table_;  ///< the platform's, under a budget
   std::unique_ptr<core::object_store> objects_;
   std::unique_ptr<core::vm_list> vms_;
   core::target_table targets_;
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -43,22 +43,21 @@
                                0,
                                64,
                                "Gateways to dial first, as \"ip:port\"."};
-const setting kGatewayRoutesWaitMs = {
-    "/routes/wait_ms",
+const setting kRoutesApplyMs = {
+    "/routes/apply_ms",
     setting_type::kInteger,
-    "1200",
-    10,
-    30000,
-    "How long one question for newer routes may wait, in milliseconds; a "
-    "connection that went silent is noticed this much later."};
-const setting kTargetsPeriodMs = {
-    "/targets/period_ms",
+    "2000",
+    100,
+    600000,
+    "Time within which newer routes must be in force, in milliseconds."};
+const setting kTargetsLeaveMs = {
+    "/targets/leave_ms",
     setting_type::kInteger,
-    "600",
-    10,
-    30000,
-    "Time between two questions for changes of targets, in milliseconds; well "
-    "below the time in which a leaving target must get no more work."};
+    "2000",
+    100,
+    600000,
+    "Time within which a leaving target must get no more work, in "
+    "milliseconds."};
 const setting kRepeatRatio = {
     "/repeats/ratio",
     setting_type::kNumber,
@@ -118,8 +117,8 @@
                                     &kStoreEndpoint,
                                     &kStoreTimeoutMs,
                                     &kGatewaySeeds,
-                                    &kGatewayRoutesWaitMs,
-                                    &kTargetsPeriodMs,
+                                    &kRoutesApplyMs,
+                                    &kTargetsLeaveMs,
                                     &kRepeatRatio,
                                     &kRepeatSlack,
                                     &kRepeatWindowS,
--- a/source/unit_tests/core/fleet/target_directory_test.cc
+++ b/source/unit_tests/core/fleet/target_directory_test.cc
@@ -80,3 +80,20 @@
   CHECK(!targets.MarkLeaving("t1"));
   CHECK_EQUAL(1, told);
 }
+
+TEST(TargetDirectory, MoreThanHalfOfTheTargetsRest) {
+  const common::time_point now{std::chrono::seconds(100)};
+  core::target_directory three;
+  for (const char* id : {"r1", "r2", "r3"}) {
+    core::target_entry entry;
+    entry.id = id;
+    entry.service = "books";
+    entry.address = id;
+    three.Update(entry);
+  }
+  three.Find("r1")->ejected_until = now + std::chrono::seconds(1);
+  CHECK_FALSE(three.MostRest("books", now));
+  three.Find("r2")->ejected_until = now + std::chrono::seconds(1);
+  CHECK(three.MostRest("books", now));
+  CHECK_FALSE(three.MostRest("books", now + std::chrono::seconds(2)));
+}
--- a/source/unit_tests/platform/budgeted_table_test.cc
+++ b/source/unit_tests/core/operations/budgeted_table_test.cc
@@ -1,4 +1,4 @@
-#include "platform/budgeted_table.h"
+#include "core/operations/budgeted_table.h"
 
 #include <functional>
 #include <memory>
@@ -25,8 +25,8 @@
   fakes::virtual_time time;
   common::seeded_random random{11};
   fakes::fake_table inner{time, random};
-  platform::table_budget budget;
-  std::unique_ptr<platform::budgeted_table> table;
+  core::table_budget budget;
+  std::unique_ptr<core::budgeted_table> table;
   uint64_t ok = 0;
   uint64_t refused = 0;
   uint64_t unavailable = 0;
@@ -38,8 +38,8 @@
   }
 
   void Make() {
-    table = std::make_unique<platform::budgeted_table>(inner, budget, time,
-                                                       time, random);
+    table = std::make_unique<core::budgeted_table>(inner, budget, time, time,
+                                                   random);
   }
 
   void Tally(table_status status) {
@@ -120,13 +120,13 @@
 
 TEST(BudgetedTable, RecoveryBringsNoStampede) {
   constexpr int kProcesses = 50;
-  std::vector<std::unique_ptr<platform::budgeted_table>> tables;
+  std::vector<std::unique_ptr<core::budgeted_table>> tables;
   inner.down = true;
   inner.timeout = std::chrono::milliseconds(10);
   std::vector<std::function<void()>> pollers(kProcesses);
   for (int i = 0; i < kProcesses; ++i) {
-    tables.push_back(std::make_unique<platform::budgeted_table>(
-        inner, budget, time, time, random));
+    tables.push_back(std::make_unique<core::budgeted_table>(inner, budget, time,
+                                                            time, random));
     pollers[i] = [&, i] {
       tables[i]->Read("row", table_priority::kConfiguration,
                       [&, i](const core::table_answer& answer) {
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -98,6 +98,12 @@
   void operator()(const core::gateway_farewell&) const {
     frame->__set_farewell_part(generated::farewell());
   }
+  void operator()(const core::crash_report& from) const {
+    generated::crash_count to;
+    to.digest = from.digest;
+    to.crashes = static_cast<int32_t>(from.crashes);
+    frame->__set_crashes_part(to);
+  }
   void operator()(const core::leaving_message& from) const {
     generated::leaving to;
     to.draining = from.draining;
@@ -187,6 +193,11 @@
   if (frame.__isset.farewell_part) return core::gateway_farewell{};
   if (frame.__isset.notice_part) return FromWire(frame.notice_part);
   if (frame.__isset.load_part) return FromWire(frame.load_part);
+  if (frame.__isset.crashes_part) {
+    return core::crash_report{
+        frame.crashes_part.digest,
+        static_cast<uint32_t>(frame.crashes_part.crashes)};
+  }
   return std::nullopt;
 }
 
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -79,6 +79,11 @@
 struct farewell {
 }
 
+struct crash_count {
+  1: string digest
+  2: i32 crashes
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -91,4 +96,5 @@
   9: optional stage_notice notice_part
   10: optional service_load load_part
   11: optional farewell farewell_part
+  12: optional crash_count crashes_part
 }
