--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -16,10 +16,10 @@
     "routes_applied", "routes_refused",  "key_dropped",
     "target_leaving", "target_rests",    "entry_refused",
     "gateway_linked", "gateway_lost",    "owner_changed",
-    "routed",         "refused",         "sent",
-    "attempt_ended",  "resumed",         "stage_ended",
-    "call_ended",     "answered",        "cancelled",
-    "quarantined"};
+    "routed",         "refused",         "admitted_late",
+    "sent",           "attempt_ended",   "resumed",
+    "stage_ended",    "call_ended",      "answered",
+    "cancelled",      "quarantined"};
 // Lines a second of each kind: a request has three of them, and a gateway of a
 // fifth of a core serves some 60 requests a second.
 constexpr double kLinesPerSecond = 120;
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -30,6 +30,7 @@
   kOwnerChanged,
   kRouted,        ///< a request was admitted, and to which service
   kRefused,       ///< ... or not
+  kAdmittedLate,  ///< ... behind those that can meet their objective
   kSent,          ///< to a target
   kAttemptEnded,  ///< without an answer to pass on
   kResumed,       ///< a stream goes on at another target
--- a/source/core/stages/path_estimate.cc
+++ b/source/core/stages/path_estimate.cc
@@ -1,6 +1,7 @@
 #include "core/stages/path_estimate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace wisteriadale::core {
@@ -12,7 +13,10 @@
 // A correction beyond these would hide a fault of the estimate.
 constexpr double kLeastCorrection = 0.7;
 constexpr double kMostCorrection = 2.0;
-constexpr std::array<double, kPriorityLevels> kNoCorrections = {1, 1, 1, 1};
+// Only requests that are expected in time correct an estimate. If it keeps all
+// of them out, it falls back within some times this: long enough to hold over a
+// burst's dozen calls, short beside the trouble that it answers.
+constexpr common::duration kCorrectionMemory = std::chrono::seconds(2);
 
 common::duration Scale(common::duration of, double by) {
   return common::duration(
@@ -117,26 +121,31 @@
   return Scale(time, Correction(service, priority));
 }
 
+double path_estimate::Current(const correction& of) const {
+  const double age = std::chrono::duration<double>(clock_.Now() - of.at) /
+                     std::chrono::duration<double>(kCorrectionMemory);
+  return 1.0 + (of.value - 1.0) * std::exp(-age);
+}
+
 double path_estimate::Correction(std::string_view service,
                                  uint32_t priority) const {
   const auto found = corrections_.find(service);
-  return found == corrections_.end() ? 1.0
-                                     : found->second[PriorityLevel(priority)];
+  return found == corrections_.end()
+             ? 1.0
+             : Current(found->second[PriorityLevel(priority)]);
 }
 
 void path_estimate::NoteOutcome(const std::string& service, uint32_t priority,
                                 common::duration estimated,
                                 common::duration took) {
   if (estimated.count() <= 0) return;
-  auto found = corrections_.find(service);
-  if (found == corrections_.end()) {
-    found = corrections_.emplace(service, kNoCorrections).first;
-  }
-  double& correction = found->second[PriorityLevel(priority)];
-  const double ratio = correction * static_cast<double>(took.count()) /
+  correction& noted = corrections_[service][PriorityLevel(priority)];
+  const double before = Current(noted);
+  const double ratio = before * static_cast<double>(took.count()) /
                        static_cast<double>(estimated.count());
-  correction += kCorrectionWeight * (ratio - correction);
-  correction = std::clamp(correction, kLeastCorrection, kMostCorrection);
+  noted.value = std::clamp(before + kCorrectionWeight * (ratio - before),
+                           kLeastCorrection, kMostCorrection);
+  noted.at = clock_.Now();
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/stages/path_estimate.h
+++ b/source/core/stages/path_estimate.h
@@ -74,7 +74,15 @@
     common::time_point at;
   };
 
+  /// Time taken over time estimated, smoothed.
+  struct correction {
+    double value = 1.0;
+    common::time_point at{};
+  };
+
   double Correction(std::string_view service, uint32_t priority) const;
+  /// @return the correction as it counts now: without outcomes it is forgotten
+  double Current(const correction& of) const;
   const service_load* Find(std::string_view service) const;
   common::duration CallTime(const service_spec& spec,
                             const service_load* load) const;
@@ -82,9 +90,8 @@
   path_estimate_options options_;
   common::clock& clock_;
   std::map<std::string, noted_load, std::less<>> loads_;
-  /// Smoothed time taken over time estimated, of each service and level.
-  std::map<std::string, std::array<double, kPriorityLevels>, std::less<>>
-      corrections_;
+  std::map<std::string, std::array<correction, kPriorityLevels>, std::less<>>
+      corrections_;  ///< of each service and level
 };
 
 /// @return the level that a queue counts a priority in
--- a/source/gateway/forward_request_stages.cc
+++ b/source/gateway/forward_request_stages.cc
@@ -58,13 +58,17 @@
   question.to_deadline = begin_by_ - now;
   const core::stage_answer answer = context_.admission.Decide(question);
   late_ = answer.verdict != core::stage_verdict::kInTime;
-  if (answer.verdict != core::stage_verdict::kRefuse) return true;
+  if (!late_) return true;
+  const bool refused = answer.verdict == core::stage_verdict::kRefuse;
   common::LogEvent(
-      log_event::kRefused, request_id_,
+      refused ? log_event::kRefused : log_event::kAdmittedLate, request_id_,
       {{"route", route_->name},
        {"estimate_ms", common::WholeMillis(question.path.in_time)},
        {"late_estimate_ms", common::WholeMillis(question.path.late)},
+       {"rest_ms", common::WholeMillis(question.rest)},
+       {"to_objective_ms", common::WholeMillis(question.to_objective)},
        {"return_after_ms", common::WholeMillis(answer.return_after)}});
+  if (!refused) return true;
   Answer({503, "Service Unavailable", "its stages have no room in time"},
          answer.return_after);
   return false;
--- a/source/unit_tests/core/stages/path_estimate_test.cc
+++ b/source/unit_tests/core/stages/path_estimate_test.cc
@@ -97,6 +97,17 @@
   CHECK(Estimate().late < milliseconds(1500));
 }
 
+TEST(PathEstimate, WhatWasSlowOnceIsTriedAgain) {
+  for (int i = 0; i < 100; ++i) {
+    estimate.NoteOutcome("intake", 1, milliseconds(200), milliseconds(800));
+    estimate.NoteOutcome("stock", 1, milliseconds(200), milliseconds(800));
+  }
+  CHECK(Estimate(1).in_time > milliseconds(750));
+  // Nothing is expected in time any more, so no outcome tells of it.
+  time.Advance(std::chrono::seconds(10));
+  CHECK(Estimate(1).in_time < milliseconds(420));
+}
+
 TEST_GROUP(StageAdmission) {
   common::seeded_random random{7};
   core::stage_admission admission{{}, random};
