Hand queues over from a gateway that gets too little processor

The lag of a periodic timer tells (core/fleet/lag_watch); slow gateways own no queue while another can.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -11,15 +11,20 @@
 
 constexpr size_t kEvents = static_cast<size_t>(log_event::kCount);
 constexpr std::array<std::string_view, kEvents> kNames = {
-    "started",        "stopping",        "stopped",
-    "settings_read",  "dependency_lost", "dependency_regained",
-    "routes_applied", "routes_refused",  "key_dropped",
-    "target_leaving", "target_rests",    "entry_refused",
-    "gateway_linked", "gateway_lost",    "owner_changed",
-    "routed",         "refused",         "admitted_late",
-    "sent",           "attempt_ended",   "resumed",
-    "stage_ended",    "call_ended",      "answered",
-    "cancelled",      "quarantined"};
+    "started",         "stopping",
+    "stopped",         "settings_read",
+    "dependency_lost", "dependency_regained",
+    "routes_applied",  "routes_refused",
+    "key_dropped",     "target_leaving",
+    "target_rests",    "entry_refused",
+    "gateway_linked",  "gateway_lost",
+    "owner_changed",   "speed_changed",
+    "routed",          "refused",
+    "admitted_late",   "sent",
+    "attempt_ended",   "resumed",
+    "stage_ended",     "call_ended",
+    "answered",        "cancelled",
+    "quarantined"};
 // Lines a second of each kind: a request has three of them, and a gateway of a
 // fifth of a core serves some 60 requests a second.
 constexpr double kLinesPerSecond = 120;
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -28,6 +28,7 @@
   kGatewayLinked,
   kGatewayLost,
   kOwnerChanged,
+  kSpeedChanged,  ///< this process gets too little processor, or not any more
   kRouted,        ///< a request was admitted, and to which service
   kRefused,       ///< ... or not
   kAdmittedLate,  ///< ... behind those that can meet their objective
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -20,6 +20,11 @@
   double capacity = 0;  ///< of its VM, compared with those of others
 };
 
+/// The sender turned slow, or is not any more.
+struct gateway_speed {
+  bool slow = false;
+};
+
 /// Keeps a link known to be alive; answered by an equal message.
 struct gateway_ping {
   uint64_t sequence = 0;
@@ -101,6 +106,6 @@
                  stage_end_message, stage_withdrawal_message,
                  stage_release_message, routes_message, leaving_message,
                  stage_notice_message, service_load_message, gateway_farewell,
-                 crash_report>;
+                 crash_report, gateway_speed>;
 
 }  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/fleet/lag_watch.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/clock.h"
+
+namespace wisteriadale::core {
+
+struct lag_watch_options {
+  /// Weight of the newest tick: ticks come each 100 ms, so that half a second
+  /// of lag tells.
+  double weight = 0.25;
+  /// Smoothed lag from which on the process is short of processor: a third of
+  /// the least call of a stage of the users, and ten times what is usual.
+  common::duration slow_at = std::chrono::milliseconds(60);
+  common::duration fast_below = std::chrono::milliseconds(15);
+  /// A process that was slow stays so for this long: its queues move away and
+  /// its lag ends with them, though its cause may last.
+  common::duration least_slow = std::chrono::seconds(4);
+};
+
+/// Tells from the lag of a periodic timer whether this process gets too little
+/// processor. Load it answers: a VM that turns slow while it owns the queues
+/// that all gateways wait for.
+class lag_watch {
+ public:
+  explicit lag_watch(const lag_watch_options& options) : options_(options) {}
+
+  /// A periodic timer fired.
+  /// @param lag how much later than it should have
+  /// @return whether slow() changed
+  bool OnTick(common::duration lag, common::time_point now);
+  bool slow() const { return slow_; }
+  common::duration lag() const { return smoothed_; }
+
+ private:
+  lag_watch_options options_;
+  common::duration smoothed_{0};
+  bool slow_ = false;
+  common::time_point slow_since_{};
+};
+
+}  // namespace wisteriadale::core
--- a/source/core/fleet/queue_owner.cc
+++ b/source/core/fleet/queue_owner.cc
@@ -20,11 +20,17 @@
   for (const owner_candidate& each : candidates) {
     largest = std::max(largest, each.capacity);
   }
+  const auto can_own = [largest](const owner_candidate& each) {
+    return each.capacity >= largest * kLeastOwnerShare;
+  };
+  const bool any_fast = std::any_of(
+      candidates.begin(), candidates.end(),
+      [&](const owner_candidate& each) { return can_own(each) && !each.slow; });
   const uint64_t key = common::Hash64(service);
   std::string owner;
   uint64_t best = 0;
   for (const owner_candidate& each : candidates) {
-    if (each.capacity < largest * kLeastOwnerShare) continue;
+    if (!can_own(each) || (any_fast && each.slow)) continue;
     const uint64_t weight = RendezvousWeight(common::Hash64(each.name), key);
     if (!owner.empty() && weight <= best) continue;
     owner = each.name;
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -62,6 +62,7 @@
 
 void gateway_links::Tick() {
   const common::time_point now = clock_.Now();
+  WatchLag(now);
   const std::vector<std::shared_ptr<link>> links = links_;
   for (const std::shared_ptr<link>& each : links) {
     if (!each->open) continue;
@@ -86,6 +87,19 @@
   timer_ = loop_.Schedule(kTickPeriod, [this] { Tick(); });
 }
 
+void gateway_links::WatchLag(common::time_point now) {
+  const common::time_point due = ticked_ + kTickPeriod;
+  const bool first = ticked_ == common::time_point();
+  ticked_ = now;
+  if (first || !lag_.OnTick(std::max(now - due, common::duration(0)), now)) {
+    return;
+  }
+  common::LogEvent(
+      log_event::kSpeedChanged, "",
+      {{"slow", lag_.slow()}, {"lag_ms", common::WholeMillis(lag_.lag())}});
+  SendAll(core::gateway_speed{lag_.slow()});
+}
+
 void gateway_links::Dial(const std::string& address) {
   dialling_.insert(address);
   net::DialChannel(
@@ -125,6 +139,7 @@
     if (from && from->open) Drop(from, "closed");
   });
   SendOn(made.get(), Hello());
+  if (lag_.slow()) SendOn(made.get(), core::gateway_speed{true});
 }
 
 void gateway_links::SendOn(link* to, const core::gateway_message& message) {
@@ -159,6 +174,13 @@
     }
     return;
   }
+  if (const core::gateway_speed* speed =
+          std::get_if<core::gateway_speed>(&*message)) {
+    for (const std::shared_ptr<link>& each : links_) {
+      if (each->gateway == from->gateway) each->slow = speed->slow;
+    }
+    return;
+  }
   if (const core::gateway_hello* hello =
           std::get_if<core::gateway_hello>(&*message)) {
     OnHello(from, *hello);
@@ -242,11 +264,11 @@
   for (const std::shared_ptr<link>& each : links_) {
     if (each->open && !each->stopping && !each->gateway.empty() &&
         known.insert(each->gateway).second) {
-      candidates.push_back({each->gateway, each->capacity});
+      candidates.push_back({each->gateway, each->capacity, each->slow});
     }
   }
   if (!stopping_ || candidates.empty()) {
-    candidates.push_back({name_, capacity_});
+    candidates.push_back({name_, capacity_, lag_.slow()});
   }
   return candidates;
 }
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "core/fleet/gateway_messages.h"
+#include "core/fleet/lag_watch.h"
 #include "core/fleet/queue_owner.h"
 #include "core/membership/link_monitor.h"
 #include "net/channel.h"
@@ -76,9 +77,12 @@
     bool open = true;
     bool stopping = false;
     double capacity = 0;
+    bool slow = false;
   };
 
   void Tick();
+  /// Tells the others when this process turns slow, and when it recovers.
+  void WatchLag(common::time_point now);
   void Dial(const std::string& address);
   void Adopt(const std::shared_ptr<net::channel>& channel,
              const std::string& dialled);
@@ -107,6 +111,8 @@
   std::vector<std::shared_ptr<link>> links_;
   std::map<std::string, common::time_point, std::less<>> seen_;
   common::timer_id timer_ = 0;
+  core::lag_watch lag_{core::lag_watch_options()};
+  common::time_point ticked_{};
   bool stopping_ = false;
   std::function<void(const std::string&, const core::gateway_message&)>
       on_message_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -164,6 +164,7 @@
   void operator()(const core::gateway_hello&) const {}
   void operator()(const core::gateway_ping&) const {}
   void operator()(const core::gateway_farewell&) const {}
+  void operator()(const core::gateway_speed&) const {}
 };
 
 void gateway_process::ConnectParts() {
--- /dev/null
+++ b/source/unit_tests/core/fleet/lag_watch_test.cc
@@ -0,0 +1,66 @@
+#include "core/fleet/lag_watch.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "core/fleet/queue_owner.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+using common::milliseconds;
+
+TEST_GROUP(LagWatch) {
+  core::lag_watch watch{{}};
+  common::time_point now{std::chrono::seconds(100)};
+
+  /// @return whether the state changed meanwhile
+  bool Ticks(int count, int64_t lag_ms) {
+    bool changed = false;
+    for (int i = 0; i < count; ++i) {
+      now += milliseconds(100 + lag_ms);
+      changed = watch.OnTick(milliseconds(lag_ms), now) || changed;
+    }
+    return changed;
+  }
+};
+
+TEST(LagWatch, LastingLagTells) {
+  CHECK_FALSE(Ticks(50, 5));
+  CHECK(Ticks(8, 150));
+  CHECK(watch.slow());
+}
+
+TEST(LagWatch, OnePauseDoesNot) {
+  CHECK_FALSE(Ticks(50, 5));
+  CHECK_FALSE(Ticks(1, 5000));
+  CHECK_FALSE(Ticks(50, 5));
+}
+
+TEST(LagWatch, TheStateDoesNotFlap) {
+  CHECK(Ticks(8, 150));
+  CHECK_FALSE(Ticks(20, 1));
+  CHECK(watch.slow());
+  CHECK(Ticks(30, 1));
+  CHECK_FALSE(watch.slow());
+}
+
+TEST_GROUP(QueueOwner){};
+
+TEST(QueueOwner, ASlowGatewayOwnsNoQueueUnlessAllAreSlow) {
+  const std::vector<core::owner_candidate> usual = {
+      {"g1", 0.2, false}, {"g2", 0.2, false}, {"g3", 0.2, false}};
+  const std::string owner = core::QueueOwner(usual, "sketches");
+  std::vector<core::owner_candidate> slow = usual;
+  for (core::owner_candidate& each : slow) each.slow = each.name == owner;
+  const std::string other = core::QueueOwner(slow, "sketches");
+  CHECK(!other.empty());
+  CHECK(other != owner);
+  for (core::owner_candidate& each : slow) each.slow = true;
+  STRCMP_EQUAL(owner.c_str(), core::QueueOwner(slow, "sketches").c_str());
+}
+
+TEST(QueueOwner, SmallGatewaysOwnNoQueue) {
+  const std::vector<core::owner_candidate> candidates = {{"small", 0.09, false},
+                                                         {"large", 0.5, false}};
+  for (const char* service : {"a", "b", "c", "d", "e", "f"}) {
+    STRCMP_EQUAL("large", core::QueueOwner(candidates, service).c_str());
+  }
+}
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -99,6 +99,11 @@
   void operator()(const core::gateway_farewell&) const {
     frame->__set_farewell_part(generated::farewell());
   }
+  void operator()(const core::gateway_speed& from) const {
+    generated::speed to;
+    to.slow = from.slow;
+    frame->__set_speed_part(to);
+  }
   void operator()(const core::crash_report& from) const {
     generated::crash_count to;
     to.digest = from.digest;
@@ -195,6 +200,9 @@
   if (frame.__isset.farewell_part) return core::gateway_farewell{};
   if (frame.__isset.notice_part) return FromWire(frame.notice_part);
   if (frame.__isset.load_part) return FromWire(frame.load_part);
+  if (frame.__isset.speed_part) {
+    return core::gateway_speed{frame.speed_part.slow};
+  }
   if (frame.__isset.crashes_part) {
     return core::crash_report{
         frame.crashes_part.digest,
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -80,6 +80,10 @@
 struct farewell {
 }
 
+struct speed {
+  1: bool slow
+}
+
 struct crash_count {
   1: string digest
   2: i32 crashes
@@ -98,4 +102,5 @@
   10: optional service_load load_part
   11: optional farewell farewell_part
   12: optional crash_count crashes_part
+  13: optional speed speed_part
 }
