Spend less processor time in a queue

Orders are sorted when one came or one turned late, a free target is looked for before the orders are gone through, and results that lapsed are looked for each 50 ms; what is decided stays the same. The queue was not what takes the gateways' time; the cause is looked for elsewhere.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -29,6 +29,9 @@
 // After this a call has no answer: slow targets take five times as long.
 constexpr int kSlowestCall = 5;
 constexpr common::duration kCallMargin = std::chrono::milliseconds(200);
+// Between two looks for results and announcements that lapsed: both live for
+// seconds, and looking costs as much as there are of them.
+constexpr common::duration kExpiryPeriod = std::chrono::milliseconds(50);
 // What comes in time is counted over this time: some calls, and well below the
 // few seconds that a burst lasts.
 constexpr common::duration kRateMemory = std::chrono::seconds(1);
@@ -82,6 +85,7 @@
   if (!IsLate(*queued, now)) in_time_.Add(order.pieces, now);
   for (uint32_t i = 0; i < order.pieces; ++i) queued->waiting.push_back(i);
   orders_.push_back(std::move(queued));
+  sorted_ = false;
 }
 
 void piece_queue::Announce(const stage_notice& notice) {
@@ -233,15 +237,19 @@
 }
 
 void piece_queue::Sort(common::time_point now) {
-  const auto meets = [&](const queued_order& each) {
-    return !IsLate(each, now);
-  };
+  if (sorted_ && now < sorted_until_) return;
+  sorted_ = true;
+  sorted_until_ = common::time_point::max();
+  for (const std::unique_ptr<queued_order>& each : orders_) {
+    each->late = IsLate(*each, now);
+    if (each->late) continue;
+    sorted_until_ =
+        std::min(sorted_until_, each->order.objective - CallTime(1));
+  }
   std::stable_sort(orders_.begin(), orders_.end(),
-                   [&](const std::unique_ptr<queued_order>& left,
-                       const std::unique_ptr<queued_order>& right) {
-                     const bool left_meets = meets(*left);
-                     const bool right_meets = meets(*right);
-                     if (left_meets != right_meets) return left_meets;
+                   [](const std::unique_ptr<queued_order>& left,
+                      const std::unique_ptr<queued_order>& right) {
+                     if (left->late != right->late) return right->late;
                      if (left->order.priority != right->order.priority) {
                        return left->order.priority < right->order.priority;
                      }
@@ -296,6 +304,12 @@
   if (queued < spec_.batch && now < last_call_ + CallGap(targets, now)) {
     return std::nullopt;
   }
+  const bool any_free =
+      std::any_of(targets.begin(), targets.end(),
+                  [&](const std::shared_ptr<fleet_target>& each) {
+                    return IsFree(*each, now);
+                  });
+  if (!any_free) return std::nullopt;
   Sort(now);
   piece_batch batch;
   // The first order that can begin chooses the target.
@@ -442,17 +456,17 @@
   Sort(now);
   // Late orders are served last: one that cannot have its turn in time is told
   // so now.
+  const double late_rate = LateRate(last_rate_, now);
   double ahead = 0;
   double late_ahead = 0;
   for (const std::unique_ptr<queued_order>& each : orders_) {
     if (each->waiting.empty()) continue;
-    const bool late = IsLate(*each, now);
     common::duration wait(0);
-    if (late && last_rate_ > 0) {
-      wait = common::FromSeconds(ahead / last_rate_ +
-                                 late_ahead / LateRate(last_rate_, now));
+    if (each->late && last_rate_ > 0) {
+      wait = common::FromSeconds(ahead / last_rate_ + late_ahead / late_rate);
     }
-    (late ? late_ahead : ahead) += static_cast<double>(each->waiting.size());
+    (each->late ? late_ahead : ahead) +=
+        static_cast<double>(each->waiting.size());
     if (now + wait + least <= each->order.deadline) continue;
     ended.push_back({each->order.request_id,
                      each->order.stage,
@@ -520,6 +534,8 @@
 }
 
 void piece_queue::DropExpired(common::time_point now) {
+  if (now < expiry_looked_at_ + kExpiryPeriod) return;
+  expiry_looked_at_ = now;
   std::erase_if(notices_, [now](const auto& entry) {
     return entry.second.expires <= now;
   });
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -151,6 +151,7 @@
     uint32_t made = 0;
     uint32_t failures = 0;
     common::time_point added;
+    bool late = false;  ///< as of the last sort
   };
   struct held_result {
     std::string target_id;
@@ -183,6 +184,7 @@
   /// @param rate pieces a second that the targets make
   /// @return those that are left for late orders
   double LateRate(double rate, common::time_point now) const;
+  /// Puts the orders in the order of service, if it may have changed.
   void Sort(common::time_point now);
   /// Fills a call with the orders for the target's data centre, then others.
   void Fill(piece_batch* batch, common::time_point now);
@@ -221,6 +223,9 @@
   double last_rate_ = 0;            ///< pieces a second, at the last look
   double fast_rate_ = 0;            ///< ... of the targets that are not slow
   common::time_point last_call_{};
+  bool sorted_ = false;
+  common::time_point sorted_until_{};  ///< an order is late from then on
+  common::time_point expiry_looked_at_{};
   size_t calls_ = 0;
 };
 
