--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -29,9 +29,6 @@
 // After this a call has no answer: slow targets take five times as long.
 constexpr int kSlowestCall = 5;
 constexpr common::duration kCallMargin = std::chrono::milliseconds(200);
-// Late orders fill calls up to this part: full calls for a backlog of late
-// orders would take so long that no order behind them could be in time.
-constexpr double kLateFillShare = 0.5;
 // Between two looks for results and announcements that lapsed: both live for
 // seconds, and looking costs as much as there are of them.
 constexpr common::duration kExpiryPeriod = std::chrono::milliseconds(50);
@@ -260,17 +257,9 @@
                    });
 }
 
-size_t piece_queue::MostPieces(const queued_order& queued) const {
-  if (!queued.late) return spec_.batch;
-  return std::max<size_t>(
-      1, static_cast<size_t>(kLateFillShare * static_cast<double>(spec_.batch)));
-}
-
 void piece_queue::Take(queued_order* from, bool may_split, piece_batch* batch,
                        uint64_t* room) {
-  const size_t most = MostPieces(*from);
-  if (batch->pieces.size() >= most) return;
-  const size_t left = most - batch->pieces.size();
+  const size_t left = spec_.batch - batch->pieces.size();
   size_t take = std::min(from->waiting.size(), left);
   const uint64_t bytes = std::max<uint64_t>(1, from->order.result_bytes);
   take = std::min(take, static_cast<size_t>(*room / bytes));
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -188,8 +188,6 @@
   void Sort(common::time_point now);
   /// Fills a call with the orders for the target's data centre, then others.
   void Fill(piece_batch* batch, common::time_point now);
-  /// @return the most pieces of a call that an order may fill it up to
-  size_t MostPieces(const queued_order& queued) const;
   /// Puts as much of an order into a call as is sensible.
   void Take(queued_order* from, bool may_split, piece_batch* batch,
             uint64_t* room);
