--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -222,6 +222,11 @@
 }
 
 void forward_request::SendToTarget() {
+  // Under load the loop sees a caller's close late.
+  if (exchange_->CallerLeft()) {
+    OnGone();
+    return;
+  }
   const core::choice_question question = QuestionWithInputs();
   target_ = context_.choice.Choose(question);
   if (!target_) {
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -197,6 +197,10 @@
     return stream_ == nullptr ? 0 : stream_->PendingBytes();
   }
 
+  bool CallerLeft() const override {
+    return stream_ == nullptr || stream_->PeerEnded();
+  }
+
   void OnGone(std::function<void()> action) override {
     on_gone_ = std::move(action);
   }
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -39,6 +39,8 @@
   virtual bool head_sent() const = 0;
   /// @return bytes of the answer that the caller has not taken yet
   virtual size_t PendingBytes() const = 0;
+  /// @return whether the caller has gone, even if OnGone has not told it yet
+  virtual bool CallerLeft() const = 0;
   /// @param action called once if the caller goes before the answer's end
   virtual void OnGone(std::function<void()> action) = 0;
 
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -128,6 +128,13 @@
   void SetHandler(tcp_handler* handler) { handler_ = handler; }
   size_t PendingBytes() const { return outgoing_.size() - sent_; }
   const std::string& peer() const { return peer_; }
+  bool PeerEnded() const {
+    if (wsi_ == nullptr || ended_) return true;
+    char next = 0;
+    const ssize_t size = recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size >= 0) return size == 0;
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  }
 
   void Write(std::string_view data) {
     if (wsi_ == nullptr || ended_) return;
@@ -273,6 +280,7 @@
 void tcp_stream::PauseReading() { connection_->SetReading(false); }
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
+bool tcp_stream::PeerEnded() const { return connection_->PeerEnded(); }
 const std::string& tcp_stream::peer() const { return connection_->peer(); }
 
 std::unique_ptr<tcp_stream> tcp_stream::Dial(event_loop& loop,
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -52,6 +52,9 @@
   void ResumeReading();
   /// Drops the connection at once, with a reset where the peer still sends.
   void Abort();
+  /// Asks the system, as the loop may be behind.
+  /// @return whether the peer has closed or reset the connection
+  bool PeerEnded() const;
   /// @return the address of the other end
   const std::string& peer() const;
 
