Serve orders that turned late before those that came late

The unit test OrdersThatTurnedLateGoBeforeThoseThatCameLate failed first in the old order by objective.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -250,6 +250,11 @@
                    [](const std::unique_ptr<queued_order>& left,
                       const std::unique_ptr<queued_order>& right) {
                      if (left->late != right->late) return right->late;
+                     // Late ones that were expected in time go first: other
+                     // stages were made for them.
+                     if (left->order.late != right->order.late) {
+                       return right->order.late;
+                     }
                      if (left->order.priority != right->order.priority) {
                        return left->order.priority < right->order.priority;
                      }
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -400,3 +400,15 @@
   STRCMP_EQUAL("second", ended[0].request_id.c_str());
   CHECK(ended[0].failure == core::piece_end::kLate);
 }
+
+TEST(PieceQueue, OrdersThatTurnedLateGoBeforeThoseThatCameLate) {
+  core::stage_order came = Order("came-late", 4);
+  came.late = true;
+  came.objective = kStart - milliseconds(500);
+  core::stage_order turned = Order("turned-late", 4);
+  turned.objective = kStart + milliseconds(200);
+  queue.Add(came, kStart);
+  queue.Add(turned, kStart);
+  const core::piece_batch batch = Next(kStart + milliseconds(300));
+  STRCMP_EQUAL("turned-late", batch.pieces[0].request_id.c_str());
+}
