--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -72,11 +72,12 @@
 bool target_directory::MarkLeaving(std::string_view id) {
   const auto found = by_id_.find(std::string(id));
   if (found == by_id_.end()) return false;
-  Leave(found->second, leave_reason::kTold);
+  const std::shared_ptr<fleet_target> target = found->second;
+  Leave(target, leave_reason::kTold);
   return true;
 }
 
-void target_directory::Leave(std::shared_ptr<fleet_target> target,
+void target_directory::Leave(const std::shared_ptr<fleet_target>& target,
                              leave_reason why) {
   target->leaving = true;
   left_[target->entry.id] = target->entry.born_ms;
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -86,8 +86,8 @@
   void OnLeaving(leaving_handler action) { on_leaving_ = std::move(action); }
 
  private:
-  /// @param target a copy: the maps' own ones end here
-  void Leave(std::shared_ptr<fleet_target> target, leave_reason why);
+  /// @param target not the maps' own pointer: that ends here
+  void Leave(const std::shared_ptr<fleet_target>& target, leave_reason why);
   void AddToPool(const std::shared_ptr<fleet_target>& target);
 
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_id_;
