Take a caller's time from what it gives, not from the route's bound

Found on reading: after a change that shortens a route's time-out, all first requests looked for up to a minute as if they had come back, and were admitted as late. scenario_gateway_stages failed first (a request that can be in time was late).

--- a/scenarios/gateway_stages.lua
+++ b/scenarios/gateway_stages.lua
@@ -61,6 +61,27 @@
   return freed >= 30
 end, 3000, "results are freed")
 
+-- A route's bound that shrinks does not make first requests pass for ones that
+-- came back late.
+local function admitted_late()
+  local metrics = http{port = fleet.all[1].operators, path = "/metrics"}.body
+  return tonumber(metrics:match("wisteria_requests_late_total (%d+)")) or 0
+end
+local function patient()
+  return fleet:ask{method = "POST", path = "/drafts/1", body = "x",
+                   headers = {Accept = "text/event-stream",
+                              ["X-Wisteriadale-Deadline-Ms"] = "2900",
+                              ["X-Wisteriadale-Pieces"] = "2,3",
+                              ["X-Wisteriadale-Piece-Key"] = "key-1"}}
+end
+expect_equal(200, patient().status, "a first request")
+fleet:configure(gateways.document(20, function(document)
+  for _, route in ipairs(document.routes) do route["timeout-ms"] = 1500 end
+end))
+runner.pump(1500)
+expect_equal(200, patient().status, "a first request under a shorter bound")
+expect_equal(0, admitted_late(), "and it can be in time")
+
 -- A target that loses its calls: its pieces are made elsewhere.
 fleet:behave{id = "first-1", how = "lose"}
 for _ = 1, 4 do expect_equal(200, draft().status, "beside a lost target") end
--- a/source/core/ports/deployment_codec.h
+++ b/source/core/ports/deployment_codec.h
@@ -20,7 +20,7 @@
   std::string organisation;
   std::string expected_target;
   std::string not_run;    ///< a target says that it did not run the request
-  std::string signature;  ///< a target's receipt
+  std::string signature;  ///< shows that an answer is a target's own
   std::string priority;
   std::string piece_counts;
   std::string piece_key;
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -165,18 +165,18 @@
       exchange_->head().Find(context_.codec.headers().deadline_ms);
   const std::optional<double> given =
       text == nullptr ? std::nullopt : NumberFrom<double>(*text);
+  objective_ = received + route_->objective;
   if (given && *given >= 0) {
-    const double seconds =
-        std::min(*given / kMillisPerSecond, kLongestDeadlineSeconds);
-    deadline_ = std::min(deadline_, received + common::FromSeconds(seconds));
+    const common::duration patience = common::FromSeconds(
+        std::min(*given / kMillisPerSecond, kLongestDeadlineSeconds));
+    deadline_ = std::min(deadline_, received + patience);
+    objective_ -=
+        context_.returning.Elapsed(route_->name, organisation_name(), patience);
   }
   begin_by_ = deadline_;
   if (route_->patience.count() > 0) {
     begin_by_ = std::min(begin_by_, received + route_->patience);
   }
-  objective_ = received + route_->objective -
-               context_.returning.Elapsed(route_->name, organisation_name(),
-                                          deadline_ - received);
   priority_ = route_->priority;
   if (organisation_ != nullptr && organisation_->priority) {
     priority_ = *organisation_->priority;
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -141,7 +141,7 @@
   std::string answer_body_;
   bool answer_not_run_ = false;
   bool inputs_gone_ = false;    ///< ... because its inputs are gone
-  bool answer_signed_ = false;  ///< it bears the target's receipt
+  bool answer_signed_ = false;  ///< it bears the target's signature
   bool relaying_ = false;       ///< the answer is passed on as it arrives
   bool events_ = false;         ///< ... event by event
   core::event_stream stream_;
--- a/source/gateway/forward_request_stages.cc
+++ b/source/gateway/forward_request_stages.cc
@@ -59,6 +59,7 @@
   const core::stage_answer answer = context_.admission.Decide(question);
   late_ = answer.verdict != core::stage_verdict::kInTime;
   if (!late_) return true;
+  common::Metrics().Count("wisteria_requests_late_total");
   const bool refused = answer.verdict == core::stage_verdict::kRefuse;
   common::LogEvent(
       refused ? log_event::kRefused : log_event::kAdmittedLate, request_id_,
--- a/source/unit_tests/platform_standin/played_target.h
+++ b/source/unit_tests/platform_standin/played_target.h
@@ -16,7 +16,7 @@
 struct target_behaviour {
   /// "" serves; "shed" refuses as not run; "fail" runs and answers 500; "lose"
   /// runs and drops the connection; "mute" runs and never answers; "cut" breaks
-  /// its stream in the middle of an event; "unsigned" leaves the receipt out;
+  /// its stream in the middle of an event; "unsigned" leaves its signature out;
   /// "foreign" echoes another request's id.
   std::string how;
   uint32_t events = 4;     ///< of a stream
