Log what links carry, how long decoding takes, and late timers

routes_passed names recipient, size and queued bytes; routes_applied how long decoding took; loop_stalled a timer that is half a second late. No decision reads them.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -20,6 +20,7 @@
   kDependencyLost,
   kDependencyRegained,
   kRoutesApplied,
+  kRoutesPassed,  ///< the routes were sent to other gateways
   kRoutesRefused,
   kKeyDropped,
   kTargetLeaving,
@@ -29,6 +30,7 @@
   kGatewayLost,
   kOwnerChanged,
   kSpeedChanged,  ///< this process became short of CPU time, or recovered
+  kLoopStalled,   ///< the event loop did not run its timers for a long time
   kRouted,        ///< a request was admitted to a service
   kRefused,       ///< a request was not admitted
   kAdmittedLate,  ///< admitted behind requests that can meet their objective
--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -121,6 +121,7 @@
 
 void fleet_sync::ApplyRoutes(std::string_view text, std::string_view source) {
   if (text == routes_text_) return;
+  const common::time_point started = clock_.Now();
   std::optional<route_document> document = codec_.DecodeRoutes(text);
   if (!document) {
     common::Metrics().Count("wisteria_routes_refused_total");
@@ -139,6 +140,7 @@
       log_event::kRoutesApplied, "",
       {{"version", static_cast<int64_t>(version)},
        {"routes", static_cast<int64_t>(table->document().routes.size())},
+       {"took_ms", common::ToMillis(clock_.Now() - started)},
        {"source", source}});
   if (routes_handler_) routes_handler_();
 }
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -18,6 +18,9 @@
 // The delay doubles with each failed dial of an address, up to 3.2 s.
 constexpr common::duration kInitialRedialDelay = std::chrono::milliseconds(200);
 constexpr uint32_t kMaxRedialDoublings = 4;
+// Lag from which one late tick is logged. Shorter lags are smoothed by the lag
+// monitor.
+constexpr common::duration kStallLimit = std::chrono::milliseconds(500);
 // A gateway counts as sharing the retry budgets until it has been without a
 // link for this long.
 constexpr common::duration kRecent = std::chrono::minutes(1);
@@ -94,10 +97,16 @@
   const common::time_point due = last_tick_ + kTickPeriod;
   const bool first = last_tick_ == common::time_point();
   last_tick_ = now;
-  if (first ||
-      !lag_monitor_.OnTick(std::max(now - due, common::duration(0)), now)) {
-    return;
+  if (first) return;
+  const common::duration lag = std::max(now - due, common::duration(0));
+  if (lag >= kStallLimit) {
+    common::Metrics().Count("wisteria_loop_stalls_total");
+    common::LogEvent(
+        log_event::kLoopStalled, "",
+        {{"lag_ms", common::ToMillis(lag)},
+         {"link_bytes_pending", static_cast<int64_t>(PendingBytes())}});
   }
+  if (!lag_monitor_.OnTick(lag, now)) return;
   common::LogEvent(log_event::kSpeedChanged, "",
                    {{"slow", lag_monitor_.slow()},
                     {"lag_ms", common::ToMillis(lag_monitor_.lag())}});
@@ -291,6 +300,14 @@
   return names.size();
 }
 
+size_t gateway_links::PendingBytes() const {
+  size_t bytes = 0;
+  for (const std::shared_ptr<link>& each : links_) {
+    if (each->open) bytes += each->channel->PendingBytes();
+  }
+  return bytes;
+}
+
 size_t gateway_links::RecentGatewayCount() const {
   const common::time_point now = clock_.Now();
   size_t count = 1;
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -74,6 +74,8 @@
   size_t LinkedGatewayCount() const;
   /// @return number of gateways linked within the last minute, plus this one
   size_t RecentGatewayCount() const;
+  /// @return bytes that are queued on all links and not yet written
+  size_t PendingBytes() const;
 
  private:
   struct link {
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -217,6 +217,7 @@
     if (routes_.current()) {
       links_->Send(gateway, core::routes_message{routes_.current()->version(),
                                                  fleet_sync_->routes_text()});
+      LogRoutesPassed(gateway);
     }
     for (const core::crash_report& report : suspects_->Reports()) {
       links_->Send(gateway, report);
@@ -309,6 +310,16 @@
   caller_server_->SetLimits(server_limits);
   links_->Broadcast(core::routes_message{routes_.current()->version(),
                                          fleet_sync_->routes_text()});
+  LogRoutesPassed("all");
+}
+
+void gateway_process::LogRoutesPassed(std::string_view recipient) const {
+  common::LogEvent(
+      log_event::kRoutesPassed, "",
+      {{"version", static_cast<int64_t>(routes_.current()->version())},
+       {"to", recipient},
+       {"bytes", static_cast<int64_t>(fleet_sync_->routes_text().size())},
+       {"link_bytes_pending", static_cast<int64_t>(links_->PendingBytes())}});
 }
 
 void gateway_process::OnTargetLeaving(const core::fleet_target& target,
@@ -342,6 +353,8 @@
         {"Content-Type", "text/plain; version=0.0.4"}};
     common::Metrics().Set("wisteria_gateways_linked",
                           static_cast<double>(links_->LinkedGatewayCount()));
+    common::Metrics().Set("wisteria_link_bytes_pending",
+                          static_cast<double>(links_->PendingBytes()));
     exchange->Send(200, "OK", headers, common::Metrics().PrometheusText());
   } else if (path == "/healthz") {
     exchange->Send(200, "OK", {}, "ok\n");
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -62,6 +62,8 @@
   /// Applies the limits of new routes and passes the routes on to other
   /// gateways.
   void OnRoutesChanged();
+  /// @param recipient the gateway that they were sent to, or "all"
+  void LogRoutesPassed(std::string_view recipient) const;
   void OnTargetLeaving(const core::fleet_target& target,
                        core::leaving_reason why);
   void HandleOperatorRequest(
--- a/source/net/channel.cc
+++ b/source/net/channel.cc
@@ -30,6 +30,7 @@
 
   void Send(std::string message) override {
     if (wsi_ == nullptr || closing_) return;
+    pending_bytes_ += message.size();
     outgoing_.push_back(std::move(message));
     lws_callback_on_writable(wsi_);
   }
@@ -52,7 +53,7 @@
     on_closed_ = std::move(handler);
   }
 
-  size_t PendingMessages() const override { return outgoing_.size(); }
+  size_t PendingBytes() const override { return pending_bytes_; }
   std::string peer() const override { return peer_; }
 
   int OnWritable() {
@@ -63,6 +64,7 @@
       const int sent = lws_write(wsi_, buffer_.data() + LWS_PRE, message.size(),
                                  LWS_WRITE_BINARY);
       if (sent < 0) return -1;
+      pending_bytes_ -= message.size();
       outgoing_.pop_front();
       if (lws_send_pipe_choked(wsi_) != 0) break;
     }
@@ -85,6 +87,7 @@
   void OnClosed() {
     wsi_ = nullptr;
     outgoing_.clear();
+    pending_bytes_ = 0;
     const std::function<void()> handler = std::move(on_closed_);
     on_closed_ = nullptr;
     on_message_ = nullptr;
@@ -118,6 +121,7 @@
   std::string peer_;
   bool closing_ = false;
   std::deque<std::string> outgoing_;
+  size_t pending_bytes_ = 0;
   std::vector<unsigned char> buffer_;
   std::string incoming_;
   std::function<void(std::string_view)> on_message_;
--- a/source/net/channel.h
+++ b/source/net/channel.h
@@ -24,8 +24,9 @@
       std::function<void(std::string_view)> handler) = 0;
   /// @param handler called once when the connection ends without a Close here
   virtual void SetClosedHandler(std::function<void()> handler) = 0;
-  /// @return number of messages that are queued and not yet written
-  virtual size_t PendingMessages() const = 0;
+  /// @return number of bytes of the messages that are queued and not yet
+  /// written
+  virtual size_t PendingBytes() const = 0;
   virtual std::string peer() const = 0;
 };
 
