Write frames of channels without the send buffer of libwebsockets

Cause: lws_write() keeps what the socket does not take in a buffer of its own. If the peer then closes its side, libwebsockets 4.1 defers the close until that buffer is empty, but its service loop tries the same readable descriptor again and again and never polls: lws_service() does not return. Any peer could cause it; gateways did, as the whole configuration fills links and their pings time out.

A peer of two loops on this machine reproduces it: 87,649 recv() a second from _lws_plat_service_forced_tsi.

Now a channel encodes its frames, writes what the socket takes and keeps the rest itself, so that libwebsockets never has unsent bytes and closes at once.

The new test never ended before (stopped after 20 s) and takes 0.1 s now.

--- a/source/net/channel.cc
+++ b/source/net/channel.cc
@@ -1,19 +1,21 @@
 #include "net/channel.h"
 
-#include <algorithm>
 #include <deque>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "common/metrics.h"
 #include "net/http_server.h"
 #include "net/lws_protocols.h"
+#include "net/socket_bytes.h"
+#include "net/websocket_frame.h"
 
 namespace wisteriadale::net {
 namespace {
 
 constexpr size_t kMaxMessageBytes = 8 << 20;
+// Encoded frames are collected up to this size for one write.
+constexpr size_t kMaxWriteBytes = size_t{64} * 1024;
 
 class lws_channel;
 
@@ -25,8 +27,9 @@
 
 class lws_channel final : public channel {
  public:
-  lws_channel(lws_context* context, lws* wsi, std::string peer)
-      : context_(context), wsi_(wsi), peer_(std::move(peer)) {}
+  lws_channel(lws_context* context, lws* wsi, frame_sender sender,
+              std::string peer)
+      : context_(context), wsi_(wsi), sender_(sender), peer_(std::move(peer)) {}
 
   void Send(std::string message) override {
     if (wsi_ == nullptr || closing_) return;
@@ -53,26 +56,40 @@
     on_closed_ = std::move(handler);
   }
 
-  size_t PendingBytes() const override { return pending_bytes_; }
+  size_t PendingBytes() const override {
+    return pending_bytes_ + frames_.size() - written_;
+  }
   std::string peer() const override { return peer_; }
 
+  /// Writes as much as the socket takes. Never calls lws_write, which keeps
+  /// what does not fit in a buffer of its own: libwebsockets 4.1 does not
+  /// return from lws_service if the peer closes the connection meanwhile.
   int OnWritable() {
-    while (!outgoing_.empty()) {
-      const std::string& message = outgoing_.front();
-      buffer_.resize(LWS_PRE + message.size());
-      std::copy(message.begin(), message.end(), buffer_.begin() + LWS_PRE);
-      const int sent = lws_write(wsi_, buffer_.data() + LWS_PRE, message.size(),
-                                 LWS_WRITE_BINARY);
-      if (sent < 0) return -1;
-      pending_bytes_ -= message.size();
-      outgoing_.pop_front();
-      if (lws_send_pipe_choked(wsi_) != 0) break;
+    while (true) {
+      while (!outgoing_.empty() && frames_.size() < kMaxWriteBytes) {
+        pending_bytes_ -= outgoing_.front().size();
+        AppendBinaryFrame(outgoing_.front(), sender_, &frames_);
+        outgoing_.pop_front();
+      }
+      if (frames_.empty()) return 0;
+      const std::optional<size_t> written =
+          WriteToSocket(wsi_, std::string_view(frames_).substr(written_));
+      if (!written) return -1;
+      written_ += *written;
+      if (written_ < frames_.size()) {
+        lws_callback_on_writable(wsi_);
+        return 0;
+      }
+      frames_.clear();
+      written_ = 0;
+      if (frames_.capacity() > kMaxWriteBytes) frames_.shrink_to_fit();
     }
-    if (!outgoing_.empty()) lws_callback_on_writable(wsi_);
-    return 0;
   }
 
   int OnFragment(std::string_view data, bool last) {
+    // Otherwise libwebsockets sends a ping of its own after five minutes, which
+    // could end up within a frame that is partly written.
+    lws_validity_confirmed(wsi_);
     if (incoming_.size() + data.size() > kMaxMessageBytes) return -1;
     incoming_.append(data);
     if (!last) return 0;
@@ -87,7 +104,8 @@
   void OnClosed() {
     wsi_ = nullptr;
     outgoing_.clear();
-    pending_bytes_ = 0;
+    frames_.clear();
+    pending_bytes_ = written_ = 0;
     const std::function<void()> handler = std::move(on_closed_);
     on_closed_ = nullptr;
     on_message_ = nullptr;
@@ -117,12 +135,14 @@
  private:
   const lws_context* context_;
   lws* wsi_;
+  frame_sender sender_;
   lws* handshake_wsi_ = nullptr;
   std::string peer_;
   bool closing_ = false;
   std::deque<std::string> outgoing_;
-  size_t pending_bytes_ = 0;
-  std::vector<unsigned char> buffer_;
+  size_t pending_bytes_ = 0;  ///< size of outgoing_
+  std::string frames_;        ///< encoded frames that are being written
+  size_t written_ = 0;        ///< number of bytes of frames_ already written
   std::string incoming_;
   std::function<void(std::string_view)> on_message_;
   std::function<void()> on_closed_;
@@ -141,8 +161,8 @@
       static_cast<http_server*>(lws_vhost_user(lws_get_vhost(wsi)));
   char peer[64];
   lws_get_peer_simple(wsi, peer, sizeof(peer));
-  const std::shared_ptr<lws_channel> accepted =
-      std::make_shared<lws_channel>(lws_get_context(wsi), wsi, peer);
+  const std::shared_ptr<lws_channel> accepted = std::make_shared<lws_channel>(
+      lws_get_context(wsi), wsi, frame_sender::kServer, peer);
   *slot = accepted.get();
   LiveChannels().emplace(accepted.get(), accepted);
   if (server->on_channel()) {
@@ -266,7 +286,8 @@
 void DialChannel(event_loop& loop, const endpoint& to,
                  std::function<void(std::shared_ptr<channel>)> on_open) {
   const std::shared_ptr<lws_channel> dialled = std::make_shared<lws_channel>(
-      loop.context(), nullptr, to.address + ":" + std::to_string(to.port));
+      loop.context(), nullptr, frame_sender::kClient,
+      to.address + ":" + std::to_string(to.port));
   dialled->on_open = std::move(on_open);
   LiveChannels().emplace(dialled.get(), dialled);
   lws_client_connect_info info{};
--- a/source/net/socket_bytes.h
+++ b/source/net/socket_bytes.h
@@ -1,6 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string_view>
+
+struct lws;
 
 namespace wisteriadale::net {
 
@@ -12,4 +17,11 @@
 /// @return whether the peer has closed its side and all its bytes were read
 bool PeerHasClosed(int fd);
 
+/// Writes to a connection without the send buffer of libwebsockets.
+/// @param wsi  an open connection, with or without TLS
+/// @param data not empty
+/// @return number of bytes that the socket took, 0 if it takes none now;
+/// nothing if the connection is broken
+std::optional<size_t> WriteToSocket(lws* wsi, std::string_view data);
+
 }  // namespace wisteriadale::net
--- a/source/unit_tests/net/channel_test.cc
+++ b/source/unit_tests/net/channel_test.cc
@@ -92,3 +92,81 @@
   fakes::RunUntil(*loop, 3 * kDialTimeout, [] { return false; });
   LONGS_EQUAL(1, reports);
 }
+
+namespace {
+
+/// A server in one loop, with the last channel that it accepted.
+struct channel_server {
+  explicit channel_server(net::event_loop& loop)
+      : server(std::move(*net::http_server::Create(
+            loop, {},
+            [](const net::http_request&,
+               const std::shared_ptr<net::http_responder>&) {},
+            [this](std::shared_ptr<net::channel> channel) {
+              accepted = std::move(channel);
+            }))) {}
+  std::unique_ptr<net::http_server> server;
+  std::shared_ptr<net::channel> accepted;
+};
+
+}  // namespace
+
+// A peer that closes its side while unsent bytes were queued kept
+// libwebsockets in one call for ever: the process stopped responding.
+TEST(Channel, PeerThatClosesBeforeReadingEverythingEndsTheChannel) {
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  channel_server server(*loop);
+  fakes::raw_socket peer;
+  CHECK(peer.Connect(server.server->port()));
+  peer.Send(
+      "GET /peer HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n"
+      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+      "Sec-WebSocket-Protocol: wisteria-peer\r\n\r\n");
+  CHECK(fakes::RunUntil(*loop, kLimit,
+                        [&] { return server.accepted != nullptr; }));
+  bool closed = false;
+  server.accepted->SetClosedHandler([&] { closed = true; });
+  for (int i = 0; i < 8; ++i) {
+    server.accepted->Send(std::string(size_t{1} << 20, 'x'));
+  }
+  fakes::RunUntil(*loop, kDialTimeout, [] { return false; });
+  CHECK(server.accepted->PendingBytes() > 0);
+  peer.Shutdown();
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] { return closed; }));
+}
+
+TEST(Channel, MessagesOfAllSizesArriveInOrderAtBothEnds) {
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  channel_server server(*loop);
+  std::shared_ptr<net::channel> dialled;
+  net::DialChannel(*loop, {"127.0.0.1", server.server->port()},
+                   [&](std::shared_ptr<net::channel> channel) {
+                     dialled = std::move(channel);
+                   });
+  CHECK(fakes::RunUntil(*loop, kLimit,
+                        [&] { return server.accepted && dialled; }));
+  // On both sides of the limits of the frame's three length fields.
+  std::vector<std::string> sent;
+  for (const size_t size : {size_t{1}, size_t{125}, size_t{126}, size_t{65535},
+                            size_t{65536}, size_t{3} << 20, size_t{2}}) {
+    sent.emplace_back(size, static_cast<char>('a' + sent.size()));
+  }
+  std::vector<std::string> at_server;
+  std::vector<std::string> at_client;
+  server.accepted->SetMessageHandler(
+      [&](std::string_view message) { at_server.emplace_back(message); });
+  dialled->SetMessageHandler(
+      [&](std::string_view message) { at_client.emplace_back(message); });
+  for (const std::string& message : sent) {
+    dialled->Send(message);
+    server.accepted->Send(message);
+  }
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] {
+    return at_server.size() == sent.size() && at_client.size() == sent.size();
+  }));
+  CHECK(at_server == sent);
+  CHECK(at_client == sent);
+  LONGS_EQUAL(0, dialled->PendingBytes());
+  LONGS_EQUAL(0, server.accepted->PendingBytes());
+}
