Announce the version of routes, and send them to gateways that ask

Callers got 404 and 401 for routes and keys that had been in force for seconds, and a leaving target was sent work 4 s later.

Cause: each gateway sent the whole document to each other one whenever it changed and whenever a link opened. 350 KB from 21 senders fill a link of 10 Mbit/s for six seconds; the store's responses, the news of leaving targets and the pings wait behind them. The pings then time out, the link opens again, and the document is sent again.

Now gateways announce versions of a few bytes. One that the store has not served within three tenths of the limit, or at once if its store fails, asks the largest gateway that announced, then another one. A document that is not newer is no longer decoded. Gateways of the version before apply documents as ever and take an announcement for an invalid document, which they log.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -20,7 +20,8 @@
   kDependencyLost,
   kDependencyRegained,
   kRoutesApplied,
-  kRoutesPassed,  ///< the routes were sent to other gateways
+  kRoutesPassed,     ///< the routes were sent to another gateway
+  kRoutesRequested,  ///< another gateway was asked for its routes
   kRoutesRefused,
   kKeyDropped,
   kTargetLeaving,
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -90,10 +90,16 @@
   std::vector<std::string> handles;
 };
 
-/// The routes in force at the sender, as stored.
+/// The routes in force at the sender. Announced without the document, which is
+/// sent to those that request it.
 struct routes_message {
   uint64_t version = 0;
-  std::string document;
+  std::string document;  ///< as stored; empty in an announcement
+};
+
+/// Requests the routes of the receiver.
+struct routes_request {
+  uint64_t version = 0;  ///< as announced; older routes are not sent
 };
 
 /// Leaving targets, as read from the store by the sender.
@@ -102,11 +108,10 @@
   std::vector<std::string> gone;      ///< ids without an entry
 };
 
-using gateway_message =
-    std::variant<gateway_hello, gateway_ping, stage_job_message,
-                 stage_outcome_message, stage_cancellation_message,
-                 stage_release_message, routes_message, leaving_targets_message,
-                 upcoming_stage_message, service_load_message,
-                 gateway_shutdown_notice, crash_report, gateway_slow_state>;
+using gateway_message = std::variant<
+    gateway_hello, gateway_ping, stage_job_message, stage_outcome_message,
+    stage_cancellation_message, stage_release_message, routes_message,
+    leaving_targets_message, upcoming_stage_message, service_load_message,
+    gateway_shutdown_notice, crash_report, gateway_slow_state, routes_request>;
 
 }  // namespace wisteriadale::core
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -287,6 +287,13 @@
   return candidates;
 }
 
+double gateway_links::CapacityOf(std::string_view gateway) const {
+  for (const std::shared_ptr<link>& each : links_) {
+    if (each->open && each->gateway == gateway) return each->capacity;
+  }
+  return 0;
+}
+
 void gateway_links::AnnounceShutdown() {
   stopping_ = true;
   Broadcast(core::gateway_shutdown_notice{});
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -70,6 +70,8 @@
   /// @return gateways that may own queues: those with an open link and this
   /// one, without those that are stopping; never empty
   std::vector<core::owner_candidate> OwnerCandidates() const;
+  /// @return capacity of a gateway's VM, 0 if there is no open link to it
+  double CapacityOf(std::string_view gateway) const;
   /// @return number of gateways with an open link
   size_t LinkedGatewayCount() const;
   /// @return number of gateways linked within the last minute, plus this one
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -112,6 +112,13 @@
       settings.Number(settings::kCapacityLinkMbps) / kOwnerMbpsPerCore);
   links_ = std::make_unique<gateway_links>(*loop_, clock_, name_, *own,
                                            incarnation, capacity);
+  routes_exchange_ = std::make_unique<core::routes_exchange>(
+      core::MakeRoutesExchangeOptions(
+          common::milliseconds(settings.Integer(settings::kRoutesApplyMs))),
+      routes_, clock_, *loop_, *random_,
+      [this](const std::string& gateway, uint64_t version) {
+        return links_->Send(gateway, core::routes_request{version});
+      });
   AddSeeds(settings);
   return true;
 }
@@ -160,7 +167,7 @@
     process->latency_estimator_->UpdateLoad(load.service, load.load);
   }
   void operator()(const core::routes_message& routes) const {
-    process->fleet_sync_->ApplyRoutes(routes.document, gateway);
+    process->OnRoutesMessage(gateway, routes);
   }
   void operator()(const core::leaving_targets_message& leaving) const {
     process->fleet_sync_->ApplyLeavingTargets(leaving.draining, leaving.gone);
@@ -168,6 +175,9 @@
   void operator()(const core::crash_report& report) const {
     process->suspects_->Merge(report);
   }
+  void operator()(const core::routes_request& request) const {
+    process->OnRoutesRequest(gateway, request);
+  }
   // Handled by gateway_links.
   void operator()(const core::gateway_hello&) const {}
   void operator()(const core::gateway_ping&) const {}
@@ -215,15 +225,15 @@
   links_->SetJoinedHandler([this](const std::string& gateway) {
     retry_budget_->SetGateways(links_->RecentGatewayCount());
     if (routes_.current()) {
-      links_->Send(gateway, core::routes_message{routes_.current()->version(),
-                                                 fleet_sync_->routes_text()});
-      LogRoutesPassed(gateway);
+      links_->Send(gateway,
+                   core::routes_message{routes_.current()->version(), ""});
     }
     for (const core::crash_report& report : suspects_->Reports()) {
       links_->Send(gateway, report);
     }
   });
   links_->SetLostHandler([this](const std::string& gateway) {
+    routes_exchange_->OnGatewayLost(gateway);
     stage_router_->OnGatewayLost(gateway);
   });
 }
@@ -308,16 +318,35 @@
   server_limits.header_timeout = limits.header_timeout;
   server_limits.idle_timeout = limits.idle_timeout;
   caller_server_->SetLimits(server_limits);
-  links_->Broadcast(core::routes_message{routes_.current()->version(),
-                                         fleet_sync_->routes_text()});
-  LogRoutesPassed("all");
+  links_->Broadcast(core::routes_message{routes_.current()->version(), ""});
+}
+
+void gateway_process::OnRoutesMessage(const std::string& gateway,
+                                      const core::routes_message& message) {
+  if (message.document.empty()) {
+    routes_exchange_->OnAnnounced(
+        {gateway, links_->CapacityOf(gateway), message.version},
+        fleet_sync_->store_failing());
+    return;
+  }
+  // Decoding takes long; the store may have been faster.
+  if (routes_.current() && message.version <= routes_.current()->version()) {
+    return;
+  }
+  fleet_sync_->ApplyRoutes(message.document, gateway);
 }
 
-void gateway_process::LogRoutesPassed(std::string_view recipient) const {
+void gateway_process::OnRoutesRequest(const std::string& gateway,
+                                      const core::routes_request& request) {
+  if (!routes_.current() || routes_.current()->version() < request.version) {
+    return;
+  }
+  links_->Send(gateway, core::routes_message{routes_.current()->version(),
+                                             fleet_sync_->routes_text()});
   common::LogEvent(
       log_event::kRoutesPassed, "",
       {{"version", static_cast<int64_t>(routes_.current()->version())},
-       {"to", recipient},
+       {"to", gateway},
        {"bytes", static_cast<int64_t>(fleet_sync_->routes_text().size())},
        {"link_bytes_pending", static_cast<int64_t>(links_->PendingBytes())}});
 }
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -8,6 +8,7 @@
 #include "common/random.h"
 #include "core/admission/stage_admission.h"
 #include "core/fleet/fleet_sync.h"
+#include "core/fleet/routes_exchange.h"
 #include "core/fleet/target_directory.h"
 #include "core/fleet/target_ejection.h"
 #include "core/forwarding/gateway_retry_budget.h"
@@ -59,11 +60,14 @@
   /// @return success; else LastError is set
   bool CreateServers(const settings::settings_document& settings);
   void ConnectComponents();
-  /// Applies the limits of new routes and passes the routes on to other
+  /// Applies the limits of new routes and announces their version to the other
   /// gateways.
   void OnRoutesChanged();
-  /// @param recipient the gateway that they were sent to, or "all"
-  void LogRoutesPassed(std::string_view recipient) const;
+  /// Handles an announcement or the routes that this gateway requested.
+  void OnRoutesMessage(const std::string& gateway,
+                       const core::routes_message& message);
+  void OnRoutesRequest(const std::string& gateway,
+                       const core::routes_request& request);
   void OnTargetLeaving(const core::fleet_target& target,
                        core::leaving_reason why);
   void HandleOperatorRequest(
@@ -96,6 +100,7 @@
   std::unique_ptr<core::caller_retry_detector> caller_retries_;
   std::unique_ptr<core::stage_admission> admission_;
   std::unique_ptr<gateway_links> links_;
+  std::unique_ptr<core::routes_exchange> routes_exchange_;
   std::unique_ptr<stage_router> stage_router_;
   std::unique_ptr<stage_dispatcher> dispatcher_;
   std::unique_ptr<forwarder> forwarder_;
--- a/source/unit_tests/wire/gateway_codec_test.cc
+++ b/source/unit_tests/wire/gateway_codec_test.cc
@@ -14,6 +14,20 @@
   CHECK(std::get<core::crash_report>(*decoded) == sent);
 }
 
+TEST(GatewayCodec, RoutesAnnouncementAndRequestSurviveRoundTrip) {
+  const std::optional<core::gateway_message> announced =
+      wire::DecodeGatewayMessage(
+          wire::EncodeGatewayMessage(core::routes_message{7, ""}));
+  CHECK(announced.has_value());
+  LONGS_EQUAL(7, std::get<core::routes_message>(*announced).version);
+  CHECK(std::get<core::routes_message>(*announced).document.empty());
+  const std::optional<core::gateway_message> requested =
+      wire::DecodeGatewayMessage(
+          wire::EncodeGatewayMessage(core::routes_request{7}));
+  CHECK(requested.has_value());
+  LONGS_EQUAL(7, std::get<core::routes_request>(*requested).version);
+}
+
 TEST(GatewayCodec, RejectsTruncatedFrames) {
   const std::string frame = wire::EncodeGatewayMessage(
       core::stage_outcome_message{"request", 1, true, false, {"h1", "h2"}});
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -77,6 +77,11 @@
     to.document = from.document;
     frame->__set_routes_part(to);
   }
+  void operator()(const core::routes_request& from) const {
+    generated::routes_request to;
+    to.version = static_cast<int64_t>(from.version);
+    frame->__set_routes_request_part(to);
+  }
   void operator()(const core::upcoming_stage_message& from) const {
     generated::stage_notice to;
     to.request_id = from.request_id;
@@ -194,6 +199,10 @@
     return core::routes_message{static_cast<uint64_t>(part.version),
                                 part.document};
   }
+  if (frame.__isset.routes_request_part) {
+    return core::routes_request{
+        static_cast<uint64_t>(frame.routes_request_part.version)};
+  }
   if (frame.__isset.leaving_part) {
     return core::leaving_targets_message{frame.leaving_part.draining,
                                          frame.leaving_part.gone};
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -49,11 +49,16 @@
   2: list<string> handles
 }
 
+// Without a document it announces the version only.
 struct routes {
   1: i64 version
   2: string document
 }
 
+struct routes_request {
+  1: i64 version
+}
+
 struct leaving {
   1: list<string> draining
   2: list<string> gone
@@ -103,4 +108,5 @@
   11: optional farewell farewell_part
   12: optional crash_count crashes_part
   13: optional speed speed_part
+  14: optional routes_request routes_request_part
 }
