Read sockets before the action of a late timer runs

Cause: libwebsockets runs timers that are due before it polls. Any timeout has the fault: pings of other gateways whose pongs have arrived, calls whose responses have.

A timer that is more than 10 ms late is put off by one turn of the loop, in which the sockets are read. That holds for all timers, so no timeout needs a case of its own.

--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -17,6 +17,8 @@
 constexpr unsigned kNetworkTimeoutSeconds = 60;
 constexpr unsigned kServiceBufferBytes = 16 * 1024;
 constexpr size_t kChannelReadBytes = size_t{16} * 1024;
+// Delay from which a timer is held back until the sockets have been read once.
+constexpr int64_t kLateTimerMicros = 10'000;
 
 /// Sets the process's limit on open file descriptors, within its hard limit.
 /// @return whether the limit is set
@@ -72,6 +74,8 @@
     common::timer_id id = 0;
   };
   slot scheduled;
+  int64_t due_us = 0;
+  bool held_back = false;  ///< it was late, and the sockets were read since
   std::function<void()> action;
 };
 
@@ -206,16 +210,21 @@
   entry->action = std::move(action);
   // libwebsockets would not schedule a delay of zero at all.
   const int64_t micros = std::max<int64_t>(1, delay.count());
+  entry->due_us = lws_now_usecs() + micros;
+  Arm(entry.get(), micros);
+  const common::timer_id id = entry->scheduled.id;
+  timers_.emplace(id, std::move(entry));
+  return id;
+}
+
+void event_loop::Arm(timer* armed, int64_t micros) {
   lws_sul_schedule(
-      context_, 0, &entry->scheduled.sul,
+      context_, 0, &armed->scheduled.sul,
       [](lws_sorted_usec_list_t* sul) {
         const timer::slot* fired = lws_container_of(sul, timer::slot, sul);
         fired->loop->Fire(fired->id);
       },
       micros);
-  const common::timer_id id = entry->scheduled.id;
-  timers_.emplace(id, std::move(entry));
-  return id;
 }
 
 void event_loop::Cancel(common::timer_id id) {
@@ -228,6 +237,14 @@
 void event_loop::Fire(common::timer_id id) {
   const auto found = timers_.find(id);
   if (found == timers_.end()) return;
+  // libwebsockets runs timers before it reads sockets. A timeout that expired
+  // while the loop was busy would ignore what has arrived in time.
+  timer& due = *found->second;
+  if (!due.held_back && lws_now_usecs() - due.due_us > kLateTimerMicros) {
+    due.held_back = true;
+    Arm(&due, 1);
+    return;
+  }
   // The action may schedule or cancel timers, this one included.
   const std::unique_ptr<timer> entry = std::move(found->second);
   timers_.erase(found);
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -50,6 +50,7 @@
   /// end the process.
   void SetReloadSignalHandler(std::function<void()> action);
 
+  /// A timer that is late runs after the sockets that are readable then.
   common::timer_id Schedule(common::duration delay,
                             std::function<void()> action) override;
   void Cancel(common::timer_id id) override;
@@ -64,6 +65,8 @@
   struct timer;
 
   event_loop() = default;
+  /// Starts or restarts a timer.
+  void Arm(timer* armed, int64_t micros);
   void Fire(common::timer_id id);
 
   lws_context* context_ = nullptr;
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <thread>
+
 #include "unit_tests/net/loopback.h"
 
 using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
@@ -36,3 +38,39 @@
                         [&] { return disconnected; }));
   CHECK(open->CallerDisconnected());
 }
+
+// A loop that is busy past an idle timeout closed connections on which a
+// request had arrived meanwhile.
+TEST(Http1Server, RequestThatArrivesWhileTheLoopIsBusyIsNotDroppedAsIdle) {
+  constexpr common::duration kIdleTimeout = std::chrono::milliseconds(400);
+  constexpr std::chrono::milliseconds kHalfOfBusyTime{300};
+  common::system_clock clock;
+  const std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  CHECK(loop.has_value());
+  fakes::raw_socket idle;
+  fakes::raw_socket busy;
+  int requests = 0;
+  net::http1_server_limits limits;
+  limits.idle_timeout = kIdleTimeout;
+  const std::unique_ptr<net::http1_server> server = net::http1_server::Create(
+      **loop, clock, {"127.0.0.1", 0}, limits,
+      [&](const std::shared_ptr<net::http1_exchange>& exchange) {
+        ++requests;
+        if (exchange->head().target == "/busy") {
+          std::this_thread::sleep_for(kHalfOfBusyTime);
+          idle.Send("GET /again HTTP/1.1\r\nHost: a\r\n\r\n");
+          std::this_thread::sleep_for(kHalfOfBusyTime);
+        }
+        exchange->Send(200, "OK", {}, "");
+      });
+  CHECK(server != nullptr);
+  CHECK(idle.Connect(server->port()));
+  CHECK(busy.Connect(server->port()));
+  idle.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(fakes::RunUntil(**loop, std::chrono::seconds(2),
+                        [&] { return requests == 1; }));
+  busy.Send("GET /busy HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(fakes::RunUntil(**loop, std::chrono::seconds(2),
+                        [&] { return requests == 3; }));
+}
