Log lost targets as suspected crashes, with the last event received

With a part of a prompt that crashes engines the logs could not tell whether losses are counted under digests that never repeat, not counted at all, or cleared by sound answers. crash_suspected tells count and whether it counts; attempt_ended the last event that the caller got. No decision reads them.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -39,6 +39,7 @@
                                                           "call_ended",
                                                           "answered",
                                                           "cancelled",
+                                                          "crash_suspected",
                                                           "quarantined"};
 // Lines per second of each event: a request logs three of them, and a gateway
 // on a fifth of a core serves some 60 requests per second.
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -42,7 +42,8 @@
   kCallEnded,  ///< a queue owner's call to a target ended
   kAnswered,
   kCancelled,
-  kQuarantined,  ///< a request is refused because it crashes targets
+  kCrashSuspected,  ///< a target was lost while it ran a request
+  kQuarantined,     ///< a request is refused because it crashes targets
   kCount
 };
 
--- a/source/core/quarantine/crash_suspects.cc
+++ b/source/core/quarantine/crash_suspects.cc
@@ -30,10 +30,14 @@
 }
 
 void crash_suspects::OnLost(const std::string& digest, bool widespread) {
-  if (widespread) return;
   const auto found = entries_.find(digest);
   const uint32_t crashes =
       found == entries_.end() ? 1 : found->second.crashes + 1;
+  common::LogEvent(common::log_event::kCrashSuspected, "",
+                   {{"digest", digest},
+                    {"crashes", int64_t{crashes}},
+                    {"counted", !widespread}});
+  if (widespread) return;
   Record(digest, crashes);
   if (on_report_) on_report_({digest, crashes});
 }
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -522,14 +522,16 @@
   common::Metrics().Count(
       "wisteria_attempts_failed_total",
       {{"service", service_}, {"end", core::ToString(outcome)}});
-  common::LogEvent(log_event::kAttemptEnded, request_id_,
-                   {{"target", target},
-                    {"end", core::ToString(outcome)},
-                    {"status", int64_t{response_head_.status}},
-                    {"attempts", int64_t{attempts_}},
-                    {"may_have_run", may_have_run_},
-                    {"budget_left", context.budget_left},
-                    {"next", core::ToString(next)}});
+  common::LogEvent(
+      log_event::kAttemptEnded, request_id_,
+      {{"target", target},
+       {"end", core::ToString(outcome)},
+       {"status", int64_t{response_head_.status}},
+       {"last_event", std::string_view(filter_.last_id().value_or(""))},
+       {"attempts", int64_t{attempts_}},
+       {"may_have_run", may_have_run_},
+       {"budget_left", context.budget_left},
+       {"next", core::ToString(next)}});
   if (next == next_step::kRetry) {
     filter_.Restart();
     StartAttempt();
