Quarantine parts of prompts that crash engines

Callers of sound requests lost 239 streams and 38 further calls in 22 seconds, because other requests kept crashing the engines that ran them.

Cause: losses were counted under a digest of a whole request. Requests that share the part that crashes engines are no two alike, so each digest was lost once and none was refused.

Of the lost calls 49 had a head and no event, for 39 to 47 crashes; 239 had events.

Now each part of a prompt but the last is tracked as well, by a second crash_suspects: a loss after the first event does not count, one after the head counts two, one before it one; five refuse the part. An answer clears its parts, losses within 250 ms count once, and none while nothing is answered. The refusal is checked again when the stages are done.

--- a/source/core/quarantine/crash_suspects.cc
+++ b/source/core/quarantine/crash_suspects.cc
@@ -6,6 +6,28 @@
 #include "common/metrics.h"
 
 namespace wisteriadale::core {
+namespace {
+
+constexpr std::string_view kPartPrefix = "part:";
+
+}  // namespace
+
+crash_suspects_options PartSuspectsOptions() {
+  crash_suspects_options options;
+  // Three losses of strong evidence, or five of weak evidence.
+  options.crashes_to_refuse = 5;
+  options.loss_interval = std::chrono::milliseconds(250);
+  options.answer_window = std::chrono::seconds(2);
+  return options;
+}
+
+std::string PartDigest(std::string_view part_id) {
+  return std::string(kPartPrefix).append(part_id);
+}
+
+bool IsPartDigest(std::string_view digest) {
+  return digest.starts_with(kPartPrefix);
+}
 
 common::duration crash_suspects::DurationFor(uint32_t crashes) const {
   if (crashes < options_.crashes_to_refuse) return options_.suspect_duration;
@@ -29,15 +51,28 @@
   return std::max(left, common::duration(0));
 }
 
-void crash_suspects::OnLost(const std::string& digest, bool widespread) {
+bool crash_suspects::Counts(const entry* known, bool widespread) const {
+  if (widespread) return false;
+  const common::time_point now = clock_.Now();
+  if (options_.answer_window.count() > 0 &&
+      now - last_answer_ > options_.answer_window) {
+    return false;
+  }
+  return known == nullptr || now - known->last_loss >= options_.loss_interval;
+}
+
+void crash_suspects::OnLost(const std::string& digest, uint32_t weight,
+                            bool widespread) {
   const auto found = entries_.find(digest);
-  const uint32_t crashes =
-      found == entries_.end() ? 1 : found->second.crashes + 1;
+  const entry* known = found == entries_.end() ? nullptr : &found->second;
+  const bool counts = Counts(known, widespread);
+  const uint32_t crashes = (known == nullptr ? 0 : known->crashes) + weight;
   common::LogEvent(common::log_event::kCrashSuspected, "",
                    {{"digest", digest},
                     {"crashes", int64_t{crashes}},
-                    {"counted", !widespread}});
-  if (widespread) return;
+                    {"weight", int64_t{weight}},
+                    {"counted", counts}});
+  if (!counts) return;
   Record(digest, crashes);
   if (on_report_) on_report_({digest, crashes});
 }
@@ -76,7 +111,8 @@
     common::Metrics().Count("wisteria_suspects_not_kept_total");
     return;
   }
-  entries_[digest] = {crashes, clock_.Now() + DurationFor(crashes)};
+  const common::time_point now = clock_.Now();
+  entries_[digest] = {crashes, now + DurationFor(crashes), now};
   if (crashes < options_.crashes_to_refuse) return;
   common::Metrics().Count("wisteria_convictions_total");
   common::LogEvent(common::log_event::kQuarantined, "",
--- a/source/core/quarantine/crash_suspects.h
+++ b/source/core/quarantine/crash_suspects.h
@@ -11,18 +11,23 @@
 
 namespace wisteriadale::core {
 
-/// A request's crash count, as gateways exchange it.
+/// A suspect's crash count, as gateways exchange it.
 struct crash_report {
-  std::string digest;
-  uint32_t crashes = 0;  ///< consecutive targets lost; 0: it was answered
+  std::string digest;    ///< of a request, or as PartDigest returns
+  uint32_t crashes = 0;  ///< weight of consecutive losses; 0: it was answered
   bool operator==(const crash_report&) const = default;
 };
 
 /// Thresholds and durations of refusals.
 struct crash_suspects_options {
-  /// Consecutive targets lost before a request is refused: a single target can
-  /// be lost for unrelated reasons, three in a row hardly.
+  /// Weight of consecutive losses from which a suspect is refused: a single
+  /// target can be lost for unrelated reasons, three in a row hardly.
   uint32_t crashes_to_refuse = 3;
+  /// Losses within this time count once: many targets can be lost at once.
+  common::duration loss_interval{0};
+  /// A loss only counts if some request was answered this recently; otherwise
+  /// all targets may be failing. 0: it always counts.
+  common::duration answer_window{0};
   /// How long a suspect is tracked. A retry comes within its caller's deadline,
   /// at most some ten seconds; callers that start over need longer.
   common::duration suspect_duration = std::chrono::minutes(2);
@@ -36,10 +41,18 @@
   size_t max_suspects = 2000;
 };
 
-/// Counts the consecutive targets lost while they ran a request, and refuses a
-/// request that crashes every target. Gateways exchange their counts, as a
-/// caller may retry at any of them. It guards against a single request that
-/// crashes each target and that its caller sends again.
+/// @return options for parts of prompts, which many requests share
+crash_suspects_options PartSuspectsOptions();
+
+/// @return the digest under which a part of prompts is tracked
+std::string PartDigest(std::string_view part_id);
+/// @return whether a digest belongs to a part of prompts, not to a request
+bool IsPartDigest(std::string_view digest);
+
+/// Counts the consecutive targets lost while they ran a suspect, and refuses
+/// one that crashes every target. A suspect is a request that its caller sends
+/// again, or a part of prompts that differ otherwise. Gateways exchange their
+/// counts, as callers may use any of them.
 class crash_suspects {
  public:
   crash_suspects(const crash_suspects_options& options, common::clock& clock)
@@ -50,16 +63,19 @@
     on_report_ = std::move(handler);
   }
 
-  /// @return whether no request is tracked
+  /// @return whether no suspect is tracked
   bool empty() const { return entries_.empty(); }
-  /// @return how long a request is still refused; 0: it is not
+  /// @return how long a suspect is still refused; 0: it is not
   common::duration RemainingRefusal(std::string_view digest) const;
-  /// A target was lost while it ran a request.
+  /// A target was lost while it ran a suspect.
+  /// @param weight     how strongly the loss points to the suspect
   /// @param widespread most targets of the service are failing, so that the
-  ///                   request is not to blame
-  void OnLost(const std::string& digest, bool widespread);
+  ///                   suspect is not to blame
+  void OnLost(const std::string& digest, uint32_t weight, bool widespread);
   /// A target answered a request.
   void OnAnswered(std::string_view digest);
+  /// Notes that some request was answered, suspect or not.
+  void NoteAnswer() { last_answer_ = clock_.Now(); }
   /// Merges another gateway's report.
   void Merge(const crash_report& report);
   /// @return all counts, for a gateway that joins
@@ -69,9 +85,12 @@
   struct entry {
     uint32_t crashes = 0;
     common::time_point until{};  ///< end of the suspicion, or of the refusal
+    common::time_point last_loss{};
   };
 
   void Record(const std::string& digest, uint32_t crashes);
+  /// @return whether a loss of a suspect counts
+  bool Counts(const entry* known, bool widespread) const;
   void EvictExpired();
   common::duration DurationFor(uint32_t crashes) const;
 
@@ -79,6 +98,7 @@
   common::clock& clock_;
   std::function<void(const crash_report&)> on_report_;
   std::map<std::string, entry, std::less<>> entries_;
+  common::time_point last_answer_{};
 };
 
 }  // namespace wisteriadale::core
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -5,7 +5,6 @@
 #include <cstdio>
 #include <utility>
 
-#include "common/digest.h"
 #include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/metrics.h"
@@ -69,7 +68,9 @@
             kNotReadyRetryAfter);
     return;
   }
-  if (!FindRoute() || !FindOrganisation() || RejectQuarantined()) return;
+  if (!FindRoute() || !FindOrganisation()) return;
+  ParsePromptHeaders();
+  if (RejectQuarantined()) return;
   ComputeDeadlines();
   deps_.retry_budget.OnRequest(service_);
   common::LogEvent(log_event::kRouted, request_id_,
@@ -79,7 +80,6 @@
                     {"organisation", organisation_name()},
                     {"priority", int64_t{priority_}},
                     {"deadline_ms", common::ToMillis(RemainingTime())}});
-  ParsePromptHeaders();
   timeout_timer_ = deps_.loop.Schedule(
       std::max(RemainingTime(), common::duration(0)), [this] {
         timeout_timer_ = 0;
@@ -132,43 +132,6 @@
   return false;
 }
 
-std::string forward_request::Digest() const {
-  // The request id is left out: callers assign a new one when they retry.
-  const net::message_head& head = exchange_->head();
-  std::string content =
-      head.method + ' ' + head.target + '\n' + organisation_name() + '\n';
-  content.append(exchange_->body());
-  return common::Sha256Hex(content);
-}
-
-common::duration forward_request::RemainingQuarantine() const {
-  // Skips the digest while there are no suspects, which is the usual case.
-  return deps_.suspects.empty() ? common::duration(0)
-                                : deps_.suspects.RemainingRefusal(Digest());
-}
-
-bool forward_request::RejectQuarantined() {
-  const common::duration quarantine_time = RemainingQuarantine();
-  if (quarantine_time.count() == 0) return false;
-  common::LogEvent(log_event::kRefused, request_id_,
-                   {{"route", route_->name},
-                    {"why", "it crashes targets"},
-                    {"return_after_ms", common::ToMillis(quarantine_time)}});
-  Respond({503, "Service Unavailable",
-           "earlier runs of this request crashed targets"},
-          quarantine_time);
-  return true;
-}
-
-void forward_request::RecordSuspectedCrash(net::call_failure failure) {
-  if (failure != net::call_failure::kLost &&
-      failure != net::call_failure::kTruncated) {
-    return;
-  }
-  deps_.suspects.OnLost(Digest(),
-                        deps_.targets.MostEjected(service_, deps_.clock.Now()));
-}
-
 void forward_request::ComputeDeadlines() {
   const common::time_point received = exchange_->received_at();
   deadline_ = received + route_->timeout;
@@ -239,6 +202,8 @@
     OnCallerDisconnected();
     return;
   }
+  // The quarantine may have begun while the stages ran.
+  if (plan_ && attempts_ == 0 && RejectQuarantined()) return;
   const core::selection_context context = SelectionContextWithInputs();
   target_ = deps_.selector.Choose(context);
   if (!target_) {
@@ -418,7 +383,7 @@
     FinishAttempt(attempt_outcome::kLost);
     return;
   }
-  if (!deps_.suspects.empty()) deps_.suspects.OnAnswered(Digest());
+  ClearSuspects();
   // A failure too large to buffer has been relayed already.
   const bool already_relayed = relaying_ && !streaming_events_;
   if (!Succeeded() && !already_relayed) {
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -60,9 +60,13 @@
   common::duration RemainingQuarantine() const;
   /// @return whether the request is quarantined and the caller got a 503
   bool RejectQuarantined();
-  /// Counts a lost connection that this request may have caused by crashing its
-  /// target.
+  /// Counts a lost connection that this request, or a part of its prompt, may
+  /// have caused by crashing its target.
   void RecordSuspectedCrash(net::call_failure failure);
+  /// Clears the request and the parts of its prompt, as a target answered it.
+  void ClearSuspects();
+  /// @return parts of the prompt that other requests have too: all but the last
+  std::span<const core::prompt_part> SharedParts() const;
   /// Sets the deadline, the objective and the priority.
   void ComputeDeadlines();
   /// @return whether the header with the piece counts was valid; else the
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -37,7 +37,8 @@
   core::target_selector& selector;
   core::gateway_retry_budget& retry_budget;
   const core::target_ejection& ejection;
-  core::crash_suspects& suspects;
+  core::crash_suspects& suspects;       ///< requests
+  core::crash_suspects& part_suspects;  ///< parts of prompts
   core::caller_retry_detector& caller_retries;
   stage_router& stages;
   core::stage_latency_estimator& latency_estimator;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -173,7 +173,9 @@
     process->fleet_sync_->ApplyLeavingTargets(leaving.draining, leaving.gone);
   }
   void operator()(const core::crash_report& report) const {
-    process->suspects_->Merge(report);
+    (core::IsPartDigest(report.digest) ? process->part_suspects_
+                                       : process->suspects_)
+        ->Merge(report);
   }
   void operator()(const core::routes_request& request) const {
     process->OnRoutesRequest(gateway, request);
@@ -194,8 +196,13 @@
       core::stage_admission_options(), *random_);
   suspects_ = std::make_unique<core::crash_suspects>(
       core::crash_suspects_options(), clock_);
-  suspects_->SetReportHandler(
-      [this](const core::crash_report& report) { links_->Broadcast(report); });
+  part_suspects_ = std::make_unique<core::crash_suspects>(
+      core::PartSuspectsOptions(), clock_);
+  for (core::crash_suspects* each : {suspects_.get(), part_suspects_.get()}) {
+    each->SetReportHandler([this](const core::crash_report& report) {
+      links_->Broadcast(report);
+    });
+  }
   stage_router_ =
       std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   dispatcher_ = std::make_unique<stage_dispatcher>(
@@ -211,8 +218,8 @@
   stage_router_->SetDispatcher(*dispatcher_);
   forwarder_ = std::make_unique<forwarder>(forward_dependencies{
       *loop_, clock_, *random_, *client_, *codec_, routes_, targets_,
-      *selector_, *retry_budget_, ejection_, *suspects_, *caller_retries_,
-      *stage_router_, *latency_estimator_, *admission_});
+      *selector_, *retry_budget_, ejection_, *suspects_, *part_suspects_,
+      *caller_retries_, *stage_router_, *latency_estimator_, *admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   targets_.SetLeavingHandler(
       [this](const core::fleet_target& target, core::leaving_reason why) {
@@ -228,8 +235,11 @@
       links_->Send(gateway,
                    core::routes_message{routes_.current()->version(), ""});
     }
-    for (const core::crash_report& report : suspects_->Reports()) {
-      links_->Send(gateway, report);
+    for (const core::crash_suspects* each :
+         {suspects_.get(), part_suspects_.get()}) {
+      for (const core::crash_report& report : each->Reports()) {
+        links_->Send(gateway, report);
+      }
     }
   });
   links_->SetLostHandler([this](const std::string& gateway) {
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -83,6 +83,8 @@
     behaviour.work_ms = body.value("work_ms", behaviour.work_ms);
     behaviour.cut_after = body.value("cut_after", behaviour.cut_after);
     behaviour.padding = body.value("padding", behaviour.padding);
+    behaviour.crashing_part =
+        body.value("crashing_part", behaviour.crashing_part);
     for (const std::unique_ptr<simulated_target>& each : targets_) {
       if (each->id() == body.value("id", each->id()) &&
           each->service() == body.value("service", each->service())) {
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -13,6 +13,7 @@
 constexpr char kNotExecuted[] = "X-Wisteriadale-Not-Executed";
 constexpr char kSignature[] = "X-Wisteriadale-Response-Signature";
 constexpr char kExpectInstance[] = "X-Wisteriadale-Expect-Instance";
+constexpr char kPromptPrefix[] = "X-Wisteriadale-Prompt-Prefix";
 
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -85,7 +86,11 @@
 void simulated_target::Run(
     const std::shared_ptr<net::http1_exchange>& exchange) {
   std::vector<net::http_header> headers = ResponseHeaders(*exchange);
-  if (behaviour_.mode == "lose") {
+  const std::string* parts = exchange->head().Find(kPromptPrefix);
+  const bool crashes =
+      !behaviour_.crashing_part.empty() && parts != nullptr &&
+      parts->find(behaviour_.crashing_part + ":") != std::string::npos;
+  if (behaviour_.mode == "lose" || crashes) {
     exchange->Abort();
   } else if (behaviour_.mode == "mute") {
     unanswered_.push_back(exchange);
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -25,6 +25,9 @@
   int64_t work_ms = 1;     ///< service time before the response
   uint32_t cut_after = 2;  ///< complete events before a cut
   uint32_t padding = 0;    ///< bytes appended to a body that is not streamed
+  /// Part of a prompt on which the target loses its connection when it begins
+  /// to write; empty: none.
+  std::string crashing_part;
 };
 
 /// A recorded call to a simulated target: the run of a request, a stage run, or
