Treat a stream that ends within an event as broken off

A caller got such a stream as complete, with half an event at its end: when a response without length or chunks loses its connection, or a target ends it early, the framing is whole and only the event is not.

Such a response now counts as lost: a resumable stream continues at another target after its last event, any other is cut for the caller. The rest of an event is no longer forwarded.

The new part of scenario_gateway_streams failed before ("half an event is not an end") and passes.

--- a/scenarios/gateway_streams.lua
+++ b/scenarios/gateway_streams.lua
@@ -42,6 +42,20 @@
 expect(cut.closed and not cut.complete, "a broken stream does not look complete")
 expect_equal(1, #fleet:own_runs(cut.id), "ran once")
 
+-- A stream that ends within an event was broken off, though its framing is
+-- whole.
+fleet:set_behaviour{service = "engine", how = "half", cut_after = 2}
+local half = stream("/notes/4")
+expect(half.closed and not half.complete, "half an event is not an end")
+expect_equal(events(2), half.body, "no part of the broken event")
+fleet:set_behaviour{service = "engine"}
+fleet:set_behaviour{id = "engine-1", how = "half", cut_after = 2}
+for _ = 1, 4 do
+  local answer = stream("/answers/4")
+  expect(answer.complete, "stream continues at another target")
+  expect_equal(events(4), answer.body, "each event exactly once")
+end
+
 -- A resumption by the caller itself is forwarded.
 fleet:set_behaviour{service = "engine"}
 local continued = stream("/answers/2", {headers = {["Last-Event-Id"] = "2"}})
--- a/source/core/forwarding/event_stream_filter.h
+++ b/source/core/forwarding/event_stream_filter.h
@@ -17,6 +17,10 @@
   std::string Feed(std::string_view data);
   /// @return bytes after the last complete event
   std::string_view rest() const { return pending_; }
+  /// @return whether a stream that ends now was broken off within an event
+  bool WithinEvent() const {
+    return pending_.find_first_not_of("\r\n") != std::string::npos;
+  }
   /// Drops an incomplete event before the stream is resumed after the last one.
   void Restart() { pending_.clear(); }
   /// @return id of the last forwarded event, unchanged
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -38,6 +38,13 @@
 constexpr common::duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
 constexpr common::duration kRefusedRetryAfter = std::chrono::milliseconds(200);
 
+/// @return whether the body is made of events; targets of streaming routes may
+/// also respond with a plain body
+bool IsEventStream(const net::message_head& head) {
+  const std::string* type = head.Find("Content-Type");
+  return type != nullptr && type->starts_with("text/event-stream");
+}
+
 }  // namespace
 
 forward_request::forward_request(forwarder& owner,
@@ -383,6 +390,11 @@
     FinishAttempt(attempt_outcome::kLost);
     return;
   }
+  if (streaming_events_ && Succeeded() && IsEventStream(response_head_) &&
+      filter_.WithinEvent()) {
+    FinishAttempt(attempt_outcome::kLost);
+    return;
+  }
   ClearSuspects();
   // A failure too large to buffer has been relayed already.
   const bool already_relayed = relaying_ && !streaming_events_;
--- a/source/unit_tests/core/forwarding/forwarding_test.cc
+++ b/source/unit_tests/core/forwarding/forwarding_test.cc
@@ -108,6 +108,7 @@
   CHECK_EQUAL("id: 1\ndata: a\n\n", stream.Feed("ta: a\n\nid: 2"));
   CHECK_EQUAL("1", *stream.last_id());
   CHECK_EQUAL("id: 2", std::string(stream.rest()));
+  CHECK(stream.WithinEvent());
 }
 
 TEST(EventStreamFilter, RepeatedEventsOfAResumedStreamAreDropped) {
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -133,6 +133,11 @@
                    [exchange] { exchange->Abort(); });
     return;
   }
+  if (behaviour_.mode == "half" && number > behaviour_.cut_after) {
+    exchange->SendBody(Event(number).substr(0, 8));
+    exchange->Finish();
+    return;
+  }
   exchange->SendBody(Event(number));
   loop_.Schedule(common::milliseconds(behaviour_.event_ms),
                  [this, exchange, number] { SendEvent(exchange, number + 1); });
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -17,8 +17,9 @@
   /// Field `how` of /control/targets. "" serves requests; "shed" rejects them
   /// with 503 as not executed; "fail" runs and answers 500; "lose" runs and
   /// drops the connection; "mute" runs and never answers; "cut" drops the
-  /// connection in the middle of an event; "unsigned" omits the response
-  /// signature; "foreign" answers with the id of another request.
+  /// connection in the middle of an event; "half" ends the response there;
+  /// "unsigned" omits the response signature; "foreign" answers with the id of
+  /// another request.
   std::string mode;
   uint32_t events = 4;     ///< in a stream
   int64_t event_ms = 5;    ///< interval between two events
