Give up on responses without end

A target in trouble may send bytes that are no answer until the caller closes.

An event over 1 MB, or 64 KB of a body that is not forwarded, ends the attempt; a call skips at most 1 MB of other responses; calls for pieces and releases take 1 MB, calls to the store 8 MB.

--- a/scenarios/gateway_streams.lua
+++ b/scenarios/gateway_streams.lua
@@ -56,6 +56,17 @@
   expect_equal(events(4), answer.body, "each event exactly once")
 end
 
+-- An event without end is given up long before the route's timeout.
+fleet:set_behaviour{service = "engine"}
+fleet:set_behaviour{id = "engine-1", how = "endless", event_ms = 1}
+for _ = 1, 4 do
+  local started = runner.now_ms()
+  local answer = stream("/answers/5")
+  expect(answer.complete, "stream continues at another target")
+  expect_equal(events(4), answer.body, "nothing of the endless event")
+  expect(runner.now_ms() - started < 1500, "given up early")
+end
+
 -- A resumption by the caller itself is forwarded.
 fleet:set_behaviour{service = "engine"}
 local continued = stream("/answers/2", {headers = {["Last-Event-Id"] = "2"}})
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -20,6 +20,9 @@
 // A response up to this size is buffered until it is complete, so that a
 // truncated one can be replaced by a retry at another target.
 constexpr size_t kMaxBufferedBytes = size_t{1} << 20;
+// A longer event, or response that is not forwarded, is not read to its end.
+constexpr size_t kMaxEventBytes = size_t{1} << 20;
+constexpr size_t kMaxIgnoredBytes = size_t{64} * 1024;
 // Unread response bytes at which reading from the target is paused until the
 // caller catches up.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
@@ -255,6 +258,7 @@
   deps_.selector.hints().NoteSent(target_->entry.id, prompt_parts_);
   response_head_ = net::message_head();
   response_body_.clear();
+  ignored_bytes_ = 0;
   response_not_run_ = response_signed_ = inputs_missing_ = false;
   common::LogEvent(
       log_event::kSent, request_id_,
@@ -343,7 +347,14 @@
     return;
   }
   // Only responses signed by the target are forwarded, including its failures.
-  if (relaying_ || response_not_run_ || !response_signed_) return;
+  if (relaying_ || response_not_run_ || !response_signed_) {
+    ignored_bytes_ += data.size();
+    if (ignored_bytes_ > kMaxIgnoredBytes) {
+      FinishAttempt(response_not_run_ ? attempt_outcome::kNotRun
+                                      : attempt_outcome::kLost);
+    }
+    return;
+  }
   response_body_.append(data);
   if (response_body_.size() <= kMaxBufferedBytes) return;
   // Too large to buffer.
@@ -362,6 +373,10 @@
   } else {
     const std::string complete_events = filter_.Feed(data);
     if (!complete_events.empty()) exchange_->SendBody(complete_events);
+    if (filter_.rest().size() > kMaxEventBytes) {
+      FinishAttempt(attempt_outcome::kLost);
+      return;
+    }
   }
   ApplyBackpressure();
 }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -183,6 +183,7 @@
 
   net::message_head response_head_;  ///< response of the current attempt
   std::string response_body_;
+  size_t ignored_bytes_ = 0;  ///< of a body that is not forwarded
   bool response_not_run_ = false;
   bool inputs_missing_ = false;    ///< not run because its inputs don't exist
   bool response_signed_ = false;   ///< has the target's signature
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -20,6 +20,8 @@
 constexpr common::duration kReleaseDelay = std::chrono::milliseconds(50);
 // Failed releases are not retried: targets drop results by themselves after a
 // few seconds.
+// A response names one handle for each piece of a call.
+constexpr uint64_t kMaxResponseBytes = uint64_t{1} << 20;
 constexpr common::duration kReleaseTimeout = std::chrono::milliseconds(1000);
 
 std::vector<core::piece_result> UniformResults(size_t count,
@@ -61,6 +63,7 @@
     // Responses carry no request id: one left over on a reused connection could
     // not be told from the response to this call.
     request.reuse_connection = false;
+    request.max_body_bytes = kMaxResponseBytes;
     request.timeout = core::piece_queue::CallTimeout(batch_);
     call_ = owner_.client_.Start(request, *this);
   }
@@ -130,6 +133,7 @@
     request.target = owner_.codec_.release_path();
     request.headers = {{"Host", address}, {"Content-Type", "application/json"}};
     request.body = body;
+    request.max_body_bytes = kMaxResponseBytes;
     request.timeout = kReleaseTimeout;
     call_ = owner_.client_.Start(request, *this);
   }
--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -68,10 +68,12 @@
 
   /// Assigns a call to the connection. The request is sent once the connection
   /// is open.
-  void AssignCall(call* current, std::string request, bool head_only) {
+  void AssignCall(call* current, const outgoing_request& request) {
     call_ = current;
-    request_ = std::move(request);
-    head_only_ = head_only;
+    request_ = Serialize(request);
+    head_only_ = request.method == "HEAD";
+    max_body_bytes_ = request.max_body_bytes;
+    skipped_bytes_ = 0;
     sent_ = false;
     if (open_) SendRequest();
   }
@@ -108,6 +110,8 @@
   std::string input_;
   std::unique_ptr<http1_parser> parser_;
   bool head_only_ = false;
+  uint64_t max_body_bytes_ = 0;
+  uint64_t skipped_bytes_ = 0;  ///< received by this call, of other responses
   bool skipping_ = false;  ///< the response is interim or of an earlier call
   bool head_reported_ = false;
   bool open_ = false;
@@ -160,7 +164,7 @@
         Fail(sent() ? call_failure::kTimedOut : call_failure::kNotSent);
       });
     }
-    connection_->AssignCall(this, Serialize(request), request.method == "HEAD");
+    connection_->AssignCall(this, request);
   }
 
   /// Reports, from the loop, that no connection could be made.
@@ -236,7 +240,8 @@
   std::string body;
   while (call_ != nullptr && !input_.empty()) {
     if (!parser_) {
-      parser_ = http1_parser::ForResponse(owner_.options_.limits, head_only_);
+      parser_ = http1_parser::ForResponse(
+          {owner_.options_.max_head_bytes, max_body_bytes_}, head_only_);
       head_reported_ = false;
       skipping_ = false;
     }
@@ -260,6 +265,12 @@
         if (call_ == nullptr) return http1_error::kNone;
       }
     }
+    if (skipping_) {
+      skipped_bytes_ += consumed;
+      if (skipped_bytes_ > owner_.options_.max_skipped_bytes) {
+        return http1_error::kBodyTooLarge;
+      }
+    }
     if (!skipping_ && !body.empty()) {
       call_->handler()->OnBody(body);
       if (call_ == nullptr) return http1_error::kNone;
--- a/source/net/http1_client.h
+++ b/source/net/http1_client.h
@@ -50,6 +50,8 @@
   /// close an idle connection just as the request is sent.
   bool reuse_connection = true;
   common::duration connect_timeout = std::chrono::milliseconds(300);
+  /// A longer body makes the response malformed.
+  uint64_t max_body_bytes = uint64_t{64} << 20;
   /// From the start of the call to the end of the response; 0: no timeout.
   common::duration timeout{0};
 };
@@ -70,7 +72,9 @@
   /// Longest time that an idle connection is kept open.
   common::duration idle_timeout = std::chrono::milliseconds(2500);
   size_t max_idle_per_server = 8;
-  http1_limits limits{size_t{64} * 1024, uint64_t{64} << 20};
+  size_t max_head_bytes = size_t{64} * 1024;
+  /// Longest interim and foreign responses together that a call skips.
+  uint64_t max_skipped_bytes = uint64_t{1} << 20;
 };
 
 /// HTTP/1.1 client with a pool of persistent connections, each of which carries
--- a/source/platform/http_row_store.cc
+++ b/source/platform/http_row_store.cc
@@ -15,6 +15,8 @@
 constexpr int kStatusPreconditionFailed = 412;
 constexpr int kStatusGone = 410;
 constexpr size_t kRowsPerPage = 500;
+// The store sends at most 1 MB of rows, whose values grow by a third.
+constexpr uint64_t kMaxResponseBytes = uint64_t{8} << 20;
 
 void LogWarning(const std::string& text) {
   common::Log(common::log_channel::kPlatform, common::log_level::kWarning,
@@ -204,6 +206,7 @@
       request.headers.push_back({"Content-Type", "application/json"});
     }
     request.body = body;
+    request.max_body_bytes = kMaxResponseBytes;
     request.timeout = timeout;
     call* raw = started.get();
     calls_.emplace(raw, std::move(started));
--- a/source/unit_tests/net/http1_client_test.cc
+++ b/source/unit_tests/net/http1_client_test.cc
@@ -103,6 +103,7 @@
   common::system_clock clock;
   scripted_server server{*loop};
   net::http1_client client{*loop, clock, {}};
+  uint64_t max_body_bytes = uint64_t{64} << 20;
 
   recorded_response Call(const std::string& id, bool reuse = true) {
     recorded_response response;
@@ -111,6 +112,7 @@
     request.echo_header = "X-Id";
     request.echo_value = id;
     request.reuse_connection = reuse;
+    request.max_body_bytes = max_body_bytes;
     request.timeout = std::chrono::milliseconds(300);
     const std::unique_ptr<net::http1_call> call =
         client.Start(request, response);
@@ -192,6 +194,32 @@
   CHECK_EQUAL("final", Call("1").body);
 }
 
+// A server in trouble may send bytes without end; they filled the memory of the
+// process until the call's timeout.
+TEST(Http1Client, HeadWithoutEndIsMalformed) {
+  server.AddResponse("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Pad: " +
+                     std::string(size_t{1} << 20, 'x'));
+  CHECK(Call("1").failure == net::call_failure::kMalformed);
+}
+
+TEST(Http1Client, InterimResponsesWithoutEndAreMalformed) {
+  std::string endless;
+  while (endless.size() < size_t{3} << 20) {
+    endless.append("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  server.AddResponse(endless);
+  CHECK(Call("1").failure == net::call_failure::kMalformed);
+}
+
+TEST(Http1Client, BodyOverTheLimitOfItsCallIsMalformed) {
+  max_body_bytes = 1000;
+  server.AddResponse("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n" +
+                     std::string(1001, 'x'));
+  CHECK(Call("1").failure == net::call_failure::kMalformed);
+  server.AddResponse(Response("1", std::string(1000, 'x')));
+  CHECK(Call("1").complete);
+}
+
 TEST(Http1Client, CloseBeforeTheResponseIsALostConnection) {
   server.AddResponse("", scripted_server::after_response::kClose);
   CHECK(Call("1").failure == net::call_failure::kLost);
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -133,6 +133,15 @@
                    [exchange] { exchange->Abort(); });
     return;
   }
+  if (behaviour_.mode == "endless") {
+    if (exchange->PendingBytes() == 0) {
+      exchange->SendBody(std::string(size_t{64} * 1024, 'x'));
+    }
+    loop_.Schedule(common::milliseconds(behaviour_.event_ms), [this, exchange] {
+      if (!exchange->CallerDisconnected()) SendEvent(exchange, 1);
+    });
+    return;
+  }
   if (behaviour_.mode == "half" && number > behaviour_.cut_after) {
     exchange->SendBody(Event(number).substr(0, 8));
     exchange->Finish();
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -18,6 +18,7 @@
   /// with 503 as not executed; "fail" runs and answers 500; "lose" runs and
   /// drops the connection; "mute" runs and never answers; "cut" drops the
   /// connection in the middle of an event; "half" ends the response there;
+  /// "endless" sends one event without end;
   /// "unsigned" omits the response signature; "foreign" answers with the id of
   /// another request.
   std::string mode;
