Tell gateways that join only of suspects lost twice

Same class as the copies of the configuration: all state from each gateway to one that joins. A storm of crashes leaves up to 2,000 suspects, nearly all with one loss; from 21 gateways that is 3 MB, 2.7 s of a link of 10 Mbit/s, by calculation (80 bytes a report), not by a run.

Suspects with a count of two or more are sent; a part of a prompt has that after its first loss with a head. A gateway that joins allows a request one more loss at most.

--- a/source/core/quarantine/crash_suspects.cc
+++ b/source/core/quarantine/crash_suspects.cc
@@ -97,9 +97,10 @@
   Record(report.digest, report.crashes);
 }
 
-std::vector<crash_report> crash_suspects::Reports() const {
+std::vector<crash_report> crash_suspects::Reports(uint32_t min_crashes) const {
   std::vector<crash_report> reports;
   for (const auto& [digest, known] : entries_) {
+    if (known.crashes < min_crashes) continue;
     reports.push_back({digest, known.crashes});
   }
   return reports;
--- a/source/core/quarantine/crash_suspects.h
+++ b/source/core/quarantine/crash_suspects.h
@@ -78,8 +78,9 @@
   void NoteAnswer() { last_answer_ = clock_.Now(); }
   /// Merges another gateway's report.
   void Merge(const crash_report& report);
-  /// @return all counts, for a gateway that joins
-  std::vector<crash_report> Reports() const;
+  /// @param min_crashes lowest count to report
+  /// @return the counts, for a gateway that joins
+  std::vector<crash_report> Reports(uint32_t min_crashes) const;
 
  private:
   struct entry {
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -33,6 +33,10 @@
 // Mbit/s of network traffic per core of a gateway whose queues are busy. Limits
 // its capacity as queue owner.
 constexpr double kOwnerMbpsPerCore = 400;
+// Lowest crash count that a gateway that joins is told. Thousands of suspects
+// with a single loss, from each gateway, would fill its link; without them it
+// allows one more loss.
+constexpr uint32_t kMinPassedCrashes = 2;
 constexpr common::duration kStopCheckPeriod = std::chrono::milliseconds(100);
 // Time for the last responses to leave before the event loop stops.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(50);
@@ -237,7 +241,8 @@
     }
     for (const core::crash_suspects* each :
          {suspects_.get(), part_suspects_.get()}) {
-      for (const core::crash_report& report : each->Reports()) {
+      for (const core::crash_report& report :
+           each->Reports(kMinPassedCrashes)) {
         links_->Send(gateway, report);
       }
     }
--- a/source/unit_tests/core/quarantine/crash_suspects_test.cc
+++ b/source/unit_tests/core/quarantine/crash_suspects_test.cc
@@ -70,15 +70,24 @@
 TEST(CrashSuspects, AGatewayThatJoinsGetsAllReports) {
   for (int i = 0; i < 3; ++i) here.OnLost("a", 1, false);
   core::crash_suspects joined{options, time};
-  for (const core::crash_report& each : here.Reports()) joined.Merge(each);
+  for (const core::crash_report& each : here.Reports(1)) joined.Merge(each);
   CHECK(Refuses(&joined, "a"));
 }
 
+// After many losses each gateway sent thousands of single ones to one that
+// joined.
+TEST(CrashSuspects, ReportsCanLeaveOutSingleLosses) {
+  for (int i = 0; i < 500; ++i) here.OnLost(std::to_string(i), 1, false);
+  for (int i = 0; i < 2; ++i) here.OnLost("a", 1, false);
+  LONGS_EQUAL(501, here.Reports(1).size());
+  LONGS_EQUAL(1, here.Reports(2).size());
+}
+
 TEST(CrashSuspects, MemoryIsBounded) {
   options.max_suspects = 5;
   core::crash_suspects small{options, time};
   for (int i = 0; i < 20; ++i) small.OnLost(std::to_string(i), 1, false);
-  CHECK(small.Reports().size() == 5);
+  CHECK(small.Reports(1).size() == 5);
 }
 
 TEST_GROUP(CrashingPromptParts) {
