Abort a process whose event loop does not return from one call

The loop counts its turns, and a signal each second of processor time (not of time: a slow or suspended VM is not stuck) compares them. After two seconds in one turn the process writes a line and aborts, so that the platform starts it again.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -183,6 +183,7 @@
 
 void agent_process::Run() {
   loop_->SetStopSignalHandler([this] { Stop(); });
+  loop_->StartWatchdog();
   loop_->SetReloadSignalHandler([] {
     common::Log(common::log_channel::kMain, common::log_level::kInfo,
                 "changed settings take effect at the next start");
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -295,6 +295,7 @@
 
 void gateway_process::Run(const settings_reader& read_again) {
   loop_->SetStopSignalHandler([this] { Stop(); });
+  loop_->StartWatchdog();
   loop_->SetReloadSignalHandler([this, read_again] { Reload(read_again); });
   fleet_sync_->Start();
   links_->Start();
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -1,10 +1,13 @@
 #include "net/event_loop.h"
 
 #include <sys/resource.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 
 #include "common/last_error.h"
@@ -50,6 +53,26 @@
   if (signal_context != nullptr) lws_cancel_service(signal_context);
 }
 
+// State of the watchdog, whose signal arrives after each second of processor
+// time.
+volatile std::sig_atomic_t loop_turns = 0;
+volatile std::sig_atomic_t watched_turn = 0;
+volatile std::sig_atomic_t seconds_in_turn = 0;
+volatile std::sig_atomic_t max_seconds_in_turn = 0;
+
+void HandleCpuSecond(int) {
+  if (watched_turn != loop_turns) {
+    watched_turn = loop_turns;
+    seconds_in_turn = 0;
+    return;
+  }
+  seconds_in_turn = seconds_in_turn + 1;
+  if (seconds_in_turn < max_seconds_in_turn) return;
+  constexpr char kMessage[] = "the event loop is stuck in one call; aborting\n";
+  if (write(STDERR_FILENO, kMessage, sizeof(kMessage) - 1) < 0) std::abort();
+  std::abort();
+}
+
 const char* PathOrNull(const std::string& path) {
   return path.empty() ? nullptr : path.c_str();
 }
@@ -167,6 +190,7 @@
   int handled_reloads = 0;
   stopping_ = false;
   while (!stopping_) {
+    loop_turns = loop_turns + 1;
     if (lws_service(context_, 0) < 0) break;
     while (handled_signals < stop_signals) {
       ++handled_signals;
@@ -217,6 +241,19 @@
   return id;
 }
 
+void event_loop::StartWatchdog(int max_cpu_seconds) {
+  max_seconds_in_turn = max_cpu_seconds;
+  struct sigaction handler {};
+  handler.sa_handler = HandleCpuSecond;
+  handler.sa_flags = SA_RESTART;
+  sigaction(SIGPROF, &handler, nullptr);
+  const itimerval each_second{{1, 0}, {1, 0}};
+  if (setitimer(ITIMER_PROF, &each_second, nullptr) == 0) return;
+  common::Log(
+      common::log_channel::kNet, common::log_level::kWarning,
+      std::string("cannot watch the event loop: ") + std::strerror(errno));
+}
+
 void event_loop::Arm(timer* armed, int64_t micros) {
   lws_sul_schedule(
       context_, 0, &armed->scheduled.sul,
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -32,6 +32,9 @@
     common::duration dial_timeout = std::chrono::milliseconds(1000);
   };
 
+  /// Many times the longest turn; some 20 s on a tenth of a core.
+  static constexpr int kMaxTurnCpuSeconds = 2;
+
   /// @return the loop, or nothing with LastError set
   static std::optional<std::unique_ptr<event_loop>> Create(
       const options& chosen);
@@ -51,6 +54,12 @@
   void SetReloadSignalHandler(std::function<void()> action);
 
   /// A timer that is late runs after the sockets that are readable then.
+  /// Aborts the process if one turn of the loop uses that much processor time:
+  /// no timer of the loop can notice a call that does not return. Waiting, a
+  /// slow VM and a suspended one use none.
+  /// @param max_cpu_seconds at least 1
+  void StartWatchdog(int max_cpu_seconds = kMaxTurnCpuSeconds);
+
   common::timer_id Schedule(common::duration delay,
                             std::function<void()> action) override;
   void Cancel(common::timer_id id) override;
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -161,6 +161,7 @@
 
 void router_process::Run() {
   loop_->SetStopSignalHandler([this] { Stop(); });
+  loop_->StartWatchdog();
   loop_->SetReloadSignalHandler([] {
     common::Log(common::log_channel::kMain, common::log_level::kInfo,
                 "changed settings take effect at the next start");
--- a/source/unit_tests/net/event_loop_test.cc
+++ b/source/unit_tests/net/event_loop_test.cc
@@ -1,7 +1,10 @@
 #include "net/event_loop.h"
 
 #include <CppUTest/TestHarness.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
+#include <csignal>
 #include <vector>
 
 using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
@@ -41,3 +44,25 @@
   }
   CHECK_EQUAL(kTimers, cancelled);
 }
+
+// Gateways that were stuck in one call went on for ever, and nothing ended
+// them.
+TEST(EventLoop, ProcessThatIsStuckInOneCallAborts) {
+  const pid_t child = fork();
+  if (child == 0) {
+    const std::unique_ptr<net::event_loop> loop =
+        std::move(*net::event_loop::Create({}));
+    loop->StartWatchdog(1);
+    loop->Schedule(std::chrono::milliseconds(1), [] {
+      for (volatile uint64_t i = 0;; i = i + 1) {
+      }
+    });
+    loop->Run();
+    _exit(0);
+  }
+  CHECK(child > 0);
+  int status = 0;
+  CHECK_EQUAL(child, waitpid(child, &status, 0));
+  CHECK(WIFSIGNALED(status));
+  LONGS_EQUAL(SIGABRT, WTERMSIG(status));
+}
