Do not request routes again that are not valid here

Found when the change was read again: routes that one version of the program accepts and this one refuses stayed announced, so that each gateway would fetch 350 KB from another one every three quarters of a second, without end.

A version that was received and refused is not requested again, from any gateway; newer ones are. The new test fails without the call.

--- a/source/core/fleet/routes_exchange.cc
+++ b/source/core/fleet/routes_exchange.cc
@@ -37,8 +37,9 @@
 
 void routes_exchange::DropOutdated() {
   const uint64_t current = routes_.current() ? routes_.current()->version() : 0;
-  std::erase_if(holders_, [current](const auto& entry) {
-    return entry.second.version <= current;
+  const uint64_t known = std::max(current, refused_version_);
+  std::erase_if(holders_, [known](const auto& entry) {
+    return entry.second.version <= known;
   });
 }
 
--- a/source/core/fleet/routes_exchange.h
+++ b/source/core/fleet/routes_exchange.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
+#include <utility>
 
 #include "common/clock.h"
 #include "common/random.h"
@@ -60,6 +61,11 @@
   /// asks at once
   void OnAnnounced(const routes_announcement& announcement, bool store_failing);
   void OnGatewayLost(const std::string& gateway) { holders_.erase(gateway); }
+  /// Routes that a gateway sent are not valid here: they are not requested
+  /// again, from any gateway.
+  void OnRefused(uint64_t version) {
+    refused_version_ = std::max(refused_version_, version);
+  }
 
  private:
   struct holder {
@@ -71,7 +77,8 @@
 
   /// Asks the next gateway, if any has newer routes than those in force.
   void RequestNext();
-  /// Forgets gateways whose routes are not newer than those in force.
+  /// Forgets gateways whose routes are not newer than those in force, or are
+  /// refused.
   void DropOutdated();
   /// @return the gateway to ask next, holders_.end() if there is none
   std::map<std::string, holder>::iterator Best();
@@ -83,6 +90,7 @@
   common::random_source& random_;
   requester request_;
   std::map<std::string, holder> holders_;  ///< with newer routes, by name
+  uint64_t refused_version_ = 0;
   common::timer_id timer_ = 0;
 };
 
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -350,6 +350,9 @@
     return;
   }
   fleet_sync_->ApplyRoutes(message.document, gateway);
+  if (!routes_.current() || routes_.current()->version() < message.version) {
+    routes_exchange_->OnRefused(message.version);
+  }
 }
 
 void gateway_process::OnRoutesRequest(const std::string& gateway,
--- a/source/unit_tests/core/fleet/routes_exchange_test.cc
+++ b/source/unit_tests/core/fleet/routes_exchange_test.cc
@@ -99,3 +99,17 @@
   time.Advance(options.store_wait + 2 * options.response_limit);
   CHECK(asked == (std::vector<std::string>{"a", "a", "a"}));
 }
+
+// A document that one version of the program accepts and another one does not
+// would be requested again and again.
+TEST(RoutesExchange, RefusedRoutesAreNotRequestedAgain) {
+  exchange.OnAnnounced({"a", 0.5, 2}, false);
+  time.Advance(options.store_wait);
+  exchange.OnRefused(2);
+  exchange.OnAnnounced({"b", 0.5, 2}, false);
+  time.Advance(10 * kRoutesLimit);
+  LONGS_EQUAL(1, asked.size());
+  exchange.OnAnnounced({"a", 0.5, 3}, false);
+  time.Advance(options.store_wait);
+  LONGS_EQUAL(2, asked.size());
+}
