Log the request limits that targets name

Each response that names one now leaves a limit_named line with the request, the target, the value and whether it can be used. Nothing acts on a limit yet.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -10,37 +10,18 @@
 namespace {
 
 constexpr size_t kEvents = static_cast<size_t>(log_event::kCount);
-constexpr std::array<std::string_view, kEvents> kNames = {"started",
-                                                          "stopping",
-                                                          "stopped",
-                                                          "settings_read",
-                                                          "dependency_lost",
-                                                          "dependency_regained",
-                                                          "routes_applied",
-                                                          "routes_passed",
-                                                          "routes_requested",
-                                                          "routes_refused",
-                                                          "key_dropped",
-                                                          "target_leaving",
-                                                          "target_rests",
-                                                          "entry_refused",
-                                                          "gateway_linked",
-                                                          "gateway_lost",
-                                                          "owner_changed",
-                                                          "speed_changed",
-                                                          "loop_stalled",
-                                                          "routed",
-                                                          "refused",
-                                                          "admitted_late",
-                                                          "sent",
-                                                          "attempt_ended",
-                                                          "resumed",
-                                                          "stage_ended",
-                                                          "call_ended",
-                                                          "answered",
-                                                          "cancelled",
-                                                          "crash_suspected",
-                                                          "quarantined"};
+constexpr std::array<std::string_view, kEvents> kNames = {
+    "started",         "stopping",        "stopped",
+    "settings_read",   "dependency_lost", "dependency_regained",
+    "routes_applied",  "routes_passed",   "routes_requested",
+    "routes_refused",  "key_dropped",     "target_leaving",
+    "target_rests",    "entry_refused",   "limit_named",
+    "gateway_linked",  "gateway_lost",    "owner_changed",
+    "speed_changed",   "loop_stalled",    "routed",
+    "refused",         "admitted_late",   "sent",
+    "attempt_ended",   "resumed",         "stage_ended",
+    "call_ended",      "answered",        "cancelled",
+    "crash_suspected", "quarantined"};
 // Lines per second of each event: a request logs three of them, and a gateway
 // on a fifth of a core serves some 60 requests per second.
 constexpr double kLinesPerSecond = 120;
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -27,6 +27,7 @@
   kTargetLeaving,
   kTargetRests,
   kEntryRefused,
+  kLimitNamed,  ///< a response named the request limit of its target
   kGatewayLinked,
   kGatewayLost,
   kOwnerChanged,
--- a/source/core/ports/deployment_codec.h
+++ b/source/core/ports/deployment_codec.h
@@ -19,7 +19,9 @@
   std::string key;
   std::string organisation;
   std::string expected_target;
-  std::string not_run;    ///< marks a request that the target did not run
+  std::string not_run;  ///< marks a request that the target did not run
+  /// Names the request limit of a target, in its responses.
+  std::string request_limit;
   std::string signature;  ///< proves that a response is from the target itself
   std::string priority;
   std::string piece_counts;
--- a/source/gateway/forward_headers.cc
+++ b/source/gateway/forward_headers.cc
@@ -46,6 +46,15 @@
   return parts;
 }
 
+core::request_limit RequestLimitOf(const net::message_head& head,
+                                   std::string_view name) {
+  std::vector<std::string_view> values;
+  for (const net::http_header& header : head.headers) {
+    if (net::SameName(header.name, name)) values.push_back(header.value);
+  }
+  return core::ParseRequestLimit(values);
+}
+
 std::string_view PathWithoutQuery(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/source/gateway/forward_headers.h
+++ b/source/gateway/forward_headers.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/limits/request_limit.h"
 #include "net/http1_parser.h"
 
 namespace wisteriadale::gateway {
@@ -21,6 +22,11 @@
 /// @return the elements of a comma-separated list, without surrounding spaces
 std::vector<std::string_view> SplitCommaList(std::string_view text);
 
+/// @param name of the header that names a limit
+/// @return what a response says about the request limit of its target
+core::request_limit RequestLimitOf(const net::message_head& head,
+                                   std::string_view name);
+
 /// @return the path of a request target, without its query
 std::string_view PathWithoutQuery(std::string_view target);
 
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -319,6 +319,7 @@
   inputs_missing_ =
       codec.IndicatesMissingInputs(head.status, has_not_run_header);
   response_signed_ = head.Find(deps_.codec.headers().signature) != nullptr;
+  LogRequestLimit();
   target_->outstanding_tokens -= outstanding_tokens_;
   outstanding_tokens_ = 0;
   if (!Succeeded()) return;
@@ -330,6 +331,18 @@
   }
 }
 
+void forward_request::LogRequestLimit() {
+  const core::request_limit limit =
+      RequestLimitOf(response_head_, deps_.codec.headers().request_limit);
+  if (limit.statement == core::limit_statement::kNone) return;
+  common::LogEvent(log_event::kLimitNamed, request_id_,
+                   {{"target", target_->entry.id},
+                    {"service", service_},
+                    {"valid", limit.statement == core::limit_statement::kNamed},
+                    {"per_second", limit.per_second},
+                    {"in_flight", int64_t{target_->in_flight}}});
+}
+
 void forward_request::StartRelay(const net::message_head& head) {
   relaying_ = true;
   streaming_events_ =
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -120,6 +120,8 @@
   /// caller.
   void FinishAttempt(core::attempt_outcome outcome);
   void UpdateTargetHealth(core::attempt_outcome outcome);
+  /// Logs the request limit that the target names in its response, if any.
+  void LogRequestLimit();
   /// Sends the complete response of the target to the caller.
   void ForwardResponse(const std::string& target);
   /// Logs and counts the outcome and ends the request; `this` is destroyed.
--- a/source/platform/platform_codec.cc
+++ b/source/platform/platform_codec.cc
@@ -23,6 +23,7 @@
   names.organisation = "X-Wisteriadale-Tenant-Id";
   names.expected_target = "X-Wisteriadale-Expect-Instance";
   names.not_run = "X-Wisteriadale-Not-Executed";
+  names.request_limit = "Server-Limit";
   names.signature = "X-Wisteriadale-Response-Signature";
   names.priority = "X-Wisteriadale-Request-Priority";
   names.piece_counts = "X-Wisteriadale-Pieces";
