--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -85,6 +85,7 @@
     behaviour.padding = body.value("padding", behaviour.padding);
     behaviour.crashing_part =
         body.value("crashing_part", behaviour.crashing_part);
+    behaviour.limits = body.value("limits", behaviour.limits);
     for (const std::unique_ptr<simulated_target>& each : targets_) {
       if (each->id() == body.value("id", each->id()) &&
           each->service() == body.value("service", each->service())) {
@@ -101,7 +102,8 @@
                       {"method", run.method},
                       {"path", run.path},
                       {"headers", run.headers},
-                      {"body", run.body}});
+                      {"body", run.body},
+                      {"at_ms", run.at_ms}});
     }
     return {{"runs", list}};
   }
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -13,6 +13,7 @@
 constexpr char kNotExecuted[] = "X-Wisteriadale-Not-Executed";
 constexpr char kSignature[] = "X-Wisteriadale-Response-Signature";
 constexpr char kExpectInstance[] = "X-Wisteriadale-Expect-Instance";
+constexpr char kServerLimit[] = "Server-Limit";
 constexpr char kPromptPrefix[] = "X-Wisteriadale-Prompt-Prefix";
 
 std::string LowerCase(std::string text) {
@@ -80,7 +81,8 @@
     items.push_back(
         {{"handle", address_ + "/" + std::to_string(++last_handle_)}});
   }
-  exchange->Send(200, "OK", {}, json{{"items", items}}.dump());
+  exchange->Send(200, "OK", ResponseHeaders(*exchange),
+                 json{{"items", items}}.dump());
 }
 
 void simulated_target::Run(
@@ -158,6 +160,7 @@
   run.method = exchange.head().method;
   run.path = exchange.head().target;
   run.body = exchange.body();
+  run.at_ms = common::ToMillis(clock_.Now().time_since_epoch());
   run.headers = json::object();
   for (const net::http_header& header : exchange.head().headers) {
     run.headers[LowerCase(header.name)] = header.value;
@@ -169,9 +172,16 @@
 
 std::vector<net::http_header> simulated_target::ResponseHeaders(
     const net::http1_exchange& exchange) const {
+  std::vector<net::http_header> headers;
+  for (const std::string& limit : behaviour_.limits) {
+    headers.push_back({kServerLimit, limit});
+  }
   const std::string* id = exchange.head().Find(kRequestId);
-  if (id == nullptr) return {};
-  return {{kRequestId, behaviour_.mode == "foreign" ? "another" : *id}};
+  if (id != nullptr) {
+    headers.push_back(
+        {kRequestId, behaviour_.mode == "foreign" ? "another" : *id});
+  }
+  return headers;
 }
 
 }  // namespace wisteriadale::platform_standin
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -30,6 +30,8 @@
   /// Part of a prompt on which the target loses its connection when it begins
   /// to write; empty: none.
   std::string crashing_part;
+  /// Values of the headers in which its responses name a request limit.
+  std::vector<std::string> limits;
 };
 
 /// A recorded call to a simulated target: the run of a request, a stage run, or
@@ -41,6 +43,7 @@
   std::string path;
   nlohmann::json headers;  ///< by lower-case name
   std::string body;
+  int64_t at_ms = 0;  ///< when it arrived, on the stand-in's own clock
 };
 
 /// Simulates a target of the platform: a plain service, an engine that streams
