Keep requests to a target within the limit that it names, over all gateways

Cause: nothing read the limit, and no mechanism shares one bound of a target among gateways. Evidence: the rate at the two engines did not change when they named it; all were first attempts.

Change: gateways record the limit that a response names and report changes to each other (core/limits/target_limits). Each request or stage call to such a target needs a slot. The target's owner, by rendezvous among linked gateways, hands slots out evenly spaced, in the order in which they are asked for (slot_schedule), so that they go where the requests are. It grants the part of the limit that belongs to the gateways it reaches; those that choose another owner or get no reply schedule their equal part, so that both sides of a cut stay within the whole. A new owner starts with a pause of one interval, and hears with each request until when slots are reserved. Unused slots expire half a second after their time. Requests prefer other targets; if all are limited they wait for a slot as long as their objective allows, and are rejected with the time until the next one if there is none.

A limit ends with a response without it to a request that was sent after it was last named, and belongs to one start of its target. A limit of 0 still lets a request through each 5 s, as the target could not end it otherwise.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -27,7 +27,12 @@
   kTargetLeaving,
   kTargetRests,
   kEntryRefused,
-  kLimitNamed,  ///< a response named the request limit of its target
+  kLimitEnded,      ///< a target no longer names a request limit
+  kLimitInvalid,    ///< a request limit that cannot be used was ignored
+  kLimitOwnerLost,  ///< the owner of a target's slots does not grant any
+  kLimitSlot,       ///< the owner of a target's slots granted or denied one
+  kSlotWait,        ///< a request waits for a slot, or does not
+  kLimitNamed,      ///< a response named the request limit of its target
   kGatewayLinked,
   kGatewayLost,
   kOwnerChanged,
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "core/limits/limit_messages.h"
 #include "core/quarantine/crash_suspects.h"
 #include "core/stages/stage_latency_estimator.h"
 
@@ -108,10 +109,12 @@
   std::vector<std::string> gone;      ///< ids without an entry
 };
 
-using gateway_message = std::variant<
-    gateway_hello, gateway_ping, stage_job_message, stage_outcome_message,
-    stage_cancellation_message, stage_release_message, routes_message,
-    leaving_targets_message, upcoming_stage_message, service_load_message,
-    gateway_shutdown_notice, crash_report, gateway_slow_state, routes_request>;
+using gateway_message =
+    std::variant<gateway_hello, gateway_ping, stage_job_message,
+                 stage_outcome_message, stage_cancellation_message,
+                 stage_release_message, routes_message, leaving_targets_message,
+                 upcoming_stage_message, service_load_message,
+                 gateway_shutdown_notice, crash_report, gateway_slow_state,
+                 routes_request, limit_report, slot_request, slot_reply>;
 
 }  // namespace wisteriadale::core
--- a/source/core/forwarding/target_selector.cc
+++ b/source/core/forwarding/target_selector.cc
@@ -86,7 +86,7 @@
 
 std::string target_selector::LikelyDataCentre(
     const selection_context& context) {
-  const std::shared_ptr<fleet_target> likely = Choose(context);
+  const std::shared_ptr<fleet_target> likely = Choose(context).target;
   return likely ? likely->entry.data_centre : std::string();
 }
 
@@ -110,29 +110,47 @@
   return cost;
 }
 
-std::shared_ptr<fleet_target> target_selector::Choose(
-    const selection_context& context) {
+target_choice target_selector::Choose(const selection_context& context) {
   const common::time_point now = clock_.Now();
   const target_directory::pool& pool = targets_.Pool(context.service);
   const std::shared_ptr<fleet_target> affinity_target = AffinityTarget(context);
-  std::shared_ptr<fleet_target> best;
-  double best_cost = 0;
-  bool best_avoided = false;
+  /// The best target of those that are free, or of those that are limited.
+  struct candidate {
+    std::shared_ptr<fleet_target> target;
+    double cost = 0;
+    bool avoided = false;
+
+    bool IsWorseThan(const candidate& other) const {
+      if (!target || avoided != other.avoided) return !target || avoided;
+      return other.cost < cost;
+    }
+  };
+  candidate free;
+  candidate limited;
   for (const std::shared_ptr<fleet_target>& each : pool) {
     if (each->leaving || Contains(context.tried, each->entry.id)) continue;
     // Ejected and overloaded targets are only used if there is no other.
     const bool avoided =
         each->ejected_until > now || each->overloaded_until > now;
-    const double cost = Cost(*each, context, each == affinity_target) +
-                        random_.Uniform() * kJitterMs;
-    const bool better = !best || (best_avoided && !avoided) ||
-                        (best_avoided == avoided && cost < best_cost);
-    if (!better) continue;
-    best = each;
-    best_cost = cost;
-    best_avoided = avoided;
+    candidate next{each,
+                   Cost(*each, context, each == affinity_target) +
+                       random_.Uniform() * kJitterMs,
+                   avoided};
+    const bool may_send =
+        context.slots == nullptr || context.slots->MaySend(each->entry);
+    if (!may_send) {
+      next.cost += std::chrono::duration<double, std::milli>(
+                       context.slots->ExpectedDelay(each->entry))
+                       .count();
+    }
+    candidate& best = may_send ? free : limited;
+    if (best.IsWorseThan(next)) best = next;
+  }
+  target_choice choice{free.target, free.avoided, nullptr};
+  if (limited.target && free.IsWorseThan(limited)) {
+    choice.limited = limited.target;
   }
-  return best;
+  return choice;
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/forwarding/target_selector.h
+++ b/source/core/forwarding/target_selector.h
@@ -12,6 +12,7 @@
 #include "common/clock.h"
 #include "common/random.h"
 #include "core/fleet/target_directory.h"
+#include "core/limits/target_slots.h"
 
 namespace wisteriadale::core {
 
@@ -29,6 +30,16 @@
   /// Bytes of its stage results, by data centre.
   std::unordered_map<std::string, uint64_t> input_bytes;
   std::span<const std::string> tried;  ///< ids of targets not to try again
+  /// Requests that targets with a limit still take; null: limits do not count.
+  const target_slots* slots = nullptr;
+};
+
+/// The target that was chosen for a request.
+struct target_choice {
+  std::shared_ptr<fleet_target> target;  ///< null if there is none
+  bool avoided = false;                  ///< it is ejected or overloaded
+  /// A better target, whose limit allows no request now; null if there is none.
+  std::shared_ptr<fleet_target> limited;
 };
 
 /// Remembers which prompt parts were last sent to each target, as a hint of
@@ -84,8 +95,7 @@
         random_(random),
         data_centre_(std::move(data_centre)) {}
 
-  /// @return a target, or null if there is none to try
-  std::shared_ptr<fleet_target> Choose(const selection_context& context);
+  target_choice Choose(const selection_context& context);
   /// @return the data centre in which a request is likely to run; empty if
   /// there is no target
   std::string LikelyDataCentre(const selection_context& context);
--- /dev/null
+++ b/source/core/limits/target_limits.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/clock.h"
+#include "core/fleet/target_directory.h"
+#include "core/limits/limit_messages.h"
+#include "core/limits/request_limit.h"
+
+namespace wisteriadale::core {
+
+/// A response of a target, as far as its request limit is concerned.
+struct limit_observation {
+  request_limit limit;
+  common::time_point sent_at{};  ///< when its request was sent
+  /// It is the target's own response, so that a missing limit means that there
+  /// is none.
+  bool conclusive = false;
+};
+
+/// The request limits that targets have named, as this gateway knows them from
+/// its own responses and from other gateways' reports.
+///
+/// Responses of one target overtake each other. A limit that was named holds
+/// until a response without one arrives to a request that was sent later. A
+/// limit belongs to one start of its target.
+class target_limits {
+ public:
+  explicit target_limits(common::clock& clock) : clock_(clock) {}
+
+  /// @param handler receives each change that this gateway observes, for the
+  /// other gateways
+  void SetReportHandler(std::function<void(const limit_report&)> handler) {
+    on_report_ = std::move(handler);
+  }
+  /// @param handler called with the id of a target whose limit has ended
+  void SetEndedHandler(std::function<void(const std::string&)> handler) {
+    on_ended_ = std::move(handler);
+  }
+
+  /// Applies what a response says.
+  /// @param request_id of the request, for the log
+  void OnResponse(const target_entry& target,
+                  const limit_observation& observation,
+                  std::string_view request_id);
+  /// Merges another gateway's report, unless newer observations are known.
+  void Merge(const limit_report& report, std::string_view gateway);
+  /// @return what is known, for a gateway that joins
+  std::vector<limit_report> Reports() const;
+
+  /// @return whether no target has a limit, which is the usual case
+  bool empty() const { return limited_ == 0; }
+  size_t limited() const { return limited_; }
+  /// @return requests per second that the target takes from all gateways,
+  /// within the bounds of what can be scheduled; nothing if it has no limit
+  std::optional<double> LimitOf(std::string_view target,
+                                int64_t started_ms) const;
+
+ private:
+  struct entry {
+    int64_t started_ms = 0;
+    bool limited = false;  ///< else the limit has ended
+    double per_second = 0;
+    common::time_point observed_at{};
+  };
+
+  /// @return whether what was observed differs from what was known
+  bool Apply(const std::string& target, const entry& observed);
+  void EvictOldest();
+  limit_report ToReport(const std::string& target, const entry& known) const;
+  void Log(const std::string& target, std::string_view request_id,
+           std::string_view source, double previous) const;
+
+  common::clock& clock_;
+  std::map<std::string, entry, std::less<>> entries_;
+  size_t limited_ = 0;
+  std::function<void(const limit_report&)> on_report_;
+  std::function<void(const std::string&)> on_ended_;
+};
+
+}  // namespace wisteriadale::core
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -59,6 +59,7 @@
   deps_.loop.Cancel(timeout_timer_);
   deps_.loop.Cancel(resume_timer_);
   deps_.loop.Cancel(stage_timer_);
+  deps_.slots.CancelWait(slot_wait_);
 }
 
 const std::string& forward_request::organisation_name() const {
@@ -193,6 +194,7 @@
   context.parts = prompt_parts_;
   context.prompt_tokens = prompt_tokens_;
   context.tried = tried_targets_;
+  context.slots = &deps_.slots;
   return context;
 }
 
@@ -214,16 +216,21 @@
   }
   // The quarantine may have begun while the stages ran.
   if (plan_ && attempts_ == 0 && RejectQuarantined()) return;
-  const core::selection_context context = SelectionContextWithInputs();
-  target_ = deps_.selector.Choose(context);
-  if (!target_) {
-    if (may_have_run_) {
-      RespondUnknownOutcome("no other target available");
-    } else {
-      RespondNotRun("no target available");
-    }
+  const core::target_choice choice =
+      deps_.selector.Choose(SelectionContextWithInputs());
+  // A healthy target with a limit goes before an ejected one without.
+  const bool waits_if_limited = !choice.target || choice.avoided;
+  if (choice.limited && waits_if_limited && WaitForSlot(*choice.limited)) {
+    return;
+  }
+  if (!choice.target) {
+    RespondNoTarget();
     return;
   }
+  if (choice.limited && !waits_if_limited) {
+    deps_.slots.Want(choice.limited->entry);
+  }
+  target_ = choice.target;
   const common::duration remaining = RemainingTime();
   net::outgoing_request request;
   const std::optional<net::endpoint> target_address =
@@ -249,6 +256,8 @@
 void forward_request::RecordAttemptStart(common::duration remaining) {
   tried_targets_.push_back(target_->entry.id);
   ++attempts_;
+  attempt_started_ = deps_.clock.Now();
+  deps_.slots.Use(target_->entry);
   target_->in_flight += 1;
   const uint32_t cached_tokens =
       deps_.selector.hints().HeldTokens(target_->entry.id, prompt_parts_);
@@ -319,7 +328,7 @@
   inputs_missing_ =
       codec.IndicatesMissingInputs(head.status, has_not_run_header);
   response_signed_ = head.Find(deps_.codec.headers().signature) != nullptr;
-  LogRequestLimit();
+  ObserveLimit();
   target_->outstanding_tokens -= outstanding_tokens_;
   outstanding_tokens_ = 0;
   if (!Succeeded()) return;
@@ -331,18 +340,6 @@
   }
 }
 
-void forward_request::LogRequestLimit() {
-  const core::request_limit limit =
-      RequestLimitOf(response_head_, deps_.codec.headers().request_limit);
-  if (limit.statement == core::limit_statement::kNone) return;
-  common::LogEvent(log_event::kLimitNamed, request_id_,
-                   {{"target", target_->entry.id},
-                    {"service", service_},
-                    {"valid", limit.statement == core::limit_statement::kNamed},
-                    {"per_second", limit.per_second},
-                    {"in_flight", int64_t{target_->in_flight}}});
-}
-
 void forward_request::StartRelay(const net::message_head& head) {
   relaying_ = true;
   streaming_events_ =
@@ -583,7 +580,7 @@
 
 common::duration forward_request::RetryAfter() {
   const common::time_point now = deps_.clock.Now();
-  common::duration min_delay = kRefusedRetryAfter;
+  common::duration min_delay = std::max(kRefusedRetryAfter, next_slot_delay_);
   if (!route_->stages.empty() &&
       piece_counts_.size() == route_->stages.size()) {
     min_delay = std::max(min_delay, deps_.latency_estimator
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -120,8 +120,19 @@
   /// caller.
   void FinishAttempt(core::attempt_outcome outcome);
   void UpdateTargetHealth(core::attempt_outcome outcome);
-  /// Logs the request limit that the target names in its response, if any.
-  void LogRequestLimit();
+  /// Records what the response says about the request limit of its target.
+  void ObserveLimit();
+  /// Waits for a slot of a target whose limit allows no request now.
+  /// @return whether it waits; else the target has no slot in time
+  bool WaitForSlot(const core::fleet_target& target);
+  /// @return how long it is of use to wait for a slot
+  common::duration MaxSlotDelay() const;
+  void OnSlotOutcome(const core::slot_outcome& outcome);
+  /// Records how long it takes until a target has a free slot.
+  void NoteSlotDelay(common::duration delay);
+  /// Responds, or ends the response that is being relayed, as no target takes
+  /// the request.
+  void RespondNoTarget();
   /// Sends the complete response of the target to the caller.
   void ForwardResponse(const std::string& target);
   /// Logs and counts the outcome and ends the request; `this` is destroyed.
@@ -179,6 +190,11 @@
   double outstanding_tokens_ = 0;  ///< counted at the target by this attempt
   std::unique_ptr<net::http1_call> call_;
   std::vector<std::string> tried_targets_;  ///< ids
+  common::time_point attempt_started_{};
+  uint64_t slot_wait_ = 0;   ///< id of the wait for a slot; 0: none
+  uint32_t slot_waits_ = 0;  ///< number of waits
+  /// Time until the next free slot of those that were denied; 0: none was.
+  common::duration next_slot_delay_{0};
   uint32_t attempts_ = 0;
   uint32_t failed_dials_ = 0;
   bool may_have_run_ = false;
--- /dev/null
+++ b/source/gateway/forward_request_limits.cc
@@ -0,0 +1,83 @@
+#include <algorithm>
+
+#include "common/event_log.h"
+#include "gateway/forward_headers.h"
+#include "gateway/forward_request.h"
+
+// Requests to targets that name a limit.
+
+namespace wisteriadale::gateway {
+namespace {
+
+using common::log_event;
+
+// Each wait asks the owner of one target's slots. Owners remember what they
+// denied, so that more waits hardly find a slot.
+constexpr uint32_t kMaxSlotWaits = 3;
+// A request that is late already waits this long: a reply of an owner takes a
+// few milliseconds.
+constexpr common::duration kMinSlotDelay = std::chrono::milliseconds(100);
+
+}  // namespace
+
+void forward_request::ObserveLimit() {
+  core::limit_observation observation;
+  observation.limit =
+      RequestLimitOf(response_head_, deps_.codec.headers().request_limit);
+  observation.sent_at = attempt_started_;
+  observation.conclusive = response_signed_;
+  deps_.limits.OnResponse(target_->entry, observation, request_id_);
+}
+
+common::duration forward_request::MaxSlotDelay() const {
+  const common::duration to_objective = objective_ - deps_.clock.Now();
+  return std::min(std::max(to_objective, kMinSlotDelay), RemainingTime());
+}
+
+bool forward_request::WaitForSlot(const core::fleet_target& target) {
+  const common::duration expected = deps_.slots.ExpectedDelay(target.entry);
+  const common::duration max_delay = MaxSlotDelay();
+  const bool waits = slot_waits_ < kMaxSlotWaits && expected <= max_delay;
+  common::LogEvent(log_event::kSlotWait, request_id_,
+                   {{"target", target.entry.id},
+                    {"service", service_},
+                    {"waits", waits},
+                    {"earlier_waits", int64_t{slot_waits_}},
+                    {"expected_ms", common::ToMillis(expected)},
+                    {"max_ms", common::ToMillis(max_delay)}});
+  if (!waits) {
+    NoteSlotDelay(expected);
+    return false;
+  }
+  ++slot_waits_;
+  slot_wait_ = deps_.slots.Wait(
+      target.entry, max_delay,
+      [this](const core::slot_outcome& outcome) { OnSlotOutcome(outcome); });
+  return true;
+}
+
+void forward_request::OnSlotOutcome(const core::slot_outcome& outcome) {
+  slot_wait_ = 0;
+  if (!outcome.granted) NoteSlotDelay(outcome.delay);
+  StartAttempt();
+}
+
+void forward_request::NoteSlotDelay(common::duration delay) {
+  next_slot_delay_ =
+      next_slot_delay_.count() == 0 ? delay : std::min(next_slot_delay_, delay);
+}
+
+void forward_request::RespondNoTarget() {
+  if (relaying_) {
+    exchange_->Abort();
+    Conclude("cut: no other target available", response_head_.status, "");
+  } else if (may_have_run_) {
+    RespondUnknownOutcome("no other target available");
+  } else if (next_slot_delay_.count() > 0) {
+    RespondNotRun("the targets take no more requests at present");
+  } else {
+    RespondNotRun("no target available");
+  }
+}
+
+}  // namespace wisteriadale::gateway
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -14,6 +14,8 @@
 #include "core/fleet/target_ejection.h"
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/forwarding/target_selector.h"
+#include "core/limits/target_limits.h"
+#include "core/limits/target_slots.h"
 #include "core/ports/deployment_codec.h"
 #include "core/quarantine/crash_suspects.h"
 #include "core/routes/route_table.h"
@@ -39,6 +41,8 @@
   const core::target_ejection& ejection;
   core::crash_suspects& suspects;       ///< requests
   core::crash_suspects& part_suspects;  ///< parts of prompts
+  core::target_limits& limits;
+  core::target_slots& slots;
   core::caller_retry_detector& caller_retries;
   stage_router& stages;
   core::stage_latency_estimator& latency_estimator;
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -322,4 +322,10 @@
   return count;
 }
 
+size_t gateway_links::ExpectedGatewayCount() const {
+  const size_t recent = RecentGatewayCount();
+  if (clock_.Now() - started_at_ >= kRecent) return recent;
+  return std::max(recent, addresses_.size() + 1);
+}
+
 }  // namespace wisteriadale::gateway
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -39,7 +39,10 @@
   /// Adds a link that another gateway opened.
   void Accept(const std::shared_ptr<net::channel>& channel);
   /// Starts dialling, and pinging open links.
-  void Start() { Tick(); }
+  void Start() {
+    started_at_ = clock_.Now();
+    Tick();
+  }
   /// Closes all links.
   void Stop();
   /// Tells the other gateways that this one owns no queue from now on.
@@ -76,6 +79,10 @@
   size_t LinkedGatewayCount() const;
   /// @return number of gateways linked within the last minute, plus this one
   size_t RecentGatewayCount() const;
+  /// @return number of gateways that may be running, this one included: those
+  /// linked within the last minute, and in the first minute after a start those
+  /// whose address is known
+  size_t ExpectedGatewayCount() const;
   /// @return bytes that are queued on all links and not yet written
   size_t PendingBytes() const;
 
@@ -128,6 +135,7 @@
   std::map<std::string, common::time_point, std::less<>> last_seen_;
   common::timer_id timer_ = 0;
   core::lag_monitor lag_monitor_{core::lag_monitor_options()};
+  common::time_point started_at_{};
   common::time_point last_tick_{};
   bool stopping_ = false;
   std::function<void(const std::string&, const core::gateway_message&)>
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -184,6 +184,15 @@
   void operator()(const core::routes_request& request) const {
     process->OnRoutesRequest(gateway, request);
   }
+  void operator()(const core::limit_report& report) const {
+    process->limits_->Merge(report, gateway);
+  }
+  void operator()(const core::slot_request& request) const {
+    process->slots_->OnRequest(gateway, request);
+  }
+  void operator()(const core::slot_reply& reply) const {
+    process->slots_->OnReply(gateway, reply);
+  }
   // Handled by gateway_links.
   void operator()(const core::gateway_hello&) const {}
   void operator()(const core::gateway_ping&) const {}
@@ -207,10 +216,12 @@
       links_->Broadcast(report);
     });
   }
+  CreateLimits();
   stage_router_ =
       std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   dispatcher_ = std::make_unique<stage_dispatcher>(
       *loop_, clock_, *client_, *codec_, routes_, targets_, *retry_budget_,
+      *limits_, *slots_,
       [this](const std::string& gateway,
              const core::stage_job_outcome& outcome) {
         stage_router_->ReportOutcome(gateway, outcome);
@@ -223,7 +234,8 @@
   forwarder_ = std::make_unique<forwarder>(forward_dependencies{
       *loop_, clock_, *random_, *client_, *codec_, routes_, targets_,
       *selector_, *retry_budget_, ejection_, *suspects_, *part_suspects_,
-      *caller_retries_, *stage_router_, *latency_estimator_, *admission_});
+      *limits_, *slots_, *caller_retries_, *stage_router_, *latency_estimator_,
+      *admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   targets_.SetLeavingHandler(
       [this](const core::fleet_target& target, core::leaving_reason why) {
@@ -233,26 +245,43 @@
       [this](const std::string& gateway, const core::gateway_message& message) {
         std::visit(message_visitor{this, gateway}, message);
       });
-  links_->SetJoinedHandler([this](const std::string& gateway) {
-    retry_budget_->SetGateways(links_->RecentGatewayCount());
-    if (routes_.current()) {
-      links_->Send(gateway,
-                   core::routes_message{routes_.current()->version(), ""});
-    }
-    for (const core::crash_suspects* each :
-         {suspects_.get(), part_suspects_.get()}) {
-      for (const core::crash_report& report :
-           each->Reports(kMinPassedCrashes)) {
-        links_->Send(gateway, report);
-      }
-    }
-  });
+  links_->SetJoinedHandler(
+      [this](const std::string& gateway) { OnGatewayJoined(gateway); });
   links_->SetLostHandler([this](const std::string& gateway) {
     routes_exchange_->OnGatewayLost(gateway);
     stage_router_->OnGatewayLost(gateway);
   });
 }
 
+void gateway_process::CreateLimits() {
+  limits_ = std::make_unique<core::target_limits>(clock_);
+  limit_links_ = std::make_unique<limit_links>(name_, *links_);
+  slots_ = std::make_unique<core::target_slots>(core::target_slots_options(),
+                                                *limits_, *limit_links_, clock_,
+                                                *loop_, *random_);
+  limits_->SetReportHandler(
+      [this](const core::limit_report& report) { links_->Broadcast(report); });
+  limits_->SetEndedHandler(
+      [this](const std::string& target) { slots_->OnLimitEnded(target); });
+}
+
+void gateway_process::OnGatewayJoined(const std::string& gateway) {
+  retry_budget_->SetGateways(links_->RecentGatewayCount());
+  if (routes_.current()) {
+    links_->Send(gateway,
+                 core::routes_message{routes_.current()->version(), ""});
+  }
+  for (const core::crash_suspects* each :
+       {suspects_.get(), part_suspects_.get()}) {
+    for (const core::crash_report& report : each->Reports(kMinPassedCrashes)) {
+      links_->Send(gateway, report);
+    }
+  }
+  for (const core::limit_report& report : limits_->Reports()) {
+    links_->Send(gateway, report);
+  }
+}
+
 bool gateway_process::CreateServers(
     const settings::settings_document& settings) {
   const std::optional<net::endpoint> callers =
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -19,6 +19,7 @@
 #include "core/stages/stage_latency_estimator.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_links.h"
+#include "gateway/limit_links.h"
 #include "gateway/stage_dispatcher.h"
 #include "gateway/stage_router.h"
 #include "net/event_loop.h"
@@ -60,6 +61,10 @@
   /// @return success; else LastError is set
   bool CreateServers(const settings::settings_document& settings);
   void ConnectComponents();
+  /// Creates what keeps requests within the limits of targets.
+  void CreateLimits();
+  /// Tells a gateway that joins what it cannot learn from the store.
+  void OnGatewayJoined(const std::string& gateway);
   /// Applies the limits of new routes and announces their version to the other
   /// gateways.
   void OnRoutesChanged();
@@ -101,6 +106,9 @@
   std::unique_ptr<core::caller_retry_detector> caller_retries_;
   std::unique_ptr<core::stage_admission> admission_;
   std::unique_ptr<gateway_links> links_;
+  std::unique_ptr<core::target_limits> limits_;
+  std::unique_ptr<limit_links> limit_links_;
+  std::unique_ptr<core::target_slots> slots_;
   std::unique_ptr<core::routes_exchange> routes_exchange_;
   std::unique_ptr<stage_router> stage_router_;
   std::unique_ptr<stage_dispatcher> dispatcher_;
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "common/event_log.h"
 #include "common/metrics.h"
+#include "gateway/forward_headers.h"
 
 namespace wisteriadale::gateway {
 namespace {
@@ -21,6 +22,7 @@
 // Failed releases are not retried: targets drop results by themselves after a
 // few seconds.
 // A response names one handle for each piece of a call.
+constexpr int kStatusOk = 200;
 constexpr uint64_t kMaxResponseBytes = uint64_t{1} << 20;
 constexpr common::duration kReleaseTimeout = std::chrono::milliseconds(1000);
 
@@ -72,6 +74,13 @@
     status_ = head.status;
     not_run_ = owner_.codec_.IndicatesNotRun(
         head.status, head.Find(owner_.codec_.headers().not_run) != nullptr);
+    core::limit_observation observation;
+    observation.limit =
+        RequestLimitOf(head, owner_.codec_.headers().request_limit);
+    observation.sent_at = started_;
+    observation.conclusive = head.status == kStatusOk;
+    owner_.limits_.OnResponse(batch_.target->entry, observation,
+                              batch_.pieces.front().request_id);
   }
   void OnBody(std::string_view data) override { body_.append(data); }
 
@@ -81,7 +90,7 @@
       End(UniformResults(count, core::piece_outcome::kNotRun));
       return;
     }
-    if (status_ == 200) {
+    if (status_ == kStatusOk) {
       std::optional<std::vector<core::piece_result>> results =
           owner_.codec_.DecodePieces(batch_.target->entry.address, count,
                                      body_);
@@ -156,6 +165,7 @@
     net::event_loop& loop, common::clock& clock, net::http1_client& client,
     const core::deployment_codec& codec, const core::route_holder& routes,
     core::target_directory& targets, core::gateway_retry_budget& retry_budget,
+    core::target_limits& limits, core::target_slots& slots,
     outcome_handler on_outcome, load_handler on_load)
     : loop_(loop),
       clock_(clock),
@@ -164,6 +174,8 @@
       routes_(routes),
       targets_(targets),
       retry_budget_(retry_budget),
+      limits_(limits),
+      slots_(slots),
       on_outcome_(std::move(on_outcome)),
       on_load_(std::move(on_load)) {
   ReportLoads();
@@ -323,8 +335,11 @@
   ReportOutcomes(service, queue->TakeExpired(now));
   while (true) {
     std::optional<core::piece_batch> batch =
-        queue->Next(targets_.Pool(service), now);
+        limits_.empty() || queue->queued_pieces() == 0
+            ? queue->Next(targets_.Pool(service), now)
+            : queue->Next(SendableTargets(service), now);
     if (!batch) break;
+    slots_.Use(batch->target->entry);
     StartCall(service, std::move(*batch));
   }
   if (dispatch_timer_ != 0 || (queue->queued_pieces() == 0 && calls_.empty())) {
@@ -337,6 +352,20 @@
   });
 }
 
+core::target_directory::pool stage_dispatcher::SendableTargets(
+    const std::string& service) {
+  core::target_directory::pool sendable;
+  for (const std::shared_ptr<core::fleet_target>& each :
+       targets_.Pool(service)) {
+    if (slots_.MaySend(each->entry)) {
+      sendable.push_back(each);
+    } else if (each->Usable(clock_.Now())) {
+      slots_.Want(each->entry);
+    }
+  }
+  return sendable;
+}
+
 void stage_dispatcher::StartCall(const std::string& service,
                                  core::piece_batch batch) {
   common::Metrics().Count("wisteria_stage_calls_total", {{"service", service}});
--- a/source/gateway/stage_dispatcher.h
+++ b/source/gateway/stage_dispatcher.h
@@ -12,6 +12,8 @@
 #include "common/clock.h"
 #include "core/fleet/target_directory.h"
 #include "core/forwarding/gateway_retry_budget.h"
+#include "core/limits/target_limits.h"
+#include "core/limits/target_slots.h"
 #include "core/ports/deployment_codec.h"
 #include "core/routes/route_table.h"
 #include "core/stages/piece_queue.h"
@@ -37,6 +39,7 @@
                    const core::route_holder& routes,
                    core::target_directory& targets,
                    core::gateway_retry_budget& retry_budget,
+                   core::target_limits& limits, core::target_slots& slots,
                    outcome_handler on_outcome, load_handler on_load);
   ~stage_dispatcher();
   stage_dispatcher(const stage_dispatcher&) = delete;
@@ -73,6 +76,9 @@
   bool TryAcquireRetries(const stage_call& call);
   /// Ends expired jobs and starts all calls that can start now.
   void Dispatch(const std::string& service, core::piece_queue* queue);
+  /// @return the targets of a service whose limits allow a call now. Asks for
+  /// slots of the others.
+  core::target_directory::pool SendableTargets(const std::string& service);
   void StartCall(const std::string& service, core::piece_batch batch);
   void OnCallEnd(stage_call* ended,
                  const std::vector<core::piece_result>& results);
@@ -90,6 +96,8 @@
   const core::route_holder& routes_;
   core::target_directory& targets_;
   core::gateway_retry_budget& retry_budget_;
+  core::target_limits& limits_;
+  core::target_slots& slots_;
   outcome_handler on_outcome_;
   load_handler on_load_;
   std::map<std::string, std::unique_ptr<core::piece_queue>> queues_;
--- a/source/unit_tests/core/forwarding/forwarding_test.cc
+++ b/source/unit_tests/core/forwarding/forwarding_test.cc
@@ -158,19 +158,19 @@
 TEST(TargetSelector, AllGatewaysSendASharedPrefixToTheSameTarget) {
   core::target_selector first = Selector();
   core::target_selector peer = Selector();
-  const std::string affinity_target = first.Choose(Context())->entry.id;
+  const std::string affinity_target = first.Choose(Context()).target->entry.id;
   for (int i = 0; i < 10; ++i) {
-    CHECK_EQUAL(affinity_target, first.Choose(Context())->entry.id);
-    CHECK_EQUAL(affinity_target, peer.Choose(Context())->entry.id);
+    CHECK_EQUAL(affinity_target, first.Choose(Context()).target->entry.id);
+    CHECK_EQUAL(affinity_target, peer.Choose(Context()).target->entry.id);
   }
 }
 
 TEST(TargetSelector, ABusyAffinityTargetIsSkipped) {
   core::target_selector selector = Selector();
   const std::shared_ptr<core::fleet_target> affinity_target =
-      selector.Choose(Context());
+      selector.Choose(Context()).target;
   affinity_target->outstanding_tokens = 50000;
-  CHECK(selector.Choose(Context()) != affinity_target);
+  CHECK(selector.Choose(Context()).target != affinity_target);
 }
 
 TEST(TargetSelector, LargeInputsDetermineTheDataCentre) {
@@ -179,7 +179,7 @@
   core::selection_context context = Context();
   context.input_bytes["b"] = 7500000;
   for (int i = 0; i < 10; ++i) {
-    CHECK_EQUAL("b", selector.Choose(context)->entry.data_centre);
+    CHECK_EQUAL("b", selector.Choose(context).target->entry.data_centre);
   }
 }
 
@@ -189,9 +189,9 @@
     targets.Find("t" + std::to_string(i))->ejected_until =
         time.Now() + std::chrono::seconds(1);
   }
-  CHECK_EQUAL("t5", selector.Choose(Context())->entry.id);
+  CHECK_EQUAL("t5", selector.Choose(Context()).target->entry.id);
   const std::vector<std::string> tried = {"t5"};
   core::selection_context context = Context();
   context.tried = tried;
-  CHECK(selector.Choose(context) != nullptr);
+  CHECK(selector.Choose(context).target != nullptr);
 }
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -122,6 +122,32 @@
     to.gone = from.gone;
     frame->__set_leaving_part(to);
   }
+  void operator()(const core::limit_report& from) const {
+    generated::target_limit to;
+    to.target = from.target;
+    to.started_ms = from.started_ms;
+    to.ended = from.ended;
+    to.per_second = from.per_second;
+    to.age_ms = Milliseconds(from.age);
+    frame->__set_limit_part(to);
+  }
+  void operator()(const core::slot_request& from) const {
+    generated::slot_request to;
+    to.id = static_cast<int64_t>(from.id);
+    to.target = from.target;
+    to.started_ms = from.started_ms;
+    to.per_second = from.per_second;
+    to.max_delay_ms = Milliseconds(from.max_delay);
+    to.reserved_for_ms = Milliseconds(from.reserved_for);
+    frame->__set_slot_request_part(to);
+  }
+  void operator()(const core::slot_reply& from) const {
+    generated::slot_reply to;
+    to.id = static_cast<int64_t>(from.id);
+    to.verdict = static_cast<int32_t>(from.verdict);
+    to.delay_ms = Milliseconds(from.delay);
+    frame->__set_slot_reply_part(to);
+  }
 };
 
 core::stage_job_message FromWire(const generated::stage_order& from) {
@@ -167,6 +193,31 @@
   return to;
 }
 
+core::limit_report FromWire(const generated::target_limit& from) {
+  return {from.target, from.started_ms, from.ended, from.per_second,
+          common::milliseconds(from.age_ms)};
+}
+
+core::slot_request FromWire(const generated::slot_request& from) {
+  return {static_cast<uint64_t>(from.id),
+          from.target,
+          from.started_ms,
+          from.per_second,
+          common::milliseconds(from.max_delay_ms),
+          common::milliseconds(from.reserved_for_ms)};
+}
+
+std::optional<core::gateway_message> FromWire(
+    const generated::slot_reply& from) {
+  if (from.verdict < 0 ||
+      from.verdict > static_cast<int32_t>(core::slot_verdict::kNotOwner)) {
+    return std::nullopt;
+  }
+  return core::slot_reply{static_cast<uint64_t>(from.id),
+                          static_cast<core::slot_verdict>(from.verdict),
+                          common::milliseconds(from.delay_ms)};
+}
+
 std::optional<core::gateway_message> FromWire(
     const generated::gateway_frame& frame) {
   if (frame.__isset.hello_part) {
@@ -218,6 +269,9 @@
         frame.crashes_part.digest,
         static_cast<uint32_t>(frame.crashes_part.crashes)};
   }
+  if (frame.__isset.limit_part) return FromWire(frame.limit_part);
+  if (frame.__isset.slot_request_part) return FromWire(frame.slot_request_part);
+  if (frame.__isset.slot_reply_part) return FromWire(frame.slot_reply_part);
   return std::nullopt;
 }
 
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -94,6 +94,30 @@
   2: i32 crashes
 }
 
+struct target_limit {
+  1: string target
+  2: i64 started_ms
+  3: bool ended
+  4: double per_second
+  5: i32 age_ms
+}
+
+struct slot_request {
+  1: i64 id
+  2: string target
+  3: i64 started_ms
+  4: double per_second
+  5: i32 max_delay_ms
+  6: i32 reserved_for_ms
+}
+
+// Values of verdict: 0 granted, 1 denied, 2 not the owner.
+struct slot_reply {
+  1: i64 id
+  2: i32 verdict
+  3: i32 delay_ms
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -109,4 +133,7 @@
   12: optional crash_count crashes_part
   13: optional speed speed_part
   14: optional routes_request routes_request_part
+  15: optional target_limit limit_part
+  16: optional slot_request slot_request_part
+  17: optional slot_reply slot_reply_part
 }
