Ask again for slots within a second of a denial

Simulated gateways (LimitCluster, virtual time) showed it: of 22 gateways that started together, one with all the demand got its first slot after 18.9 s. The owner had linked to none of the others yet, so its part of 1.2 a second was a 22nd, and the asker believed the denial's 18 s. The time of the next free slot is now believed for one second.

--- a/source/core/limits/target_slots.cc
+++ b/source/core/limits/target_slots.cc
@@ -75,7 +75,12 @@
 common::duration target_slots::ExpectedDelay(const target_entry& target) const {
   const auto found = targets_.find(target.id);
   if (found == targets_.end()) return common::duration(0);
-  return std::max(found->second.next_free - clock_.Now(), common::duration(0));
+  const target_state& state = found->second;
+  const common::time_point now = clock_.Now();
+  if (now - state.next_free_known_at > options_.recheck_period) {
+    return common::duration(0);
+  }
+  return std::max(state.next_free - now, common::duration(0));
 }
 
 uint64_t target_slots::Wait(const target_entry& target,
@@ -216,14 +221,14 @@
   request.decided = true;
   request.due = clock_.Now() + reservation.delay;
   target_state& state = targets_[request.target];
+  state.next_free = request.due;
+  state.next_free_known_at = clock_.Now();
   if (reservation.granted) {
     state.last_slot = std::max(state.last_slot, request.due);
-    state.next_free = request.due;
     request.timer =
         timers_.Schedule(reservation.delay, [this, id] { OnSlotDue(id); });
     return;
   }
-  state.next_free = request.due;
   // Deferred, since a request may be decided while it is made.
   request.timer = timers_.Schedule(common::duration(0),
                                    [this, id, delay = reservation.delay] {
--- a/source/core/limits/target_slots.h
+++ b/source/core/limits/target_slots.h
@@ -41,6 +41,9 @@
   common::duration validity = std::chrono::milliseconds(500);
   /// An owner that has not replied by then does not count.
   common::duration reply_timeout = std::chrono::milliseconds(250);
+  /// How long the time of the next free slot is believed: it comes earlier when
+  /// the owner changes, or reaches more gateways.
+  common::duration recheck_period = std::chrono::seconds(1);
   /// A gateway that was denied slots while other targets served its requests
   /// waits longer each time, between these bounds.
   common::duration min_back_off = std::chrono::milliseconds(50);
@@ -108,6 +111,7 @@
     std::vector<slot> ready;         ///< in the order of their expiry
     common::time_point last_slot{};  ///< latest that was granted
     common::time_point next_free{};  ///< as the owner last said
+    common::time_point next_free_known_at{};
     uint64_t wanted = 0;   ///< id of a request without a waiting handler
     uint32_t denials = 0;  ///< in a row
     common::time_point next_want{};
