Grant slots only for gateways that choose the same owners

Two gateways that lost their link, but not those to the others, could both own a target: one by the view of all others, the next in rank by its own view alone, and each granted the part of all gateways that it reached.

Gateways now tell each other a digest of the gateways among which they choose owners. An owner grants the part of those that sent the same digest, so that the parts of all owners add up to the whole.

With it, unit tests of limits, slots and messages. They showed that a rate near 0 in a message overflowed a duration, and that of two observations of one microsecond the later one was dropped.

--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -26,6 +26,12 @@
   bool slow = false;
 };
 
+/// The gateways among which the sender chooses owners; sent on each change and
+/// on new links.
+struct gateway_view {
+  uint64_t digest = 0;  ///< see ViewDigest
+};
+
 /// Heartbeat of a link. The receiver returns it with `answer` set.
 struct gateway_ping {
   uint64_t sequence = 0;
@@ -109,12 +115,11 @@
   std::vector<std::string> gone;      ///< ids without an entry
 };
 
-using gateway_message =
-    std::variant<gateway_hello, gateway_ping, stage_job_message,
-                 stage_outcome_message, stage_cancellation_message,
-                 stage_release_message, routes_message, leaving_targets_message,
-                 upcoming_stage_message, service_load_message,
-                 gateway_shutdown_notice, crash_report, gateway_slow_state,
-                 routes_request, limit_report, slot_request, slot_reply>;
+using gateway_message = std::variant<
+    gateway_hello, gateway_ping, stage_job_message, stage_outcome_message,
+    stage_cancellation_message, stage_release_message, routes_message,
+    leaving_targets_message, upcoming_stage_message, service_load_message,
+    gateway_shutdown_notice, crash_report, gateway_slow_state, routes_request,
+    limit_report, slot_request, slot_reply, gateway_view>;
 
 }  // namespace wisteriadale::core
--- a/source/core/fleet/queue_owner.cc
+++ b/source/core/fleet/queue_owner.cc
@@ -39,4 +39,14 @@
   return owner;
 }
 
+uint64_t ViewDigest(std::span<const owner_candidate> candidates) {
+  uint64_t digest = 0;
+  for (const owner_candidate& each : candidates) {
+    std::string key = each.name;
+    if (each.slow) key.append("/slow");
+    digest ^= common::Hash64(key);
+  }
+  return digest;
+}
+
 }  // namespace wisteriadale::core
--- a/source/core/fleet/queue_owner.h
+++ b/source/core/fleet/queue_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,4 +23,8 @@
 std::string ChooseQueueOwner(std::span<const owner_candidate> candidates,
                              std::string_view service);
 
+/// @return a digest of the candidates, whatever their order: gateways with the
+/// same digest choose the same owners
+uint64_t ViewDigest(std::span<const owner_candidate> candidates);
+
 }  // namespace wisteriadale::core
--- a/source/core/limits/limit_messages.h
+++ b/source/core/limits/limit_messages.h
@@ -14,6 +14,7 @@
   bool ended = false;           ///< the target no longer names a limit
   double per_second = 0;        ///< from all gateways together
   common::milliseconds age{0};  ///< of the observation
+  bool operator==(const limit_report&) const = default;
 };
 
 /// Asks the owner of a target's slots for one: the permission to send a request
@@ -28,6 +29,7 @@
   /// Time until the last slot that the sender has. Tells a new owner what
   /// earlier owners have granted.
   common::milliseconds reserved_for{0};
+  bool operator==(const slot_request&) const = default;
 };
 
 enum class slot_verdict {
@@ -40,6 +42,7 @@
   uint64_t id = 0;
   slot_verdict verdict = slot_verdict::kDenied;
   common::milliseconds delay{0};  ///< until the slot, or the next free one
+  bool operator==(const slot_reply&) const = default;
 };
 
 }  // namespace wisteriadale::core
--- a/source/core/limits/slot_schedule.cc
+++ b/source/core/limits/slot_schedule.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr size_t kMaxEntries = 4096;
+// Larger values would overflow a duration.
+constexpr double kMaxIntervalSeconds = 3600;
 
 }  // namespace
 
@@ -31,8 +33,9 @@
                                         common::duration max_delay) {
   const common::time_point now = clock_.Now();
   entry& known = EntryOf(target);
-  const common::time_point slot =
-      std::max(now, known.last_slot + common::FromSeconds(1 / per_second));
+  const common::time_point slot = std::max(
+      now, known.last_slot + common::FromSeconds(std::min(
+                                 1 / per_second, kMaxIntervalSeconds)));
   if (slot - now > max_delay) return {false, slot - now};
   known.last_slot = slot;
   return {true, slot - now};
--- a/source/core/limits/target_limits.cc
+++ b/source/core/limits/target_limits.cc
@@ -89,7 +89,7 @@
     const entry& before = known->second;
     const bool outdated = before.started_ms > observed.started_ms ||
                           (before.started_ms == observed.started_ms &&
-                           before.observed_at >= observed.observed_at);
+                           before.observed_at > observed.observed_at);
     if (outdated) return;
     if (before.limited) previous = before.per_second;
   }
--- a/source/core/limits/target_slots.cc
+++ b/source/core/limits/target_slots.cc
@@ -156,7 +156,7 @@
   }
   const size_t expected = std::max<size_t>(peers_.expected(), 1);
   const double part =
-      static_cast<double>(std::min(peers_.reachable(), expected)) /
+      static_cast<double>(std::min(peers_.agreeing(), expected)) /
       static_cast<double>(expected);
   const double per_second = limits_.LimitOf(request.target, request.started_ms)
                                 .value_or(request.per_second);
--- a/source/core/limits/target_slots.h
+++ b/source/core/limits/target_slots.h
@@ -24,8 +24,9 @@
   /// @return name of the gateway that schedules a target's slots, among those
   /// that can be reached
   virtual std::string OwnerOf(std::string_view target) const = 0;
-  /// @return gateways that can be reached, this one included
-  virtual size_t reachable() const = 0;
+  /// @return gateways, this one included, that can be reached and choose owners
+  /// among the same gateways as this one
+  virtual size_t agreeing() const = 0;
   /// @return gateways that may be running, reachable or not, this one included
   virtual size_t expected() const = 0;
   /// @return whether the message was queued
@@ -62,10 +63,10 @@
 /// Each request to such a target needs a slot. One gateway owns the slots of a
 /// target and hands them out as they are asked for, so that they go where the
 /// requests are. It spaces them by the part of the limit that belongs to the
-/// gateways it reaches; the others, which may have chosen another owner, use
-/// the rest. A gateway whose owner does not reply schedules its own equal part.
-/// Unused slots expire, so a gateway that stops or falls silent holds none for
-/// long.
+/// gateways that agree on the owner; the others, which may have chosen another
+/// one, use the rest. A gateway whose owner does not reply schedules its own
+/// equal part. Unused slots expire, so a gateway that stops or falls silent
+/// holds none for long.
 class target_slots {
  public:
   using outcome_handler = std::function<void(const slot_outcome&)>;
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -90,9 +90,24 @@
     if (linked || dialling_addresses_.contains(address)) continue;
     if (dial_states_[address].next <= now) Dial(address);
   }
+  AnnounceView();
   timer_ = loop_.Schedule(kTickPeriod, [this] { Tick(); });
 }
 
+void gateway_links::AnnounceView() {
+  const uint64_t digest = core::ViewDigest(OwnerCandidates());
+  if (digest == announced_view_) return;
+  announced_view_ = digest;
+  Broadcast(core::gateway_view{digest});
+}
+
+size_t gateway_links::AgreeingGatewayCount() const {
+  const uint64_t own = core::ViewDigest(OwnerCandidates());
+  return 1 + static_cast<size_t>(std::count_if(
+                 views_.begin(), views_.end(),
+                 [own](const auto& each) { return each.second == own; }));
+}
+
 void gateway_links::MonitorLag(common::time_point now) {
   const common::time_point due = last_tick_ + kTickPeriod;
   const bool first = last_tick_ == common::time_point();
@@ -194,6 +209,11 @@
     }
     return;
   }
+  if (const core::gateway_view* view =
+          std::get_if<core::gateway_view>(&*message)) {
+    if (!from->gateway.empty()) views_[from->gateway] = view->digest;
+    return;
+  }
   if (const core::gateway_hello* hello =
           std::get_if<core::gateway_hello>(&*message)) {
     OnHello(from, *hello);
@@ -234,6 +254,8 @@
   if (!joined) return;
   common::LogEvent(log_event::kGatewayLinked, "",
                    {{"gateway", hello.name}, {"address", hello.address}});
+  AnnounceView();
+  SendTo(from.get(), core::gateway_view{announced_view_});
   if (on_joined_) on_joined_(hello.name);
 }
 
@@ -248,8 +270,10 @@
                                    return each->gateway == lost->gateway;
                                  });
   if (!last) return;
+  views_.erase(lost->gateway);
   common::LogEvent(log_event::kGatewayLost, "",
                    {{"gateway", lost->gateway}, {"link", why}});
+  AnnounceView();
   if (on_lost_) on_lost_(lost->gateway);
 }
 
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -75,6 +75,9 @@
   std::vector<core::owner_candidate> OwnerCandidates() const;
   /// @return capacity of a gateway's VM, 0 if there is no open link to it
   double CapacityOf(std::string_view gateway) const;
+  /// @return number of gateways, this one included, that are linked and choose
+  /// owners among the same gateways as this one
+  size_t AgreeingGatewayCount() const;
   /// @return number of gateways with an open link
   size_t LinkedGatewayCount() const;
   /// @return number of gateways linked within the last minute, plus this one
@@ -112,6 +115,9 @@
                const core::gateway_hello& hello);
   /// @param why logged if it was the gateway's last link
   void RemoveLink(const std::shared_ptr<link>& lost, std::string_view why);
+  /// Tells the other gateways among which ones this one chooses owners, if that
+  /// has changed.
+  void AnnounceView();
   core::gateway_hello MakeHello() const;
   static void SendTo(link* to, const core::gateway_message& message);
 
@@ -133,6 +139,9 @@
   std::vector<std::shared_ptr<link>> links_;
   /// When each gateway last had an open link.
   std::map<std::string, common::time_point, std::less<>> last_seen_;
+  /// View digests that linked gateways announced.
+  std::map<std::string, uint64_t, std::less<>> views_;
+  uint64_t announced_view_ = 0;
   common::timer_id timer_ = 0;
   core::lag_monitor lag_monitor_{core::lag_monitor_options()};
   common::time_point started_at_{};
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -198,6 +198,7 @@
   void operator()(const core::gateway_ping&) const {}
   void operator()(const core::gateway_shutdown_notice&) const {}
   void operator()(const core::gateway_slow_state&) const {}
+  void operator()(const core::gateway_view&) const {}
 };
 
 void gateway_process::ConnectComponents() {
--- a/source/gateway/limit_links.h
+++ b/source/gateway/limit_links.h
@@ -19,7 +19,7 @@
   std::string OwnerOf(std::string_view target) const override {
     return core::ChooseQueueOwner(links_.OwnerCandidates(), target);
   }
-  size_t reachable() const override { return links_.LinkedGatewayCount() + 1; }
+  size_t agreeing() const override { return links_.AgreeingGatewayCount(); }
   size_t expected() const override { return links_.ExpectedGatewayCount(); }
   bool Send(const std::string& gateway,
             const core::slot_request& request) override {
--- a/source/unit_tests/core/limits/limit_cluster.h
+++ b/source/unit_tests/core/limits/limit_cluster.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -120,7 +121,7 @@
     }
 
     const std::string& name() const override { return own_name; }
-    std::string OwnerOf(std::string_view target) const override {
+    std::vector<core::owner_candidate> Candidates() const {
       std::vector<core::owner_candidate> candidates;
       candidates.push_back({own_name, 1, false});
       for (size_t i = 0; i < owner.nodes_.size(); ++i) {
@@ -128,11 +129,28 @@
           candidates.push_back({"g" + std::to_string(i), 1, false});
         }
       }
-      return core::ChooseQueueOwner(candidates, target);
+      return candidates;
+    }
+    std::string OwnerOf(std::string_view target) const override {
+      return core::ChooseQueueOwner(Candidates(), target);
+    }
+    uint64_t View() const { return core::ViewDigest(Candidates()); }
+    void AnnounceView() {
+      for (size_t i = 0; i < sees.size(); ++i) {
+        if (i == index || !sees[i]) continue;
+        Deliver("g" + std::to_string(i),
+                [from = index, view = View()](node* at) {
+                  at->views[from] = view;
+                });
+      }
     }
-    size_t reachable() const override {
-      return 1 +
-             static_cast<size_t>(std::count(sees.begin(), sees.end(), true));
+    size_t agreeing() const override {
+      size_t count = 1;
+      for (size_t i = 0; i < sees.size(); ++i) {
+        const auto view = views.find(i);
+        if (sees[i] && view != views.end() && view->second == View()) ++count;
+      }
+      return count;
     }
     // Within a minute of its start, a gateway expects all whose address it
     // knows; later, those that it has seen within the last minute.
@@ -224,6 +242,7 @@
     process_time process;
     common::time_point started = process.Now();
     std::vector<bool> sees;  ///< links as this gateway believes them to be
+    std::map<size_t, uint64_t> views;  ///< as the other gateways announced them
     std::vector<common::time_point> last_seen;
     std::optional<common::time_point> told_at;
     core::target_limits limits;
@@ -243,12 +262,15 @@
           const bool linked = nodes_[other] && !cut_[self->index][other];
           if (linked && !self->sees[other]) {
             self->sees[other] = true;
+            self->AnnounceView();
             for (const core::limit_report& report : self->limits.Reports()) {
               self->SendReport(other, report);
             }
           }
           if (!linked && self->sees[other]) {
             self->sees[other] = false;
+            self->views.erase(other);
+            self->AnnounceView();
             self->last_seen[other] = self->process.Now();
           }
         });
--- a/source/unit_tests/wire/gateway_codec_test.cc
+++ b/source/unit_tests/wire/gateway_codec_test.cc
@@ -28,6 +28,40 @@
   LONGS_EQUAL(7, std::get<core::routes_request>(*requested).version);
 }
 
+TEST(GatewayCodec, LimitMessagesSurviveRoundTrip) {
+  const core::limit_report report{"t", 1700000000123, true, 1.25,
+                                  common::milliseconds(40)};
+  std::optional<core::gateway_message> decoded =
+      wire::DecodeGatewayMessage(wire::EncodeGatewayMessage(report));
+  CHECK(decoded.has_value());
+  CHECK(std::get<core::limit_report>(*decoded) == report);
+  const core::slot_request request{1ULL << 40,
+                                   "t",
+                                   1700000000123,
+                                   1.25,
+                                   common::milliseconds(900),
+                                   common::milliseconds(30)};
+  decoded = wire::DecodeGatewayMessage(wire::EncodeGatewayMessage(request));
+  CHECK(decoded.has_value());
+  CHECK(std::get<core::slot_request>(*decoded) == request);
+  const core::slot_reply reply{1ULL << 40, core::slot_verdict::kNotOwner,
+                               common::milliseconds(7)};
+  decoded = wire::DecodeGatewayMessage(wire::EncodeGatewayMessage(reply));
+  CHECK(decoded.has_value());
+  CHECK(std::get<core::slot_reply>(*decoded) == reply);
+  decoded = wire::DecodeGatewayMessage(
+      wire::EncodeGatewayMessage(core::gateway_view{~0ULL}));
+  CHECK(decoded.has_value());
+  CHECK(std::get<core::gateway_view>(*decoded).digest == ~0ULL);
+}
+
+TEST(GatewayCodec, RejectsSlotRepliesWithAnUnknownVerdict) {
+  const core::slot_reply reply{1, static_cast<core::slot_verdict>(9),
+                               common::milliseconds(7)};
+  CHECK_FALSE(wire::DecodeGatewayMessage(wire::EncodeGatewayMessage(reply))
+                  .has_value());
+}
+
 TEST(GatewayCodec, RejectsTruncatedFrames) {
   const std::string frame = wire::EncodeGatewayMessage(
       core::stage_outcome_message{"request", 1, true, false, {"h1", "h2"}});
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -110,6 +110,11 @@
     to.slow = from.slow;
     frame->__set_speed_part(to);
   }
+  void operator()(const core::gateway_view& from) const {
+    generated::view to;
+    to.digest = static_cast<int64_t>(from.digest);
+    frame->__set_view_part(to);
+  }
   void operator()(const core::crash_report& from) const {
     generated::crash_count to;
     to.digest = from.digest;
@@ -269,6 +274,9 @@
         frame.crashes_part.digest,
         static_cast<uint32_t>(frame.crashes_part.crashes)};
   }
+  if (frame.__isset.view_part) {
+    return core::gateway_view{static_cast<uint64_t>(frame.view_part.digest)};
+  }
   if (frame.__isset.limit_part) return FromWire(frame.limit_part);
   if (frame.__isset.slot_request_part) return FromWire(frame.slot_request_part);
   if (frame.__isset.slot_reply_part) return FromWire(frame.slot_reply_part);
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -118,6 +118,10 @@
   3: i32 delay_ms
 }
 
+struct view {
+  1: i64 digest
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -136,4 +140,5 @@
   15: optional target_limit limit_part
   16: optional slot_request slot_request_part
   17: optional slot_reply slot_reply_part
+  18: optional view view_part
 }
