Report a gateway that restarts behind silent links as lost and joined

When a gateway restarted while its old links were still open (a VM that lost power, or was cut), the hello of the new start was compared with the open links before those of the old start were removed. It counted as known: the new start was told no limits, crash counts and version of the routes, and stage jobs that were queued at the old start were not submitted again, but held until their time ran out.

Links of the old start are now removed first. The scenario gateway_replaced pauses a gateway and starts another under its name: on the code before, the new start never joined (timed out after 5 s); now it does within a second, and hears the limit.

--- a/scenarios/lib/gateways.lua
+++ b/scenarios/lib/gateways.lua
@@ -97,6 +97,7 @@
                   ["/random_seed"] = #self.all + 1, ["/log/json"] = true}
   if #seeds > 0 then chosen["/gateways/seeds"] = seeds end
   for pointer, value in pairs(settings or {}) do chosen[pointer] = value end
+  gateway.name = chosen["/name"]
   gateway.settings = chosen
   gateway.process = start("wisteria-gateway", chosen)
   self.all[#self.all + 1] = gateway
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -230,6 +230,17 @@
     RemoveLink(from, "connects to this process itself");
     return;
   }
+  // The state of an earlier start of the gateway is lost: it is reported as
+  // lost before the new start joins.
+  const std::vector<std::shared_ptr<link>> links = links_;
+  for (const std::shared_ptr<link>& each : links) {
+    if (each == from || !each->open || each->gateway != hello.name ||
+        each->incarnation == hello.incarnation) {
+      continue;
+    }
+    each->channel->Close();
+    RemoveLink(each, "belongs to an earlier start of the gateway");
+  }
   const bool joined = std::none_of(
       links_.begin(), links_.end(), [&](const std::shared_ptr<link>& each) {
         return each->gateway == hello.name && each->open;
@@ -240,17 +251,6 @@
   AddAddress(hello.address);
   for (const std::string& address : hello.known_addresses) AddAddress(address);
   last_seen_[hello.name] = clock_.Now();
-  // The state of an earlier start of the gateway is lost: its links are
-  // removed.
-  const std::vector<std::shared_ptr<link>> links = links_;
-  for (const std::shared_ptr<link>& each : links) {
-    if (!each->open || each->gateway != hello.name ||
-        each->incarnation == hello.incarnation) {
-      continue;
-    }
-    each->channel->Close();
-    RemoveLink(each, "belongs to an earlier start of the gateway");
-  }
   if (!joined) return;
   common::LogEvent(log_event::kGatewayLinked, "",
                    {{"gateway", hello.name}, {"address", hello.address}});
