Reject requests whose stages have more pieces than can be handled

One request with 4,000,000,000 pieces in its header took a gateway down (bad_alloc, not caught); a caller that retries takes down one after the other. A job with such a count from another gateway would do the same.

A request may have 4,096 pieces, the longest list in a message between gateways: with more, its handles would not have passed to its gateway anyway. Others get a 400.

--- a/source/core/stages/stage_plan.cc
+++ b/source/core/stages/stage_plan.cc
@@ -15,6 +15,15 @@
             " stages, but the route has " + std::to_string(stages.size()));
     return std::nullopt;
   }
+  uint64_t total = 0;
+  for (const uint32_t count : pieces) total += count;
+  if (total > kMaxPieces) {
+    common::SetLastError(common::result_code::kBadRequest,
+                         "the stages have " + std::to_string(total) +
+                             " pieces, more than " +
+                             std::to_string(kMaxPieces));
+    return std::nullopt;
+  }
   stage_plan plan;
   for (size_t i = 0; i < stages.size(); ++i) {
     stage_state added;
--- a/source/core/stages/stage_plan.h
+++ b/source/core/stages/stage_plan.h
@@ -10,6 +10,10 @@
 
 namespace wisteriadale::core {
 
+/// Most pieces that the stages of one request may have. Their handles pass
+/// between gateways in one message, whose lists are bounded.
+constexpr uint32_t kMaxPieces = 4096;
+
 /// Progress of the stages of one request: a dependency graph that says which
 /// stages can start, which results they take, and which results can be
 /// released.
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "common/event_log.h"
 #include "common/metrics.h"
+#include "core/stages/stage_plan.h"
 #include "gateway/forward_headers.h"
 
 namespace wisteriadale::gateway {
@@ -207,11 +208,15 @@
 void stage_dispatcher::Enqueue(const std::string& gateway,
                                const core::stage_job& job) {
   core::piece_queue* queue = FindOrCreateQueue(job.service);
-  if (queue == nullptr) {
-    common::LogEvent(log_event::kStageEnded, job.request_id,
-                     {{"service", job.service},
-                      {"made", false},
-                      {"outcome", "the service does not run stages"}});
+  const bool too_large = job.pieces > core::kMaxPieces;
+  if (queue == nullptr || too_large) {
+    common::LogEvent(
+        log_event::kStageEnded, job.request_id,
+        {{"service", job.service},
+         {"made", false},
+         {"outcome",
+          too_large ? "too many pieces" : "the service does not run stages"},
+         {"pieces", int64_t{job.pieces}}});
     on_outcome_(
         gateway,
         {job.request_id, job.stage, false, core::piece_outcome::kError, {}});
--- a/source/unit_tests/core/stages/stage_plan_test.cc
+++ b/source/unit_tests/core/stages/stage_plan_test.cc
@@ -77,6 +77,16 @@
   CHECK(plan.CriticalPathWithout(0, remaining) == milliseconds(500));
 }
 
+TEST(StagePlan, TotalOfPiecesIsBounded) {
+  const std::vector<core::stage_spec> stages = Stages();
+  std::vector<uint32_t> pieces = {core::kMaxPieces, 0, 0, 0};
+  CHECK(core::stage_plan::Create(stages, pieces).has_value());
+  pieces[2] = 1;
+  CHECK(!core::stage_plan::Create(stages, pieces).has_value());
+  pieces.assign(4, 4294967295U);
+  CHECK(!core::stage_plan::Create(stages, pieces).has_value());
+}
+
 TEST(StagePlan, PieceCountsMustMatchTheStages) {
   const std::vector<core::stage_spec> stages = Stages();
   const std::vector<uint32_t> pieces = {1, 2};
