Answer requests that were just accepted when a process stops

Callers of a gateway that stops had connections reset though their request had arrived, or was on its way: the listener was closed with connections in its backlog, which the kernel resets, and connections counted as idle while their request waited unread in the socket, or when they had only just been accepted.

The listener takes its backlog before it closes. A connection with unread bytes, or one that was accepted within 300 ms and has sent nothing yet, is neither closed nor counted as idle. Three of the four tests Http1ServerStop failed on the code before (no answer).

--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -1,5 +1,6 @@
 #include "net/http1_server.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 #include <vector>
@@ -12,6 +13,8 @@
 
 // How often connections are checked for timeouts, which are in seconds.
 constexpr common::duration kTimeoutCheckPeriod = std::chrono::milliseconds(250);
+// A connection that was just accepted is not idle: its request is on the way.
+constexpr common::duration kFirstRequestTime = std::chrono::milliseconds(300);
 // Bytes of pipelined requests that are read while a request is in progress.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
 
@@ -54,7 +57,8 @@
   connection(http1_server& server, std::unique_ptr<tcp_stream> stream)
       : server_(&server),
         stream_(std::move(stream)),
-        last_activity_(server.clock_.Now()) {
+        accepted_at_(server.clock_.Now()),
+        last_activity_(accepted_at_) {
     stream_->SetHandler(*this);
   }
 
@@ -70,6 +74,12 @@
   void OnEnd(stream_end) override { Drop(); }
 
   bool busy() const { return exchange_ != nullptr || parser_ != nullptr; }
+  /// @return whether a request is in progress or may be about to be read
+  bool HasRequest(common::time_point now) const {
+    const bool is_new =
+        requests_ == 0 && now - accepted_at_ < kFirstRequestTime;
+    return busy() || is_new || (stream_ && stream_->HasUnreadData());
+  }
 
   /// Closes the connection if the caller exceeds the header or idle timeout.
   void CheckTimeouts(common::time_point now) {
@@ -105,7 +115,9 @@
   std::unique_ptr<http1_parser> parser_;  ///< set while a request is read
   std::string body_;
   std::shared_ptr<exchange> exchange_;  ///< set while a request is in progress
+  uint64_t requests_ = 0;
   common::time_point request_start_{};
+  common::time_point accepted_at_;
   common::time_point last_activity_;
   bool continue_sent_ = false;
 };
@@ -298,6 +310,7 @@
   body_.clear();
   parser_.reset();
   exchange_ = started;
+  ++requests_;
   server_->on_request_(started);
 }
 
@@ -357,17 +370,19 @@
 }
 
 void http1_server::CloseIdle() {
+  const common::time_point now = clock_.Now();
   std::vector<std::shared_ptr<connection>> idle;
   for (const auto& [raw, kept] : connections_) {
-    if (!kept->busy()) idle.push_back(kept);
+    if (!kept->HasRequest(now)) idle.push_back(kept);
   }
   for (const std::shared_ptr<connection>& each : idle) each->Drop();
 }
 
 size_t http1_server::ActiveRequests() const {
-  size_t busy = 0;
-  for (const auto& [raw, kept] : connections_) busy += kept->busy() ? 1 : 0;
-  return busy;
+  const common::time_point now = clock_.Now();
+  return static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [now](const auto& kept) { return kept.second->HasRequest(now); }));
 }
 
 }  // namespace wisteriadale::net
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -83,9 +83,11 @@
   void SetLimits(const http1_server_limits& limits) { limits_ = limits; }
   /// From now on closes each connection after its current response.
   void DisableKeepAlive() { closing_ = true; }
-  /// Closes the listener: new connections are refused.
+  /// Accepts the connections of the backlog and closes the listener: later ones
+  /// are refused.
   void StopAccepting() { listener_.reset(); }
-  /// Closes the connections on which no request is in progress.
+  /// Closes the connections on which no request is in progress, has arrived or
+  /// is expected, as on a connection that was just accepted.
   void CloseIdle();
   /// @return number of requests without a complete response, including those
   /// that are only partly read
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -137,6 +137,12 @@
     return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
   }
 
+  bool HasUnreadData() const {
+    if (wsi_ == nullptr || ended_) return false;
+    char next = 0;
+    return recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   void Write(std::string_view data) {
     if (wsi_ == nullptr || ended_) return;
     if (outgoing_.empty() && !connecting_) {
@@ -283,6 +289,7 @@
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
 bool tcp_stream::PeerClosed() const { return connection_->PeerClosed(); }
+bool tcp_stream::HasUnreadData() const { return connection_->HasUnreadData(); }
 const std::string& tcp_stream::peer() const { return connection_->peer(); }
 
 std::unique_ptr<tcp_stream> tcp_stream::Dial(event_loop& loop,
@@ -346,6 +353,8 @@
   }
 
   void Close() {
+    // The kernel resets connections that are still in the backlog.
+    if (wsi_ != nullptr) OnReadable();
     on_accept_ = nullptr;
     if (wsi_ != nullptr) CloseAsync(wsi_);
   }
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -55,6 +55,9 @@
   /// Asks the kernel, as the loop may not have seen the event yet.
   /// @return whether the peer has closed or reset the connection
   bool PeerClosed() const;
+  /// Asks the kernel, as the loop may not have seen the event yet.
+  /// @return whether bytes have arrived that were not read
+  bool HasUnreadData() const;
   /// @return the address of the other end
   const std::string& peer() const;
 
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -74,3 +74,73 @@
   CHECK(fakes::RunUntil(**loop, std::chrono::seconds(2),
                         [&] { return requests == 3; }));
 }
+
+TEST_GROUP(Http1ServerStop) {
+  common::system_clock clock;
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  std::unique_ptr<net::http1_server> server;
+  fakes::raw_socket caller;
+
+  void setup() override {
+    server = net::http1_server::Create(
+        **loop, clock, {"127.0.0.1", 0}, {},
+        [](const std::shared_ptr<net::http1_exchange>& exchange) {
+          exchange->Send(200, "OK", {}, "answer");
+        });
+    CHECK(server != nullptr);
+    CHECK(caller.Connect(server->port()));
+  }
+  void StopServer() {
+    server->DisableKeepAlive();
+    server->StopAccepting();
+    server->CloseIdle();
+  }
+  bool Answered(size_t responses) {
+    return fakes::RunUntil(**loop, std::chrono::seconds(2), [&] {
+      const std::string& all = caller.Read();
+      size_t count = 0;
+      for (size_t at = all.find("answer"); at != std::string::npos;
+           at = all.find("answer", at + 1)) {
+        ++count;
+      }
+      return count >= responses;
+    });
+  }
+  static void RunFor(net::event_loop & loop, common::duration time) {
+    fakes::RunUntil(loop, time, [] { return false; });
+  }
+};
+
+TEST(Http1ServerStop, ARequestInTheBacklogIsAnswered) {
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  StopServer();
+  CHECK(Answered(1));
+}
+
+TEST(Http1ServerStop, AnUnreadRequestOnAnIdleConnectionIsAnswered) {
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Answered(1));
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  StopServer();
+  LONGS_EQUAL(1, server->ActiveRequests());
+  CHECK(Answered(2));
+}
+
+TEST(Http1ServerStop, ANewConnectionHasTimeForItsRequest) {
+  RunFor(**loop, std::chrono::milliseconds(20));
+  StopServer();
+  LONGS_EQUAL(1, server->ActiveRequests());
+  RunFor(**loop, std::chrono::milliseconds(20));
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Answered(1));
+}
+
+TEST(Http1ServerStop, IdleConnectionsAreClosed) {
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Answered(1));
+  StopServer();
+  CHECK(fakes::RunUntil(**loop, std::chrono::seconds(2),
+                        [&] { return caller.Closed(); }));
+  LONGS_EQUAL(0, server->ActiveRequests());
+}
