Do not reuse connections to targets for requests without an id

A target that sent a second copy of a response late, on a connection that was in use again, had it taken for the response to the next request if that had no id: callers got another's response. With an id, the echoed one tells them apart. Requests without an id now go over a connection of their own.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -248,7 +248,9 @@
     request.echo_header = deps_.codec.headers().request_id;
     request.echo_value = request_id_;
   }
-  request.reuse_connection = IsRetryable();
+  // Without an id, a late copy of an earlier response on the connection could
+  // not be told from the response to this request.
+  request.reuse_connection = IsRetryable() && !request_id_.empty();
   RecordAttemptStart(remaining);
   call_ = deps_.client.Start(request, *this);
 }
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -96,6 +96,8 @@
     exchange->Abort();
   } else if (behaviour_.mode == "mute") {
     unanswered_.push_back(exchange);
+  } else if (behaviour_.mode == "copy") {
+    RespondTwice(exchange);
   } else if (behaviour_.mode == "fail") {
     headers.push_back({kSignature, id_});
     exchange->Send(500, "Internal Server Error", headers,
@@ -113,6 +115,28 @@
   }
 }
 
+void simulated_target::RespondTwice(
+    const std::shared_ptr<net::http1_exchange>& exchange) {
+  constexpr common::duration kDelay = std::chrono::milliseconds(200);
+  std::vector<net::http_header> headers = ResponseHeaders(*exchange);
+  headers.push_back({kSignature, id_});
+  const std::string body = "ran " + exchange->body();
+  std::string copy = "HTTP/1.1 200 OK\r\n";
+  for (const net::http_header& header : headers) {
+    copy.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  copy.append("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+  copy.append(body);
+  exchange->SendHead(200, "OK", headers, body.size());
+  exchange->SendBody(body);
+  // The exchange stays open until then, so that the copy precedes the response
+  // to the next request.
+  loop_.Schedule(kDelay, [exchange, copy] {
+    exchange->SendBody(copy);
+    exchange->Finish();
+  });
+}
+
 void simulated_target::Stream(
     const std::shared_ptr<net::http1_exchange>& exchange) {
   std::vector<net::http_header> headers = ResponseHeaders(*exchange);
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -19,6 +19,7 @@
   /// drops the connection; "mute" runs and never answers; "cut" drops the
   /// connection in the middle of an event; "half" ends the response there;
   /// "endless" sends one event without end;
+  /// "copy" sends a second copy of its response, late, on the same connection;
   /// "unsigned" omits the response signature; "foreign" answers with the id of
   /// another request.
   std::string mode;
@@ -72,6 +73,7 @@
   void Handle(const std::shared_ptr<net::http1_exchange>& exchange);
   void MakePieces(const std::shared_ptr<net::http1_exchange>& exchange);
   void Run(const std::shared_ptr<net::http1_exchange>& exchange);
+  void RespondTwice(const std::shared_ptr<net::http1_exchange>& exchange);
   void Stream(const std::shared_ptr<net::http1_exchange>& exchange);
   void SendEvent(const std::shared_ptr<net::http1_exchange>& exchange,
                  uint32_t number);
