Treat malformed responses of the platform as unavailable

A response of the table service or the VM list with a value of another type than expected ended a router or agent: json::type_error, not caught. Such a response now counts as no response, with a log line, so that nothing is concluded about a write.

An Idempotency-Key that is not UTF-8 had the same effect on what holds it as JSON: in the scenario bad_input the stand-in of the platform ended (type_error.316) and the caller got 504 at its deadline; the write of the router would have thrown next. Such keys now get a 400.

--- a/scenarios/bad_input.lua
+++ b/scenarios/bad_input.lua
@@ -30,6 +30,9 @@
 expect_error(deployment:request("lookup", string.rep("x", kMaxBody + 1)), 413,
              "body_too_large")
 expect_error(deployment:request("booking", {}), 400, "missing_idempotency_key")
+-- Not UTF-8: rows of the table cannot hold it.
+expect_error(deployment:request("booking", {}, {key = "caf\xe9"}), 400,
+             "missing_idempotency_key")
 expect_error(deployment:request("booking", {}, {key = string.rep("k", 300)}),
              400, "missing_idempotency_key")
 expect_error(deployment:request("nothing", {}), 404, "unknown_pipeline")
--- a/source/common/result_code.cc
+++ b/source/common/result_code.cc
@@ -20,7 +20,8 @@
     result_code_info{kMissingIdempotencyKey, "missing_idempotency_key", 400,
                      false,
                      "A pipeline with a non-idempotent stage needs an "
-                     "Idempotency-Key."},
+                     "Idempotency-Key of at most 256 printable ASCII "
+                     "characters."},
     result_code_info{kBadDeadline, "bad_deadline", 400, false,
                      "Request-Timeout-Ms is not a number in the allowed "
                      "range."},
--- a/source/platform/http_platform.cc
+++ b/source/platform/http_platform.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/log.h"
 #include "net/http_client.h"
 
 namespace wisteriadale::platform {
@@ -35,6 +36,18 @@
   return escaped;
 }
 
+/// Logs a response whose values have other types than expected.
+void LogMalformed(const json::exception& error) {
+  common::Log(
+      common::log_channel::kPlatform, common::log_level::kWarning,
+      std::string("malformed response of the platform: ") + error.what());
+}
+
+/// @return the text; invalid UTF-8 is replaced, as JSON cannot hold it
+std::string ToText(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 core::table_row ParseRow(const json& source, std::string_view key) {
   core::table_row row;
   row.key = source.value("key", std::string(key));
@@ -56,14 +69,17 @@
   }
   const json body = json::parse(response.body, nullptr, false);
   if (!body.is_object()) return result;
-  if (response.status == kStatusOk) {
-    result.status = core::table_status::kOk;
-  } else if (response.status == kStatusConflict) {
-    result.status = core::table_status::kConflict;
-  } else {
+  if (response.status != kStatusOk && response.status != kStatusConflict) {
     return result;
   }
-  result.row = ParseRow(body, key);
+  try {
+    result.row = ParseRow(body, key);
+  } catch (const json::exception& error) {
+    LogMalformed(error);
+    return result;
+  }
+  result.status = response.status == kStatusOk ? core::table_status::kOk
+                                               : core::table_status::kConflict;
   return result;
 }
 
@@ -87,7 +103,7 @@
              core::table_handler handler) override {
     net::http_call call = MakeCall("PUT", "/table/" + EscapePath(key));
     call.body =
-        json{{"expected_version", expected_version}, {"value", value}}.dump();
+        ToText({{"expected_version", expected_version}, {"value", value}});
     net::StartHttpCall(
         loop_, std::move(call),
         [key = std::string(key), handler](const net::http_result& response) {
@@ -105,7 +121,7 @@
                       {"value", write.value}});
     }
     net::http_call call = MakeCall("POST", "/table-batch");
-    call.body = json{{"writes", std::move(rows)}}.dump();
+    call.body = ToText({{"writes", std::move(rows)}});
     net::StartHttpCall(
         loop_, std::move(call),
         [size = writes.size(), handler](const net::http_result& response) {
@@ -140,13 +156,19 @@
     if (response.status != kStatusOk || !body.is_object()) return results;
     const json rows = body.value("rows", json::array());
     if (rows.size() != size) return results;
-    for (size_t i = 0; i < size; ++i) {
-      const bool written = rows[i].value("status", "") == "ok";
-      results[i].status =
-          written ? core::table_status::kOk : core::table_status::kConflict;
-      results[i].row = ParseRow(rows[i], "");
+    std::vector<core::table_result> parsed(size);
+    try {
+      for (size_t i = 0; i < size; ++i) {
+        const bool written = rows.at(i).value("status", "") == "ok";
+        parsed[i].status =
+            written ? core::table_status::kOk : core::table_status::kConflict;
+        parsed[i].row = ParseRow(rows[i], "");
+      }
+    } catch (const json::exception& error) {
+      LogMalformed(error);
+      return results;
     }
-    return results;
+    return parsed;
   }
 
   static core::table_list_result ParseListResult(
@@ -154,10 +176,15 @@
     core::table_list_result result;
     const json body = json::parse(response.body, nullptr, false);
     if (response.status != kStatusOk || !body.is_object()) return result;
-    result.status = core::table_status::kOk;
-    for (const json& row : body.value("rows", json::array())) {
-      result.rows.push_back(ParseRow(row, ""));
+    try {
+      for (const json& row : body.value("rows", json::array())) {
+        result.rows.push_back(ParseRow(row, ""));
+      }
+    } catch (const json::exception& error) {
+      LogMalformed(error);
+      return {};
     }
+    result.status = core::table_status::kOk;
     return result;
   }
 
@@ -220,20 +247,25 @@
   const json body = json::parse(response.body, nullptr, false);
   if (response.status != kStatusOk || !body.is_object()) return std::nullopt;
   std::vector<core::vm_entry> entries;
-  for (const json& vm : body.value("vms", json::array())) {
-    core::vm_entry entry;
-    entry.name = vm.value("name", "");
-    entry.role = vm.value("role", "target") == "router"
-                     ? core::vm_role::kRouter
-                     : core::vm_role::kTarget;
-    entry.state = vm.value("state", "live") == "leaving"
-                      ? core::vm_state::kLeaving
-                      : core::vm_state::kLive;
-    entry.pool = vm.value("pool", "");
-    entry.data_centre = vm.value("data_centre", "");
-    entry.address = vm.value("address", "");
-    entry.port = vm.value("port", uint16_t{0});
-    entries.push_back(entry);
+  try {
+    for (const json& vm : body.value("vms", json::array())) {
+      core::vm_entry entry;
+      entry.name = vm.value("name", "");
+      entry.role = vm.value("role", "target") == "router"
+                       ? core::vm_role::kRouter
+                       : core::vm_role::kTarget;
+      entry.state = vm.value("state", "live") == "leaving"
+                        ? core::vm_state::kLeaving
+                        : core::vm_state::kLive;
+      entry.pool = vm.value("pool", "");
+      entry.data_centre = vm.value("data_centre", "");
+      entry.address = vm.value("address", "");
+      entry.port = vm.value("port", uint16_t{0});
+      entries.push_back(entry);
+    }
+  } catch (const json::exception& error) {
+    LogMalformed(error);
+    return std::nullopt;
   }
   return entries;
 }
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -1,5 +1,6 @@
 #include "router/caller_api.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -94,6 +95,12 @@
   return common::milliseconds(wanted_ms);
 }
 
+bool IsPrintableAscii(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char character) {
+    return character >= ' ' && character < 0x7f;
+  });
+}
+
 /// Parses and validates a request to a pipeline.
 /// @return kOk, or the code of the first error found
 result_code ReadRequest(const net::http_request& request,
@@ -106,7 +113,8 @@
   if (!deadline) return result_code::kBadDeadline;
   const std::string_view key = request.Header("idempotency-key");
   if (plan.HasNonIdempotentStage() &&
-      (key.empty() || key.size() > kMaxIdempotencyKeyBytes)) {
+      (key.empty() || key.size() > kMaxIdempotencyKeyBytes ||
+       !IsPrintableAscii(key))) {
     return result_code::kMissingIdempotencyKey;
   }
   description->deadline = *deadline;
