Reject request bodies that arrive too slowly to end

A caller that sent a byte of a body now and then kept its connection for hours: each byte began the time limit anew. A graceful stop waited for it too, to the end of its grace.

A body now needs 1,000 bytes a second on average, beside a byte within the time limit; a slow one that arrives steadily is read. Http1ServerBody.ABodyOfAByteNowAndThenIsRejected failed before (no response within 3 s).

--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -15,6 +15,8 @@
 constexpr common::duration kTimeoutCheckPeriod = std::chrono::milliseconds(250);
 // A connection that was just accepted is not idle: its request is on the way.
 constexpr common::duration kFirstRequestTime = std::chrono::milliseconds(300);
+// A body of a byte now and then would keep its connection open for hours.
+constexpr double kMinBodyBytesPerSecond = 1000;
 // Bytes of pipelined requests that are read while a request is in progress.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
 
@@ -73,6 +75,11 @@
 
   void OnEnd(stream_end) override { Drop(); }
 
+  /// @return time that the body so far takes at the lowest accepted rate
+  common::duration BodyTime() const {
+    return common::FromSeconds(static_cast<double>(body_.size()) /
+                               kMinBodyBytesPerSecond);
+  }
   bool busy() const { return exchange_ != nullptr || parser_ != nullptr; }
   /// @return whether a request is in progress or may be about to be read
   bool HasRequest(common::time_point now) const {
@@ -85,9 +92,13 @@
   void CheckTimeouts(common::time_point now) {
     if (exchange_ != nullptr) return;
     if (parser_ != nullptr) {
-      const common::time_point since =
-          parser_->head_complete() ? last_activity_ : request_start_;
-      if (now - since > server_->limits_.header_timeout) {
+      const common::duration limit = server_->limits_.header_timeout;
+      const common::duration elapsed = now - request_start_;
+      const bool timed_out =
+          parser_->head_complete()
+              ? now - last_activity_ > limit || elapsed > limit + BodyTime()
+              : elapsed > limit;
+      if (timed_out) {
         Reject({408, "Request Timeout"});
       }
     } else if (now - last_activity_ > server_->limits_.idle_timeout) {
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -144,3 +144,52 @@
                         [&] { return caller.Closed(); }));
   LONGS_EQUAL(0, server->ActiveRequests());
 }
+
+TEST_GROUP(Http1ServerBody) {
+  static constexpr common::duration kTimeout = std::chrono::milliseconds(400);
+  static constexpr common::duration kGap = std::chrono::milliseconds(50);
+  common::system_clock clock;
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  std::unique_ptr<net::http1_server> server;
+  fakes::raw_socket caller;
+  size_t sent = 0;
+
+  void setup() override {
+    net::http1_server_limits limits;
+    limits.header_timeout = kTimeout;
+    server = net::http1_server::Create(
+        **loop, clock, {"127.0.0.1", 0}, limits,
+        [](const std::shared_ptr<net::http1_exchange>& exchange) {
+          exchange->Send(200, "OK", {}, "answer");
+        });
+    CHECK(server != nullptr);
+    CHECK(caller.Connect(server->port()));
+  }
+  /// Sends a body of 50,000 bytes piece by piece, until there is a response or
+  /// a time limit has passed.
+  void SendBody(const std::string& piece, common::duration limit) {
+    constexpr size_t kSize = 50000;
+    caller.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                std::to_string(kSize) + "\r\n\r\n");
+    for (common::duration passed{}; passed < limit && sent < kSize;
+         passed += kGap) {
+      caller.Send(piece);
+      sent += piece.size();
+      if (fakes::RunUntil(**loop, kGap, [&] { return HasResponse(); })) return;
+    }
+  }
+  bool HasResponse() { return !caller.Read().empty(); }
+};
+
+TEST(Http1ServerBody, ABodyOfAByteNowAndThenIsRejected) {
+  SendBody("x", std::chrono::seconds(3));
+  CHECK(caller.Read().starts_with("HTTP/1.1 408"));
+}
+
+TEST(Http1ServerBody, ASlowBodyThatArrivesSteadilyIsRead) {
+  SendBody(std::string(1000, 'x'), std::chrono::seconds(10));
+  CHECK(fakes::RunUntil(**loop, std::chrono::seconds(2),
+                        [&] { return HasResponse(); }));
+  CHECK(caller.Read().starts_with("HTTP/1.1 200"));
+}
