Ignore messages of unknown types between gateways

A gateway closed its link when it received a message of a type that it did not know, so that during an upgrade gateways of two versions would have lost each other again and again: each new type of message, as those of the limits, would do it. Such messages are now counted and ignored; malformed ones still close the link.

GatewayCodec.MessagesOfLaterVersionsAreUnknownNotMalformed does not compile on the code before, where such a frame was an error.

--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -115,11 +115,17 @@
   std::vector<std::string> gone;      ///< ids without an entry
 };
 
-using gateway_message = std::variant<
-    gateway_hello, gateway_ping, stage_job_message, stage_outcome_message,
-    stage_cancellation_message, stage_release_message, routes_message,
-    leaving_targets_message, upcoming_stage_message, service_load_message,
-    gateway_shutdown_notice, crash_report, gateway_slow_state, routes_request,
-    limit_report, slot_request, slot_reply, gateway_view>;
+/// A message of a type that this version does not know. Ignored, so that
+/// gateways of several versions can be linked.
+struct unknown_gateway_message {};
+
+using gateway_message =
+    std::variant<gateway_hello, gateway_ping, stage_job_message,
+                 stage_outcome_message, stage_cancellation_message,
+                 stage_release_message, routes_message, leaving_targets_message,
+                 upcoming_stage_message, service_load_message,
+                 gateway_shutdown_notice, crash_report, gateway_slow_state,
+                 routes_request, limit_report, slot_request, slot_reply,
+                 gateway_view, unknown_gateway_message>;
 
 }  // namespace wisteriadale::core
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -193,6 +193,9 @@
   void operator()(const core::slot_reply& reply) const {
     process->slots_->OnReply(gateway, reply);
   }
+  void operator()(const core::unknown_gateway_message&) const {
+    common::Metrics().Count("wisteria_messages_unknown_total");
+  }
   // Handled by gateway_links.
   void operator()(const core::gateway_hello&) const {}
   void operator()(const core::gateway_ping&) const {}
--- a/source/unit_tests/wire/gateway_codec_test.cc
+++ b/source/unit_tests/wire/gateway_codec_test.cc
@@ -62,6 +62,15 @@
                   .has_value());
 }
 
+TEST(GatewayCodec, MessagesOfLaterVersionsAreUnknownNotMalformed) {
+  // A struct as field 40, with one string, as a later version might send.
+  const std::string frame("\x0c\x50\x18\x01x\x00\x00", 7);
+  const std::optional<core::gateway_message> decoded =
+      wire::DecodeGatewayMessage(frame);
+  CHECK(decoded.has_value());
+  CHECK(std::holds_alternative<core::unknown_gateway_message>(*decoded));
+}
+
 TEST(GatewayCodec, RejectsTruncatedFrames) {
   const std::string frame = wire::EncodeGatewayMessage(
       core::stage_outcome_message{"request", 1, true, false, {"h1", "h2"}});
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -115,6 +115,8 @@
     to.digest = static_cast<int64_t>(from.digest);
     frame->__set_view_part(to);
   }
+  // Never sent.
+  void operator()(const core::unknown_gateway_message&) const {}
   void operator()(const core::crash_report& from) const {
     generated::crash_count to;
     to.digest = from.digest;
@@ -280,7 +282,7 @@
   if (frame.__isset.limit_part) return FromWire(frame.limit_part);
   if (frame.__isset.slot_request_part) return FromWire(frame.slot_request_part);
   if (frame.__isset.slot_reply_part) return FromWire(frame.slot_reply_part);
-  return std::nullopt;
+  return core::unknown_gateway_message{};
 }
 
 }  // namespace
@@ -299,7 +301,7 @@
   std::optional<core::gateway_message> message = FromWire(*parsed);
   if (!message) {
     common::SetLastError(common::result_code::kBadFrame,
-                         "the frame holds no known message");
+                         "the frame holds a malformed message");
   }
   return message;
 }
