Forget limits with their targets, and announce views at once

Limits of targets that had left stayed until 4,096 were known; they are forgotten with their start, unless only the entry lapsed. A change of a gateway's speed or shutdown changed the views of all, but was announced with the next tick, so that owners granted equal parts only for up to 100 ms. A limited target now goes before an ejected one only, not before one that rejected a request some milliseconds ago.

TargetLimits.ALimitIsForgottenWithItsStart is new; the other two were found by reading.

--- a/source/core/forwarding/target_selector.cc
+++ b/source/core/forwarding/target_selector.cc
@@ -146,7 +146,9 @@
     candidate& best = may_send ? free : limited;
     if (best.IsWorseThan(next)) best = next;
   }
-  target_choice choice{free.target, free.avoided, nullptr};
+  target_choice choice;
+  choice.target = free.target;
+  choice.ejected = free.target && free.target->ejected_until > now;
   if (limited.target && free.IsWorseThan(limited)) {
     choice.limited = limited.target;
   }
--- a/source/core/forwarding/target_selector.h
+++ b/source/core/forwarding/target_selector.h
@@ -37,7 +37,7 @@
 /// The target that was chosen for a request.
 struct target_choice {
   std::shared_ptr<fleet_target> target;  ///< null if there is none
-  bool avoided = false;                  ///< it is ejected or overloaded
+  bool ejected = false;
   /// A better target, whose limit allows no request now; null if there is none.
   std::shared_ptr<fleet_target> limited;
 };
--- a/source/core/limits/target_limits.cc
+++ b/source/core/limits/target_limits.cc
@@ -15,8 +15,6 @@
 // A target that takes nothing is still asked this often: else it could not say
 // that its need is over.
 constexpr double kMinPerSecond = 0.2;
-// A higher limit does not bind: no target serves as much.
-constexpr double kMaxPerSecond = 10000;
 // Bounds the memory used; there are 3,700 targets at the largest size.
 constexpr size_t kMaxEntries = 4096;
 constexpr double kNoLimit = -1;  // in the log
@@ -62,7 +60,7 @@
   }
   entry observed;
   observed.started_ms = target.started_ms;
-  observed.limited = named && limit.per_second < kMaxPerSecond;
+  observed.limited = named && limit.per_second < kMaxLimitPerSecond;
   observed.per_second = observed.limited ? limit.per_second : 0;
   observed.observed_at = named ? clock_.Now() : observation.sent_at;
   if (!Apply(target.id, observed)) return;
@@ -79,7 +77,7 @@
   }
   entry observed;
   observed.started_ms = report.started_ms;
-  observed.limited = !report.ended && report.per_second < kMaxPerSecond;
+  observed.limited = !report.ended && report.per_second < kMaxLimitPerSecond;
   observed.per_second = observed.limited ? report.per_second : 0;
   observed.observed_at =
       clock_.Now() - std::max(report.age, common::milliseconds(0));
@@ -97,9 +95,7 @@
 }
 
 bool target_limits::Apply(const std::string& target, const entry& observed) {
-  if (!entries_.contains(target) && entries_.size() >= kMaxEntries) {
-    EvictOldest();
-  }
+  if (!entries_.contains(target)) EvictIfFull();
   const auto [position, is_new] = entries_.try_emplace(target);
   entry& known = position->second;
   const bool changed = is_new ? observed.limited
@@ -116,15 +112,29 @@
   return changed;
 }
 
-void target_limits::EvictOldest() {
-  const auto oldest = std::min_element(entries_.begin(), entries_.end(),
-                                       [](const auto& left, const auto& right) {
-                                         return left.second.observed_at <
-                                                right.second.observed_at;
-                                       });
-  if (oldest == entries_.end()) return;
-  limited_ -= oldest->second.limited ? 1 : 0;
-  entries_.erase(oldest);
+void target_limits::Erase(
+    std::map<std::string, entry, std::less<>>::iterator position) {
+  const std::string target = position->first;
+  limited_ -= position->second.limited ? 1 : 0;
+  entries_.erase(position);
+  common::Metrics().Set("wisteria_limited_targets",
+                        static_cast<double>(limited_));
+  if (on_ended_) on_ended_(target);
+}
+
+void target_limits::Forget(std::string_view target, int64_t started_ms) {
+  const auto found = entries_.find(target);
+  if (found == entries_.end() || found->second.started_ms > started_ms) return;
+  Erase(found);
+}
+
+void target_limits::EvictIfFull() {
+  if (entries_.size() < kMaxEntries) return;
+  Erase(std::min_element(entries_.begin(), entries_.end(),
+                         [](const auto& left, const auto& right) {
+                           return left.second.observed_at <
+                                  right.second.observed_at;
+                         }));
 }
 
 limit_report target_limits::ToReport(const std::string& target,
--- a/source/core/limits/target_limits.h
+++ b/source/core/limits/target_limits.h
@@ -15,6 +15,9 @@
 
 namespace wisteriadale::core {
 
+/// A higher limit does not bind: no target serves as much.
+constexpr double kMaxLimitPerSecond = 10000;
+
 /// A response of a target, as far as its request limit is concerned.
 struct limit_observation {
   request_limit limit;
@@ -51,6 +54,8 @@
                   std::string_view request_id);
   /// Merges another gateway's report, unless newer observations are known.
   void Merge(const limit_report& report, std::string_view gateway);
+  /// Forgets the limit of a start of a target that has left for good.
+  void Forget(std::string_view target, int64_t started_ms);
   /// @return what is known, for a gateway that joins
   std::vector<limit_report> Reports() const;
 
@@ -72,7 +77,9 @@
 
   /// @return whether what was observed differs from what was known
   bool Apply(const std::string& target, const entry& observed);
-  void EvictOldest();
+  void Erase(std::map<std::string, entry, std::less<>>::iterator position);
+  /// Makes room for one more entry.
+  void EvictIfFull();
   limit_report ToReport(const std::string& target, const entry& known) const;
   void Log(const std::string& target, std::string_view request_id,
            std::string_view source, double previous) const;
--- a/source/core/limits/target_slots.cc
+++ b/source/core/limits/target_slots.cc
@@ -14,8 +14,6 @@
 using common::log_event;
 
 constexpr char kSlotsMetric[] = "wisteria_limit_slots_total";
-// Of a request without a known limit: the limit ended meanwhile.
-constexpr double kUnlimitedPerSecond = 10000;
 // Back-offs vary by this factor to both sides, so that gateways that were
 // denied together do not return together.
 constexpr double kBackOffSpread = 0.5;
@@ -48,14 +46,15 @@
   if (!limits_.LimitOf(target.id, target.started_ms)) return true;
   const auto found = targets_.find(target.id);
   return found != targets_.end() && !found->second.ready.empty() &&
-         found->second.ready.back().expires > clock_.Now();
+         found->second.ready.back() > clock_.Now();
 }
 
 void target_slots::Use(const target_entry& target) {
   if (!limits_.LimitOf(target.id, target.started_ms)) return;
-  std::vector<slot>& ready = targets_[target.id].ready;
+  std::vector<common::time_point>& ready = targets_[target.id].ready;
   const common::time_point now = clock_.Now();
-  std::erase_if(ready, [now](const slot& each) { return each.expires <= now; });
+  std::erase_if(ready,
+                [now](common::time_point expires) { return expires <= now; });
   if (ready.empty()) {
     common::Metrics().Count(kSlotsMetric, {{"outcome", "overrun"}});
     return;
@@ -97,8 +96,9 @@
 }
 
 double target_slots::RateOf(const pending_request& request) const {
+  // Without a limit it ended while the request was under way.
   return limits_.LimitOf(request.target, request.started_ms)
-      .value_or(kUnlimitedPerSecond);
+      .value_or(kMaxLimitPerSecond);
 }
 
 uint64_t target_slots::Ask(const target_entry& target,
@@ -244,7 +244,7 @@
     End(id, {false, common::duration(0)});
     return;
   }
-  targets_[request.target].ready.push_back({expires});
+  targets_[request.target].ready.push_back(expires);
   End(id, {true, common::duration(0)});
 }
 
--- a/source/core/limits/target_slots.h
+++ b/source/core/limits/target_slots.h
@@ -105,11 +105,9 @@
   void OnLimitEnded(const std::string& target);
 
  private:
-  struct slot {
-    common::time_point expires{};
-  };
   struct target_state {
-    std::vector<slot> ready;         ///< in the order of their expiry
+    /// When slots that can be used expire, earliest first.
+    std::vector<common::time_point> ready;
     common::time_point last_slot{};  ///< latest that was granted
     common::time_point next_free{};  ///< as the owner last said
     common::time_point next_free_known_at{};
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -219,7 +219,7 @@
   const core::target_choice choice =
       deps_.selector.Choose(SelectionContextWithInputs());
   // A healthy target with a limit goes before an ejected one without.
-  const bool waits_if_limited = !choice.target || choice.avoided;
+  const bool waits_if_limited = !choice.target || choice.ejected;
   if (choice.limited && waits_if_limited && WaitForSlot(*choice.limited)) {
     return;
   }
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -11,8 +11,8 @@
 
 using common::log_event;
 
-// Each wait asks the owner of one target's slots. Owners remember what they
-// denied, so that more waits hardly find a slot.
+// Each wait asks the owner of one target's slots. What owners denied is known
+// for the next request, so that more waits hardly find a slot.
 constexpr uint32_t kMaxSlotWaits = 3;
 // A request that is late already waits this long: a reply of an owner takes a
 // few milliseconds.
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -200,6 +200,7 @@
         each->stopping = true;
       }
     }
+    AnnounceView();
     return;
   }
   if (const core::gateway_slow_state* speed =
@@ -207,6 +208,7 @@
     for (const std::shared_ptr<link>& each : links_) {
       if (each->gateway == from->gateway) each->slow = speed->slow;
     }
+    AnnounceView();
     return;
   }
   if (const core::gateway_view* view =
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -406,6 +406,10 @@
 void gateway_process::OnTargetLeaving(const core::fleet_target& target,
                                       core::leaving_reason why) {
   selector_->hints().Forget(target.entry.id);
+  // An entry that only lapsed may return.
+  if (why != core::leaving_reason::kGone) {
+    limits_->Forget(target.entry.id, target.entry.started_ms);
+  }
   common::LogEvent(log_event::kTargetLeaving, "",
                    {{"target", target.entry.id},
                     {"service", target.entry.service},
--- a/source/unit_tests/core/limits/target_limits_test.cc
+++ b/source/unit_tests/core/limits/target_limits_test.cc
@@ -117,6 +117,18 @@
   LONGS_EQUAL(1, there.limited());
 }
 
+TEST(TargetLimits, ALimitIsForgottenWithItsStart) {
+  int ended = 0;
+  here.SetEndedHandler([&ended](const std::string&) { ++ended; });
+  Name(1.2);
+  here.Forget("other", 5);
+  here.Forget("t", 4);
+  LONGS_EQUAL(1, here.limited());
+  here.Forget("t", 5);
+  CHECK(here.empty());
+  LONGS_EQUAL(1, ended);
+}
+
 TEST(TargetLimits, MemoryIsBounded) {
   for (int i = 0; i < 10000; ++i) {
     here.Merge({std::to_string(i), 1, false, 2, milliseconds(0)}, "b");
