--- a/scenarios/lib/request_limits.lua
+++ b/scenarios/lib/request_limits.lua
@@ -70,13 +70,7 @@
 --- Returns the arrival times of calls at a target, in order, in milliseconds of
 --- the stand-in's clock. Releases of stage results are left out.
 function limits.arrivals(fleet, target)
-  local times = {}
-  for _, run in ipairs(fleet:runs()) do
-    if run.target == target and run.path ~= "/v1/stage-free" then
-      times[#times + 1] = run.at_ms
-    end
-  end
-  return times
+  return fleet:control("arrivals").json[target] or {}
 end
 
 --- Checks that a target that named a limit in all of its responses got no more
@@ -126,7 +120,9 @@
 --- Returns the time of the latest arrival at any target.
 function limits.now_ms(fleet)
   local latest = 0
-  for _, run in ipairs(fleet:runs()) do latest = math.max(latest, run.at_ms) end
+  for _, times in pairs(fleet:control("arrivals").json) do
+    latest = math.max(latest, times[#times])
+  end
   return latest
 end
 
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -19,6 +19,7 @@
 ///   POST /control/store    store_faults
 ///   POST /control/targets  {id or service, how, ...}: target_behaviour
 ///   GET  /control/runs     the recorded calls to the targets, target_run each
+///   GET  /control/arrivals the arrival times of calls, in ms, by target
 ///   GET  /control/store    {calls}
 class standin {
  public:
@@ -61,6 +62,8 @@
       answer = {{"calls", rows_.calls()}};
     } else if (target == "/control/targets") {
       SetBehaviour(body);
+    } else if (target == "/control/arrivals") {
+      answer = Arrivals();
     } else if (target == "/control/runs") {
       answer = Runs();
     }
@@ -94,6 +97,16 @@
     }
   }
 
+  /// Releases of stage results are left out.
+  json Arrivals() const {
+    json arrivals = json::object();
+    for (const target_run& run : runs_) {
+      if (run.path == "/v1/stage-free") continue;
+      arrivals[run.target_id].push_back(run.at_ms);
+    }
+    return arrivals;
+  }
+
   json Runs() const {
     json list = json::array();
     for (const target_run& run : runs_) {
