--- a/scenarios/gateway_limit_soak.lua
+++ b/scenarios/gateway_limit_soak.lua
@@ -57,7 +57,7 @@
   function()
     limited = not limited
     fleet:set_behaviour{id = "plain-2", work_ms = 5,
-                        limits = limited and {"4"} or {}}
+                        limits = limited and {"4"} or nil}
   end}
 
 local callers, responses, foreign, cut = {}, 0, 0, 0
