Do not take the limit of another target at an address for that of the one meant

After an address was taken over, the response 421 of its new target names that one's own limit. It was recorded, and reported to all gateways, for the target that the request was meant for, which then got less work than it takes, or kept the limit of a target that is not there. Misdirected responses now say nothing about limits, for requests and stage calls.

The last part of gateway_target_limit failed before: limit_named for plain-3, which had not responded.

--- a/scenarios/gateway_target_limit.lua
+++ b/scenarios/gateway_target_limit.lua
@@ -22,4 +22,27 @@
 got = limits.count(fleet, "plain-1", ended_ms + 2000)
 expect(got > 20, "the target is used again, got " .. got)
 
+-- Another target has taken over an address: the limit that it names is its own,
+-- not that of the target that was meant.
+fleet:set_behaviour{id = "plain-2", limits = {"1"}}
+local other = fleet.targets[2]
+expect_equal("plain-2", other.id, "the target at that address")
+fleet:register_target({id = "plain-3", service = "plain", port = other.port})
+fleet:control("rows", {table = "servers", key = "plain-2"})
+local function misdirected()
+  fleet:request{path = "/stock/1"}
+  for _, line in ipairs(fleet:log_lines(fleet.all[1])) do
+    if line.event == "attempt_ended" and line.target == "plain-3" then
+      return line
+    end
+  end
+end
+expect_equal(421, wait_until(misdirected, 8000, "misdirected").status, "status")
+for _, gateway in ipairs(fleet.all) do
+  for _, line in ipairs(fleet:log_lines(gateway)) do
+    expect(line.event ~= "limit_named" or line.target ~= "plain-3",
+           "no limit for the target that did not respond")
+  end
+end
+
 fleet:stop()
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -21,6 +21,7 @@
 }  // namespace
 
 void forward_request::ObserveLimit() {
+  if (deps_.codec.IndicatesMisdirected(response_head_.status)) return;
   core::limit_observation observation;
   observation.limit =
       RequestLimitOf(response_head_, deps_.codec.headers().request_limit);
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -75,13 +75,7 @@
     status_ = head.status;
     not_run_ = owner_.codec_.IndicatesNotRun(
         head.status, head.Find(owner_.codec_.headers().not_run) != nullptr);
-    core::limit_observation observation;
-    observation.limit =
-        RequestLimitOf(head, owner_.codec_.headers().request_limit);
-    observation.sent_at = started_;
-    observation.conclusive = head.status == kStatusOk;
-    owner_.limits_.OnResponse(batch_.target->entry, observation,
-                              batch_.pieces.front().request_id);
+    if (!owner_.codec_.IndicatesMisdirected(head.status)) ObserveLimit(head);
   }
   void OnBody(std::string_view data) override { body_.append(data); }
 
@@ -108,6 +102,16 @@
   }
 
  private:
+  void ObserveLimit(const net::message_head& head) {
+    core::limit_observation observation;
+    observation.limit =
+        RequestLimitOf(head, owner_.codec_.headers().request_limit);
+    observation.sent_at = started_;
+    observation.conclusive = head.status == kStatusOk;
+    owner_.limits_.OnResponse(batch_.target->entry, observation,
+                              batch_.pieces.front().request_id);
+  }
+
   void End(const std::vector<core::piece_result>& results) {
     owner_.OnCallEnd(this, results);
   }
--- a/source/platform/platform_codec.cc
+++ b/source/platform/platform_codec.cc
@@ -143,7 +143,11 @@
   }
 
   bool IndicatesNotRun(int status, bool marked) const override {
-    return marked || status == kStatusMisdirected;
+    return marked || IndicatesMisdirected(status);
+  }
+
+  bool IndicatesMisdirected(int status) const override {
+    return status == kStatusMisdirected;
   }
 
   bool IndicatesMissingInputs(int status, bool marked) const override {
