Log how the response of a target was framed and how its connection ended

attempt_ended has framing, failure and within_event, answered has framing. The parser records the framing of each message, and a reset within a response is no longer the same failure as a close.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -271,6 +271,7 @@
   response_body_.clear();
   ignored_bytes_ = 0;
   response_not_run_ = response_signed_ = inputs_missing_ = false;
+  failure_.reset();
   common::LogEvent(
       log_event::kSent, request_id_,
       {{"target", target_->entry.id},
@@ -444,6 +445,7 @@
 }
 
 void forward_request::OnFailure(net::call_failure failure) {
+  failure_ = failure;
   RecordSuspectedCrash(failure);
   FinishAttempt(failure == net::call_failure::kNotSent
                     ? attempt_outcome::kNotSent
@@ -531,6 +533,9 @@
       {{"target", target},
        {"end", core::ToString(outcome)},
        {"status", int64_t{response_head_.status}},
+       {"framing", net::ToString(response_head_.framing)},
+       {"failure", failure_ ? net::ToString(*failure_) : std::string_view()},
+       {"within_event", filter_.WithinEvent()},
        {"last_event", std::string_view(filter_.last_id().value_or(""))},
        {"attempts", int64_t{attempts_}},
        {"may_have_run", may_have_run_},
@@ -623,6 +628,7 @@
                     {"outcome", outcome},
                     {"route", route},
                     {"target", target},
+                    {"framing", net::ToString(response_head_.framing)},
                     {"attempts", int64_t{attempts_}},
                     {"may_have_run", may_have_run_},
                     {"late", late_},
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -201,6 +201,8 @@
 
   net::message_head response_head_;  ///< response of the current attempt
   std::string response_body_;
+  /// Why the current attempt has no complete response; nothing: it has one.
+  std::optional<net::call_failure> failure_;
   size_t ignored_bytes_ = 0;  ///< of a body that is not forwarded
   bool response_not_run_ = false;
   bool inputs_missing_ = false;    ///< not run because its inputs don't exist
--- a/source/gateway/forward_request_quarantine.cc
+++ b/source/gateway/forward_request_quarantine.cc
@@ -64,7 +64,8 @@
 
 void forward_request::RecordSuspectedCrash(net::call_failure failure) {
   if (failure != net::call_failure::kLost &&
-      failure != net::call_failure::kTruncated) {
+      failure != net::call_failure::kTruncated &&
+      failure != net::call_failure::kReset) {
     return;
   }
   deps_.suspects.OnLost(Digest(), 1,
--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -314,7 +314,18 @@
     call_->Complete();
     return;
   }
-  call_->Fail(skipping_ ? call_failure::kLost : call_failure::kTruncated);
+  if (skipping_) {
+    call_->Fail(call_failure::kLost);
+    return;
+  }
+  call_->Fail(how == stream_end::kClosed ? call_failure::kTruncated
+                                         : call_failure::kReset);
+}
+
+std::string_view ToString(call_failure failure) {
+  constexpr std::string_view kNames[] = {"not_sent", "lost",      "truncated",
+                                         "reset",    "malformed", "timed_out"};
+  return kNames[static_cast<size_t>(failure)];
 }
 
 http1_client::http1_client(event_loop& loop, common::clock& clock,
--- a/source/net/http1_client.h
+++ b/source/net/http1_client.h
@@ -18,11 +18,15 @@
   kNotSent,  ///< no connection opened: no byte of the request was sent
   /// The connection ended before the response's head; the request may have run.
   kLost,
-  kTruncated,  ///< the connection ended within the response
+  kTruncated,  ///< the server closed the connection within the response
+  kReset,      ///< the connection was reset or failed within the response
   kMalformed,  ///< the bytes received are not a valid response
   kTimedOut,   ///< no complete response within the call's timeout
 };
 
+/// @return the name used in logs
+std::string_view ToString(call_failure failure);
+
 /// Receives the response to a call. OnComplete or OnFailure is called once, as
 /// the last event.
 class response_handler {
--- a/source/net/http1_parser.cc
+++ b/source/net/http1_parser.cc
@@ -37,7 +37,8 @@
   using base = http::basic_parser<is_request>;
 
  public:
-  beast_parser(const http1_limits& limits, bool head_only) : limits_(limits) {
+  beast_parser(const http1_limits& limits, bool head_only)
+      : limits_(limits), head_only_(head_only) {
     base::header_limit(static_cast<uint32_t>(limits.max_head_bytes));
     base::body_limit(limits.max_body_bytes);
     base::eager(true);
@@ -122,8 +123,8 @@
       return;
     }
     head_.keep_alive = base::keep_alive();
-    head_.chunked = base::chunked();
-    if (!head_.chunked && base::content_length()) {
+    head_.framing = Framing();
+    if (!base::chunked() && base::content_length()) {
       head_.content_length = *base::content_length();
     }
   }
@@ -141,7 +142,15 @@
   }
   void on_finish_impl(error_code&) override {}
 
+  body_framing Framing() const {
+    if (head_only_) return body_framing::kNone;
+    if (base::chunked()) return body_framing::kChunked;
+    if (base::content_length()) return body_framing::kLength;
+    return base::need_eof() ? body_framing::kUntilClose : body_framing::kNone;
+  }
+
   http1_limits limits_;
+  bool head_only_;
   message_head head_;
   std::string* body_ = nullptr;
   bool framing_error_ = false;
@@ -149,6 +158,11 @@
 
 }  // namespace
 
+std::string_view ToString(body_framing framing) {
+  constexpr std::string_view kNames[] = {"none", "length", "chunks", "close"};
+  return kNames[static_cast<size_t>(framing)];
+}
+
 bool SameName(std::string_view left, std::string_view right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](char a, char b) { return ToLower(a) == ToLower(b); });
--- a/source/net/http1_parser.h
+++ b/source/net/http1_parser.h
@@ -11,6 +11,18 @@
 
 namespace wisteriadale::net {
 
+/// What determines where the body of a message ends.
+enum class body_framing {
+  kNone,        ///< the message has no body
+  kLength,      ///< its Content-Length
+  kChunked,     ///< its last chunk
+  kUntilClose,  ///< the end of the connection, so that a truncated body can't be
+                ///< told from a complete one unless the connection is reset
+};
+
+/// @return the name used in logs
+std::string_view ToString(body_framing framing);
+
 /// Start line and headers of an HTTP/1 message. Header names are as received.
 struct message_head {
   std::string method;       ///< of a request
@@ -19,7 +31,7 @@
   std::string reason;       ///< of a response
   int minor_version = 1;    ///< of HTTP/1
   bool keep_alive = false;  ///< the sender keeps the connection open
-  bool chunked = false;
+  body_framing framing = body_framing::kNone;
   std::optional<uint64_t> content_length;
   std::vector<http_header> headers;
 
