Show that responses that end with their connection are framed as complete

A target of the stand-in writes the bytes of its responses itself and breaks them off in the head, behind it, within an event or a body, between events, behind the last byte or within the last chunk; with a length, chunks or neither; closed or reset; as the first response of a connection or the second. The caller judges by framing alone.

--- a/scenarios/lib/gateways.lua
+++ b/scenarios/lib/gateways.lua
@@ -53,7 +53,8 @@
 
 --- Starts a store, two targets of each service, and gateways. Options: count
 --- (of gateways), version (of the document), settings (overrides),
---- without_routes (writes no document).
+--- without_routes (writes no document), broken (adds the targets plain-broken
+--- and engine-broken, whose responses break off; they have no entries yet).
 function gateways.start(options)
   options = options or {}
   local self = setmetatable({targets = {}, all = {}}, gateways)
@@ -65,9 +66,17 @@
                                          port = free_port()}
     end
   end
-  self.standin = start("wisteria-platform-standin",
-                       {["/port"] = self.store_port,
-                        ["/targets"] = self.targets})
+  self.broken = {}
+  for _, service in ipairs(options.broken and {"plain", "engine"} or {}) do
+    self.broken[service] = {id = service .. "-broken", service = service,
+                            port = free_port()}
+  end
+  local standin_settings = {["/port"] = self.store_port,
+                            ["/targets"] = self.targets}
+  if options.broken then
+    standin_settings["/broken"] = {self.broken.plain, self.broken.engine}
+  end
+  self.standin = start("wisteria-platform-standin", standin_settings)
   self:wait_for_status(self.store_port, "/control/store", 200)
   for _, target in ipairs(self.targets) do self:register_target(target) end
   if not options.without_routes then
@@ -140,6 +149,15 @@
   self:control("targets", behaviour)
 end
 
+--- Sets where the responses of a broken target break off: {id=, framing=, at=,
+--- reset=, ...}.
+function gateways:set_break(options) self:control("broken", options) end
+
+--- Removes a target's entry from the store.
+function gateways:remove_target(target)
+  self:control("rows", {table = "servers", key = target.id})
+end
+
 --- Returns what the targets ran, stages included; with an id only for that
 --- request.
 function gateways:runs(id)
@@ -206,20 +224,24 @@
   end
 end
 
---- Parses one response: status, headers (lower-case names), body, complete.
+--- Parses one response: status, headers (lower-case names), body, framing
+--- ("chunks", "length" or "close") and complete, which needs chunks or a length.
 --- Returns nil until all headers have arrived.
 function gateways.parse(text)
   local head, rest = text:match("^(.-)\r\n\r\n(.*)$")
   if not head then return nil end
   local answer = {status = tonumber(head:match("^HTTP/1.1 (%d+)")),
-                  headers = {}, body = rest, complete = false}
+                  headers = {}, body = rest, framing = "close",
+                  complete = false}
   for name, value in head:gmatch("\r\n([^:]+): ([^\r]*)") do
     answer.headers[name:lower()] = value
   end
   if answer.headers["transfer-encoding"] == "chunked" then
+    answer.framing = "chunks"
     answer.body, answer.complete = decode_chunked(rest)
   elseif answer.headers["content-length"] then
     local length = tonumber(answer.headers["content-length"])
+    answer.framing = "length"
     answer.complete = #rest >= length
     answer.body = rest:sub(1, length)
   end
@@ -237,7 +259,7 @@
     return (answer and answer.complete) or socket.closed
   end, limit_ms or 10000, "a complete response")
   answer = answer or {status = 0, headers = {}, body = "", complete = false}
-  answer.closed = socket.closed
+  answer.closed, answer.reset = socket.closed, socket.reset
   socket:close()
   return answer
 end
--- a/scenarios/lib/helpers.lua
+++ b/scenarios/lib/helpers.lua
@@ -135,7 +135,7 @@
 --- Opens a TCP connection, for raw bytes that an HTTP client would not send.
 function connect(port)
   return setmetatable({id = runner.socket_open(port), received = "",
-                       closed = false}, socket)
+                       closed = false, reset = false}, socket)
 end
 
 function socket:send(bytes) return runner.socket_send(self.id, bytes) end
@@ -144,9 +144,10 @@
 
 --- Reads without blocking, and returns all bytes received so far.
 function socket:read()
-  local bytes, closed = runner.socket_read(self.id)
+  if self.closed then return self.received end
+  local bytes
+  bytes, self.closed, self.reset = runner.socket_read(self.id)
   self.received = self.received .. bytes
-  self.closed = self.closed or closed
   return self.received
 end
 
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "common/last_error.h"
+#include "unit_tests/platform_standin/broken_target.h"
 #include "unit_tests/platform_standin/row_service.h"
 #include "unit_tests/platform_standin/simulated_target.h"
 
@@ -18,6 +19,7 @@
 ///   POST /control/rows     {table, key, value}: null removes the row
 ///   POST /control/store    store_faults
 ///   POST /control/targets  {id or service, how, ...}: target_behaviour
+///   POST /control/broken   {id, framing, at, ...}: response_break
 ///   GET  /control/runs     the recorded calls to the targets, target_run each
 ///   GET  /control/arrivals the arrival times of calls, in ms, by target
 ///   GET  /control/store    {calls}
@@ -35,6 +37,13 @@
         return false;
       }
     }
+    for (const json& entry : settings.value("broken", json::array())) {
+      broken_targets_.push_back(std::make_unique<broken_target>(
+          loop_, clock_, entry.value("id", ""), runs_));
+      if (!broken_targets_.back()->Listen(entry.value("port", uint16_t{0}))) {
+        return false;
+      }
+    }
     server_ = net::http1_server::Create(
         loop_, clock_, {"127.0.0.1", settings.value("port", uint16_t{0})},
         net::http1_server_limits(),
@@ -62,6 +71,8 @@
       answer = {{"calls", rows_.calls()}};
     } else if (target == "/control/targets") {
       SetBehaviour(body);
+    } else if (target == "/control/broken") {
+      SetBreak(body);
     } else if (target == "/control/arrivals") {
       answer = Arrivals();
     } else if (target == "/control/runs") {
@@ -97,6 +108,24 @@
     }
   }
 
+  void SetBreak(const json& body) {
+    response_break next;
+    next.framing = body.value("framing", next.framing);
+    next.at = body.value("at", next.at);
+    next.reset = body.value("reset", next.reset);
+    next.status = body.value("status", next.status);
+    next.is_signed = body.value("signed", next.is_signed);
+    next.is_stream = body.value("stream", next.is_stream);
+    next.events = body.value("events", next.events);
+    next.cut_after = body.value("cut_after", next.cut_after);
+    next.padding = body.value("padding", next.padding);
+    next.whole_first = body.value("whole_first", next.whole_first);
+    next.repeats_refusal = body.value("repeats", next.repeats_refusal);
+    for (const std::unique_ptr<broken_target>& each : broken_targets_) {
+      if (each->id() == body.value("id", each->id())) each->SetBreak(next);
+    }
+  }
+
   /// Releases of stage results are left out.
   json Arrivals() const {
     json arrivals = json::object();
@@ -126,6 +155,7 @@
   row_service rows_;
   std::vector<target_run> runs_;
   std::vector<std::unique_ptr<simulated_target>> targets_;
+  std::vector<std::unique_ptr<broken_target>> broken_targets_;
   std::unique_ptr<net::http1_server> server_;
 };
 
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -22,12 +22,29 @@
   return text;
 }
 
-std::string Event(uint32_t number) {
+}  // namespace
+
+std::string FormatEvent(uint32_t number) {
   return "id: " + std::to_string(number) + "\ndata: part" +
          std::to_string(number) + "\n\n";
 }
 
-}  // namespace
+target_run MakeRun(const std::string& target, const net::message_head& head,
+                   const std::string& body, common::time_point at) {
+  target_run run;
+  run.target_id = target;
+  run.method = head.method;
+  run.path = head.target;
+  run.body = body;
+  run.at_ms = common::ToMillis(at.time_since_epoch());
+  run.headers = json::object();
+  for (const net::http_header& header : head.headers) {
+    run.headers[LowerCase(header.name)] = header.value;
+  }
+  const std::string* id = head.Find(kRequestId);
+  if (id != nullptr) run.request_id = *id;
+  return run;
+}
 
 bool simulated_target::Listen(uint16_t port) {
   address_ = net::FormatEndpoint({"127.0.0.1", port});
@@ -154,7 +171,7 @@
     return;
   }
   if (behaviour_.mode == "cut" && number > behaviour_.cut_after) {
-    exchange->SendBody(Event(number).substr(0, 8));
+    exchange->SendBody(FormatEvent(number).substr(0, 8));
     loop_.Schedule(common::milliseconds(behaviour_.event_ms),
                    [exchange] { exchange->Abort(); });
     return;
@@ -169,29 +186,17 @@
     return;
   }
   if (behaviour_.mode == "half" && number > behaviour_.cut_after) {
-    exchange->SendBody(Event(number).substr(0, 8));
+    exchange->SendBody(FormatEvent(number).substr(0, 8));
     exchange->Finish();
     return;
   }
-  exchange->SendBody(Event(number));
+  exchange->SendBody(FormatEvent(number));
   loop_.Schedule(common::milliseconds(behaviour_.event_ms),
                  [this, exchange, number] { SendEvent(exchange, number + 1); });
 }
 
 void simulated_target::Record(const net::http1_exchange& exchange) {
-  target_run run;
-  run.target_id = id_;
-  run.method = exchange.head().method;
-  run.path = exchange.head().target;
-  run.body = exchange.body();
-  run.at_ms = common::ToMillis(clock_.Now().time_since_epoch());
-  run.headers = json::object();
-  for (const net::http_header& header : exchange.head().headers) {
-    run.headers[LowerCase(header.name)] = header.value;
-  }
-  const std::string* id = exchange.head().Find(kRequestId);
-  if (id != nullptr) run.request_id = *id;
-  runs_.push_back(std::move(run));
+  runs_.push_back(MakeRun(id_, exchange.head(), exchange.body(), clock_.Now()));
 }
 
 std::vector<net::http_header> simulated_target::ResponseHeaders(
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -47,6 +47,14 @@
   int64_t at_ms = 0;  ///< when it arrived, on the stand-in's own clock
 };
 
+/// @return an event of a stream, with its id
+std::string FormatEvent(uint32_t number);
+
+/// @param at when the request arrived
+/// @return the record of a request that a target runs
+target_run MakeRun(const std::string& target, const net::message_head& head,
+                   const std::string& body, common::time_point at);
+
 /// Simulates a target of the platform: a plain service, an engine that streams
 /// events, or a target that runs stages piece by piece.
 class simulated_target {
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -233,14 +233,16 @@
   return 1;
 }
 
-// socket_read(socket) -> bytes, closed
+// socket_read(socket) -> bytes, closed, reset
 int SocketRead(lua_State* state) {
   bool closed = false;
+  bool reset = false;
   const std::string data =
-      ObjectArgument(state, Scenario(state).sockets)->Read(&closed);
+      ObjectArgument(state, Scenario(state).sockets)->Read(&closed, &reset);
   lua_pushlstring(state, data.data(), data.size());
   lua_pushboolean(state, closed ? 1 : 0);
-  return 2;
+  lua_pushboolean(state, reset ? 1 : 0);
+  return 3;
 }
 
 // socket_shutdown(socket)
--- a/source/unit_tests/scenario/tcp_socket.cc
+++ b/source/unit_tests/scenario/tcp_socket.cc
@@ -48,7 +48,7 @@
   return true;
 }
 
-std::string tcp_socket::Read(bool* closed) const {
+std::string tcp_socket::Read(bool* closed, bool* reset) const {
   std::string data;
   std::array<char, kReadBufferBytes> buffer;
   while (true) {
@@ -57,7 +57,8 @@
       data.append(buffer.data(), static_cast<size_t>(size));
       continue;
     }
-    *closed = size == 0 || (errno != EAGAIN && errno != EINTR);
+    *reset = size < 0 && errno != EAGAIN && errno != EINTR;
+    *closed = size == 0 || *reset;
     return data;
   }
 }
--- a/source/unit_tests/scenario/tcp_socket.h
+++ b/source/unit_tests/scenario/tcp_socket.h
@@ -21,8 +21,9 @@
   /// @return false when the connection failed
   bool Send(std::string_view data) const;
   /// @param closed set to whether the connection was closed or failed
+  /// @param reset  set to whether it was reset or failed
   /// @return the bytes that have arrived, without waiting
-  std::string Read(bool* closed) const;
+  std::string Read(bool* closed, bool* reset) const;
   /// Closes the sending side only.
   void Shutdown() const;
 
