Pass responses that end with their connection on in the same framing

Callers got a short answer with a last chunk, or with a Content-Length of what had come, when a target closed its connection in order within a response without a length or chunks (ORDER).

Cause: the end of a connection can't tell a complete body from a broken one (RFC 9112, 8), yet the gateway framed what it had as complete, which says more than the target did. The class: a response is framed anew without what its framing said.

Now a response that ends with its connection reaches the caller so too, in order if the target closed in order, else reset. Its socket is set to be reset on close until the response is finished, so that a gateway that is killed or destroys the exchange does not make a part look complete either. A stream that began in another framing and was resumed at a target without one cannot be confirmed as complete: it is resumed once more or broken off (attempt outcome unconfirmed; the target's health is not touched).

Unit tests Http1ServerUntilClose. The cost is a connection for each such response.

--- a/scenarios/gateway_broken_responses.lua
+++ b/scenarios/gateway_broken_responses.lua
@@ -96,5 +96,15 @@
   end
 end
 
+-- A gateway that dies within a response that ends with its connection resets it.
+fleet:set_break{id = "engine-broken", framing = "close", end_ms = 60000}
+local socket = connect(fleet.all[1].callers)
+socket:send(gateways.bytes{method = "POST", path = "/notes/1", body = "x",
+                           headers = {Accept = "text/event-stream"}})
+socket:wait_for("part" .. kEvents, 5000)
+fleet.all[1].process:kill()
+socket:wait_closed(5000)
+check(socket.reset, "killed gateway", "closed in order")
+
 fleet:stop()
 expect(#failures == 0, #failures .. " cells:\n" .. table.concat(failures, "\n"))
--- a/source/core/forwarding/attempt_rules.cc
+++ b/source/core/forwarding/attempt_rules.cc
@@ -4,7 +4,7 @@
 
 std::string_view ToString(attempt_outcome outcome) {
   constexpr std::string_view kNames[] = {"not_sent", "not_run", "failed",
-                                         "lost"};
+                                         "lost", "unconfirmed"};
   return kNames[static_cast<size_t>(outcome)];
 }
 
--- a/source/core/forwarding/attempt_rules.h
+++ b/source/core/forwarding/attempt_rules.h
@@ -15,6 +15,9 @@
   kNotRun,   ///< the target reports that it did not run the request
   kFailed,   ///< a complete response that reports a failure of the target
   kLost,     ///< no complete response: the request may have run
+  /// The response may be complete or truncated: only the end of its connection
+  /// shows where it ends.
+  kUnconfirmed,
 };
 
 /// What to do next with a request.
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -348,9 +348,14 @@
   streaming_events_ =
       route_->kind == core::request_kind::kStreaming && Succeeded();
   const std::vector<net::http_header> headers = EndToEndHeaders(head);
-  std::optional<uint64_t> length;
-  if (!streaming_events_ || !IsRetryable()) length = head.content_length;
-  exchange_->SendHead(head.status, head.reason, headers, length);
+  relay_framing_ = head.framing;
+  // The length of a stream that may be resumed is not known.
+  if (relay_framing_ == net::body_framing::kLength && streaming_events_ &&
+      IsRetryable()) {
+    relay_framing_ = net::body_framing::kChunked;
+  }
+  exchange_->SendHead(head.status, head.reason, headers,
+                      {relay_framing_, head.content_length.value_or(0)});
 }
 
 void forward_request::OnBody(std::string_view data) {
@@ -423,6 +428,13 @@
     FinishAttempt(attempt_outcome::kLost);
     return;
   }
+  // The end of a connection says that a response is complete only to callers
+  // that get it in the same framing.
+  if (relaying_ && response_head_.framing == net::body_framing::kUntilClose &&
+      relay_framing_ != net::body_framing::kUntilClose) {
+    FinishAttempt(attempt_outcome::kUnconfirmed);
+    return;
+  }
   ClearSuspects();
   // A failure too large to buffer has been relayed already.
   const bool already_relayed = relaying_ && !streaming_events_;
@@ -458,6 +470,8 @@
     case attempt_outcome::kNotRun:
       deps_.ejection.OnOverloaded(target_.get(), now);
       break;
+    case attempt_outcome::kUnconfirmed:
+      break;
     case attempt_outcome::kFailed:
       if (response_head_.status >= 500) {
         deps_.ejection.OnTargetFailure(target_.get(), now);
@@ -510,6 +524,7 @@
     ++failed_dials_;
   }
   if (outcome == attempt_outcome::kLost ||
+      outcome == attempt_outcome::kUnconfirmed ||
       outcome == attempt_outcome::kFailed) {
     may_have_run_ = true;
   }
@@ -564,15 +579,20 @@
 }
 
 void forward_request::ForwardResponse(const std::string& target) {
-  const std::vector<net::http_header> headers = EndToEndHeaders(response_head_);
-  if (exchange_->head().method == "HEAD") {
-    exchange_->SendHead(response_head_.status, response_head_.reason, headers,
-                        response_head_.content_length);
-    exchange_->Finish();
-  } else {
-    exchange_->Send(response_head_.status, response_head_.reason, headers,
-                    response_body_);
+  net::response_framing framing{net::body_framing::kLength,
+                                response_body_.size()};
+  if (response_head_.framing == net::body_framing::kUntilClose) {
+    framing.how = net::body_framing::kUntilClose;
   }
+  if (exchange_->head().method == "HEAD") {
+    framing.how = response_head_.content_length ? net::body_framing::kLength
+                                                : net::body_framing::kNone;
+    framing.length = response_head_.content_length.value_or(0);
+  }
+  exchange_->SendHead(response_head_.status, response_head_.reason,
+                      EndToEndHeaders(response_head_), framing);
+  exchange_->SendBody(response_body_);
+  exchange_->Finish();
   Conclude(response_head_.status < 500 ? "complete" : "failed",
            response_head_.status, target);
 }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -208,6 +208,7 @@
   bool inputs_missing_ = false;    ///< not run because its inputs don't exist
   bool response_signed_ = false;   ///< has the target's signature
   bool relaying_ = false;          ///< the response is forwarded as it arrives
+  net::body_framing relay_framing_ = net::body_framing::kNone;
   bool streaming_events_ = false;  ///< relayed event by event
   core::event_stream_filter filter_;
   bool caller_disconnected_ = false;
--- a/source/net/http1_parser.h
+++ b/source/net/http1_parser.h
@@ -16,8 +16,8 @@
   kNone,        ///< the message has no body
   kLength,      ///< its Content-Length
   kChunked,     ///< its last chunk
-  kUntilClose,  ///< the end of the connection, so that a truncated body can't be
-                ///< told from a complete one unless the connection is reset
+  kUntilClose,  ///< the end of the connection, so that a truncated body can't
+                ///< be told from a complete one unless the connection is reset
 };
 
 /// @return the name used in logs
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -152,14 +152,22 @@
 
   void SendHead(int status, std::string_view reason,
                 std::span<const http_header> headers,
-                std::optional<uint64_t> length) override {
+                const response_framing& framing) override {
     if (stream_ == nullptr || head_sent_) return;
     head_sent_ = true;
     no_body_ = head_.method == "HEAD" || HasNoBody(status);
-    chunked_ = !no_body_ && !length && head_.minor_version > 0;
+    if (!no_body_) framing_ = framing.how;
+    if (framing_ == body_framing::kChunked && head_.minor_version == 0) {
+      framing_ = body_framing::kUntilClose;
+    }
+    const bool has_length = framing.how == body_framing::kLength ||
+                            (framing.how == body_framing::kNone && !no_body_);
     const std::shared_ptr<connection> owner = owner_.lock();
     if (owner && owner->server_->closing_) keep_alive_ = false;
-    if (!no_body_ && !length && !chunked_) keep_alive_ = false;
+    if (framing_ == body_framing::kUntilClose) {
+      keep_alive_ = false;
+      stream_->SetResetOnClose(true);
+    }
     std::string out;
     out.reserve(512);
     out.append("HTTP/1.1 ");
@@ -168,11 +176,11 @@
     for (const http_header& header : headers) {
       out.append(header.name).append(": ").append(header.value).append("\r\n");
     }
-    if (chunked_) {
+    if (framing_ == body_framing::kChunked) {
       out.append("Transfer-Encoding: chunked\r\n");
-    } else if (length && !HasNoBody(status)) {
+    } else if (has_length && !HasNoBody(status)) {
       out.append("Content-Length: ");
-      AppendNumber(*length, 10, &out);
+      AppendNumber(framing.length, 10, &out);
       out.append("\r\n");
     }
     if (!keep_alive_) {
@@ -188,7 +196,7 @@
     if (stream_ == nullptr || !head_sent_ || finished_) return;
     if (no_body_ || data.empty()) return;
     std::string out = std::exchange(head_text_, {});
-    if (chunked_) {
+    if (framing_ == body_framing::kChunked) {
       AppendNumber(data.size(), 16, &out);
       out.append("\r\n").append(data).append("\r\n");
     } else {
@@ -201,8 +209,9 @@
     if (stream_ == nullptr || !head_sent_ || finished_) return;
     finished_ = true;
     std::string out = std::exchange(head_text_, {});
-    if (chunked_) out.append("0\r\n\r\n");
+    if (framing_ == body_framing::kChunked) out.append("0\r\n\r\n");
     if (!out.empty()) stream_->Write(out);
+    stream_->SetResetOnClose(false);
     const std::shared_ptr<connection> owner = owner_.lock();
     Detach();
     if (owner) owner->OnResponseComplete(keep_alive_);
@@ -214,7 +223,7 @@
     // If the final chunk or part of the announced length is missing, a plain
     // close shows that the response is truncated; a body that is delimited by
     // the end of the connection needs a reset.
-    if (head_sent_ && !chunked_) stream_->Abort();
+    if (head_sent_ && framing_ != body_framing::kChunked) stream_->Abort();
     Detach();
     if (owner) owner->Drop();
   }
@@ -251,7 +260,7 @@
   bool keep_alive_;
   bool head_sent_ = false;
   bool no_body_ = false;
-  bool chunked_ = false;
+  body_framing framing_ = body_framing::kNone;  ///< of the response
   bool finished_ = false;
   std::string head_text_;  ///< sent together with the first part of the body
   std::function<void()> on_disconnect_;
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -14,6 +14,12 @@
 
 namespace wisteriadale::net {
 
+/// Framing of the body of a response.
+struct response_framing {
+  body_framing how = body_framing::kNone;
+  uint64_t length = 0;  ///< in bytes, with body_framing::kLength
+};
+
 /// A request whose body is complete, and its response. Calls are ignored after
 /// the caller has disconnected.
 class http1_exchange {
@@ -24,12 +30,12 @@
   /// @return when the first byte of the request arrived
   virtual common::time_point received_at() const = 0;
 
-  /// Starts the response. A body of unknown length is sent chunked.
+  /// Starts the response.
   /// @param headers without those for message framing or connection management
-  /// @param length  size of the body in bytes, if known
+  /// @param framing chunks become kUntilClose for callers of HTTP/1.0
   virtual void SendHead(int status, std::string_view reason,
                         std::span<const http_header> headers,
-                        std::optional<uint64_t> length) = 0;
+                        const response_framing& framing) = 0;
   virtual void SendBody(std::string_view data) = 0;
   /// Completes the response.
   virtual void Finish() = 0;
@@ -49,7 +55,7 @@
   /// Sends a complete response.
   void Send(int status, std::string_view reason,
             std::span<const http_header> headers, std::string_view body) {
-    SendHead(status, reason, headers, body.size());
+    SendHead(status, reason, headers, {body_framing::kLength, body.size()});
     SendBody(body);
     Finish();
   }
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -39,6 +39,12 @@
   setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+/// Selects whether closing a socket resets its connection.
+void SetReset(int fd, bool reset) {
+  const linger option{reset ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void TuneSocket(int fd) {
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
@@ -171,6 +177,10 @@
       CloseAsync(wsi_);
       return;
     }
+    if (reset_on_close_) {
+      Abort();
+      return;
+    }
     released_ = true;
     SetReading(true);
     if (PendingBytes() == 0) ShutDown();
@@ -185,11 +195,17 @@
     handler_ = nullptr;
     if (wsi_ == nullptr || ended_) return;
     ended_ = true;
-    const linger reset{1, 0};
-    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    SetReset(fd_, true);
     CloseAsync(wsi_);
   }
 
+  void SetResetOnClose(bool reset) {
+    if (wsi_ == nullptr || ended_) return;
+    // The kernel resets the connection until the pending bytes are sent.
+    if (reset) SetReset(fd_, true);
+    reset_on_close_ = reset;
+  }
+
   bool OnReadable() override {
     static std::array<char, kReadBytes> buffer;
     while (reading_ && !ended_) {
@@ -253,7 +269,10 @@
     return true;
   }
 
-  void ShutDown() { shutdown(fd_, SHUT_WR); }
+  void ShutDown() {
+    SetReset(fd_, false);
+    shutdown(fd_, SHUT_WR);
+  }
 
   void End(stream_end how) {
     if (ended_) return;
@@ -269,6 +288,7 @@
   bool connecting_;
   bool reading_ = true;
   bool released_ = false;
+  bool reset_on_close_ = false;
   bool ended_ = false;
   std::string peer_;
   std::string outgoing_;
@@ -288,6 +308,9 @@
 void tcp_stream::PauseReading() { connection_->SetReading(false); }
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
+void tcp_stream::SetResetOnClose(bool reset) {
+  connection_->SetResetOnClose(reset);
+}
 bool tcp_stream::PeerClosed() const { return connection_->PeerClosed(); }
 bool tcp_stream::HasUnreadData() const { return connection_->HasUnreadData(); }
 const std::string& tcp_stream::peer() const { return connection_->peer(); }
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -52,6 +52,10 @@
   void ResumeReading();
   /// Resets the connection at once; pending bytes are discarded.
   void Abort();
+  /// While set, the connection is reset rather than closed, also if this object
+  /// is destroyed or the process dies: for data whose end is the end of the
+  /// connection, so that the peer can't take a part of it for the whole.
+  void SetResetOnClose(bool reset);
   /// Asks the kernel, as the loop may not have seen the event yet.
   /// @return whether the peer has closed or reset the connection
   bool PeerClosed() const;
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -193,3 +193,58 @@
                         [&] { return HasResponse(); }));
   CHECK(caller.Read().starts_with("HTTP/1.1 200"));
 }
+
+TEST_GROUP(Http1ServerUntilClose) {
+  common::system_clock clock;
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  std::shared_ptr<net::http1_exchange> open;
+  std::unique_ptr<net::http1_server> server;
+  fakes::raw_socket caller;
+
+  void StartResponse(const std::string& version) {
+    server = net::http1_server::Create(
+        **loop, clock, {"127.0.0.1", 0}, {},
+        [this](const std::shared_ptr<net::http1_exchange>& exchange) {
+          open = exchange;
+        });
+    CHECK(server != nullptr);
+    CHECK(caller.Connect(server->port()));
+    caller.Send("GET / HTTP/" + version + "\r\nHost: a\r\n\r\n");
+    CHECK(RunUntil([this] { return open != nullptr; }));
+    open->SendHead(200, "OK", {}, {net::body_framing::kUntilClose});
+    open->SendBody("part");
+    CHECK(RunUntil([this] { return caller.Read().ends_with("part"); }));
+  }
+  template <typename condition>
+  bool RunUntil(condition holds) {
+    return fakes::RunUntil(**loop, std::chrono::seconds(5), holds);
+  }
+  bool IsReset() {
+    CHECK(RunUntil([this] { return caller.Closed(); }));
+    return caller.reset();
+  }
+};
+
+TEST(Http1ServerUntilClose, ACompleteBodyEndsWithAClose) {
+  StartResponse("1.1");
+  open->Finish();
+  CHECK_FALSE(IsReset());
+  const std::string& response = caller.Read();
+  CHECK(response.ends_with("\r\n\r\npart"));
+  CHECK(response.find("Connection: close") != std::string::npos);
+  CHECK(response.find("Content-Length") == std::string::npos);
+  CHECK(response.find("Transfer-Encoding") == std::string::npos);
+}
+
+TEST(Http1ServerUntilClose, ABrokenBodyEndsWithAReset) {
+  StartResponse("1.1");
+  open->Abort();
+  CHECK(IsReset());
+}
+
+TEST(Http1ServerUntilClose, ABodyEndsWithAResetIfTheServerIsDestroyed) {
+  StartResponse("1.1");
+  server.reset();
+  CHECK(IsReset());
+}
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -72,9 +72,10 @@
     char piece[4096];
     while (true) {
       const ssize_t size = recv(fd_, piece, sizeof(piece), MSG_DONTWAIT);
-      if (size == 0) closed_ = true;
-      if (size < 0 && errno != EAGAIN) closed_ = true;
-      if (size <= 0) return received_;
+      if (closed_ || (size < 0 && errno == EAGAIN)) return received_;
+      closed_ = size <= 0;
+      reset_ = size < 0;
+      if (closed_) return received_;
       received_.append(piece, static_cast<size_t>(size));
     }
   }
@@ -84,6 +85,8 @@
     Read();
     return closed_;
   }
+  /// @return whether the connection was reset rather than closed in order
+  bool reset() const { return reset_; }
 
  private:
   static sockaddr_in Loopback(uint16_t port) {
@@ -97,6 +100,7 @@
   int fd_;
   std::string received_;
   bool closed_ = false;
+  bool reset_ = false;
 };
 
 }  // namespace wisteriadale::fakes
--- a/source/unit_tests/platform_standin/broken_target.cc
+++ b/source/unit_tests/platform_standin/broken_target.cc
@@ -8,8 +8,6 @@
 constexpr char kRequestId[] = "X-Wisteriadale-Request-Id";
 constexpr char kNotExecuted[] = "X-Wisteriadale-Not-Executed";
 constexpr char kSignature[] = "X-Wisteriadale-Response-Signature";
-// A reset discards bytes that the peer has not read.
-constexpr common::duration kDelayBeforeEnd = std::chrono::milliseconds(20);
 // How far a response comes within its headers, an event or its body.
 constexpr size_t kBytesWithin = 8;
 constexpr size_t kMissingBytes = 10;
@@ -74,10 +72,12 @@
     if (!ends) return;
     const bool reset = breaks && owner_.break_.reset;
     const std::weak_ptr<connection> self = weak_from_this();
-    owner_.loop_.Schedule(kDelayBeforeEnd, [self, reset] {
-      const std::shared_ptr<connection> kept = self.lock();
-      if (kept) kept->Close(reset);
-    });
+    // A reset discards bytes that the peer has not read.
+    owner_.loop_.Schedule(
+        common::milliseconds(owner_.break_.end_ms), [self, reset] {
+          const std::shared_ptr<connection> kept = self.lock();
+          if (kept) kept->Close(reset);
+        });
   }
 
   void Close(bool reset) {
--- a/source/unit_tests/platform_standin/broken_target.h
+++ b/source/unit_tests/platform_standin/broken_target.h
@@ -29,7 +29,8 @@
   uint32_t cut_after = 2;  ///< complete events before a break
   uint32_t padding = 0;    ///< bytes appended to a body that is not streamed
   uint32_t whole_first =
-      0;  ///< complete responses before the first that breaks
+      0;                ///< complete responses before the first that breaks
+  int64_t end_ms = 20;  ///< from the last byte to the end of the connection
   /// Field `repeats`: this refusal (503, not executed) was the response to the
   /// first request of each connection; it is sent once more before the second.
   bool repeats_refusal = false;
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -144,7 +144,8 @@
   }
   copy.append("Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
   copy.append(body);
-  exchange->SendHead(200, "OK", headers, body.size());
+  exchange->SendHead(200, "OK", headers,
+                     {net::body_framing::kLength, body.size()});
   exchange->SendBody(body);
   // The exchange stays open until then, so that the copy precedes the response
   // to the next request.
@@ -159,7 +160,7 @@
   std::vector<net::http_header> headers = ResponseHeaders(*exchange);
   headers.push_back({kSignature, id_});
   headers.push_back({"Content-Type", "text/event-stream"});
-  exchange->SendHead(200, "OK", headers, std::nullopt);
+  exchange->SendHead(200, "OK", headers, {net::body_framing::kChunked});
   const std::string* last = exchange->head().Find("Last-Event-Id");
   SendEvent(exchange, last == nullptr ? 1 : std::stoul(*last) + 1);
 }
