Give callers that read slowly the rest of a response that closes its connection

A caller that paused reading for a second lost the end of a response on a connection that was then closed, as is each response that ends with its connection: closing gave the pending bytes 1 s, counted from the close, and discarded the rest.

Cause: one timer for two things, sending what is pending and waiting for the peer's own close. The second now begins once nothing is pending; the first may take 60 s, and the kernel's user timeout ends it sooner if the peer reads nothing.

--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -34,6 +34,9 @@
 // How long a closed connection is still read (lingering close): unread bytes
 // from the peer would turn the close into a reset that destroys the response.
 constexpr common::duration kLingerLimit = std::chrono::milliseconds(1000);
+// How long a closed connection may take to send its pending bytes. If the peer
+// reads nothing, the kernel ends it after kUserTimeoutMs.
+constexpr common::duration kDrainLimit = std::chrono::seconds(60);
 
 void SetOption(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof(value));
@@ -183,12 +186,11 @@
     }
     released_ = true;
     SetReading(true);
-    if (PendingBytes() == 0) ShutDown();
-    const std::weak_ptr<connection> self = weak_from_this();
-    loop_.Schedule(kLingerLimit, [self] {
-      const std::shared_ptr<connection> kept = self.lock();
-      if (kept && kept->wsi_ != nullptr) CloseAsync(kept->wsi_);
-    });
+    if (PendingBytes() == 0) {
+      ShutDown();
+    } else {
+      CloseAfter(kDrainLimit);
+    }
   }
 
   void Abort() {
@@ -272,6 +274,22 @@
   void ShutDown() {
     SetReset(fd_, false);
     shutdown(fd_, SHUT_WR);
+    CloseAfter(kLingerLimit);
+  }
+
+  void CloseAfter(common::duration delay) {
+    const std::weak_ptr<connection> self = weak_from_this();
+    loop_.Schedule(delay, [self] {
+      const std::shared_ptr<connection> kept = self.lock();
+      if (!kept || kept->wsi_ == nullptr) return;
+      if (kept->PendingBytes() > 0) {
+        common::Log(common::log_channel::kNet, common::log_level::kInfo,
+                    "closed a connection to " + kept->peer_ +
+                        " that reads too slowly, with " +
+                        std::to_string(kept->PendingBytes()) + " bytes unsent");
+      }
+      CloseAsync(kept->wsi_);
+    });
   }
 
   void End(stream_end how) {
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -195,6 +195,7 @@
 }
 
 TEST_GROUP(Http1ServerUntilClose) {
+  static constexpr int kWindowBytes = 256 * 1024;
   common::system_clock clock;
   std::optional<std::unique_ptr<net::event_loop>> loop =
       net::event_loop::Create({});
@@ -209,7 +210,7 @@
           open = exchange;
         });
     CHECK(server != nullptr);
-    CHECK(caller.Connect(server->port()));
+    CHECK(caller.Connect(server->port(), kWindowBytes));
     caller.Send("GET / HTTP/" + version + "\r\nHost: a\r\n\r\n");
     CHECK(RunUntil([this] { return open != nullptr; }));
     open->SendHead(200, "OK", {}, {net::body_framing::kUntilClose});
@@ -248,3 +249,24 @@
   server.reset();
   CHECK(IsReset());
 }
+
+// The last response of a connection was cut off a second after its end.
+TEST(Http1ServerUntilClose, ASlowCallerGetsTheWholeBody) {
+  constexpr size_t kBytes = size_t{6} << 20;
+  StartResponse("1.1");
+  open->SendBody(std::string(kBytes, 'x'));
+  open->Finish();
+  fakes::RunUntil(**loop, std::chrono::milliseconds(1300),
+                  [] { return false; });
+  CHECK_FALSE(IsReset());
+  CHECK(caller.Read().size() > kBytes);
+}
+
+TEST(Http1ServerUntilClose, ACallerThatReadsNothingIsReset) {
+  StartResponse("1.1");
+  open->SendBody(std::string(size_t{12} << 20, 'x'));
+  open->Finish();
+  fakes::RunUntil(**loop, std::chrono::milliseconds(2500),
+                  [] { return false; });
+  CHECK(IsReset());
+}
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -52,9 +52,9 @@
     if (accepted >= 0) close(accepted);
   }
 
-  bool Connect(uint16_t port) const {
-    const int small_window = 4096;
-    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &small_window, sizeof(small_window));
+  /// @param window_bytes size of the receive buffer
+  bool Connect(uint16_t port, int window_bytes = 4096) const {
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof(window_bytes));
     const sockaddr_in address = Loopback(port);
     const sockaddr* plain = reinterpret_cast<const sockaddr*>(&address);
     return connect(fd_, plain, sizeof(address)) == 0;
