Do not put another target's response behind part of a long one

A caller of an idempotent route whose response was too long to be held back (over 1 MB) and broke off got the first bytes of another target's response behind it, under the first one's length: a whole answer by its framing, of two runs.

Cause: the next attempt was allowed after a part had been passed on, which only a stream of events bears. Now such a response is broken off.

--- a/scenarios/gateway_broken_responses.lua
+++ b/scenarios/gateway_broken_responses.lua
@@ -12,19 +12,7 @@
   return text
 end
 
--- Only the broken targets of both services are left.
-for _, target in ipairs(fleet.targets) do
-  if target.service == "plain" or target.service == "engine" then
-    fleet:remove_target(target)
-  end
-end
-for _, target in pairs(fleet.broken) do fleet:register_target(target) end
-wait_until(function()
-  local answer = fleet:request{path = "/stock/1"}
-  return answer.status == 200 and
-             #fleet:runs(answer.id) > 0 and
-             fleet:runs(answer.id)[1].target == "plain-broken"
-end, 10000, "only the broken targets are used")
+fleet:use_only{"plain-broken", "engine-broken"}
 
 local failures = {}
 local function check(condition, cell, text)
--- a/scenarios/lib/gateways.lua
+++ b/scenarios/lib/gateways.lua
@@ -53,8 +53,8 @@
 
 --- Starts a store, two targets of each service, and gateways. Options: count
 --- (of gateways), version (of the document), settings (overrides),
---- without_routes (writes no document), broken (adds the targets plain-broken
---- and engine-broken, whose responses break off; they have no entries yet).
+--- without_routes (writes no document), broken (adds targets whose responses
+--- break off, as fleet.broken; they have no entries yet).
 function gateways.start(options)
   options = options or {}
   local self = setmetatable({targets = {}, all = {}}, gateways)
@@ -67,14 +67,16 @@
     end
   end
   self.broken = {}
-  for _, service in ipairs(options.broken and {"plain", "engine"} or {}) do
-    self.broken[service] = {id = service .. "-broken", service = service,
-                            port = free_port()}
+  if options.broken then
+    for _, id in ipairs{"plain-broken", "engine-broken", "engine-next"} do
+      self.broken[#self.broken + 1] = {id = id, service = id:match("^%a+"),
+                                       port = free_port()}
+    end
   end
   local standin_settings = {["/port"] = self.store_port,
                             ["/targets"] = self.targets}
   if options.broken then
-    standin_settings["/broken"] = {self.broken.plain, self.broken.engine}
+    standin_settings["/broken"] = self.broken
   end
   self.standin = start("wisteria-platform-standin", standin_settings)
   self:wait_for_status(self.store_port, "/control/store", 200)
@@ -158,6 +160,37 @@
   self:control("rows", {table = "servers", key = target.id})
 end
 
+--- Leaves only the targets with these ids to the services plain and engine, and
+--- waits until the gateways know. A target that was removed may not return.
+function gateways:use_only(ids)
+  local used, removed = {}, {}
+  for _, id in ipairs(ids) do used[id] = true end
+  for _, target in ipairs(self.broken) do
+    if used[target.id] then self:register_target(target) end
+  end
+  for _, list in ipairs{self.targets, self.broken} do
+    for _, target in ipairs(list) do
+      local plain = target.service == "plain" or target.service == "engine"
+      if plain and not used[target.id] then
+        self:remove_target(target)
+        if list == self.targets then removed[#removed + 1] = target.id end
+      end
+    end
+  end
+  for _, gateway in ipairs(self.all) do
+    wait_until(function()
+      local left = {}
+      for _, line in ipairs(self:log_lines(gateway)) do
+        if line.event == "target_leaving" then left[line.target] = true end
+      end
+      for _, id in ipairs(removed) do
+        if not left[id] then return false end
+      end
+      return true
+    end, 10000, "only the chosen targets are used")
+  end
+end
+
 --- Returns what the targets ran, stages included; with an id only for that
 --- request.
 function gateways:runs(id)
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -509,6 +509,8 @@
       outcome == attempt_outcome::kFailed && response_head_.status < 500;
   context.budget_left = !client_error;
   if (RemainingQuarantine().count() > 0) context.targets_left = false;
+  // Only a stream of events can continue with the response of another target.
+  if (relaying_ && !streaming_events_) context.targets_left = false;
   // Stage results are released once a target has started to respond, so that a
   // retry would lack its inputs.
   if (!inputs_.empty() && !plan_ && !relaying_) context.targets_left = false;
--- a/source/unit_tests/platform_standin/broken_target.cc
+++ b/source/unit_tests/platform_standin/broken_target.cc
@@ -55,9 +55,9 @@
     const std::string body = std::exchange(body_, {});
     parser_.reset();
     const std::string* id = head.Find(kRequestId);
-    const bool first = requests_++ == 0;
+    const bool refuses = requests_++ % 2 == 0;
     if (owner_.break_.repeats_refusal && id != nullptr) {
-      if (first) {
+      if (refuses) {
         refusal_ = Refusal(*id);
         stream_->Write(refusal_);
         return;
--- a/source/unit_tests/platform_standin/broken_target.h
+++ b/source/unit_tests/platform_standin/broken_target.h
@@ -31,8 +31,8 @@
   uint32_t whole_first =
       0;                ///< complete responses before the first that breaks
   int64_t end_ms = 20;  ///< from the last byte to the end of the connection
-  /// Field `repeats`: this refusal (503, not executed) was the response to the
-  /// first request of each connection; it is sent once more before the second.
+  /// Field `repeats`: refuses each other request of a connection (503, not
+  /// executed), and sends that response once more before the next.
   bool repeats_refusal = false;
 };
 
