Continue a broken stream only with a stream of events

A caller whose resumable stream broke off found the next target's answer behind its events when that was a signed success that is no stream of events, and the stream ended as complete.

Cause: any signed 2xx continued a stream; its content type was not looked at. Now a response that is not text/event-stream counts as lost there. The type is compared in any case, and a plain body on a streaming route is never resumed.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -45,7 +45,9 @@
 /// also respond with a plain body
 bool IsEventStream(const net::message_head& head) {
   const std::string* type = head.Find("Content-Type");
-  return type != nullptr && type->starts_with("text/event-stream");
+  return type != nullptr &&
+         net::SameName(std::string_view(*type).substr(0, type->find(';')),
+                       "text/event-stream");
 }
 
 }  // namespace
@@ -345,8 +347,8 @@
 
 void forward_request::StartRelay(const net::message_head& head) {
   relaying_ = true;
-  streaming_events_ =
-      route_->kind == core::request_kind::kStreaming && Succeeded();
+  streaming_events_ = route_->kind == core::request_kind::kStreaming &&
+                      Succeeded() && IsEventStream(head);
   const std::vector<net::http_header> headers = EndToEndHeaders(head);
   relay_framing_ = head.framing;
   // The length of a stream that may be resumed is not known.
@@ -359,8 +361,7 @@
 }
 
 void forward_request::OnBody(std::string_view data) {
-  // A resumed stream may only continue with a successful response.
-  if (relaying_ && (!streaming_events_ || Succeeded())) {
+  if (relaying_ && (!streaming_events_ || ContinuesStream())) {
     RelayBody(data);
     return;
   }
@@ -385,6 +386,10 @@
          !response_not_run_;
 }
 
+bool forward_request::ContinuesStream() const {
+  return Succeeded() && IsEventStream(response_head_);
+}
+
 void forward_request::RelayBody(std::string_view data) {
   if (!streaming_events_) {
     exchange_->SendBody(data);
@@ -423,8 +428,8 @@
     FinishAttempt(attempt_outcome::kLost);
     return;
   }
-  if (streaming_events_ && Succeeded() && IsEventStream(response_head_) &&
-      filter_.WithinEvent()) {
+  if (streaming_events_ && Succeeded() &&
+      (!ContinuesStream() || filter_.WithinEvent())) {
     FinishAttempt(attempt_outcome::kLost);
     return;
   }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -113,6 +113,8 @@
   bool Succeeded() const;
   /// Sends the head of the response, before its body is complete.
   void StartRelay(const net::message_head& head);
+  /// @return whether the response is one that a stream can be resumed with
+  bool ContinuesStream() const;
   void RelayBody(std::string_view data);
   /// Pauses reading from the target while the caller reads too slowly.
   void ApplyBackpressure();
