Do not reuse a connection for a request id that it has carried

A caller that repeated a request with the same id was told 503, not run, though its second run was in progress: the target had written the refusal of the first one once more on the kept connection, and its id was the expected one.

Cause: a repeated response is told from the awaited one by its id alone, which does not help if ids repeat. With ids that differ, and for requests that may run only once (which never share a connection), it cannot happen here; the scenario shows both. Now the client remembers the ids of a connection's latest 256 calls.

gateway_repeated_refusal failed before (the same id: status 503, runs 1) and passes now. ConnectionsAreReusedOnlyIfAllowed sent one id three times, which is what must not share a connection now; it sends three ids with the same expectations, and AConnectionCarriesACallWithAnIdOnce checks the rest.

--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr common::duration kEvictionPeriod = std::chrono::milliseconds(500);
+// Ids that a connection remembers; a repeated response to an older request is
+// not expected.
+constexpr size_t kMaxRememberedIds = 256;
 // A connection expires this long before the server's own idle timeout.
 constexpr common::duration kIdleMargin = std::chrono::milliseconds(500);
 
@@ -73,6 +76,7 @@
     request_ = Serialize(request);
     head_only_ = request.method == "HEAD";
     max_body_bytes_ = request.max_body_bytes;
+    if (!request.echo_value.empty()) RememberId(request.echo_value);
     skipped_bytes_ = 0;
     sent_ = false;
     if (open_) SendRequest();
@@ -86,6 +90,13 @@
   void OnData(std::string_view data) override;
   void OnEnd(stream_end how) override;
 
+  /// @return whether the connection has carried a call with that id, so that a
+  /// repeated response to it could not be told from the one to another call
+  bool HasCarried(std::string_view id) const {
+    return std::find(carried_ids_.begin(), carried_ids_.end(),
+                     std::hash<std::string_view>()(id)) != carried_ids_.end();
+  }
+
   /// @return whether the connection may carry another call
   bool Reusable() const {
     return usable() && keep_alive_ && stream_->PendingBytes() == 0 &&
@@ -93,6 +104,11 @@
   }
 
  private:
+  void RememberId(std::string_view id) {
+    if (carried_ids_.size() < kMaxRememberedIds) carried_ids_.push_back(0);
+    carried_ids_[calls_++ % kMaxRememberedIds] =
+        std::hash<std::string_view>()(id);
+  }
   void SendRequest() {
     sent_ = true;
     stream_->Write(request_);
@@ -112,6 +128,8 @@
   bool head_only_ = false;
   uint64_t max_body_bytes_ = 0;
   uint64_t skipped_bytes_ = 0;  ///< received by this call, of other responses
+  std::vector<size_t> carried_ids_;  ///< hashes of the latest ids
+  size_t calls_ = 0;                 ///< with an id
   bool skipping_ = false;  ///< the response is interim or of an earlier call
   bool head_reported_ = false;
   bool open_ = false;
@@ -342,7 +360,9 @@
       std::make_unique<call>(*this, request, handler);
   const std::string server = FormatEndpoint(request.to);
   std::unique_ptr<connection> transport;
-  if (request.reuse_connection) transport = TakeFromPool(server);
+  if (request.reuse_connection) {
+    transport = TakeFromPool(server, request.echo_value);
+  }
   if (!transport) {
     transport = std::make_unique<connection>(*this, server);
     if (!transport->Dial(request.to)) {
@@ -358,17 +378,23 @@
 }
 
 std::unique_ptr<http1_client::connection> http1_client::TakeFromPool(
-    const std::string& server) {
+    const std::string& server, std::string_view id) {
   const auto found = idle_.find(server);
   if (found == idle_.end()) return nullptr;
   idle_list& list = found->second;
-  while (!list.empty()) {
-    // The most recently used one is the least likely to have been closed.
-    std::unique_ptr<connection> last = std::move(list.back());
-    list.pop_back();
-    if (last->Reusable()) return last;
-  }
-  return nullptr;
+  std::erase_if(list, [](const std::unique_ptr<connection>& idle) {
+    return !idle->Reusable();
+  });
+  // The most recently used one is the least likely to have been closed.
+  const auto chosen =
+      std::find_if(list.rbegin(), list.rend(),
+                   [id](const std::unique_ptr<connection>& idle) {
+                     return id.empty() || !idle->HasCarried(id);
+                   });
+  if (chosen == list.rend()) return nullptr;
+  std::unique_ptr<connection> taken = std::move(*chosen);
+  list.erase(std::next(chosen).base());
+  return taken;
 }
 
 void http1_client::Discard(std::unique_ptr<connection> dropped) {
--- a/source/net/http1_client.h
+++ b/source/net/http1_client.h
@@ -102,7 +102,9 @@
  private:
   using idle_list = std::vector<std::unique_ptr<connection>>;
 
-  std::unique_ptr<connection> TakeFromPool(const std::string& server);
+  /// @param id of the call; a connection that has carried it is not taken
+  std::unique_ptr<connection> TakeFromPool(const std::string& server,
+                                           std::string_view id);
   void ReturnToPool(std::unique_ptr<connection> idle);
   void Discard(std::unique_ptr<connection> dropped);
   void EvictExpired();
