Do not report a response that broke off as complete (routers, agents, tools)

The HTTP client over libwebsockets reported a response as complete whose last chunk was missing, or that had neither a length nor chunks and was reset. Routers, agents, wisteriactl and the load tool use it. What kept callers from harm: agents wait for a line that says done, and the rest is JSON, which cannot be cut short and stay valid; an object of the platform's store had only its digest.

Cause: libwebsockets reports the end of a response that has no length when its connection ends, too. Now a length must have been met, or the report must come while bytes of chunks are decoded; a response with neither is never complete.

--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
+#include <optional>
 #include <unordered_map>
 
 #include "common/metrics.h"
@@ -11,6 +13,8 @@
 namespace {
 
 constexpr size_t kReadBytes = size_t{8} * 1024;
+constexpr int kStatusNoContent = 204;
+constexpr int kStatusNotModified = 304;
 
 class transfer;
 
@@ -97,11 +101,30 @@
 
   void OnEstablished() {
     result_.status = static_cast<int>(lws_http_client_http_response(wsi_));
+    std::array<char, 32> length{};
+    if (lws_hdr_copy(wsi_, length.data(), static_cast<int>(length.size()),
+                     WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0) {
+      length_ = std::strtoull(length.data(), nullptr, 10);
+    }
+    chunked_ = lws_hdr_total_length(wsi_, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
     ExpectProgress(call_.idle_timeout);
   }
 
+  int ReadBody(lws* wsi) {
+    std::array<char, LWS_PRE + kReadBytes> buffer;
+    char* const start = buffer.data() + LWS_PRE;
+    char* p = start;
+    int length = kReadBytes;
+    unread_ = start;
+    next_byte_ = &p;
+    const int result = lws_http_client_read(wsi, &p, &length);
+    next_byte_ = nullptr;
+    return result < 0 ? -1 : 0;
+  }
+
   void OnBody(std::string_view data) {
     last_progress_us_ = lws_now_usecs();
+    received_ += data.size();
     if (on_chunk_) {
       on_chunk_(data);
     } else {
@@ -110,8 +133,15 @@
   }
 
   void OnCompleted() {
-    result_.complete = true;
-    End("");
+    // libwebsockets also reports a closed connection as the end of a response
+    // without a length. Only the last chunk ends it while bytes are decoded.
+    const bool decoding = next_byte_ != nullptr && *next_byte_ != unread_;
+    const bool no_body = result_.status == kStatusNoContent ||
+                         result_.status == kStatusNotModified ||
+                         call_.method == "HEAD";
+    result_.complete =
+        no_body || (length_ ? *length_ == received_ : chunked_ && decoding);
+    End(result_.complete ? "" : "the connection ended within the response");
   }
 
   /// Ends the transfer and closes its connection, if any.
@@ -187,6 +217,13 @@
   std::function<void(std::string_view)> on_chunk_;
   lws* wsi_ = nullptr;
   size_t body_sent_ = 0;
+  std::optional<uint64_t> length_;  ///< of the response's body, if it has one
+  uint64_t received_ = 0;           ///< bytes of the response's body
+  bool chunked_ = false;            ///< the response's body is
+  /// Set while libwebsockets reads a body: the start of the bytes read, and the
+  /// next one that it decodes.
+  const char* unread_ = nullptr;
+  char** next_byte_ = nullptr;
   http_result result_;
   bool ended_ = false;
   common::timer_id timeout_timer_ = 0;
@@ -194,13 +231,6 @@
   int64_t last_progress_us_ = 0;
 };
 
-int ReadBody(lws* wsi) {
-  std::array<char, LWS_PRE + kReadBytes> buffer;
-  char* p = buffer.data() + LWS_PRE;
-  int length = kReadBytes;
-  return lws_http_client_read(wsi, &p, &length) < 0 ? -1 : 0;
-}
-
 }  // namespace
 
 int HttpClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
@@ -224,7 +254,7 @@
       current->OnEstablished();
       return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-      return ReadBody(wsi);
+      return current->ReadBody(wsi);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
       current->OnBody({static_cast<const char*>(in), length});
       return 0;
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -31,8 +31,10 @@
 
 /// The result of a call.
 struct http_result {
-  int status = 0;          ///< 0: no response arrived
-  bool complete = false;   ///< the whole body arrived
+  int status = 0;  ///< 0: no response arrived
+  /// The whole body arrived. Never set for a response with neither a length
+  /// nor chunks, whose end can't be told from a broken connection.
+  bool complete = false;
   bool connected = false;  ///< a connection opened, so the request may have run
   std::string body;        ///< empty if a chunk handler received it
   std::string failure;     ///< why the call is not complete
--- a/source/unit_tests/net/http1_client_test.cc
+++ b/source/unit_tests/net/http1_client_test.cc
@@ -5,6 +5,7 @@
 #include "common/last_error.h"
 #include "net/http_server.h"
 #include "unit_tests/net/loopback.h"
+#include "unit_tests/net/scripted_server.h"
 
 using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
 
@@ -12,67 +13,6 @@
 
 constexpr common::duration kLimit = std::chrono::seconds(5);
 
-/// Sends the next of a list of scripted responses for each request it receives.
-class scripted_server {
- public:
-  /// What a connection does after it sent a response.
-  enum class after_response { kKeep, kClose, kReset };
-
-  explicit scripted_server(net::event_loop& loop)
-      : listener_(net::tcp_listener::Create(
-            loop, {"127.0.0.1", 0},
-            [this](std::unique_ptr<net::tcp_stream> stream) {
-              connections_.push_back(
-                  std::make_unique<connection>(*this, std::move(stream)));
-            })) {}
-
-  void AddResponse(const std::string& text,
-                   after_response end = after_response::kKeep) {
-    responses_.push_back({text, end});
-  }
-  /// Sends bytes that no request asked for on all connections.
-  void SendUnsolicited(const std::string& text) {
-    for (const std::unique_ptr<connection>& each : connections_) {
-      each->Write(text);
-    }
-  }
-  net::endpoint listen_address() const {
-    return {"127.0.0.1", listener_->port()};
-  }
-  size_t connections() const { return connections_.size(); }
-  size_t requests() const { return requests_; }
-
- private:
-  class connection final : public net::tcp_handler {
-   public:
-    connection(scripted_server& owner, std::unique_ptr<net::tcp_stream> stream)
-        : owner_(owner), stream_(std::move(stream)) {
-      stream_->SetHandler(*this);
-    }
-    void Write(const std::string& text) {
-      if (stream_) stream_->Write(text);
-    }
-    void OnData(std::string_view data) override {
-      if (data.find("\r\n\r\n") == std::string_view::npos) return;
-      if (owner_.requests_ >= owner_.responses_.size()) return;
-      const auto& [text, end] = owner_.responses_[owner_.requests_++];
-      stream_->Write(text);
-      if (end == after_response::kReset) stream_->Abort();
-      if (end != after_response::kKeep) stream_.reset();
-    }
-    void OnEnd(net::stream_end) override { stream_.reset(); }
-
-   private:
-    scripted_server& owner_;
-    std::unique_ptr<net::tcp_stream> stream_;
-  };
-
-  std::unique_ptr<net::tcp_listener> listener_;
-  std::vector<std::unique_ptr<connection>> connections_;
-  std::vector<std::pair<std::string, after_response>> responses_;
-  size_t requests_ = 0;
-};
-
 class recorded_response final : public net::response_handler {
  public:
   void OnHead(const net::message_head& head) override {
@@ -105,7 +45,7 @@
 TEST_GROUP(Http1Client) {
   std::unique_ptr<net::event_loop> loop = *net::event_loop::Create({});
   common::system_clock clock;
-  scripted_server server{*loop};
+  fakes::scripted_server server{*loop};
   net::http1_client client{*loop, clock, {}};
   uint64_t max_body_bytes = uint64_t{64} << 20;
 
@@ -177,7 +117,7 @@
     const std::string id = std::to_string(i + 1);
     server.AddResponse(
         "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\n" + cases[i].rest,
-        scripted_server::after_response::kClose);
+        fakes::scripted_server::after_response::kClose);
     const recorded_response response = Call(id);
     CHECK_EQUAL(cases[i].complete, response.complete);
     CHECK(cases[i].framing == response.framing);
@@ -195,7 +135,7 @@
   for (const char* part : {"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n",
                            "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r",
                            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"}) {
-    server.AddResponse(part, scripted_server::after_response::kClose);
+    server.AddResponse(part, fakes::scripted_server::after_response::kClose);
     const recorded_response response = Call("1", false);
     CHECK_EQUAL(0, response.status);
     CHECK(response.failure == net::call_failure::kLost);
@@ -231,7 +171,7 @@
 
 TEST(Http1Client, BodyWithoutLengthEndsWithItsConnection) {
   server.AddResponse("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall of it",
-                     scripted_server::after_response::kClose);
+                     fakes::scripted_server::after_response::kClose);
   const recorded_response response = Call("1");
   CHECK(response.complete);
   CHECK_EQUAL("all of it", response.body);
@@ -239,7 +179,7 @@
 
 TEST(Http1Client, BodyWithoutLengthThatIsResetIsTruncated) {
   server.AddResponse("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf of",
-                     scripted_server::after_response::kReset);
+                     fakes::scripted_server::after_response::kReset);
   const recorded_response response = Call("1");
   CHECK(!response.complete);
 }
@@ -247,7 +187,7 @@
 TEST(Http1Client, BodyShorterThanItsLengthIsTruncated) {
   server.AddResponse(
       "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 99\r\n\r\nshort",
-      scripted_server::after_response::kClose);
+      fakes::scripted_server::after_response::kClose);
   const recorded_response response = Call("1");
   CHECK(!response.complete);
   CHECK(response.failure == net::call_failure::kTruncated);
@@ -293,7 +233,7 @@
 }
 
 TEST(Http1Client, CloseBeforeTheResponseIsALostConnection) {
-  server.AddResponse("", scripted_server::after_response::kClose);
+  server.AddResponse("", fakes::scripted_server::after_response::kClose);
   CHECK(Call("1").failure == net::call_failure::kLost);
 }
 
