Log when the store was restored from a copy, and the versions that were read

No line told a restored store from one that had dropped its history: now the era of a response is decoded, store_restored has it with the versions read up to, and dependency_lost too. No decision changes.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -19,6 +19,7 @@
   kSettingsRead,
   kDependencyLost,
   kDependencyRegained,
+  kStoreRestored,  ///< the store came back from an older copy of itself
   kRoutesApplied,
   kRoutesPassed,     ///< the routes were sent to another gateway
   kRoutesRequested,  ///< another gateway was asked for its routes
--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -90,10 +90,13 @@
 }
 
 void fleet_sync::OnRoutesRead(const row_store_result& result, bool full) {
+  RecordEra(result.era, result.version);
   if (result.status == row_store_status::kCompacted) {
-    common::LogEvent(
-        log_event::kDependencyLost, "",
-        {{"dependency", "history of the store"}, {"read_again", "routes"}});
+    common::LogEvent(log_event::kDependencyLost, "",
+                     {{"dependency", "history of the store"},
+                      {"read_again", "routes"},
+                      {"after", static_cast<int64_t>(routes_version_)},
+                      {"era", static_cast<int64_t>(result.era)}});
     ReadRoutes();
     return;
   }
@@ -163,10 +166,13 @@
 }
 
 void fleet_sync::OnTargetsRead(const row_store_result& result, bool full) {
+  RecordEra(result.era, result.version);
   if (result.status == row_store_status::kCompacted) {
-    common::LogEvent(
-        log_event::kDependencyLost, "",
-        {{"dependency", "history of the store"}, {"read_again", "targets"}});
+    common::LogEvent(log_event::kDependencyLost, "",
+                     {{"dependency", "history of the store"},
+                      {"read_again", "targets"},
+                      {"after", static_cast<int64_t>(targets_version_)},
+                      {"era", static_cast<int64_t>(result.era)}});
     ReadTargets();
     return;
   }
@@ -236,6 +242,20 @@
   for (const std::string& id : gone) targets_.Remove(id);
 }
 
+void fleet_sync::RecordEra(uint64_t era, uint64_t version) {
+  if (era <= era_) return;
+  if (era_ != 0) {
+    common::LogEvent(
+        log_event::kStoreRestored, "",
+        {{"era", static_cast<int64_t>(era)},
+         {"previous_era", static_cast<int64_t>(era_)},
+         {"version", static_cast<int64_t>(version)},
+         {"routes_read_to", static_cast<int64_t>(routes_version_)},
+         {"targets_read_to", static_cast<int64_t>(targets_version_)}});
+  }
+  era_ = era;
+}
+
 void fleet_sync::RecordFailure() {
   common::Metrics().Count("wisteria_store_failures_total");
   if (store_failing_) return;
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -98,6 +98,8 @@
   void ApplyTargets(std::span<const stored_row> rows, bool full);
   void RecordFailure();
   void RecordSuccess();
+  /// Notices that the store was restored.
+  void RecordEra(uint64_t era, uint64_t version);
   void ApplyRow(const stored_row& row);
   /// @return the target, or nothing with a log event
   std::optional<target_entry> Decode(const stored_row& row) const;
@@ -117,6 +119,7 @@
   /// Store versions up to which routes and targets have been read.
   uint64_t routes_version_ = 0;
   uint64_t targets_version_ = 0;
+  uint64_t era_ = 0;  ///< latest of the store; 0: not known
   common::timer_id routes_timer_ = 0;
   common::timer_id targets_timer_ = 0;
   common::timer_id removal_timer_ = 0;
--- a/source/core/ports/row_store.h
+++ b/source/core/ports/row_store.h
@@ -30,6 +30,9 @@
   row_store_status status = row_store_status::kNoResponse;
   std::vector<stored_row> rows;
   uint64_t version = 0;  ///< of the whole store at the time of the response
+  /// Rises each time the store is restored from an older copy of itself, which
+  /// gives versions out again. 0: not stated.
+  uint64_t era = 0;
 };
 
 using row_store_handler = std::function<void(const row_store_result&)>;
--- a/source/platform/http_row_store.cc
+++ b/source/platform/http_row_store.cc
@@ -1,5 +1,6 @@
 #include "platform/http_row_store.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
 
@@ -47,6 +48,18 @@
   return row_store_status::kRefused;
 }
 
+/// @return the era that a response states, or 0
+uint64_t ParseEra(const net::message_head& head) {
+  const std::string* text = head.Find("Store-Era");
+  if (text == nullptr) return 0;
+  uint64_t era = 0;
+  const char* const end = text->data() + text->size();
+  const std::from_chars_result parsed = std::from_chars(text->data(), end, era);
+  if (parsed.ec == std::errc() && parsed.ptr == end) return era;
+  LogWarning("the store's era is not a number");
+  return 0;
+}
+
 /// @return the row; nothing if it has no key. A value that can't be decoded is
 /// logged and becomes empty.
 std::optional<core::stored_row> ParseRow(const json& source) {
@@ -139,11 +152,13 @@
     }
     void OnHead(const net::message_head& head) override {
       status_ = head.status;
+      era_ = ParseEra(head);
     }
     void OnBody(std::string_view data) override { body_.append(data); }
     void OnComplete() override {
       core::row_store_result result;
       result.status = StatusFromHttp(status_);
+      result.era = era_;
       bool truncated = false;
       if (result.status == row_store_status::kOk &&
           !ParseBody(&result, &truncated)) {
@@ -190,6 +205,7 @@
     page_handler handler_;
     std::unique_ptr<net::http1_call> call_;
     int status_ = 0;
+    uint64_t era_ = 0;
     std::string body_;
   };
 
@@ -230,6 +246,7 @@
          [this, table, from, all, handler = std::move(handler)](
              core::row_store_result& page, bool truncated) {
            all->status = page.status;
+           all->era = page.era;
            if (page.status != row_store_status::kOk) {
              handler(*all);
              return;
