Show what a store that returns from an older copy of itself does to gateways

The store of the stand-in takes a copy of itself and returns to it: versions go back and are given out again, a read after one that it does not have gets 410, and each response states the era.

--- a/scenarios/lib/gateways.lua
+++ b/scenarios/lib/gateways.lua
@@ -145,6 +145,55 @@
   self:control("rows", {table = "servers", key = target.id, value = entry})
 end
 
+--- Takes a copy of the store, which restore returns to.
+function gateways:take_copy() self:control("copy", {restore = false}) end
+
+--- Brings the store back from its copy: what was written since then is lost, and
+--- versions are given out again. The store does not serve calls for down_ms
+--- before that.
+function gateways:restore(down_ms)
+  self:control("store", {how = "busy"})
+  runner.pump(down_ms or 300)
+  self:control("copy", {restore = true})
+  self:control("store", {how = ""})
+end
+
+--- Raises the store's version by writing rows that nobody reads.
+function gateways:write_other_rows(count)
+  for number = 1, count do
+    self:control("rows", {table = "other", key = "row", value = "v" .. number})
+  end
+end
+
+--- Waits until a gateway has logged that a target leaves.
+function gateways:wait_until_leaving(gateway, id)
+  wait_until(function()
+    for _, line in ipairs(self:log_lines(gateway)) do
+      if line.event == "target_leaving" and line.target == id then
+        return true
+      end
+    end
+    return false
+  end, 5000, id .. " leaves")
+end
+
+--- Sends requests and returns how often each target ran one.
+function gateways:count_runs(options, count)
+  local before = #self:runs()
+  for _ = 1, count do
+    local copy = {}
+    for field, value in pairs(options) do copy[field] = value end
+    expect_equal(200, self:request(copy).status, "response")
+  end
+  local counts = {}
+  for number, run in ipairs(self:runs()) do
+    if number > before then
+      counts[run.target] = (counts[run.target] or 0) + 1
+    end
+  end
+  return counts
+end
+
 --- Sets the simulated behaviour of one target (id) or of a service's targets
 --- (service): {id= or service=, how=, ...}.
 function gateways:set_behaviour(behaviour)
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -18,11 +18,11 @@
 ///
 ///   POST /control/rows     {table, key, value}: null removes the row
 ///   POST /control/store    store_faults
-///   POST /control/targets  {id or service, how, ...}: target_behaviour
-///   POST /control/broken   {id, framing, at, ...}: response_break
-///   GET  /control/runs     the recorded calls to the targets, target_run each
-///   GET  /control/arrivals the arrival times of calls, in ms, by target
-///   GET  /control/store    {calls}
+///   POST /control/copy     {restore}: takes a copy of the store, or returns to
+///   it POST /control/targets  {id or service, how, ...}: target_behaviour POST
+///   /control/broken   {id, framing, at, ...}: response_break GET /control/runs
+///   the recorded calls to the targets, target_run each GET  /control/arrivals
+///   the arrival times of calls, in ms, by target GET  /control/store {calls}
 class standin {
  public:
   standin(net::event_loop& loop, common::clock& clock)
@@ -67,6 +67,8 @@
     } else if (target == "/control/store" && body.is_object()) {
       rows_.SetFaults({body.value("how", ""), body.value("delay_ms", 0),
                        body.value("forgotten", false)});
+    } else if (target == "/control/copy") {
+      body.value("restore", false) ? rows_.Restore() : rows_.TakeCopy();
     } else if (target == "/control/store") {
       answer = {{"calls", rows_.calls()}};
     } else if (target == "/control/targets") {
--- a/source/unit_tests/platform_standin/row_service.cc
+++ b/source/unit_tests/platform_standin/row_service.cc
@@ -39,6 +39,15 @@
   CheckFeeds();
 }
 
+void row_service::Restore() {
+  rows_ = copy_.rows;
+  version_ = copy_.version;
+  ++era_;
+  for (const pending_feed& feed : std::exchange(pending_feeds_, {})) {
+    Respond(feed.exchange.get(), 503, json::object());
+  }
+}
+
 std::optional<std::string> row_service::Find(const std::string& table,
                                              const std::string& key) const {
   const auto found = rows_.find({table, key});
@@ -53,7 +62,7 @@
     return;
   }
   if (faults_.mode == "busy") {
-    exchange->Send(503, "Busy", {}, "");
+    Respond(exchange.get(), 503, json::object());
     return;
   }
   if (faults_.delay_ms == 0) {
@@ -71,7 +80,8 @@
     Respond(exchange.get(), 200,
             {{"rows", Rows(table, 0, false)}, {"truncated", false}});
   } else if (target.starts_with("/v1/rows-feed")) {
-    if (faults_.feed_expired) {
+    const bool is_ahead = NumericQueryParameter(target, "after") > version_;
+    if (faults_.feed_expired || is_ahead) {
       faults_.feed_expired = false;
       Respond(exchange.get(), 410, json::object());
       return;
@@ -150,7 +160,8 @@
   response["row-version"] = version_;
   response["now-ms"] = 1;
   const std::vector<net::http_header> headers = {
-      {"Content-Type", "application/json"}};
+      {"Content-Type", "application/json"},
+      {"Store-Era", std::to_string(era_)}};
   exchange->Send(status, "Answer", headers, response.dump());
 }
 
--- a/source/unit_tests/platform_standin/row_service.h
+++ b/source/unit_tests/platform_standin/row_service.h
@@ -35,6 +35,11 @@
   /// Writes a row or, without a value, replaces it by a tombstone.
   void Set(const std::string& table, const std::string& key,
            const std::optional<std::string>& value);
+  /// Takes the copy that Restore returns to.
+  void TakeCopy() { copy_ = {rows_, version_}; }
+  /// Loses what was written since the copy was taken. Versions go back and are
+  /// given out again; calls that wait are ended.
+  void Restore();
   void SetFaults(const store_faults& faults) { faults_ = faults; }
   /// @return the number of API calls so far
   uint64_t calls() const { return calls_; }
@@ -55,6 +60,11 @@
     common::time_point until;
   };
 
+  struct snapshot {
+    std::map<std::pair<std::string, std::string>, row> rows;
+    uint64_t version = 0;
+  };
+
   void Serve(const std::shared_ptr<net::http1_exchange>& exchange);
   void Write(const std::shared_ptr<net::http1_exchange>& exchange);
   bool RespondToFeed(const pending_feed& feed);
@@ -69,6 +79,8 @@
   store_faults faults_;
   std::map<std::pair<std::string, std::string>, row> rows_;
   uint64_t version_ = 1;
+  uint64_t era_ = 1;  ///< rises with each Restore
+  snapshot copy_;
   uint64_t calls_ = 0;
   std::vector<pending_feed> pending_feeds_;
   std::vector<std::shared_ptr<net::http1_exchange>> unanswered_;
