Compare versions of the store within one era only

Until the store's counter had passed the old version, what it said about targets was taken for stale and not applied. Once past, changes that had been given the old numbers were never asked for, with no 410.

Cause: a version was compared with one of an earlier history of the store. The class: a position in another system's history is kept beyond that history. Now a point is an era and a version, in that order: a full read of a later era is newer whatever its version, changes after a version of an earlier era are not believed but followed by a full read, and an era that is not stated is taken for the last. Removals are held back for a while after a restore as after an outage, since the copy lacks targets that started since.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -81,22 +81,22 @@
 }
 
 void fleet_sync::ReadRouteChanges() {
-  rows_.ReadChanges(
-      codec_.locations().routes_table, routes_version_, options_.routes_wait,
-      [this,
-       alive = std::weak_ptr<bool>(alive_)](const row_store_result& result) {
-        if (!alive.expired()) OnRoutesRead(result, false);
-      });
+  rows_.ReadChanges(codec_.locations().routes_table, routes_read_to_.version,
+                    options_.routes_wait,
+                    [this, alive = std::weak_ptr<bool>(alive_)](
+                        const row_store_result& result) {
+                      if (!alive.expired()) OnRoutesRead(result, false);
+                    });
 }
 
 void fleet_sync::OnRoutesRead(const row_store_result& result, bool full) {
-  RecordEra(result.era, result.version);
+  const store_point at = RecordPoint(result);
   if (result.status == row_store_status::kCompacted) {
     common::LogEvent(log_event::kDependencyLost, "",
                      {{"dependency", "history of the store"},
                       {"read_again", "routes"},
-                      {"after", static_cast<int64_t>(routes_version_)},
-                      {"era", static_cast<int64_t>(result.era)}});
+                      {"after", static_cast<int64_t>(routes_read_to_.version)},
+                      {"era", static_cast<int64_t>(at.era)}});
     ReadRoutes();
     return;
   }
@@ -112,8 +112,14 @@
       ApplyRoutes(row.value, "store");
     }
   }
-  // A stale response must not move the version backwards.
-  if (result.version > routes_version_) routes_version_ = result.version;
+  // The changes after a version of an earlier era are not those after what this
+  // gateway has read.
+  if (!full && at.era > routes_read_to_.era) {
+    ReadRoutes();
+    return;
+  }
+  // A stale response must not move the point backwards.
+  routes_read_to_ = std::max(routes_read_to_, at);
   if (full && !routes_.current()) {
     RestartTimer(&routes_timer_, options_.retry_delay,
                  [this] { ReadRouteChanges(); });
@@ -157,7 +163,7 @@
 }
 
 void fleet_sync::ReadTargetChanges() {
-  rows_.ReadChanges(codec_.locations().targets_table, targets_version_,
+  rows_.ReadChanges(codec_.locations().targets_table, targets_read_to_.version,
                     common::milliseconds(0),
                     [this, alive = std::weak_ptr<bool>(alive_)](
                         const row_store_result& result) {
@@ -166,13 +172,13 @@
 }
 
 void fleet_sync::OnTargetsRead(const row_store_result& result, bool full) {
-  RecordEra(result.era, result.version);
+  const store_point at = RecordPoint(result);
   if (result.status == row_store_status::kCompacted) {
     common::LogEvent(log_event::kDependencyLost, "",
                      {{"dependency", "history of the store"},
                       {"read_again", "targets"},
-                      {"after", static_cast<int64_t>(targets_version_)},
-                      {"era", static_cast<int64_t>(result.era)}});
+                      {"after", static_cast<int64_t>(targets_read_to_.version)},
+                      {"era", static_cast<int64_t>(at.era)}});
     ReadTargets();
     return;
   }
@@ -183,11 +189,15 @@
     return;
   }
   RecordSuccess();
+  if (!full && at.era > targets_read_to_.era) {
+    ReadTargets();
+    return;
+  }
   // A stale response would bring back targets that have left.
-  const bool outdated = result.version < targets_version_;
+  const bool outdated = at < targets_read_to_;
   if (!outdated) {
     ApplyTargets(result.rows, full);
-    targets_version_ = result.version;
+    targets_read_to_ = at;
   }
   const bool full_again = full && outdated;
   RestartTimer(&targets_timer_, options_.targets_period, [this, full_again] {
@@ -242,18 +252,24 @@
   for (const std::string& id : gone) targets_.Remove(id);
 }
 
-void fleet_sync::RecordEra(uint64_t era, uint64_t version) {
-  if (era <= era_) return;
+store_point fleet_sync::RecordPoint(const row_store_result& result) {
+  const store_point at = {result.at.era == 0 ? era_ : result.at.era,
+                          result.at.version};
+  if (at.era <= era_) return at;
   if (era_ != 0) {
     common::LogEvent(
         log_event::kStoreRestored, "",
-        {{"era", static_cast<int64_t>(era)},
+        {{"era", static_cast<int64_t>(at.era)},
          {"previous_era", static_cast<int64_t>(era_)},
-         {"version", static_cast<int64_t>(version)},
-         {"routes_read_to", static_cast<int64_t>(routes_version_)},
-         {"targets_read_to", static_cast<int64_t>(targets_version_)}});
+         {"version", static_cast<int64_t>(at.version)},
+         {"routes_read_to", static_cast<int64_t>(routes_read_to_.version)},
+         {"targets_read_to", static_cast<int64_t>(targets_read_to_.version)}});
+    // The copy lacks targets that started since; they write their entries
+    // again.
+    HoldRemovals();
   }
-  era_ = era;
+  era_ = at.era;
+  return at;
 }
 
 void fleet_sync::RecordFailure() {
@@ -268,6 +284,10 @@
   store_failing_ = false;
   common::LogEvent(log_event::kDependencyRegained, "",
                    {{"dependency", "store"}});
+  HoldRemovals();
+}
+
+void fleet_sync::HoldRemovals() {
   removals_held_until_ = clock_.Now() + options_.removal_grace;
   // Targets whose entries are still missing after that time are gone.
   RestartTimer(&removal_timer_, options_.removal_grace,
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -85,7 +85,7 @@
   /// @return whether the last read of the store failed
   bool store_failing() const { return store_failing_; }
   /// @return whether the targets have been read since the start
-  bool targets_known() const { return targets_version_ > 0; }
+  bool targets_known() const { return targets_read_to_.version > 0; }
 
  private:
   void ReadRoutes();
@@ -98,8 +98,11 @@
   void ApplyTargets(std::span<const stored_row> rows, bool full);
   void RecordFailure();
   void RecordSuccess();
-  /// Notices that the store was restored.
-  void RecordEra(uint64_t era, uint64_t version);
+  /// Notices that the store was restored from a copy.
+  /// @return where the store was at the time of a response
+  store_point RecordPoint(const row_store_result& result);
+  /// Ignores removals for a while, then reads all targets.
+  void HoldRemovals();
   void ApplyRow(const stored_row& row);
   /// @return the target, or nothing with a log event
   std::optional<target_entry> Decode(const stored_row& row) const;
@@ -116,9 +119,9 @@
   common::timer_service& timers_;
   std::function<void()> routes_handler_;
   std::string routes_text_;
-  /// Store versions up to which routes and targets have been read.
-  uint64_t routes_version_ = 0;
-  uint64_t targets_version_ = 0;
+  /// How far routes and targets have been read.
+  store_point routes_read_to_;
+  store_point targets_read_to_;
   uint64_t era_ = 0;  ///< latest of the store; 0: not known
   common::timer_id routes_timer_ = 0;
   common::timer_id targets_timer_ = 0;
--- a/source/core/ports/row_store.h
+++ b/source/core/ports/row_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,13 +27,20 @@
   bool removed = false;  ///< tombstone; the value is empty
 };
 
+/// A point in the history of the whole store. A store that is restored from an
+/// older copy of itself gives versions out again, so that only those of one era
+/// can be compared.
+struct store_point {
+  uint64_t era = 0;  ///< rises with each restore; 0: not stated
+  uint64_t version = 0;
+
+  friend auto operator<=>(const store_point&, const store_point&) = default;
+};
+
 struct row_store_result {
   row_store_status status = row_store_status::kNoResponse;
   std::vector<stored_row> rows;
-  uint64_t version = 0;  ///< of the whole store at the time of the response
-  /// Rises each time the store is restored from an older copy of itself, which
-  /// gives versions out again. 0: not stated.
-  uint64_t era = 0;
+  store_point at;  ///< where the store was at the time of the response
 };
 
 using row_store_handler = std::function<void(const row_store_result&)>;
@@ -44,7 +52,8 @@
   virtual ~row_store() = default;
   /// Reads all rows of a table.
   virtual void ReadTable(std::string_view table, row_store_handler handler) = 0;
-  /// Reads the changes to a table after a version (long polling).
+  /// Reads the changes to a table after a version of the store's present era
+  /// (long polling).
   /// @param wait how long the store may wait for a change before it responds
   virtual void ReadChanges(std::string_view table, uint64_t after,
                            common::milliseconds wait,
--- a/source/platform/http_row_store.cc
+++ b/source/platform/http_row_store.cc
@@ -158,7 +158,7 @@
     void OnComplete() override {
       core::row_store_result result;
       result.status = StatusFromHttp(status_);
-      result.era = era_;
+      result.at.era = era_;
       bool truncated = false;
       if (result.status == row_store_status::kOk &&
           !ParseBody(&result, &truncated)) {
@@ -181,7 +181,7 @@
           !body["row-version"].is_number_unsigned()) {
         return false;
       }
-      result->version = body["row-version"].get<uint64_t>();
+      result->at.version = body["row-version"].get<uint64_t>();
       *truncated = body.contains("truncated") &&
                    body["truncated"].is_boolean() &&
                    body["truncated"].get<bool>();
@@ -246,15 +246,15 @@
          [this, table, from, all, handler = std::move(handler)](
              core::row_store_result& page, bool truncated) {
            all->status = page.status;
-           all->era = page.era;
            if (page.status != row_store_status::kOk) {
+             all->at.era = page.at.era;
              handler(*all);
              return;
            }
            // Rows may change while pages are read. With the version of the
            // first page, ReadChanges reports every change that a later page may
            // have missed.
-           if (from.empty()) all->version = page.version;
+           if (from.empty()) all->at = page.at;
            for (core::stored_row& row : page.rows) {
              if (row.key != from) all->rows.push_back(std::move(row));
            }
