Do not bring back targets that had been removed when the store was restored

A target whose entry had been removed got new work again (DRAIN) when the store came back from a copy that still held the entry, until the store let it expire; one that had started again under its id fell back to its earlier start.

Cause: the latest entry read was taken for the latest that the target wrote, which a restored store does not promise; a removed entry was forgotten at once. Now, for four heartbeats after a restore, entries are ordered by what the target itself counts (start, sequence): an entry of a target known to be removed is only used if its sequence has risen since. What is still there after that time was written since, or it would have expired. Departures are remembered up to a bound, the oldest go first. New setting /targets/heartbeat_ms; event entry_outdated.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -28,8 +28,9 @@
   kTargetLeaving,
   kTargetRests,
   kEntryRefused,
-  kLimitEnded,      ///< a target no longer names a request limit
-  kLimitInvalid,    ///< a request limit that cannot be used was ignored
+  kEntryOutdated,  ///< an entry of a restored store is older than what is known
+  kLimitEnded,     ///< a target no longer names a request limit
+  kLimitInvalid,   ///< a request limit that cannot be used was ignored
   kLimitOwnerLost,  ///< the owner of a target's slots does not grant any
   kLimitSlot,       ///< the owner of a target's slots granted or denied one
   kSlotWait,        ///< a request waits for a slot, or does not
--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/fleet_sync.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "common/event_log.h"
@@ -34,6 +35,9 @@
 // Lower bound for very short limits: the store, which serves a few hundred
 // calls per second, would otherwise be read without a pause.
 constexpr common::milliseconds kMinPeriod{100};
+// The store removes an entry after three intervals of silence. The fourth is
+// for the read that shows it.
+constexpr int kExpiryHeartbeats = 4;
 // Stores do not hold a long poll for longer than this.
 constexpr common::milliseconds kMaxWait{30000};
 
@@ -41,7 +45,8 @@
 
 fleet_sync_options MakeSyncOptions(common::duration routes_limit,
                                    common::duration leaving_limit,
-                                   common::duration response_limit) {
+                                   common::duration response_limit,
+                                   common::duration heartbeat) {
   fleet_sync_options options;
   options.routes_wait =
       std::clamp(std::chrono::duration_cast<common::milliseconds>(
@@ -52,6 +57,7 @@
                common::FromSeconds(
                    kTargetsPeriodShare *
                    std::chrono::duration<double>(leaving_limit).count()));
+  options.entry_expiry = kExpiryHeartbeats * heartbeat;
   return options;
 }
 
@@ -59,6 +65,7 @@
   timers_.Cancel(routes_timer_);
   timers_.Cancel(targets_timer_);
   timers_.Cancel(removal_timer_);
+  timers_.Cancel(expiry_timer_);
 }
 
 void fleet_sync::Start() {
@@ -215,12 +222,14 @@
     }
     return;
   }
-  std::vector<target_entry> entries;
+  std::set<std::string_view> listed;
   for (const stored_row& row : rows) {
-    std::optional<target_entry> entry = Decode(row);
-    if (entry) entries.push_back(std::move(*entry));
+    const std::optional<target_entry> entry = Decode(row);
+    if (!entry) continue;
+    listed.insert(row.key);
+    ApplyEntry(*entry);
   }
-  targets_.Replace(entries);
+  targets_.RemoveMissing(listed);
 }
 
 void fleet_sync::ApplyRow(const stored_row& row) {
@@ -230,12 +239,28 @@
   }
   const std::optional<target_entry> entry = Decode(row);
   if (entry) {
-    targets_.Update(*entry);
+    ApplyEntry(*entry);
   } else {
     targets_.Remove(row.key);
   }
 }
 
+void fleet_sync::ApplyEntry(const target_entry& entry) {
+  const bool doubted =
+      entries_doubted_until_ && *entries_doubted_until_ > clock_.Now();
+  const entry_origin origin =
+      doubted ? entry_origin::kRestoredStore : entry_origin::kStore;
+  if (targets_.Update(entry, origin)) return;
+  common::LogEvent(
+      log_event::kEntryOutdated, "",
+      {{"entry", entry.id},
+       {"started_ms", entry.started_ms},
+       {"sequence", static_cast<int64_t>(entry.sequence)},
+       {"draining", entry.draining},
+       {"doubted_for_ms",
+        common::ToMillis(*entries_doubted_until_ - clock_.Now())}});
+}
+
 std::optional<target_entry> fleet_sync::Decode(const stored_row& row) const {
   std::optional<target_entry> entry = codec_.DecodeTarget(row.key, row.value);
   if (entry) return entry;
@@ -267,6 +292,10 @@
     // The copy lacks targets that started since; they write their entries
     // again.
     HoldRemovals();
+    entries_doubted_until_ = clock_.Now() + options_.entry_expiry;
+    // What is still there then was written since, or it would have expired.
+    RestartTimer(&expiry_timer_, options_.entry_expiry,
+                 [this] { ReadTargets(); });
   }
   era_ = at.era;
   return at;
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -29,6 +29,9 @@
   /// Removals are ignored for this long after the store recovers: entries that
   /// expired during the outage are written again within this time.
   common::duration removal_grace = std::chrono::milliseconds(2200);
+  /// For this long after the store was restored from a copy, entries of targets
+  /// that no longer write them may be in it.
+  common::duration entry_expiry = std::chrono::milliseconds(4800);
 };
 
 /// Reads from the store as rarely as the limits allow. Within them, a dead
@@ -36,9 +39,11 @@
 /// @param routes_limit   time within which new routes have to be in force
 /// @param leaving_limit  time within which a leaving target gets no new work
 /// @param response_limit longest time that the store takes to respond
+/// @param heartbeat      interval at which targets write their entries
 fleet_sync_options MakeSyncOptions(common::duration routes_limit,
                                    common::duration leaving_limit,
-                                   common::duration response_limit);
+                                   common::duration response_limit,
+                                   common::duration heartbeat);
 
 /// Keeps the routes and the targets of this process in sync with the store.
 /// Copes with a store that is slow, unavailable, serves stale data or has lost
@@ -103,6 +108,7 @@
   store_point RecordPoint(const row_store_result& result);
   /// Ignores removals for a while, then reads all targets.
   void HoldRemovals();
+  void ApplyEntry(const target_entry& entry);
   void ApplyRow(const stored_row& row);
   /// @return the target, or nothing with a log event
   std::optional<target_entry> Decode(const stored_row& row) const;
@@ -126,9 +132,12 @@
   common::timer_id routes_timer_ = 0;
   common::timer_id targets_timer_ = 0;
   common::timer_id removal_timer_ = 0;
+  common::timer_id expiry_timer_ = 0;
   bool store_failing_ = false;
   /// Until then, missing entries may belong to targets that are alive.
   std::optional<common::time_point> removals_held_until_;
+  /// Until then, entries may be from the copy that the store was restored from.
+  std::optional<common::time_point> entries_doubted_until_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -1,8 +1,15 @@
 #include "core/fleet/target_directory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wisteriadale::core {
+namespace {
+
+// More than leave within the age of any copy of the store.
+constexpr size_t kMaxDepartures = 10000;
+
+}  // namespace
 
 std::string_view ToString(leaving_reason reason) {
   constexpr std::string_view kNames[] = {"draining", "gone", "replaced",
@@ -10,54 +17,62 @@
   return kNames[static_cast<size_t>(reason)];
 }
 
-void target_directory::Replace(std::span<const target_entry> entries) {
-  std::set<std::string_view> listed;
-  for (const target_entry& entry : entries) {
-    listed.insert(entry.id);
-    Update(entry);
-  }
-  std::vector<std::string> missing;
-  for (const auto& [id, target] : by_id_) {
-    if (!listed.contains(id)) missing.push_back(id);
-  }
-  for (const std::string& id : missing) Remove(id);
-}
-
-void target_directory::Update(const target_entry& entry) {
-  const auto left = leaving_starts_.find(entry.id);
-  // An outdated entry does not bring back a target that is leaving. A later
-  // start with the same id does.
-  if (left != leaving_starts_.end()) {
-    if (entry.draining || entry.started_ms <= left->second) return;
-    leaving_starts_.erase(left);
+bool target_directory::Update(const target_entry& entry, entry_origin origin) {
+  const bool may_be_old = origin == entry_origin::kRestoredStore;
+  const auto left = departures_.find(entry.id);
+  if (left != departures_.end()) {
+    const departure& last = left->second;
+    const bool later_start = entry.started_ms > last.started_ms;
+    // A target that is leaving only comes back with a later start.
+    if (!last.may_return && (entry.draining || !later_start)) return true;
+    if (may_be_old && !later_start &&
+        (entry.started_ms < last.started_ms ||
+         entry.sequence <= last.sequence)) {
+      return false;
+    }
+    departures_.erase(left);
   }
   const auto found = by_id_.find(entry.id);
   if (found != by_id_.end()) {
     const std::shared_ptr<fleet_target> target = found->second;
+    if (may_be_old &&
+        std::tie(entry.started_ms, entry.sequence) <
+            std::tie(target->entry.started_ms, target->entry.sequence)) {
+      return false;
+    }
     if (entry.draining) {
       Detach(target, leaving_reason::kDraining);
-      return;
+      return true;
     }
     const bool restarted = target->entry.service != entry.service ||
                            target->entry.address != entry.address ||
                            target->entry.started_ms != entry.started_ms;
     if (!restarted) {
       target->entry = entry;
-      return;
+      return true;
     }
     // The target was restarted: nothing learnt about the earlier start applies.
     Detach(target, leaving_reason::kReplaced);
-    leaving_starts_.erase(entry.id);
+    departures_.erase(entry.id);
   }
   if (entry.draining) {
-    leaving_starts_[entry.id] = entry.started_ms;
-    return;
+    RecordDeparture(entry, false);
+    return true;
   }
   const std::shared_ptr<fleet_target> target = std::make_shared<fleet_target>();
   target->entry = entry;
   by_id_[entry.id] = target;
   by_address_[entry.address] = target;
   AddToPool(target);
+  return true;
+}
+
+void target_directory::RemoveMissing(const std::set<std::string_view>& listed) {
+  std::vector<std::string> missing;
+  for (const auto& [id, target] : by_id_) {
+    if (!listed.contains(id)) missing.push_back(id);
+  }
+  for (const std::string& id : missing) Remove(id);
 }
 
 void target_directory::Remove(std::string_view id) {
@@ -65,8 +80,6 @@
   if (found == by_id_.end()) return;
   const std::shared_ptr<fleet_target> target = found->second;
   Detach(target, leaving_reason::kGone);
-  // Entries may expire while the store is unavailable and return unchanged.
-  leaving_starts_.erase(target->entry.id);
 }
 
 bool target_directory::MarkLeaving(std::string_view id) {
@@ -80,7 +93,7 @@
 void target_directory::Detach(const std::shared_ptr<fleet_target>& target,
                               leaving_reason reason) {
   target->leaving = true;
-  leaving_starts_[target->entry.id] = target->entry.started_ms;
+  RecordDeparture(target->entry, reason == leaving_reason::kGone);
   by_id_.erase(target->entry.id);
   const auto at = by_address_.find(target->entry.address);
   if (at != by_address_.end() && at->second == target) by_address_.erase(at);
@@ -88,6 +101,21 @@
   if (leaving_handler_) leaving_handler_(*target, reason);
 }
 
+void target_directory::RecordDeparture(const target_entry& entry,
+                                       bool may_return) {
+  const uint64_t number = ++departure_count_;
+  departures_[entry.id] = {entry.started_ms, entry.sequence, may_return,
+                           number};
+  departure_order_.emplace_back(entry.id, number);
+  if (departure_order_.size() <= kMaxDepartures) return;
+  const auto oldest = departures_.find(departure_order_.front().first);
+  if (oldest != departures_.end() &&
+      oldest->second.number == departure_order_.front().second) {
+    departures_.erase(oldest);
+  }
+  departure_order_.pop_front();
+}
+
 void target_directory::AddToPool(const std::shared_ptr<fleet_target>& target) {
   pool& members = pools_[target->entry.service];
   const auto position =
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "common/clock.h"
@@ -26,6 +28,14 @@
   /// How much longer the target is slow after its start.
   common::duration warm_up_remaining{0};
   int64_t started_ms = 0;  ///< wall time of its start; 0: not known
+  /// Rises with each time that the target writes its entry, from its start on.
+  uint64_t sequence = 0;
+};
+
+/// How far an entry that was read can be trusted to be the latest.
+enum class entry_origin {
+  kStore,         ///< the latest
+  kRestoredStore  ///< it may be from the older copy the store was restored from
 };
 
 /// A target and what this process has learnt from its own calls to it.
@@ -65,10 +75,13 @@
  public:
   using pool = std::vector<std::shared_ptr<fleet_target>>;
 
-  /// Applies a complete list of entries. Targets that are missing in it leave.
-  void Replace(std::span<const target_entry> entries);
-  /// Applies a new or changed entry.
-  void Update(const target_entry& entry);
+  /// Applies a new or changed entry. Those of a restored store are ordered by
+  /// what the target counts itself, its start and its sequence.
+  /// @return false if the entry is outdated
+  bool Update(const target_entry& entry,
+              entry_origin origin = entry_origin::kStore);
+  /// Removes the targets that are not in a complete list of ids.
+  void RemoveMissing(const std::set<std::string_view>& listed);
   /// Applies the removal of an entry.
   void Remove(std::string_view id);
   /// Applies the report of another process that a target is leaving.
@@ -102,9 +115,22 @@
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_id_;
   std::map<std::string, pool, std::less<>> pools_;
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_address_;
-  /// Start times of targets that are leaving, by id: outdated entries of the
-  /// same start must not bring them back.
-  std::map<std::string, int64_t, std::less<>> leaving_starts_;
+  /// The last known entry of a target that left.
+  struct departure {
+    int64_t started_ms = 0;
+    uint64_t sequence = 0;
+    /// Its entry was removed, which also happens to targets that run on.
+    bool may_return = false;
+    uint64_t number = 0;  ///< of this departure
+  };
+
+  void RecordDeparture(const target_entry& entry, bool may_return);
+
+  /// By id: outdated entries of the same start must not bring targets back.
+  std::map<std::string, departure, std::less<>> departures_;
+  /// Ids and numbers of departures, oldest first.
+  std::deque<std::pair<std::string, uint64_t>> departure_order_;
+  uint64_t departure_count_ = 0;
   leaving_handler leaving_handler_;
 };
 
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -95,7 +95,8 @@
   const core::fleet_sync_options sync_options = core::MakeSyncOptions(
       common::milliseconds(settings.Integer(settings::kRoutesApplyMs)),
       common::milliseconds(settings.Integer(settings::kTargetsLeaveMs)),
-      store_timeout);
+      store_timeout,
+      common::milliseconds(settings.Integer(settings::kTargetsHeartbeatMs)));
   fleet_sync_ = std::make_unique<core::fleet_sync>(
       sync_options, *store_, *codec_, routes_, targets_, clock_, *loop_);
   core::gateway_retry_budget_options budget_options;
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -58,6 +58,13 @@
     600000,
     "Time within which a leaving target must stop getting work, in "
     "milliseconds."};
+const setting kTargetsHeartbeatMs = {
+    "/targets/heartbeat_ms",
+    setting_type::kInteger,
+    "1200",
+    10,
+    600000,
+    "Interval at which targets write their entries, in milliseconds."};
 const setting kRepeatRatio = {
     "/repeats/ratio",
     setting_type::kNumber,
@@ -121,6 +128,7 @@
                                     &kGatewaySeeds,
                                     &kRoutesApplyMs,
                                     &kTargetsLeaveMs,
+                                    &kTargetsHeartbeatMs,
                                     &kRepeatRatio,
                                     &kRepeatSlack,
                                     &kRepeatWindowS,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -12,6 +12,7 @@
 extern const setting kGatewaySeeds;
 extern const setting kRoutesApplyMs;
 extern const setting kTargetsLeaveMs;
+extern const setting kTargetsHeartbeatMs;
 extern const setting kRepeatRatio;
 extern const setting kRepeatSlack;
 extern const setting kRepeatWindowS;
--- a/source/unit_tests/platform/deploy_template_test.cc
+++ b/source/unit_tests/platform/deploy_template_test.cc
@@ -23,6 +23,7 @@
     {"listen.control", R"("10.1.0.41:8628")"},
     {"platform.address", R"("10.200.1.7:8624")"},
     {"seeds", R"(["10.1.0.41:8628","10.2.0.25:8628"])"},
+    {"heartbeat-ms", "1500"},
     {"bounds.config-apply-ms", "2000"},
     {"bounds.drain-ms", "3000"},
     {"bounds.grace-s", "8"},
@@ -64,6 +65,7 @@
   CHECK_TEXT(parsed.has_value(), common::LastError().text.c_str());
   STRCMP_EQUAL("front-a-1", parsed->Text(settings::kName).c_str());
   CHECK(parsed->Integer(settings::kTargetsLeaveMs) == 3000);
+  CHECK(parsed->Integer(settings::kTargetsHeartbeatMs) == 1500);
   CHECK(parsed->Integer(settings::kRoutesApplyMs) == 2000);
   DOUBLES_EQUAL(58, parsed->Number(settings::kRepeatSlack), 0);
 }
