Put a configuration in force that the operator wrote anew under a lost number

Now routes are ordered by number, then by the era of the store in which they were read; gateways tell each other both (a new field; 0 from gateways that do not know it). A lower number never replaces a higher one, in any era: what was confirmed stays in force though the copy does not hold it.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -116,7 +116,7 @@
   RecordSuccess();
   for (const stored_row& row : result.rows) {
     if (row.key == codec_.locations().routes_key && !row.removed) {
-      ApplyRoutes(row.value, "store");
+      ApplyRoutes(row.value, "store", at.era);
     }
   }
   // The changes after a version of an earlier era are not those after what this
@@ -135,8 +135,12 @@
   ReadRouteChanges();
 }
 
-void fleet_sync::ApplyRoutes(std::string_view text, std::string_view source) {
-  if (text == routes_text_) return;
+void fleet_sync::ApplyRoutes(std::string_view text, std::string_view source,
+                             uint64_t era) {
+  if (text == routes_text_) {
+    routes_.Confirm(era);
+    return;
+  }
   const common::time_point started = clock_.Now();
   std::optional<route_document> document = codec_.DecodeRoutes(text);
   if (!document) {
@@ -149,12 +153,13 @@
   const std::shared_ptr<const route_table> table =
       std::make_shared<const route_table>(std::move(*document));
   const std::shared_ptr<const route_table> previous = routes_.current();
-  if (!routes_.ReplaceIfNewer(table)) return;
+  if (!routes_.ReplaceIfNewer(table, era)) return;
   if (previous) LogDroppedKeys(*previous, *table);
   routes_text_ = text;
   common::LogEvent(
       log_event::kRoutesApplied, "",
       {{"version", static_cast<int64_t>(version)},
+       {"era", static_cast<int64_t>(era)},
        {"routes", static_cast<int64_t>(table->document().routes.size())},
        {"took_ms", common::ToMillis(clock_.Now() - started)},
        {"source", source}});
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -71,7 +71,9 @@
   /// Puts routes in force if they are valid and newer than the current ones.
   /// @param text   as the store holds them
   /// @param source origin of the text, for the log
-  void ApplyRoutes(std::string_view text, std::string_view source);
+  /// @param era    of the store that it was read in
+  void ApplyRoutes(std::string_view text, std::string_view source,
+                   uint64_t era);
 
   /// Applies what another gateway has read about leaving targets.
   /// @param draining ids of targets whose entries are marked as draining
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "core/limits/limit_messages.h"
 #include "core/quarantine/crash_suspects.h"
+#include "core/routes/route_table.h"
 #include "core/stages/stage_latency_estimator.h"
 
 namespace wisteriadale::core {
@@ -100,13 +101,13 @@
 /// The routes in force at the sender. Announced without the document, which is
 /// sent to those that request it.
 struct routes_message {
-  uint64_t version = 0;
+  routes_edition edition;
   std::string document;  ///< as stored; empty in an announcement
 };
 
 /// Requests the routes of the receiver.
 struct routes_request {
-  uint64_t version = 0;  ///< as announced; older routes are not sent
+  routes_edition edition;  ///< as announced; older routes are not sent
 };
 
 /// Leaving targets, as read from the store by the sender.
--- a/source/core/fleet/routes_exchange.cc
+++ b/source/core/fleet/routes_exchange.cc
@@ -24,7 +24,7 @@
 void routes_exchange::OnAnnounced(const routes_announcement& announcement,
                                   bool store_failing) {
   holder& announced = holders_[announcement.gateway];
-  announced.version = announcement.version;
+  announced.edition = announcement.edition;
   announced.capacity = announcement.capacity;
   announced.announced_at = clock_.Now();
   announced.asked = false;
@@ -36,10 +36,9 @@
 }
 
 void routes_exchange::DropOutdated() {
-  const uint64_t current = routes_.current() ? routes_.current()->version() : 0;
-  const uint64_t known = std::max(current, refused_version_);
+  const routes_edition known = std::max(routes_.edition(), refused_);
   std::erase_if(holders_, [known](const auto& entry) {
-    return entry.second.version <= known;
+    return entry.second.edition <= known;
   });
 }
 
@@ -49,11 +48,12 @@
   while (!holders_.empty()) {
     const auto chosen = Best();
     const holder& asked = chosen->second;
-    const bool sent = request_(chosen->first, asked.version);
+    const bool sent = request_(chosen->first, asked.edition);
     common::LogEvent(
         common::log_event::kRoutesRequested, "",
         {{"gateway", chosen->first},
-         {"version", static_cast<int64_t>(asked.version)},
+         {"version", static_cast<int64_t>(asked.edition.version)},
+         {"era", static_cast<int64_t>(asked.edition.era)},
          {"age_ms", common::ToMillis(clock_.Now() - asked.announced_at)},
          {"sent", sent}});
     if (!sent) {
@@ -74,13 +74,13 @@
     all_asked = all_asked && candidate.asked;
   }
   auto best = holders_.end();
-  std::tuple<uint64_t, double, uint64_t> best_rank;
+  std::tuple<routes_edition, double, uint64_t> best_rank;
   for (auto each = holders_.begin(); each != holders_.end(); ++each) {
     if (all_asked) each->second.asked = false;
     if (each->second.asked) continue;
     // Spreads the requests of many gateways over equally large ones.
-    const std::tuple<uint64_t, double, uint64_t> rank(
-        each->second.version, each->second.capacity, random_.Next());
+    const std::tuple<routes_edition, double, uint64_t> rank(
+        each->second.edition, each->second.capacity, random_.Next());
     if (best == holders_.end() || rank > best_rank) {
       best = each;
       best_rank = rank;
--- a/source/core/fleet/routes_exchange.h
+++ b/source/core/fleet/routes_exchange.h
@@ -25,23 +25,23 @@
 routes_exchange_options MakeRoutesExchangeOptions(
     common::duration routes_limit);
 
-/// A gateway that announced the version of its routes.
+/// A gateway that announced the edition of its routes.
 struct routes_announcement {
   std::string gateway;
   double capacity = 0;  ///< of its VM, in the same unit for all
-  uint64_t version = 0;
+  routes_edition edition;
 };
 
 /// Fetches routes from other gateways when the store does not deliver them.
-/// Gateways announce versions only: hundreds of kilobytes from each gateway to
+/// Gateways announce editions only: hundreds of kilobytes from each gateway to
 /// each other one would fill small links for seconds, and delay the news of
 /// leaving targets, the store's responses and the pings behind them.
 class routes_exchange {
  public:
   /// Asks a gateway for its routes.
   /// @return false if there is no link to it
-  using requester =
-      std::function<bool(const std::string& gateway, uint64_t version)>;
+  using requester = std::function<bool(const std::string& gateway,
+                                       const routes_edition& edition)>;
 
   routes_exchange(const routes_exchange_options& options,
                   const route_holder& routes, const common::clock& clock,
@@ -63,13 +63,13 @@
   void OnGatewayLost(const std::string& gateway) { holders_.erase(gateway); }
   /// Routes that a gateway sent are not valid here: they are not requested
   /// again, from any gateway.
-  void OnRefused(uint64_t version) {
-    refused_version_ = std::max(refused_version_, version);
+  void OnRefused(const routes_edition& edition) {
+    refused_ = std::max(refused_, edition);
   }
 
  private:
   struct holder {
-    uint64_t version = 0;
+    routes_edition edition;
     double capacity = 0;
     common::time_point announced_at{};
     bool asked = false;
@@ -90,7 +90,7 @@
   common::random_source& random_;
   requester request_;
   std::map<std::string, holder> holders_;  ///< with newer routes, by name
-  uint64_t refused_version_ = 0;
+  routes_edition refused_;
   common::timer_id timer_ = 0;
 };
 
--- a/source/core/routes/route_table.cc
+++ b/source/core/routes/route_table.cc
@@ -57,9 +57,12 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
-bool route_holder::ReplaceIfNewer(std::shared_ptr<const route_table> table) {
-  if (current_ && table->version() <= current_->version()) return false;
+bool route_holder::ReplaceIfNewer(std::shared_ptr<const route_table> table,
+                                  uint64_t era) {
+  const routes_edition latest = {table->version(), era};
+  if (current_ && latest <= edition()) return false;
   current_ = std::move(table);
+  era_ = era;
   return true;
 }
 
--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -141,16 +143,36 @@
   std::unordered_map<std::string_view, const service_spec*> by_service_;
 };
 
-/// Holds the route table in force. Only newer versions replace it.
+/// Orders the routes that an operator writes: by version and, where a restored
+/// store had lost a version and it was written anew, by the era of the store.
+struct routes_edition {
+  uint64_t version = 0;
+  uint64_t era = 0;  ///< see store_point
+
+  friend auto operator<=>(const routes_edition&,
+                          const routes_edition&) = default;
+};
+
+/// Holds the route table in force. Only newer editions replace it.
 class route_holder {
  public:
+  /// @param era of the store that the table was read in
   /// @return whether the table is newer than the one in force and replaced it
-  bool ReplaceIfNewer(std::shared_ptr<const route_table> table);
+  bool ReplaceIfNewer(std::shared_ptr<const route_table> table,
+                      uint64_t era = 0);
+  /// The table in force was read again.
+  /// @param era of the store that it was read in
+  void Confirm(uint64_t era) { era_ = std::max(era_, era); }
   /// @return the table in force, or null before the first
   const std::shared_ptr<const route_table>& current() const { return current_; }
+  /// @return the edition in force; version 0 before the first
+  routes_edition edition() const {
+    return {current_ ? current_->version() : 0, era_};
+  }
 
  private:
   std::shared_ptr<const route_table> current_;
+  uint64_t era_ = 0;
 };
 
 }  // namespace wisteriadale::core
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -121,8 +121,8 @@
       core::MakeRoutesExchangeOptions(
           common::milliseconds(settings.Integer(settings::kRoutesApplyMs))),
       routes_, clock_, *loop_, *random_,
-      [this](const std::string& gateway, uint64_t version) {
-        return links_->Send(gateway, core::routes_request{version});
+      [this](const std::string& gateway, const core::routes_edition& edition) {
+        return links_->Send(gateway, core::routes_request{edition});
       });
   AddSeeds(settings);
   return true;
@@ -273,8 +273,7 @@
 void gateway_process::OnGatewayJoined(const std::string& gateway) {
   retry_budget_->SetGateways(links_->RecentGatewayCount());
   if (routes_.current()) {
-    links_->Send(gateway,
-                 core::routes_message{routes_.current()->version(), ""});
+    links_->Send(gateway, core::routes_message{routes_.edition(), ""});
   }
   for (const core::crash_suspects* each :
        {suspects_.get(), part_suspects_.get()}) {
@@ -368,33 +367,29 @@
   server_limits.header_timeout = limits.header_timeout;
   server_limits.idle_timeout = limits.idle_timeout;
   caller_server_->SetLimits(server_limits);
-  links_->Broadcast(core::routes_message{routes_.current()->version(), ""});
+  links_->Broadcast(core::routes_message{routes_.edition(), ""});
 }
 
 void gateway_process::OnRoutesMessage(const std::string& gateway,
                                       const core::routes_message& message) {
   if (message.document.empty()) {
     routes_exchange_->OnAnnounced(
-        {gateway, links_->CapacityOf(gateway), message.version},
+        {gateway, links_->CapacityOf(gateway), message.edition},
         fleet_sync_->store_failing());
     return;
   }
   // Decoding takes long; the store may have been faster.
-  if (routes_.current() && message.version <= routes_.current()->version()) {
-    return;
-  }
-  fleet_sync_->ApplyRoutes(message.document, gateway);
-  if (!routes_.current() || routes_.current()->version() < message.version) {
-    routes_exchange_->OnRefused(message.version);
+  if (message.edition <= routes_.edition()) return;
+  fleet_sync_->ApplyRoutes(message.document, gateway, message.edition.era);
+  if (routes_.edition() < message.edition) {
+    routes_exchange_->OnRefused(message.edition);
   }
 }
 
 void gateway_process::OnRoutesRequest(const std::string& gateway,
                                       const core::routes_request& request) {
-  if (!routes_.current() || routes_.current()->version() < request.version) {
-    return;
-  }
-  links_->Send(gateway, core::routes_message{routes_.current()->version(),
+  if (!routes_.current() || routes_.edition() < request.edition) return;
+  links_->Send(gateway, core::routes_message{routes_.edition(),
                                              fleet_sync_->routes_text()});
   common::LogEvent(
       log_event::kRoutesPassed, "",
--- a/source/unit_tests/core/fleet/routes_exchange_test.cc
+++ b/source/unit_tests/core/fleet/routes_exchange_test.cc
@@ -30,16 +30,17 @@
   std::string unlinked;
   core::routes_exchange_options options =
       core::MakeRoutesExchangeOptions(kRoutesLimit);
-  core::routes_exchange exchange{options,
-                                 routes,
-                                 time,
-                                 time,
-                                 random,
-                                 [this](const std::string& gateway, uint64_t) {
-                                   if (gateway == unlinked) return false;
-                                   asked.push_back(gateway);
-                                   return true;
-                                 }};
+  core::routes_exchange exchange{
+      options,
+      routes,
+      time,
+      time,
+      random,
+      [this](const std::string& gateway, const core::routes_edition&) {
+        if (gateway == unlinked) return false;
+        asked.push_back(gateway);
+        return true;
+      }};
 
   void setup() override { routes.ReplaceIfNewer(Routes(1)); }
 };
@@ -47,20 +48,20 @@
 // Each gateway sent the whole document to each other one; small links were
 // full for seconds, and links were lost and made again with it.
 TEST(RoutesExchange, RoutesThatTheStoreBringsAreNotRequested) {
-  exchange.OnAnnounced({"a", 0.5, 2}, false);
-  exchange.OnAnnounced({"b", 0.5, 2}, false);
+  exchange.OnAnnounced({"a", 0.5, {2}}, false);
+  exchange.OnAnnounced({"b", 0.5, {2}}, false);
   time.Advance(options.store_wait / 2);
   routes.ReplaceIfNewer(Routes(2));
   time.Advance(kRoutesLimit);
-  exchange.OnAnnounced({"c", 0.5, 2}, false);
+  exchange.OnAnnounced({"c", 0.5, {2}}, false);
   time.Advance(kRoutesLimit);
   CHECK(asked.empty());
 }
 
 TEST(RoutesExchange, OneGatewayAtATimeIsAskedTheLargestFirst) {
-  exchange.OnAnnounced({"small", 0.02, 2}, false);
-  exchange.OnAnnounced({"large", 0.5, 2}, false);
-  exchange.OnAnnounced({"older", 0.9, 1}, false);
+  exchange.OnAnnounced({"small", 0.02, {2}}, false);
+  exchange.OnAnnounced({"large", 0.5, {2}}, false);
+  exchange.OnAnnounced({"older", 0.9, {1}}, false);
   time.Advance(options.store_wait);
   CHECK(asked == std::vector<std::string>{"large"});
   time.Advance(options.response_limit);
@@ -72,30 +73,30 @@
 }
 
 TEST(RoutesExchange, ALostRequestIsFollowedByASecondWithinTheLimit) {
-  exchange.OnAnnounced({"a", 0.5, 2}, false);
-  exchange.OnAnnounced({"b", 0.5, 2}, false);
+  exchange.OnAnnounced({"a", 0.5, {2}}, false);
+  exchange.OnAnnounced({"b", 0.5, {2}}, false);
   time.Advance(kRoutesLimit - options.response_limit);
   CHECK(asked.size() >= 2);
 }
 
 TEST(RoutesExchange, AGatewayThatCannotReadTheStoreAsksAtOnce) {
-  exchange.OnAnnounced({"a", 0.5, 2}, true);
+  exchange.OnAnnounced({"a", 0.5, {2}}, true);
   time.Advance(common::duration(1));
   LONGS_EQUAL(1, asked.size());
 }
 
 TEST(RoutesExchange, ALostGatewayIsNotAsked) {
   unlinked = "b";
-  exchange.OnAnnounced({"a", 0.5, 2}, false);
-  exchange.OnAnnounced({"b", 0.9, 2}, false);
-  exchange.OnAnnounced({"c", 0.7, 2}, false);
+  exchange.OnAnnounced({"a", 0.5, {2}}, false);
+  exchange.OnAnnounced({"b", 0.9, {2}}, false);
+  exchange.OnAnnounced({"c", 0.7, {2}}, false);
   exchange.OnGatewayLost("c");
   time.Advance(options.store_wait);
   CHECK(asked == std::vector<std::string>{"a"});
 }
 
 TEST(RoutesExchange, GatewaysThatDidNotRespondAreAskedAgain) {
-  exchange.OnAnnounced({"a", 0.5, 2}, false);
+  exchange.OnAnnounced({"a", 0.5, {2}}, false);
   time.Advance(options.store_wait + 2 * options.response_limit);
   CHECK(asked == (std::vector<std::string>{"a", "a", "a"}));
 }
@@ -103,13 +104,13 @@
 // A document that one version of the program accepts and another one does not
 // would be requested again and again.
 TEST(RoutesExchange, RefusedRoutesAreNotRequestedAgain) {
-  exchange.OnAnnounced({"a", 0.5, 2}, false);
+  exchange.OnAnnounced({"a", 0.5, {2}}, false);
   time.Advance(options.store_wait);
-  exchange.OnRefused(2);
-  exchange.OnAnnounced({"b", 0.5, 2}, false);
+  exchange.OnRefused({2});
+  exchange.OnAnnounced({"b", 0.5, {2}}, false);
   time.Advance(10 * kRoutesLimit);
   LONGS_EQUAL(1, asked.size());
-  exchange.OnAnnounced({"a", 0.5, 3}, false);
+  exchange.OnAnnounced({"a", 0.5, {3}}, false);
   time.Advance(options.store_wait);
   LONGS_EQUAL(2, asked.size());
 }
--- a/source/unit_tests/core/routes/route_table_test.cc
+++ b/source/unit_tests/core/routes/route_table_test.cc
@@ -54,3 +54,14 @@
   CHECK(holder.ReplaceIfNewer(Table(9)));
   CHECK_EQUAL(9, holder.current()->version());
 }
+
+TEST(RouteTable, AVersionWrittenAnewInALaterEraIsNewer) {
+  core::route_holder holder;
+  CHECK(holder.ReplaceIfNewer(Table(5), 1));
+  CHECK(holder.ReplaceIfNewer(Table(5), 2));
+  CHECK(!holder.ReplaceIfNewer(Table(5), 1));
+  CHECK(!holder.ReplaceIfNewer(Table(4), 3));
+  holder.Confirm(3);
+  CHECK(!holder.ReplaceIfNewer(Table(5), 3));
+  CHECK(holder.edition() == (core::routes_edition{5, 3}));
+}
--- a/source/unit_tests/wire/gateway_codec_test.cc
+++ b/source/unit_tests/wire/gateway_codec_test.cc
@@ -17,15 +17,17 @@
 TEST(GatewayCodec, RoutesAnnouncementAndRequestSurviveRoundTrip) {
   const std::optional<core::gateway_message> announced =
       wire::DecodeGatewayMessage(
-          wire::EncodeGatewayMessage(core::routes_message{7, ""}));
+          wire::EncodeGatewayMessage(core::routes_message{{7, 2}, ""}));
   CHECK(announced.has_value());
-  LONGS_EQUAL(7, std::get<core::routes_message>(*announced).version);
+  CHECK(std::get<core::routes_message>(*announced).edition ==
+        (core::routes_edition{7, 2}));
   CHECK(std::get<core::routes_message>(*announced).document.empty());
   const std::optional<core::gateway_message> requested =
       wire::DecodeGatewayMessage(
-          wire::EncodeGatewayMessage(core::routes_request{7}));
+          wire::EncodeGatewayMessage(core::routes_request{{7, 2}}));
   CHECK(requested.has_value());
-  LONGS_EQUAL(7, std::get<core::routes_request>(*requested).version);
+  CHECK(std::get<core::routes_request>(*requested).edition ==
+        (core::routes_edition{7, 2}));
 }
 
 TEST(GatewayCodec, LimitMessagesSurviveRoundTrip) {
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -73,13 +73,15 @@
   }
   void operator()(const core::routes_message& from) const {
     generated::routes to;
-    to.version = static_cast<int64_t>(from.version);
+    to.version = static_cast<int64_t>(from.edition.version);
+    to.era = static_cast<int64_t>(from.edition.era);
     to.document = from.document;
     frame->__set_routes_part(to);
   }
   void operator()(const core::routes_request& from) const {
     generated::routes_request to;
-    to.version = static_cast<int64_t>(from.version);
+    to.version = static_cast<int64_t>(from.edition.version);
+    to.era = static_cast<int64_t>(from.edition.era);
     frame->__set_routes_request_part(to);
   }
   void operator()(const core::upcoming_stage_message& from) const {
@@ -157,6 +159,10 @@
   }
 };
 
+core::routes_edition Edition(int64_t version, int64_t era) {
+  return {static_cast<uint64_t>(version), static_cast<uint64_t>(era)};
+}
+
 core::stage_job_message FromWire(const generated::stage_order& from) {
   core::stage_job_message to;
   to.request_id = from.request_id;
@@ -254,12 +260,11 @@
   }
   if (frame.__isset.routes_part) {
     const generated::routes& part = frame.routes_part;
-    return core::routes_message{static_cast<uint64_t>(part.version),
-                                part.document};
+    return core::routes_message{Edition(part.version, part.era), part.document};
   }
   if (frame.__isset.routes_request_part) {
-    return core::routes_request{
-        static_cast<uint64_t>(frame.routes_request_part.version)};
+    const generated::routes_request& part = frame.routes_request_part;
+    return core::routes_request{Edition(part.version, part.era)};
   }
   if (frame.__isset.leaving_part) {
     return core::leaving_targets_message{frame.leaving_part.draining,
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -53,10 +53,12 @@
 struct routes {
   1: i64 version
   2: string document
+  3: i64 era
 }
 
 struct routes_request {
   1: i64 version
+  2: i64 era
 }
 
 struct leaving {
