Write a gateway's own row again when the store has lost it

Gateways that started after the store was restored from a copy without the others' rows could find them by their seeds only; a row that could not be written at the start was never written either.

Cause: the row was written once, at the start, and taken to last. Now each read of the list, which a gateway makes anyway, shows whether its own row is there; a missing or different one is written again, but not by a gateway that stops. The reads are spread by a fifth of their period, so that gateways that started together do not all write at once.

--- a/scenarios/gateway_restored_rows.lua
+++ b/scenarios/gateway_restored_rows.lua
@@ -18,7 +18,7 @@
 wait_until(function() return listed().g2 end, 3000, "the row of g2")
 fleet:restore()
 expect_equal(nil, listed().g2, "the copy has no row of g2")
--- Gateways read the list each 5 s.
+-- Gateways read the list each 5 to 6 s.
 wait_until(function() return listed().g2 end, 7000, "the row of g2 again")
 
 second.process:stop()
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -16,7 +16,10 @@
 using common::log_event;
 
 // Period at which the addresses of the other gateways are read from the store.
-constexpr common::duration kDiscoveryPeriod = std::chrono::seconds(5);
+constexpr double kDiscoveryPeriodS = 5;
+// Added at random, as a share: gateways that started together neither read nor
+// write at the same moment for long.
+constexpr double kDiscoverySpread = 0.2;
 // Delay of the first read after a start.
 constexpr common::duration kInitialDiscoveryDelay =
     std::chrono::milliseconds(300);
@@ -332,12 +335,7 @@
   loop_->SetReloadSignalHandler([this, read_again] { Reload(read_again); });
   fleet_sync_->Start();
   links_->Start();
-  store_->Put(codec_->locations().gateways_table, name_, link_address_,
-              [](const core::row_store_result& result) {
-                if (result.status == core::row_store_status::kOk) return;
-                common::LogEvent(log_event::kDependencyLost, "",
-                                 {{"dependency", "own row in the store"}});
-              });
+  WriteOwnRow();
   loop_->Schedule(kInitialDiscoveryDelay, [this] { DiscoverGateways(); });
   common::LogEvent(log_event::kStarted, "",
                    {{"port", int64_t{caller_server_->port()}}});
@@ -347,16 +345,37 @@
       {{"requests_given_up", static_cast<int64_t>(terminated_requests_)}});
 }
 
+void gateway_process::WriteOwnRow() {
+  if (writing_own_row_ || stopping_) return;
+  writing_own_row_ = true;
+  store_->Put(codec_->locations().gateways_table, name_, link_address_,
+              [this](const core::row_store_result& result) {
+                writing_own_row_ = false;
+                if (result.status == core::row_store_status::kOk) return;
+                common::LogEvent(log_event::kDependencyLost, "",
+                                 {{"dependency", "own row in the store"}});
+              });
+}
+
 void gateway_process::DiscoverGateways() {
-  store_->ReadTable(codec_->locations().gateways_table,
-                    [this](const core::row_store_result& result) {
-                      for (const core::stored_row& row : result.rows) {
-                        links_->AddAddress(row.value);
-                      }
-                      retry_budget_->SetGateways(links_->RecentGatewayCount());
-                      loop_->Schedule(kDiscoveryPeriod,
-                                      [this] { DiscoverGateways(); });
-                    });
+  store_->ReadTable(
+      codec_->locations().gateways_table,
+      [this](const core::row_store_result& result) {
+        bool listed = false;
+        for (const core::stored_row& row : result.rows) {
+          links_->AddAddress(row.value);
+          listed = listed || (row.key == name_ && row.value == link_address_);
+        }
+        // Not written at the start, or lost when the store was restored.
+        if (result.status == core::row_store_status::kOk && !listed) {
+          WriteOwnRow();
+        }
+        retry_budget_->SetGateways(links_->RecentGatewayCount());
+        loop_->Schedule(
+            common::FromSeconds(kDiscoveryPeriodS *
+                                (1 + kDiscoverySpread * random_->Uniform())),
+            [this] { DiscoverGateways(); });
+      });
 }
 
 void gateway_process::OnRoutesChanged() {
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -77,7 +77,10 @@
                        core::leaving_reason why);
   void HandleOperatorRequest(
       const std::shared_ptr<net::http1_exchange>& exchange);
-  /// Reads the addresses of the other gateways from the store, periodically.
+  /// Writes the address at which other gateways reach this one to the store.
+  void WriteOwnRow();
+  /// Reads the addresses of the other gateways from the store, periodically,
+  /// and writes its own if it is missing.
   void DiscoverGateways();
   /// Adds the configured addresses of other gateways.
   void AddSeeds(const settings::settings_document& settings);
@@ -120,6 +123,7 @@
   std::string link_address_;
   common::duration stop_timeout_{};  ///< grace period without the margin
   common::time_point stop_started_{};
+  bool writing_own_row_ = false;
   bool stopping_ = false;
   /// Requests that did not finish within the grace period.
   size_t terminated_requests_ = 0;
