Pause between two full reads of the store

A store that answers each read of changes with 410 (its history is shorter than the interval between reads, or it goes back often) was read without a pause, by each gateway.

Cause: a failed read of changes began a full read at once, and a full one a read of changes at once. Now two full reads of a table are at least the retry delay apart. Found beside the restored store, where this turned a wrong position into a flood.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -79,7 +79,23 @@
   *timer = timers_.Schedule(delay, std::move(handler));
 }
 
+common::duration fleet_sync::PauseAfter(common::time_point last) const {
+  return std::max(common::duration(0),
+                  last + options_.retry_delay - clock_.Now());
+}
+
+void fleet_sync::ReadRoutesAgain() {
+  RestartTimer(&routes_timer_, PauseAfter(routes_read_at_),
+               [this] { ReadRoutes(); });
+}
+
+void fleet_sync::ReadTargetsAgain() {
+  RestartTimer(&targets_timer_, PauseAfter(targets_read_at_),
+               [this] { ReadTargets(); });
+}
+
 void fleet_sync::ReadRoutes() {
+  routes_read_at_ = clock_.Now();
   rows_.ReadTable(codec_.locations().routes_table,
                   [this, alive = std::weak_ptr<bool>(alive_)](
                       const row_store_result& result) {
@@ -104,7 +120,7 @@
                       {"read_again", "routes"},
                       {"after", static_cast<int64_t>(routes_read_to_.version)},
                       {"era", static_cast<int64_t>(at.era)}});
-    ReadRoutes();
+    ReadRoutesAgain();
     return;
   }
   if (result.status != row_store_status::kOk) {
@@ -122,7 +138,7 @@
   // The changes after a version of an earlier era are not those after what this
   // gateway has read.
   if (!full && at.era > routes_read_to_.era) {
-    ReadRoutes();
+    ReadRoutesAgain();
     return;
   }
   // A stale response must not move the point backwards.
@@ -167,6 +183,7 @@
 }
 
 void fleet_sync::ReadTargets() {
+  targets_read_at_ = clock_.Now();
   rows_.ReadTable(codec_.locations().targets_table,
                   [this, alive = std::weak_ptr<bool>(alive_)](
                       const row_store_result& result) {
@@ -191,7 +208,7 @@
                       {"read_again", "targets"},
                       {"after", static_cast<int64_t>(targets_read_to_.version)},
                       {"era", static_cast<int64_t>(at.era)}});
-    ReadTargets();
+    ReadTargetsAgain();
     return;
   }
   if (result.status != row_store_status::kOk) {
@@ -202,7 +219,7 @@
   }
   RecordSuccess();
   if (!full && at.era > targets_read_to_.era) {
-    ReadTargets();
+    ReadTargetsAgain();
     return;
   }
   // A stale response would bring back targets that have left.
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -98,7 +98,14 @@
   void ReadRoutes();
   void ReadRouteChanges();
   void OnRoutesRead(const row_store_result& result, bool full);
+  /// Reads all routes after their changes turned out not to be available, but
+  /// not without a pause since the last time.
+  void ReadRoutesAgain();
   void ReadTargets();
+  void ReadTargetsAgain();
+  /// @param last when the last read began
+  /// @return the pause before the next one
+  common::duration PauseAfter(common::time_point last) const;
   void ReadTargetChanges();
   void OnTargetsRead(const row_store_result& result, bool full);
   /// @param full whether the rows are the whole table rather than changes
@@ -130,6 +137,9 @@
   /// How far routes and targets have been read.
   store_point routes_read_to_;
   store_point targets_read_to_;
+  /// When all routes and all targets were read the last time.
+  common::time_point routes_read_at_{};
+  common::time_point targets_read_at_{};
   uint64_t era_ = 0;  ///< latest of the store; 0: not known
   common::timer_id routes_timer_ = 0;
   common::timer_id targets_timer_ = 0;
