Tell entries of a restored store from later ones by the versions of their rows

Now a row is from after the restore only if its version is above the one at which this gateway first read the store in its era; others neither bring a target back nor an earlier start until entries have expired.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -249,7 +249,7 @@
     const std::optional<target_entry> entry = Decode(row);
     if (!entry) continue;
     listed.insert(row.key);
-    ApplyEntry(*entry);
+    ApplyEntry(*entry, row.version);
   }
   targets_.RemoveMissing(listed);
 }
@@ -261,24 +261,26 @@
   }
   const std::optional<target_entry> entry = Decode(row);
   if (entry) {
-    ApplyEntry(*entry);
+    ApplyEntry(*entry, row.version);
   } else {
     targets_.Remove(row.key);
   }
 }
 
-void fleet_sync::ApplyEntry(const target_entry& entry) {
-  const bool doubted =
-      entries_doubted_until_ && *entries_doubted_until_ > clock_.Now();
+void fleet_sync::ApplyEntry(const target_entry& entry, uint64_t version) {
+  const bool may_be_old = entries_doubted_until_ &&
+                          *entries_doubted_until_ > clock_.Now() &&
+                          (!era_noticed_at_ || version <= *era_noticed_at_);
   const entry_origin origin =
-      doubted ? entry_origin::kRestoredStore : entry_origin::kStore;
+      may_be_old ? entry_origin::kRestoredStore : entry_origin::kStore;
   if (targets_.Update(entry, origin)) return;
   common::LogEvent(
       log_event::kEntryOutdated, "",
       {{"entry", entry.id},
        {"started_ms", entry.started_ms},
-       {"sequence", static_cast<int64_t>(entry.sequence)},
        {"draining", entry.draining},
+       {"version", static_cast<int64_t>(version)},
+       {"era_noticed_at", static_cast<int64_t>(era_noticed_at_.value_or(0))},
        {"doubted_for_ms",
         common::ToMillis(*entries_doubted_until_ - clock_.Now())}});
 }
@@ -302,6 +304,10 @@
 store_point fleet_sync::RecordPoint(const row_store_result& result) {
   const store_point at = {result.at.era == 0 ? era_ : result.at.era,
                           result.at.version};
+  if (at.era == era_ && !era_noticed_at_ &&
+      result.status == row_store_status::kOk) {
+    era_noticed_at_ = at.version;
+  }
   if (at.era <= era_) return at;
   if (era_ != 0) {
     common::LogEvent(
@@ -320,6 +326,8 @@
                  [this] { ReadTargets(); });
   }
   era_ = at.era;
+  era_noticed_at_.reset();
+  if (result.status == row_store_status::kOk) era_noticed_at_ = at.version;
   return at;
 }
 
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -117,7 +117,8 @@
   store_point RecordPoint(const row_store_result& result);
   /// Ignores removals for a while, then reads all targets.
   void HoldRemovals();
-  void ApplyEntry(const target_entry& entry);
+  /// @param version of its row
+  void ApplyEntry(const target_entry& entry, uint64_t version);
   void ApplyRow(const stored_row& row);
   /// @return the target, or nothing with a log event
   std::optional<target_entry> Decode(const stored_row& row) const;
@@ -150,6 +151,9 @@
   std::optional<common::time_point> removals_held_until_;
   /// Until then, entries may be from the copy that the store was restored from.
   std::optional<common::time_point> entries_doubted_until_;
+  /// The store's version when this gateway first read it in its latest era:
+  /// rows with a higher one are not from a copy.
+  std::optional<uint64_t> era_noticed_at_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -1,7 +1,6 @@
 #include "core/fleet/target_directory.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace wisteriadale::core {
 namespace {
@@ -25,21 +24,13 @@
     const bool later_start = entry.started_ms > last.started_ms;
     // A target that is leaving only comes back with a later start.
     if (!last.may_return && (entry.draining || !later_start)) return true;
-    if (may_be_old && !later_start &&
-        (entry.started_ms < last.started_ms ||
-         entry.sequence <= last.sequence)) {
-      return false;
-    }
+    if (may_be_old && !later_start) return false;
     departures_.erase(left);
   }
   const auto found = by_id_.find(entry.id);
   if (found != by_id_.end()) {
     const std::shared_ptr<fleet_target> target = found->second;
-    if (may_be_old &&
-        std::tie(entry.started_ms, entry.sequence) <
-            std::tie(target->entry.started_ms, target->entry.sequence)) {
-      return false;
-    }
+    if (may_be_old && entry.started_ms < target->entry.started_ms) return false;
     if (entry.draining) {
       Detach(target, leaving_reason::kDraining);
       return true;
@@ -104,8 +95,7 @@
 void target_directory::RecordDeparture(const target_entry& entry,
                                        bool may_return) {
   const uint64_t number = ++departure_count_;
-  departures_[entry.id] = {entry.started_ms, entry.sequence, may_return,
-                           number};
+  departures_[entry.id] = {entry.started_ms, may_return, number};
   departure_order_.emplace_back(entry.id, number);
   if (departure_order_.size() <= kMaxDepartures) return;
   const auto oldest = departures_.find(departure_order_.front().first);
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -28,8 +28,6 @@
   /// How much longer the target is slow after its start.
   common::duration warm_up_remaining{0};
   int64_t started_ms = 0;  ///< wall time of its start; 0: not known
-  /// Rises with each time that the target writes its entry, from its start on.
-  uint64_t sequence = 0;
 };
 
 /// How far an entry that was read can be trusted to be the latest.
@@ -75,9 +73,9 @@
  public:
   using pool = std::vector<std::shared_ptr<fleet_target>>;
 
-  /// Applies a new or changed entry. Those of a restored store are ordered by
-  /// what the target counts itself, its start and its sequence.
-  /// @return false if the entry is outdated
+  /// Applies a new or changed entry. One that may be from an older copy of the
+  /// store neither brings back a target that left nor an earlier start.
+  /// @return false if the entry was ignored for that
   bool Update(const target_entry& entry,
               entry_origin origin = entry_origin::kStore);
   /// Removes the targets that are not in a complete list of ids.
@@ -118,7 +116,6 @@
   /// The last known entry of a target that left.
   struct departure {
     int64_t started_ms = 0;
-    uint64_t sequence = 0;
     /// Its entry was removed, which also happens to targets that run on.
     bool may_return = false;
     uint64_t number = 0;  ///< of this departure
--- a/source/platform/route_decoder.cc
+++ b/source/platform/route_decoder.cc
@@ -239,7 +239,7 @@
   entry.draining = state == "draining";
   entry.warm_up_remaining =
       Milliseconds(NumberField(from, "cold-remaining-ms"));
-  entry.sequence = static_cast<uint64_t>(NumberField(from, "sequence"));
+  NumberField(from, "sequence");
   if (from.contains("born")) {
     if (!from.at("born").is_number_integer()) {
       throw format_error("born is not an integer");
