Name the start of a target in what gateways tell each other about it

Cause: the message named an id, which a target keeps over a restart. Now it names the start too (new fields; starts that gateways of earlier versions do not name are unknown and apply to any), and a report does not affect a later start.

TargetDirectory.AReportOfAnEarlierStartDoesNotAffectALaterOne is new with the parameter.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -294,11 +294,11 @@
   return std::nullopt;
 }
 
-void fleet_sync::ApplyLeavingTargets(std::span<const std::string> draining,
-                                     std::span<const std::string> gone) {
-  for (const std::string& id : draining) targets_.MarkLeaving(id);
+void fleet_sync::ApplyLeavingTargets(std::span<const target_start> draining,
+                                     std::span<const target_start> gone) {
+  for (const target_start& each : draining) targets_.MarkLeaving(each);
   if (!store_failing_) return;
-  for (const std::string& id : gone) targets_.Remove(id);
+  for (const target_start& each : gone) targets_.Remove(each);
 }
 
 store_point fleet_sync::RecordPoint(const row_store_result& result) {
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -76,12 +76,12 @@
                    uint64_t era);
 
   /// Applies what another gateway has read about leaving targets.
-  /// @param draining ids of targets whose entries are marked as draining
-  /// @param gone     ids of targets without an entry. Entries may expire and
+  /// @param draining targets whose entries are marked as draining
+  /// @param gone     targets without an entry. Entries may expire and
   /// come back, so these are only used while this gateway cannot read the store
   /// itself
-  void ApplyLeavingTargets(std::span<const std::string> draining,
-                           std::span<const std::string> gone);
+  void ApplyLeavingTargets(std::span<const target_start> draining,
+                           std::span<const target_start> gone);
 
   /// @param handler called after newer routes came into force
   void SetRoutesHandler(std::function<void()> handler) {
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "core/fleet/target_directory.h"
 #include "core/limits/limit_messages.h"
 #include "core/quarantine/crash_suspects.h"
 #include "core/routes/route_table.h"
@@ -112,8 +113,8 @@
 
 /// Leaving targets, as read from the store by the sender.
 struct leaving_targets_message {
-  std::vector<std::string> draining;  ///< ids
-  std::vector<std::string> gone;      ///< ids without an entry
+  std::vector<target_start> draining;
+  std::vector<target_start> gone;  ///< without an entry
 };
 
 /// A message of a type that this version does not know. Ignored, so that
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -73,14 +73,25 @@
   Detach(target, leaving_reason::kGone);
 }
 
-bool target_directory::MarkLeaving(std::string_view id) {
-  const auto found = by_id_.find(std::string(id));
-  if (found == by_id_.end()) return false;
-  const std::shared_ptr<fleet_target> target = found->second;
+void target_directory::Remove(const target_start& gone) {
+  if (FindStart(gone) != nullptr) Remove(gone.id);
+}
+
+bool target_directory::MarkLeaving(const target_start& leaving) {
+  const std::shared_ptr<fleet_target> target = FindStart(leaving);
+  if (target == nullptr) return false;
   Detach(target, leaving_reason::kReportedByPeer);
   return true;
 }
 
+std::shared_ptr<fleet_target> target_directory::FindStart(
+    const target_start& start) const {
+  const std::shared_ptr<fleet_target> target = Find(start.id);
+  const bool started_again = target != nullptr && start.started_ms != 0 &&
+                             target->entry.started_ms > start.started_ms;
+  return started_again ? nullptr : target;
+}
+
 void target_directory::Detach(const std::shared_ptr<fleet_target>& target,
                               leaving_reason reason) {
   target->leaving = true;
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -36,6 +36,14 @@
   kRestoredStore  ///< it may be from the older copy the store was restored from
 };
 
+/// One start of a target.
+struct target_start {
+  std::string id;
+  int64_t started_ms = 0;  ///< 0: not known
+
+  friend bool operator==(const target_start&, const target_start&) = default;
+};
+
 /// A target and what this process has learnt from its own calls to it.
 struct fleet_target {
   target_entry entry;
@@ -82,9 +90,13 @@
   void RemoveMissing(const std::set<std::string_view>& listed);
   /// Applies the removal of an entry.
   void Remove(std::string_view id);
-  /// Applies the report of another process that a target is leaving.
+  /// Applies the report of another process that an entry was removed. Later
+  /// starts of the target are not affected.
+  void Remove(const target_start& gone);
+  /// Applies the report of another process that a target is leaving. Later
+  /// starts of the target are not affected.
   /// @return whether this was not known yet
-  bool MarkLeaving(std::string_view id);
+  bool MarkLeaving(const target_start& leaving);
 
   /// @return the targets of a service that are not leaving, sorted by id
   const pool& Pool(std::string_view service) const;
@@ -108,6 +120,8 @@
   /// erased
   void Detach(const std::shared_ptr<fleet_target>& target,
               leaving_reason reason);
+  /// @return the target, unless it has started again since; or null
+  std::shared_ptr<fleet_target> FindStart(const target_start& start) const;
   void AddToPool(const std::shared_ptr<fleet_target>& target);
 
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_id_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -430,11 +430,12 @@
                     {"service", target.entry.service},
                     {"why", core::ToString(why)},
                     {"in_flight", int64_t{target.in_flight}}});
+  const core::target_start start = {target.entry.id, target.entry.started_ms};
   if (why == core::leaving_reason::kDraining) {
-    links_->Broadcast(core::leaving_targets_message{{target.entry.id}, {}});
+    links_->Broadcast(core::leaving_targets_message{{start}, {}});
   } else if (why == core::leaving_reason::kGone &&
              !fleet_sync_->store_failing()) {
-    links_->Broadcast(core::leaving_targets_message{{}, {target.entry.id}});
+    links_->Broadcast(core::leaving_targets_message{{}, {start}});
   }
 }
 
--- a/source/unit_tests/core/fleet/target_directory_test.cc
+++ b/source/unit_tests/core/fleet/target_directory_test.cc
@@ -38,7 +38,7 @@
 TEST(TargetDirectory, ARestartWithTheSameIdIsANewTarget) {
   targets.Update(Entry("t1", "10.0.0.1:1", 1));
   const std::shared_ptr<core::fleet_target> first = targets.Find("t1");
-  targets.MarkLeaving("t1");
+  targets.MarkLeaving({"t1"});
   targets.Update(Entry("t1", "10.0.0.1:1", 2));
   CHECK_EQUAL(1, PoolSize());
   CHECK(targets.Find("t1") != first);
@@ -64,6 +64,15 @@
   CHECK_EQUAL(1, PoolSize());
 }
 
+TEST(TargetDirectory, AReportOfAnEarlierStartDoesNotAffectALaterOne) {
+  targets.Update(Entry("t1", "10.0.0.1:1", 2));
+  CHECK(!targets.MarkLeaving({"t1", 1}));
+  targets.Remove(core::target_start{"t1", 1});
+  CHECK_EQUAL(1, PoolSize());
+  CHECK(targets.MarkLeaving({"t1", 2}));
+  CHECK_EQUAL(0, PoolSize());
+}
+
 TEST(TargetDirectory, ARestoredStoreDoesNotUndoARestart) {
   targets.Update(Entry("t1", "10.0.0.1:1", 2));
   const std::shared_ptr<core::fleet_target> second = targets.Find("t1");
@@ -95,8 +104,8 @@
   targets.SetLeavingHandler([&reported](const core::fleet_target&,
                                         core::leaving_reason) { ++reported; });
   targets.Update(Entry("t1", "10.0.0.1:1"));
-  CHECK(targets.MarkLeaving("t1"));
-  CHECK(!targets.MarkLeaving("t1"));
+  CHECK(targets.MarkLeaving({"t1"}));
+  CHECK(!targets.MarkLeaving({"t1"}));
   CHECK_EQUAL(1, reported);
 }
 
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -127,8 +127,14 @@
   }
   void operator()(const core::leaving_targets_message& from) const {
     generated::leaving to;
-    to.draining = from.draining;
-    to.gone = from.gone;
+    for (const core::target_start& each : from.draining) {
+      to.draining.push_back(each.id);
+      to.draining_starts.push_back(each.started_ms);
+    }
+    for (const core::target_start& each : from.gone) {
+      to.gone.push_back(each.id);
+      to.gone_starts.push_back(each.started_ms);
+    }
     frame->__set_leaving_part(to);
   }
   void operator()(const core::limit_report& from) const {
@@ -163,6 +169,16 @@
   return {static_cast<uint64_t>(version), static_cast<uint64_t>(era)};
 }
 
+/// @param starts missing ones, of earlier versions, are not known
+std::vector<core::target_start> Starts(const std::vector<std::string>& ids,
+                                       const std::vector<int64_t>& starts) {
+  std::vector<core::target_start> result;
+  for (size_t i = 0; i < ids.size(); ++i) {
+    result.push_back({ids[i], i < starts.size() ? starts[i] : 0});
+  }
+  return result;
+}
+
 core::stage_job_message FromWire(const generated::stage_order& from) {
   core::stage_job_message to;
   to.request_id = from.request_id;
@@ -267,8 +283,10 @@
     return core::routes_request{Edition(part.version, part.era)};
   }
   if (frame.__isset.leaving_part) {
-    return core::leaving_targets_message{frame.leaving_part.draining,
-                                         frame.leaving_part.gone};
+    const generated::leaving& part = frame.leaving_part;
+    return core::leaving_targets_message{
+        Starts(part.draining, part.draining_starts),
+        Starts(part.gone, part.gone_starts)};
   }
   if (frame.__isset.farewell_part) return core::gateway_shutdown_notice{};
   if (frame.__isset.notice_part) return FromWire(frame.notice_part);
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -61,9 +61,12 @@
   2: i64 era
 }
 
+// The starts are those of the targets at the same places of the other lists.
 struct leaving {
   1: list<string> draining
   2: list<string> gone
+  3: list<i64> draining_starts
+  4: list<i64> gone_starts
 }
 
 struct stage_notice {
