Decide by the length of an outage which removals of targets to believe

A gateway went on using a target that had left for up to 3.3 s after a short cut from the store (DRAIN allows 2 s, from 3 s after the cut): it ignored all removals for 2.2 s after each failed read, and news of other gateways that came just before it noticed the cut. A gateway that had been suspended through an outage believed removals that were none, and told others.

Cause: a failed read was taken for an outage in which entries expire, and only a failed read. Now removals are held back if no read of targets has succeeded for two heartbeats, however that came, and until a read of all targets has succeeded after the time for entries to be written again; entries are checked against a copy for as long as reads fail; what others say about removals counts while this gateway can't read or doesn't believe what it reads. A read that timed out is repeated at once.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -26,6 +26,7 @@
   kRoutesRefused,
   kKeyDropped,
   kTargetLeaving,
+  kRemovalsHeld,  ///< removals are ignored for a while after an outage
   kTargetRests,
   kEntryRefused,
   kEntryOutdated,  ///< an entry of a restored store is older than what is known
--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -35,9 +35,13 @@
 // Lower bound for very short limits: the store, which serves a few hundred
 // calls per second, would otherwise be read without a pause.
 constexpr common::milliseconds kMinPeriod{100};
-// The store removes an entry after three intervals of silence. The fourth is
-// for the read that shows it.
-constexpr int kExpiryHeartbeats = 4;
+// The store removes an entry after three intervals of silence. The others are
+// for outages between two reads, and for a store that removes entries late.
+constexpr int kExpiryHeartbeats = 5;
+// After so many periods without a successful read, one has failed.
+constexpr int kMissedReads = 2;
+// One of the three may have passed when an outage begins.
+constexpr int kExpiringOutageHeartbeats = 2;
 // Stores do not hold a long poll for longer than this.
 constexpr common::milliseconds kMaxWait{30000};
 
@@ -58,6 +62,7 @@
                    kTargetsPeriodShare *
                    std::chrono::duration<double>(leaving_limit).count()));
   options.entry_expiry = kExpiryHeartbeats * heartbeat;
+  options.expiring_outage = kExpiringOutageHeartbeats * heartbeat;
   return options;
 }
 
@@ -69,6 +74,7 @@
 }
 
 void fleet_sync::Start() {
+  targets_current_at_ = clock_.Now();
   ReadRoutes();
   ReadTargets();
 }
@@ -184,23 +190,26 @@
 
 void fleet_sync::ReadTargets() {
   targets_read_at_ = clock_.Now();
-  rows_.ReadTable(codec_.locations().targets_table,
-                  [this, alive = std::weak_ptr<bool>(alive_)](
-                      const row_store_result& result) {
-                    if (!alive.expired()) OnTargetsRead(result, true);
-                  });
+  rows_.ReadTable(
+      codec_.locations().targets_table,
+      [this, sent = clock_.Now(),
+       alive = std::weak_ptr<bool>(alive_)](const row_store_result& result) {
+        if (!alive.expired()) OnTargetsRead(result, true, sent);
+      });
 }
 
 void fleet_sync::ReadTargetChanges() {
-  rows_.ReadChanges(codec_.locations().targets_table, targets_read_to_.version,
-                    common::milliseconds(0),
-                    [this, alive = std::weak_ptr<bool>(alive_)](
-                        const row_store_result& result) {
-                      if (!alive.expired()) OnTargetsRead(result, false);
-                    });
+  rows_.ReadChanges(
+      codec_.locations().targets_table, targets_read_to_.version,
+      common::milliseconds(0),
+      [this, sent = clock_.Now(),
+       alive = std::weak_ptr<bool>(alive_)](const row_store_result& result) {
+        if (!alive.expired()) OnTargetsRead(result, false, sent);
+      });
 }
 
-void fleet_sync::OnTargetsRead(const row_store_result& result, bool full) {
+void fleet_sync::OnTargetsRead(const row_store_result& result, bool full,
+                               common::time_point sent) {
   const store_point at = RecordPoint(result);
   if (result.status == row_store_status::kCompacted) {
     common::LogEvent(log_event::kDependencyLost, "",
@@ -212,12 +221,25 @@
     return;
   }
   if (result.status != row_store_status::kOk) {
+    // What expires while the store is away is removed later, and written again
+    // later.
+    if (EntriesDoubted()) DoubtEntries();
+    if (entries_awaited_) HoldRemovals();
     RecordFailure();
-    RestartTimer(&targets_timer_, options_.retry_delay,
+    RestartTimer(&targets_timer_, PauseAfter(sent),
                  [this, full] { full ? ReadTargets() : ReadTargetChanges(); });
     return;
   }
   RecordSuccess();
+  RecordTargetsRead(sent);
+  if (RemovalsHeld()) {
+    ApplyGoneHeard();
+  } else {
+    // What this gateway reads itself is newer.
+    std::erase_if(gone_heard_, [sent](const gone_target& each) {
+      return each.heard_at <= sent;
+    });
+  }
   if (!full && at.era > targets_read_to_.era) {
     ReadTargetsAgain();
     return;
@@ -235,8 +257,7 @@
 }
 
 void fleet_sync::ApplyTargets(std::span<const stored_row> rows, bool full) {
-  const bool hold_removals =
-      removals_held_until_ && *removals_held_until_ > clock_.Now();
+  const bool hold_removals = RemovalsHeld();
   if (!full || hold_removals) {
     for (const stored_row& row : rows) {
       if (hold_removals && row.removed) continue;
@@ -252,6 +273,7 @@
     ApplyEntry(*entry, row.version);
   }
   targets_.RemoveMissing(listed);
+  entries_awaited_ = false;
 }
 
 void fleet_sync::ApplyRow(const stored_row& row) {
@@ -268,9 +290,8 @@
 }
 
 void fleet_sync::ApplyEntry(const target_entry& entry, uint64_t version) {
-  const bool may_be_old = entries_doubted_until_ &&
-                          *entries_doubted_until_ > clock_.Now() &&
-                          (!era_noticed_at_ || version <= *era_noticed_at_);
+  const bool may_be_old =
+      EntriesDoubted() && (!era_noticed_at_ || version <= *era_noticed_at_);
   const entry_origin origin =
       may_be_old ? entry_origin::kRestoredStore : entry_origin::kStore;
   if (targets_.Update(entry, origin)) return;
@@ -282,7 +303,7 @@
        {"version", static_cast<int64_t>(version)},
        {"era_noticed_at", static_cast<int64_t>(era_noticed_at_.value_or(0))},
        {"doubted_for_ms",
-        common::ToMillis(*entries_doubted_until_ - clock_.Now())}});
+        common::ToMillis(*entries_doubted_until_ - targets_current_at_)}});
 }
 
 std::optional<target_entry> fleet_sync::Decode(const stored_row& row) const {
@@ -297,8 +318,16 @@
 void fleet_sync::ApplyLeavingTargets(std::span<const target_start> draining,
                                      std::span<const target_start> gone) {
   for (const target_start& each : draining) targets_.MarkLeaving(each);
-  if (!store_failing_) return;
-  for (const target_start& each : gone) targets_.Remove(each);
+  for (const target_start& each : gone) {
+    gone_heard_.push_back({each, clock_.Now()});
+  }
+  if (store_failing_ || RemovalsHeld()) ApplyGoneHeard();
+}
+
+void fleet_sync::ApplyGoneHeard() {
+  for (const gone_target& each : std::exchange(gone_heard_, {})) {
+    targets_.Remove(each.start);
+  }
 }
 
 store_point fleet_sync::RecordPoint(const row_store_result& result) {
@@ -320,10 +349,7 @@
     // The copy lacks targets that started since; they write their entries
     // again.
     HoldRemovals();
-    entries_doubted_until_ = clock_.Now() + options_.entry_expiry;
-    // What is still there then was written since, or it would have expired.
-    RestartTimer(&expiry_timer_, options_.entry_expiry,
-                 [this] { ReadTargets(); });
+    DoubtEntries();
   }
   era_ = at.era;
   era_noticed_at_.reset();
@@ -331,10 +357,37 @@
   return at;
 }
 
+void fleet_sync::RecordTargetsRead(common::time_point sent) {
+  const common::duration away = clock_.Now() - targets_current_at_;
+  // The store may have been away while this process was suspended.
+  if (EntriesDoubted() && away > kMissedReads * options_.targets_period) {
+    DoubtEntries();
+  }
+  targets_current_at_ = sent;
+  if (away < options_.expiring_outage) return;
+  common::LogEvent(log_event::kRemovalsHeld, "",
+                   {{"away_ms", common::ToMillis(away)},
+                    {"for_ms", common::ToMillis(options_.removal_grace)}});
+  HoldRemovals();
+}
+
+bool fleet_sync::EntriesDoubted() const {
+  return entries_doubted_until_ &&
+         targets_current_at_ < *entries_doubted_until_;
+}
+
+void fleet_sync::DoubtEntries() {
+  entries_doubted_until_ = clock_.Now() + options_.entry_expiry;
+  // What is still there then was written since, or it would have expired.
+  RestartTimer(&expiry_timer_, options_.entry_expiry,
+               [this] { ReadTargets(); });
+}
+
 void fleet_sync::RecordFailure() {
   common::Metrics().Count("wisteria_store_failures_total");
   if (store_failing_) return;
   store_failing_ = true;
+  ApplyGoneHeard();
   common::LogEvent(log_event::kDependencyLost, "", {{"dependency", "store"}});
 }
 
@@ -343,10 +396,14 @@
   store_failing_ = false;
   common::LogEvent(log_event::kDependencyRegained, "",
                    {{"dependency", "store"}});
-  HoldRemovals();
+}
+
+bool fleet_sync::RemovalsHeld() const {
+  return removals_held_until_ && *removals_held_until_ > clock_.Now();
 }
 
 void fleet_sync::HoldRemovals() {
+  entries_awaited_ = true;
   removals_held_until_ = clock_.Now() + options_.removal_grace;
   // Targets whose entries are still missing after that time are gone.
   RestartTimer(&removal_timer_, options_.removal_grace,
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -26,12 +26,14 @@
   common::duration targets_period = std::chrono::milliseconds(600);
   /// Delay before a failed read is repeated.
   common::duration retry_delay = std::chrono::milliseconds(250);
-  /// Removals are ignored for this long after the store recovers: entries that
-  /// expired during the outage are written again within this time.
+  /// Entries may expire in an outage of the store from this length on.
+  common::duration expiring_outage = std::chrono::milliseconds(2400);
+  /// Removals are ignored for this long after such an outage: entries that
+  /// expired in it are written again within this time.
   common::duration removal_grace = std::chrono::milliseconds(2200);
   /// For this long after the store was restored from a copy, entries of targets
   /// that no longer write them may be in it.
-  common::duration entry_expiry = std::chrono::milliseconds(4800);
+  common::duration entry_expiry = std::chrono::milliseconds(6000);
 };
 
 /// Reads from the store as rarely as the limits allow. Within them, a dead
@@ -79,7 +81,7 @@
   /// @param draining targets whose entries are marked as draining
   /// @param gone     targets without an entry. Entries may expire and
   /// come back, so these are only used while this gateway cannot read the store
-  /// itself
+  /// itself, or does not yet believe what it reads there about removals
   void ApplyLeavingTargets(std::span<const target_start> draining,
                            std::span<const target_start> gone);
 
@@ -95,6 +97,12 @@
   bool targets_known() const { return targets_read_to_.version > 0; }
 
  private:
+  /// A target without an entry, as another gateway says.
+  struct gone_target {
+    target_start start;
+    common::time_point heard_at;
+  };
+
   void ReadRoutes();
   void ReadRouteChanges();
   void OnRoutesRead(const row_store_result& result, bool full);
@@ -107,7 +115,9 @@
   /// @return the pause before the next one
   common::duration PauseAfter(common::time_point last) const;
   void ReadTargetChanges();
-  void OnTargetsRead(const row_store_result& result, bool full);
+  /// @param sent when the read began
+  void OnTargetsRead(const row_store_result& result, bool full,
+                     common::time_point sent);
   /// @param full whether the rows are the whole table rather than changes
   void ApplyTargets(std::span<const stored_row> rows, bool full);
   void RecordFailure();
@@ -115,8 +125,16 @@
   /// Notices that the store was restored from a copy.
   /// @return where the store was at the time of a response
   store_point RecordPoint(const row_store_result& result);
+  /// Notices that the targets could not be read for long.
+  void RecordTargetsRead(common::time_point sent);
+  /// Takes entries for possibly outdated for a while, then reads all targets.
+  void DoubtEntries();
+  /// @return whether the latest read that succeeded began in that time
+  bool EntriesDoubted() const;
   /// Ignores removals for a while, then reads all targets.
   void HoldRemovals();
+  bool RemovalsHeld() const;
+  void ApplyGoneHeard();
   /// @param version of its row
   void ApplyEntry(const target_entry& entry, uint64_t version);
   void ApplyRow(const stored_row& row);
@@ -149,6 +167,13 @@
   bool store_failing_ = false;
   /// Until then, missing entries may belong to targets that are alive.
   std::optional<common::time_point> removals_held_until_;
+  /// Entries may not have been written again: all are to be read after that
+  /// time.
+  bool entries_awaited_ = false;
+  /// Since the latest read of targets that succeeded.
+  std::vector<gone_target> gone_heard_;
+  /// When the latest read of targets that succeeded began.
+  common::time_point targets_current_at_{};
   /// Until then, entries may be from the copy that the store was restored from.
   std::optional<common::time_point> entries_doubted_until_;
   /// The store's version when this gateway first read it in its latest era:
