Tell gateways that join which targets have left

Cause: that a target has left was told once, to the gateways that were linked then. Now a gateway that links is told the latest departures, with their starts; it takes entries for possibly outdated in the time after its own start, too, and drops a target that others say is gone if its entry is one of these.

TargetDirectory.DeparturesAreToldAndKeptByWhoDidNotSeeThem.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -1,7 +1,6 @@
 #include "core/fleet/fleet_sync.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "common/event_log.h"
@@ -292,6 +291,11 @@
 void fleet_sync::ApplyEntry(const target_entry& entry, uint64_t version) {
   const bool may_be_old =
       EntriesDoubted() && (!era_noticed_at_ || version <= *era_noticed_at_);
+  if (may_be_old) {
+    doubted_entries_.insert(entry.id);
+  } else {
+    doubted_entries_.erase(entry.id);
+  }
   const entry_origin origin =
       may_be_old ? entry_origin::kRestoredStore : entry_origin::kStore;
   if (targets_.Update(entry, origin)) return;
@@ -319,7 +323,11 @@
                                      std::span<const target_start> gone) {
   for (const target_start& each : draining) targets_.MarkLeaving(each);
   for (const target_start& each : gone) {
-    gone_heard_.push_back({each, clock_.Now()});
+    if (EntriesDoubted() && doubted_entries_.contains(each.id)) {
+      targets_.Remove(each);
+    } else {
+      gone_heard_.push_back({each, clock_.Now()});
+    }
   }
   if (store_failing_ || RemovalsHeld()) ApplyGoneHeard();
 }
@@ -349,8 +357,9 @@
     // The copy lacks targets that started since; they write their entries
     // again.
     HoldRemovals();
-    DoubtEntries();
   }
+  // Also at the start, as the store may just have been restored.
+  DoubtEntries();
   era_ = at.era;
   era_noticed_at_.reset();
   if (result.status == row_store_status::kOk) era_noticed_at_ = at.version;
@@ -379,8 +388,10 @@
 void fleet_sync::DoubtEntries() {
   entries_doubted_until_ = clock_.Now() + options_.entry_expiry;
   // What is still there then was written since, or it would have expired.
-  RestartTimer(&expiry_timer_, options_.entry_expiry,
-               [this] { ReadTargets(); });
+  RestartTimer(&expiry_timer_, options_.entry_expiry, [this] {
+    doubted_entries_.clear();
+    ReadTargets();
+  });
 }
 
 void fleet_sync::RecordFailure() {
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -179,6 +180,8 @@
   /// The store's version when this gateway first read it in its latest era:
   /// rows with a higher one are not from a copy.
   std::optional<uint64_t> era_noticed_at_;
+  /// Ids of targets whose entries may be from the copy.
+  std::set<std::string> doubted_entries_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -47,7 +47,7 @@
     departures_.erase(entry.id);
   }
   if (entry.draining) {
-    RecordDeparture(entry, false);
+    RecordDeparture({entry.id, entry.started_ms}, false);
     return true;
   }
   const std::shared_ptr<fleet_target> target = std::make_shared<fleet_target>();
@@ -74,16 +74,51 @@
 }
 
 void target_directory::Remove(const target_start& gone) {
-  if (FindStart(gone) != nullptr) Remove(gone.id);
+  if (FindStart(gone) != nullptr) {
+    Remove(gone.id);
+  } else {
+    RecordReported(gone, true);
+  }
 }
 
 bool target_directory::MarkLeaving(const target_start& leaving) {
   const std::shared_ptr<fleet_target> target = FindStart(leaving);
-  if (target == nullptr) return false;
+  if (target == nullptr) {
+    RecordReported(leaving, false);
+    return false;
+  }
   Detach(target, leaving_reason::kReportedByPeer);
   return true;
 }
 
+void target_directory::RecordReported(const target_start& start,
+                                      bool may_return) {
+  if (start.started_ms == 0 || by_id_.contains(start.id)) return;
+  const auto known = departures_.find(start.id);
+  const bool is_news =
+      known == departures_.end() ||
+      known->second.started_ms < start.started_ms ||
+      (known->second.started_ms == start.started_ms && !may_return);
+  if (is_news) RecordDeparture(start, may_return);
+}
+
+departed_targets target_directory::RecentDepartures(size_t limit) const {
+  departed_targets result;
+  for (auto each = departure_order_.rbegin();
+       each != departure_order_.rend() &&
+       result.leaving.size() + result.gone.size() < limit;
+       ++each) {
+    const auto found = departures_.find(each->first);
+    // The target came back, or left once more since.
+    if (found == departures_.end() || found->second.number != each->second) {
+      continue;
+    }
+    (found->second.may_return ? result.gone : result.leaving)
+        .push_back({found->first, found->second.started_ms});
+  }
+  return result;
+}
+
 std::shared_ptr<fleet_target> target_directory::FindStart(
     const target_start& start) const {
   const std::shared_ptr<fleet_target> target = Find(start.id);
@@ -95,7 +130,8 @@
 void target_directory::Detach(const std::shared_ptr<fleet_target>& target,
                               leaving_reason reason) {
   target->leaving = true;
-  RecordDeparture(target->entry, reason == leaving_reason::kGone);
+  RecordDeparture({target->entry.id, target->entry.started_ms},
+                  reason == leaving_reason::kGone);
   by_id_.erase(target->entry.id);
   const auto at = by_address_.find(target->entry.address);
   if (at != by_address_.end() && at->second == target) by_address_.erase(at);
@@ -103,11 +139,11 @@
   if (leaving_handler_) leaving_handler_(*target, reason);
 }
 
-void target_directory::RecordDeparture(const target_entry& entry,
+void target_directory::RecordDeparture(const target_start& start,
                                        bool may_return) {
   const uint64_t number = ++departure_count_;
-  departures_[entry.id] = {entry.started_ms, may_return, number};
-  departure_order_.emplace_back(entry.id, number);
+  departures_[start.id] = {start.started_ms, may_return, number};
+  departure_order_.emplace_back(start.id, number);
   if (departure_order_.size() <= kMaxDepartures) return;
   const auto oldest = departures_.find(departure_order_.front().first);
   if (oldest != departures_.end() &&
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -44,6 +44,12 @@
   friend bool operator==(const target_start&, const target_start&) = default;
 };
 
+/// Targets that left.
+struct departed_targets {
+  std::vector<target_start> leaving;  ///< final for these starts
+  std::vector<target_start> gone;     ///< their entries may come back
+};
+
 /// A target and what this process has learnt from its own calls to it.
 struct fleet_target {
   target_entry entry;
@@ -98,6 +104,9 @@
   /// @return whether this was not known yet
   bool MarkLeaving(const target_start& leaving);
 
+  /// @return the latest departures
+  departed_targets RecentDepartures(size_t limit) const;
+
   /// @return the targets of a service that are not leaving, sorted by id
   const pool& Pool(std::string_view service) const;
   /// @return the target at an address, or null
@@ -135,7 +144,9 @@
     uint64_t number = 0;  ///< of this departure
   };
 
-  void RecordDeparture(const target_entry& entry, bool may_return);
+  void RecordDeparture(const target_start& start, bool may_return);
+  /// Records what another process reported of a target that is not known here.
+  void RecordReported(const target_start& start, bool may_return);
 
   /// By id: outdated entries of the same start must not bring targets back.
   std::map<std::string, departure, std::less<>> departures_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -15,6 +15,8 @@
 
 using common::log_event;
 
+// Departures of targets that a gateway is told when it joins.
+constexpr size_t kMaxToldDepartures = 1000;
 // Period at which the addresses of the other gateways are read from the store.
 constexpr double kDiscoveryPeriodS = 5;
 // Added at random, as a share: gateways that started together neither read nor
@@ -278,6 +280,13 @@
   if (routes_.current()) {
     links_->Send(gateway, core::routes_message{routes_.edition(), ""});
   }
+  // It may read entries of these in a store that was restored from a copy.
+  const core::departed_targets departed =
+      targets_.RecentDepartures(kMaxToldDepartures);
+  if (!departed.leaving.empty() || !departed.gone.empty()) {
+    links_->Send(gateway, core::leaving_targets_message{departed.leaving,
+                                                        departed.gone});
+  }
   for (const core::crash_suspects* each :
        {suspects_.get(), part_suspects_.get()}) {
     for (const core::crash_report& report : each->Reports(kMinPassedCrashes)) {
--- a/source/unit_tests/core/fleet/restored_store_test.cc
+++ b/source/unit_tests/core/fleet/restored_store_test.cc
@@ -25,6 +25,7 @@
 constexpr seconds kUnstableContact{6};
 // After an outage, the store takes so long to remove what has expired.
 constexpr seconds kSweep{1};
+constexpr size_t kMaxToldDepartures = 1000;
 constexpr uint64_t kMaxCallsPerSecond = 20;
 
 enum class target_state { kRunning, kDraining, kGone };
@@ -110,6 +111,15 @@
                                                core::leaving_reason why) {
           TellOthers(*reader, {target.entry.id, target.entry.started_ms}, why);
         });
+    for (const simulated_gateway& each : gateways_) {
+      if (!each.reader || each.reader == gateway->reader) continue;
+      const core::departed_targets departed =
+          each.reader->targets.RecentDepartures(kMaxToldDepartures);
+      gateway->reader->process.Schedule(
+          milliseconds(50), [to = gateway->reader.get(), departed] {
+            to->sync.ApplyLeavingTargets(departed.leaving, departed.gone);
+          });
+    }
   }
 
   /// Gateways tell each other about leaving targets, over links that are not
--- a/source/unit_tests/core/fleet/target_directory_test.cc
+++ b/source/unit_tests/core/fleet/target_directory_test.cc
@@ -73,6 +73,28 @@
   CHECK_EQUAL(0, PoolSize());
 }
 
+TEST(TargetDirectory, DeparturesAreToldAndKeptByWhoDidNotSeeThem) {
+  targets.Update(Entry("t1", "10.0.0.1:1"));
+  targets.Update(Entry("t2", "10.0.0.2:1"));
+  targets.Update(Entry("t3", "10.0.0.3:1"));
+  targets.Remove("t1");
+  targets.MarkLeaving({"t2", 1});
+  targets.Remove("t3");
+  targets.Update(Entry("t3", "10.0.0.3:1"));
+  const core::departed_targets departed = targets.RecentDepartures(10);
+  CHECK(departed.gone == (std::vector<core::target_start>{{"t1", 1}}));
+  CHECK(departed.leaving == (std::vector<core::target_start>{{"t2", 1}}));
+
+  core::target_directory joined;
+  joined.MarkLeaving(departed.leaving[0]);
+  joined.Remove(departed.gone[0]);
+  joined.Update(Entry("t2", "10.0.0.2:1"));
+  joined.Update(Entry("t1", "10.0.0.1:1"), core::entry_origin::kRestoredStore);
+  CHECK_EQUAL(0, joined.Pool("plain").size());
+  joined.Update(Entry("t1", "10.0.0.1:1"));
+  CHECK_EQUAL(1, joined.Pool("plain").size());
+}
+
 TEST(TargetDirectory, ARestoredStoreDoesNotUndoARestart) {
   targets.Update(Entry("t1", "10.0.0.1:1", 2));
   const std::shared_ptr<core::fleet_target> second = targets.Find("t1");
