Do not join pages of a table from before and after a restore of the store

A table of more than 500 rows that was read while the store was restored was a mix of both: rows of the old history beside those of the copy, under the version of the first page.

Cause: only the first page said where the store was. Now the era of each page is compared, and the read begins again; each era can cause that once.

HttpRowStore.PagesOfTwoErasAreNotJoined failed before and passes now. HttpRowStore.AnEraThatIsNoNumberIsNotStated passed before, too.

--- a/source/platform/http_row_store.cc
+++ b/source/platform/http_row_store.cc
@@ -251,6 +251,13 @@
              handler(*all);
              return;
            }
+           // The pages of a store that was restored meanwhile do not belong
+           // together.
+           if (!from.empty() && page.at.era != all->at.era) {
+             ReadPage(table, "", std::make_shared<core::row_store_result>(),
+                      handler);
+             return;
+           }
            // Rows may change while pages are read. With the version of the
            // first page, ReadChanges reports every change that a later page may
            // have missed.
