Heed targets that say that they leave, or take no requests for a time

Both statements are decoded into one value at the boundary and recorded in one place, for requests, stage calls and resumed streams. That a target leaves is final for this start of it, whatever the store says and while it is away; other gateways are told with the start. A back-off takes the target out of the choice from the moment of the response; a longer one prevails, a shorter one does not cut it; it outlasts an entry that expires. Callers whose targets all back off are told at once when the first returns. Values that cannot be used are logged and ignored; more than an hour counts as one. Releases of stage results wait. A 421 speaks of another target and is not heard.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -28,6 +28,8 @@
   kTargetLeaving,
   kRemovalsHeld,  ///< removals are ignored for a while after an outage
   kTargetRests,
+  kTargetBacksOff,    ///< a target said that it takes no requests for a time
+  kStatementInvalid,  ///< a target said something that cannot be used
   kEntryRefused,
   kEntryOutdated,  ///< an entry of a restored store is older than what is known
   kLimitEnded,     ///< a target no longer names a request limit
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -11,8 +11,8 @@
 }  // namespace
 
 std::string_view ToString(leaving_reason reason) {
-  constexpr std::string_view kNames[] = {"draining", "gone", "replaced",
-                                         "told"};
+  constexpr std::string_view kNames[] = {"draining", "gone", "replaced", "told",
+                                         "stated"};
   return kNames[static_cast<size_t>(reason)];
 }
 
@@ -81,13 +81,14 @@
   }
 }
 
-bool target_directory::MarkLeaving(const target_start& leaving) {
+bool target_directory::MarkLeaving(const target_start& leaving,
+                                   leaving_reason reason) {
   const std::shared_ptr<fleet_target> target = FindStart(leaving);
   if (target == nullptr) {
     RecordReported(leaving, false);
     return false;
   }
-  Detach(target, leaving_reason::kReportedByPeer);
+  Detach(target, reason);
   return true;
 }
 
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -76,6 +76,7 @@
   kGone,            ///< its entry was removed
   kReplaced,        ///< it was restarted or moved
   kReportedByPeer,  ///< another gateway reported it
+  kStated,          ///< it said so in a response
 };
 
 /// @return the name used in logs
@@ -99,10 +100,11 @@
   /// Applies the report of another process that an entry was removed. Later
   /// starts of the target are not affected.
   void Remove(const target_start& gone);
-  /// Applies the report of another process that a target is leaving. Later
-  /// starts of the target are not affected.
+  /// Applies the report of another process, or of the target itself, that it is
+  /// leaving. Later starts of the target are not affected.
   /// @return whether this was not known yet
-  bool MarkLeaving(const target_start& leaving);
+  bool MarkLeaving(const target_start& leaving,
+                   leaving_reason reason = leaving_reason::kReportedByPeer);
 
   /// @return the latest departures
   departed_targets RecentDepartures(size_t limit) const;
--- a/source/core/forwarding/target_selector.cc
+++ b/source/core/forwarding/target_selector.cc
@@ -127,8 +127,17 @@
   };
   candidate free;
   candidate limited;
+  common::duration first_return = common::duration::max();
   for (const std::shared_ptr<fleet_target>& each : pool) {
     if (each->leaving || Contains(context.tried, each->entry.id)) continue;
+    const common::duration back_off_left =
+        context.statements == nullptr
+            ? common::duration(0)
+            : context.statements->BackOffLeft(each->entry);
+    if (back_off_left.count() > 0) {
+      first_return = std::min(first_return, back_off_left);
+      continue;
+    }
     // Ejected and overloaded targets are only used if there is no other.
     const bool avoided =
         each->ejected_until > now || each->overloaded_until > now;
@@ -152,6 +161,10 @@
   if (limited.target && free.IsWorseThan(limited)) {
     choice.limited = limited.target;
   }
+  if (!free.target && !limited.target &&
+      first_return != common::duration::max()) {
+    choice.back_off_left = first_return;
+  }
   return choice;
 }
 
--- a/source/core/forwarding/target_selector.h
+++ b/source/core/forwarding/target_selector.h
@@ -12,6 +12,7 @@
 #include "common/clock.h"
 #include "common/random.h"
 #include "core/fleet/target_directory.h"
+#include "core/fleet/target_statements.h"
 #include "core/limits/target_slots.h"
 
 namespace wisteriadale::core {
@@ -32,6 +33,8 @@
   std::span<const std::string> tried;  ///< ids of targets not to try again
   /// Requests that targets with a limit still take; null: limits do not count.
   const target_slots* slots = nullptr;
+  /// Which targets take no requests for a time; null: that does not count.
+  const target_statements* statements = nullptr;
 };
 
 /// The target that was chosen for a request.
@@ -40,6 +43,9 @@
   bool ejected = false;
   /// A better target, whose limit allows no request now; null if there is none.
   std::shared_ptr<fleet_target> limited;
+  /// Time until the first of the targets takes requests again; 0: one does now,
+  /// or there is none.
+  common::duration back_off_left{0};
 };
 
 /// Remembers which prompt parts were last sent to each target, as a hint of
--- a/source/core/limits/request_limit.cc
+++ b/source/core/limits/request_limit.cc
@@ -1,33 +1,17 @@
 #include "core/limits/request_limit.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <optional>
 
-namespace wisteriadale::core {
-namespace {
-
-std::optional<double> ParseDecimal(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) return std::nullopt;
-  text = text.substr(first, text.find_last_not_of(" \t") - first + 1);
-  double value = 0;
-  const char* const end = text.data() + text.size();
-  const std::from_chars_result result =
-      std::from_chars(text.data(), end, value, std::chars_format::fixed);
-  if (result.ec != std::errc() || result.ptr != end) return std::nullopt;
-  if (!std::isfinite(value) || std::signbit(value)) return std::nullopt;
-  return value;
-}
-
-}  // namespace
+#include "common/decimal.h"
 
+namespace wisteriadale::core {
 request_limit ParseRequestLimit(std::span<const std::string_view> values) {
   if (values.empty()) return {};
   request_limit limit{limit_statement::kNamed, HUGE_VAL};
   for (const std::string_view text : values) {
-    const std::optional<double> value = ParseDecimal(text);
+    const std::optional<double> value = common::ParseDecimal(text);
     if (!value) return {limit_statement::kInvalid, 0};
     limit.per_second = std::min(limit.per_second, *value);
   }
--- a/source/core/ports/deployment_codec.h
+++ b/source/core/ports/deployment_codec.h
@@ -22,6 +22,8 @@
   std::string not_run;  ///< marks a request that the target did not run
   /// Names the request limit of a target, in its responses.
   std::string request_limit;
+  std::string leaving;    ///< says, in its responses, that a target leaves
+  std::string back_off;   ///< says, in a rejection, for how long it holds
   std::string signature;  ///< proves that a response is from the target itself
   std::string priority;
   std::string piece_counts;
@@ -74,6 +76,8 @@
   /// @return whether a response is from another target than the one that was
   /// meant
   virtual bool IndicatesMisdirected(int status) const = 0;
+  /// @return whether a target rejects requests for a time with such a response
+  virtual bool IndicatesBackOff(int status) const = 0;
   /// @param marked whether the response has the header header_names::not_run
   /// @return whether the request did not run because its inputs no longer exist
   virtual bool IndicatesMissingInputs(int status, bool marked) const = 0;
--- a/source/gateway/forward_headers.cc
+++ b/source/gateway/forward_headers.cc
@@ -16,6 +16,15 @@
       [name](std::string_view listed) { return net::SameName(listed, name); });
 }
 
+std::vector<std::string_view> ValuesOf(const net::message_head& head,
+                                       std::string_view name) {
+  std::vector<std::string_view> values;
+  for (const net::http_header& header : head.headers) {
+    if (net::SameName(header.name, name)) values.push_back(header.value);
+  }
+  return values;
+}
+
 }  // namespace
 
 bool IsHopByHopHeader(std::string_view name, const net::message_head& head) {
@@ -48,11 +57,18 @@
 
 core::request_limit RequestLimitOf(const net::message_head& head,
                                    std::string_view name) {
-  std::vector<std::string_view> values;
-  for (const net::http_header& header : head.headers) {
-    if (net::SameName(header.name, name)) values.push_back(header.value);
+  return core::ParseRequestLimit(ValuesOf(head, name));
+}
+
+core::target_statement StatementOf(const net::message_head& head,
+                                   const core::deployment_codec& codec) {
+  core::target_statement statement;
+  const core::header_names& names = codec.headers();
+  core::ParseLeaving(ValuesOf(head, names.leaving), &statement);
+  if (codec.IndicatesBackOff(head.status)) {
+    core::ParseBackOff(ValuesOf(head, names.back_off), &statement);
   }
-  return core::ParseRequestLimit(values);
+  return statement;
 }
 
 std::string_view PathWithoutQuery(std::string_view target) {
--- a/source/gateway/forward_headers.h
+++ b/source/gateway/forward_headers.h
@@ -5,7 +5,9 @@
 #include <string_view>
 #include <vector>
 
+#include "core/fleet/target_statements.h"
 #include "core/limits/request_limit.h"
+#include "core/ports/deployment_codec.h"
 #include "net/http1_parser.h"
 
 namespace wisteriadale::gateway {
@@ -27,6 +29,10 @@
 core::request_limit RequestLimitOf(const net::message_head& head,
                                    std::string_view name);
 
+/// @return what a response says of the target that sent it, but for its limit
+core::target_statement StatementOf(const net::message_head& head,
+                                   const core::deployment_codec& codec);
+
 /// @return the path of a request target, without its query
 std::string_view PathWithoutQuery(std::string_view target);
 
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -197,6 +197,7 @@
   context.prompt_tokens = prompt_tokens_;
   context.tried = tried_targets_;
   context.slots = &deps_.slots;
+  context.statements = &deps_.statements;
   return context;
 }
 
@@ -220,6 +221,7 @@
   if (plan_ && attempts_ == 0 && RejectQuarantined()) return;
   const core::target_choice choice =
       deps_.selector.Choose(SelectionContextWithInputs());
+  if (choice.back_off_left.count() > 0) NoteSlotDelay(choice.back_off_left);
   // A healthy target with a limit goes before an ejected one without.
   const bool waits_if_limited = !choice.target || choice.ejected;
   if (choice.limited && waits_if_limited && WaitForSlot(*choice.limited)) {
@@ -333,7 +335,7 @@
   inputs_missing_ =
       codec.IndicatesMissingInputs(head.status, has_not_run_header);
   response_signed_ = head.Find(deps_.codec.headers().signature) != nullptr;
-  ObserveLimit();
+  ObserveStatements();
   target_->outstanding_tokens -= outstanding_tokens_;
   outstanding_tokens_ = 0;
   if (!Succeeded()) return;
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -122,8 +122,8 @@
   /// caller.
   void FinishAttempt(core::attempt_outcome outcome);
   void UpdateTargetHealth(core::attempt_outcome outcome);
-  /// Records what the response says about the request limit of its target.
-  void ObserveLimit();
+  /// Records what the response says of the target that sent it.
+  void ObserveStatements();
   /// Waits for a slot of a target whose limit allows no request now.
   /// @return whether it waits; else the target has no slot in time
   bool WaitForSlot(const core::fleet_target& target);
@@ -207,9 +207,9 @@
   std::optional<net::call_failure> failure_;
   size_t ignored_bytes_ = 0;  ///< of a body that is not forwarded
   bool response_not_run_ = false;
-  bool inputs_missing_ = false;    ///< not run because its inputs don't exist
-  bool response_signed_ = false;   ///< has the target's signature
-  bool relaying_ = false;          ///< the response is forwarded as it arrives
+  bool inputs_missing_ = false;   ///< not run because its inputs don't exist
+  bool response_signed_ = false;  ///< has the target's signature
+  bool relaying_ = false;         ///< the response is forwarded as it arrives
   net::body_framing relay_framing_ = net::body_framing::kNone;
   bool streaming_events_ = false;  ///< relayed event by event
   core::event_stream_filter filter_;
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -20,8 +20,11 @@
 
 }  // namespace
 
-void forward_request::ObserveLimit() {
+void forward_request::ObserveStatements() {
+  // The response is from another target than the one that was meant.
   if (deps_.codec.IndicatesMisdirected(response_head_.status)) return;
+  deps_.statements.OnResponse(
+      target_->entry, StatementOf(response_head_, deps_.codec), request_id_);
   core::limit_observation observation;
   observation.limit =
       RequestLimitOf(response_head_, deps_.codec.headers().request_limit);
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -12,6 +12,7 @@
 #include "core/admission/stage_admission.h"
 #include "core/fleet/target_directory.h"
 #include "core/fleet/target_ejection.h"
+#include "core/fleet/target_statements.h"
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/forwarding/target_selector.h"
 #include "core/limits/target_limits.h"
@@ -41,6 +42,7 @@
   const core::target_ejection& ejection;
   core::crash_suspects& suspects;       ///< requests
   core::crash_suspects& part_suspects;  ///< parts of prompts
+  core::target_statements& statements;
   core::target_limits& limits;
   core::target_slots& slots;
   core::caller_retry_detector& caller_retries;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -226,12 +226,13 @@
       links_->Broadcast(report);
     });
   }
+  statements_ = std::make_unique<core::target_statements>(targets_, clock_);
   CreateLimits();
   stage_router_ =
       std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   dispatcher_ = std::make_unique<stage_dispatcher>(
       *loop_, clock_, *client_, *codec_, routes_, targets_, *retry_budget_,
-      *limits_, *slots_,
+      *statements_, *limits_, *slots_,
       [this](const std::string& gateway,
              const core::stage_job_outcome& outcome) {
         stage_router_->ReportOutcome(gateway, outcome);
@@ -244,8 +245,8 @@
   forwarder_ = std::make_unique<forwarder>(forward_dependencies{
       *loop_, clock_, *random_, *client_, *codec_, routes_, targets_,
       *selector_, *retry_budget_, ejection_, *suspects_, *part_suspects_,
-      *limits_, *slots_, *caller_retries_, *stage_router_, *latency_estimator_,
-      *admission_});
+      *statements_, *limits_, *slots_, *caller_retries_, *stage_router_,
+      *latency_estimator_, *admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   targets_.SetLeavingHandler(
       [this](const core::fleet_target& target, core::leaving_reason why) {
@@ -440,7 +441,8 @@
                     {"why", core::ToString(why)},
                     {"in_flight", int64_t{target.in_flight}}});
   const core::target_start start = {target.entry.id, target.entry.started_ms};
-  if (why == core::leaving_reason::kDraining) {
+  if (why == core::leaving_reason::kDraining ||
+      why == core::leaving_reason::kStated) {
     links_->Broadcast(core::leaving_targets_message{{start}, {}});
   } else if (why == core::leaving_reason::kGone &&
              !fleet_sync_->store_failing()) {
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -20,6 +20,9 @@
 constexpr common::duration kDispatchPeriod = std::chrono::milliseconds(5);
 // Releases within this time are sent in one call to each target.
 constexpr common::duration kReleaseDelay = std::chrono::milliseconds(50);
+// Delay of releases at targets that take no requests for a time.
+constexpr common::duration kDeferredReleaseDelay =
+    std::chrono::milliseconds(500);
 // Failed releases are not retried: targets drop results by themselves after a
 // few seconds.
 // A response names one handle for each piece of a call.
@@ -75,7 +78,11 @@
     status_ = head.status;
     not_run_ = owner_.codec_.IndicatesNotRun(
         head.status, head.Find(owner_.codec_.headers().not_run) != nullptr);
-    if (!owner_.codec_.IndicatesMisdirected(head.status)) ObserveLimit(head);
+    if (owner_.codec_.IndicatesMisdirected(head.status)) return;
+    owner_.statements_.OnResponse(batch_.target->entry,
+                                  StatementOf(head, owner_.codec_),
+                                  batch_.pieces.front().request_id);
+    ObserveLimit(head);
   }
   void OnBody(std::string_view data) override { body_.append(data); }
 
@@ -170,8 +177,8 @@
     net::event_loop& loop, common::clock& clock, net::http1_client& client,
     const core::deployment_codec& codec, const core::route_holder& routes,
     core::target_directory& targets, core::gateway_retry_budget& retry_budget,
-    core::target_limits& limits, core::target_slots& slots,
-    outcome_handler on_outcome, load_handler on_load)
+    core::target_statements& statements, core::target_limits& limits,
+    core::target_slots& slots, outcome_handler on_outcome, load_handler on_load)
     : loop_(loop),
       clock_(clock),
       client_(client),
@@ -179,6 +186,7 @@
       routes_(routes),
       targets_(targets),
       retry_budget_(retry_budget),
+      statements_(statements),
       limits_(limits),
       slots_(slots),
       on_outcome_(std::move(on_outcome)),
@@ -273,8 +281,12 @@
     pending_releases_[{service, std::string(codec_.ProducerAddress(handle))}]
         .push_back(handle);
   }
+  ScheduleReleases(kReleaseDelay);
+}
+
+void stage_dispatcher::ScheduleReleases(common::duration delay) {
   if (release_timer_ != 0) return;
-  release_timer_ = loop_.Schedule(kReleaseDelay, [this] {
+  release_timer_ = loop_.Schedule(delay, [this] {
     release_timer_ = 0;
     SendReleases();
   });
@@ -285,12 +297,20 @@
   releases.swap(pending_releases_);
   for (auto& [location, handles] : releases) {
     if (!net::ParseEndpoint(location.second)) continue;
+    // Results expire by themselves; until then their memory is not free.
+    const std::shared_ptr<core::fleet_target> target =
+        targets_.AtAddress(location.second);
+    if (target && statements_.BackOffLeft(target->entry).count() > 0) {
+      pending_releases_.emplace(location, std::move(handles));
+      continue;
+    }
     std::unique_ptr<release_call> call = std::make_unique<release_call>(
         *this, location.first, std::move(handles));
     release_call* raw = call.get();
     releases_.emplace(raw, std::move(call));
     raw->Start(location.second);
   }
+  if (!pending_releases_.empty()) ScheduleReleases(kDeferredReleaseDelay);
 }
 
 void stage_dispatcher::OnReleaseEnd(release_call* ended) {
@@ -344,7 +364,7 @@
   ReportOutcomes(service, queue->TakeExpired(now));
   while (true) {
     std::optional<core::piece_batch> batch =
-        limits_.empty() || queue->queued_pieces() == 0
+        (limits_.empty() && statements_.empty()) || queue->queued_pieces() == 0
             ? queue->Next(targets_.Pool(service), now)
             : queue->Next(SendableTargets(service), now);
     if (!batch) break;
@@ -366,6 +386,7 @@
   core::target_directory::pool sendable;
   for (const std::shared_ptr<core::fleet_target>& each :
        targets_.Pool(service)) {
+    if (statements_.BackOffLeft(each->entry).count() > 0) continue;
     if (slots_.MaySend(each->entry)) {
       sendable.push_back(each);
     } else if (each->Usable(clock_.Now())) {
--- a/source/gateway/stage_dispatcher.h
+++ b/source/gateway/stage_dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "common/clock.h"
 #include "core/fleet/target_directory.h"
+#include "core/fleet/target_statements.h"
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/limits/target_limits.h"
 #include "core/limits/target_slots.h"
@@ -39,6 +40,7 @@
                    const core::route_holder& routes,
                    core::target_directory& targets,
                    core::gateway_retry_budget& retry_budget,
+                   core::target_statements& statements,
                    core::target_limits& limits, core::target_slots& slots,
                    outcome_handler on_outcome, load_handler on_load);
   ~stage_dispatcher();
@@ -86,6 +88,7 @@
   void ReportOutcomes(const std::string& service,
                       const std::vector<core::stage_job_outcome>& outcomes);
   void ReportLoads();
+  void ScheduleReleases(common::duration delay);
   void SendReleases();
   void OnReleaseEnd(release_call* ended);
 
@@ -96,6 +99,7 @@
   const core::route_holder& routes_;
   core::target_directory& targets_;
   core::gateway_retry_budget& retry_budget_;
+  core::target_statements& statements_;
   core::target_limits& limits_;
   core::target_slots& slots_;
   outcome_handler on_outcome_;
--- a/source/platform/platform_codec.cc
+++ b/source/platform/platform_codec.cc
@@ -14,6 +14,7 @@
 
 constexpr int kStatusConflict = 409;
 constexpr int kStatusMisdirected = 421;
+constexpr int kStatusUnavailable = 503;
 
 core::header_names HeaderNames() {
   core::header_names names;
@@ -24,6 +25,8 @@
   names.expected_target = "X-Wisteriadale-Expect-Instance";
   names.not_run = "X-Wisteriadale-Not-Executed";
   names.request_limit = "Server-Limit";
+  names.leaving = "Server-Leaving";
+  names.back_off = "Retry-After";
   names.signature = "X-Wisteriadale-Response-Signature";
   names.priority = "X-Wisteriadale-Request-Priority";
   names.piece_counts = "X-Wisteriadale-Pieces";
@@ -150,6 +153,10 @@
     return status == kStatusMisdirected;
   }
 
+  bool IndicatesBackOff(int status) const override {
+    return status == kStatusUnavailable;
+  }
+
   bool IndicatesMissingInputs(int status, bool marked) const override {
     return marked && status == kStatusConflict;
   }
--- a/source/unit_tests/core/fleet/restored_store_cluster.h
+++ b/source/unit_tests/core/fleet/restored_store_cluster.h
@@ -56,6 +56,7 @@
   }
   bool IndicatesNotRun(int, bool) const override { return false; }
   bool IndicatesMisdirected(int) const override { return false; }
+  bool IndicatesBackOff(int) const override { return false; }
   bool IndicatesMissingInputs(int, bool) const override { return false; }
   std::string_view release_path() const override { return ""; }
   std::string EncodeRelease(std::span<const std::string>) const override {
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -18,11 +18,12 @@
 ///
 ///   POST /control/rows     {table, key, value}: null removes the row
 ///   POST /control/store    store_faults
-///   POST /control/copy     {restore}: takes a copy of the store, or returns to
+///   POST /control/copy     {restore}: takes a copy of the store, or restores
 ///   it POST /control/targets  {id or service, how, ...}: target_behaviour POST
 ///   /control/broken   {id, framing, at, ...}: response_break GET /control/runs
-///   the recorded calls to the targets, target_run each GET  /control/arrivals
-///   the arrival times of calls, in ms, by target GET  /control/store {calls}
+///   the recorded calls to the targets, target_run each GET  /control/rejected
+///   the calls that they did not run GET  /control/arrivals the arrival times
+///   of calls, in ms, by target GET  /control/store    {calls}
 class standin {
  public:
   standin(net::event_loop& loop, common::clock& clock)
@@ -78,7 +79,9 @@
     } else if (target == "/control/arrivals") {
       answer = Arrivals();
     } else if (target == "/control/runs") {
-      answer = Runs();
+      answer = Runs(false);
+    } else if (target == "/control/rejected") {
+      answer = Runs(true);
     }
     exchange->Send(200, "OK", {}, answer.dump());
   }
@@ -102,6 +105,7 @@
     behaviour.crashing_part =
         body.value("crashing_part", behaviour.crashing_part);
     behaviour.limits = body.value("limits", behaviour.limits);
+    behaviour.headers = body.value("headers", behaviour.headers);
     for (const std::unique_ptr<simulated_target>& each : targets_) {
       if (each->id() == body.value("id", each->id()) &&
           each->service() == body.value("service", each->service())) {
@@ -133,15 +137,16 @@
   json Arrivals() const {
     json arrivals = json::object();
     for (const target_run& run : runs_) {
-      if (run.path == "/v1/stage-free") continue;
+      if (run.path == "/v1/stage-free" || run.rejected) continue;
       arrivals[run.target_id].push_back(run.at_ms);
     }
     return arrivals;
   }
 
-  json Runs() const {
+  json Runs(bool rejected) const {
     json list = json::array();
     for (const target_run& run : runs_) {
+      if (run.rejected != rejected) continue;
       list.push_back({{"target", run.target_id},
                       {"request_id", run.request_id},
                       {"method", run.method},
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -70,6 +70,7 @@
     return;
   }
   if (behaviour_.mode == "shed") {
+    Record(*exchange, true);
     std::vector<net::http_header> headers = ResponseHeaders(*exchange);
     headers.push_back({kNotExecuted, "1"});
     exchange->Send(503, "Service Unavailable", headers, "");
@@ -196,8 +197,10 @@
                  [this, exchange, number] { SendEvent(exchange, number + 1); });
 }
 
-void simulated_target::Record(const net::http1_exchange& exchange) {
+void simulated_target::Record(const net::http1_exchange& exchange,
+                              bool rejected) {
   runs_.push_back(MakeRun(id_, exchange.head(), exchange.body(), clock_.Now()));
+  runs_.back().rejected = rejected;
 }
 
 std::vector<net::http_header> simulated_target::ResponseHeaders(
@@ -206,6 +209,9 @@
   for (const std::string& limit : behaviour_.limits) {
     headers.push_back({kServerLimit, limit});
   }
+  for (size_t i = 1; i < behaviour_.headers.size(); i += 2) {
+    headers.push_back({behaviour_.headers[i - 1], behaviour_.headers[i]});
+  }
   const std::string* id = exchange.head().Find(kRequestId);
   if (id != nullptr) {
     headers.push_back(
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -33,6 +33,8 @@
   std::string crashing_part;
   /// Values of the headers in which its responses name a request limit.
   std::vector<std::string> limits;
+  /// Further headers of its responses: names and values, in turn.
+  std::vector<std::string> headers;
 };
 
 /// A recorded call to a simulated target: the run of a request, a stage run, or
@@ -44,7 +46,8 @@
   std::string path;
   nlohmann::json headers;  ///< by lower-case name
   std::string body;
-  int64_t at_ms = 0;  ///< when it arrived, on the stand-in's own clock
+  int64_t at_ms = 0;      ///< when it arrived, on the stand-in's own clock
+  bool rejected = false;  ///< it did not run
 };
 
 /// @return an event of a stream, with its id
@@ -85,7 +88,7 @@
   void Stream(const std::shared_ptr<net::http1_exchange>& exchange);
   void SendEvent(const std::shared_ptr<net::http1_exchange>& exchange,
                  uint32_t number);
-  void Record(const net::http1_exchange& exchange);
+  void Record(const net::http1_exchange& exchange, bool rejected = false);
   std::vector<net::http_header> ResponseHeaders(
       const net::http1_exchange& exchange) const;
 
