Begin a request limit with a pause for what was just sent

A target that got 14 requests a second and then named a limit of 2 got 18 in the 4 s from a second before (LIMIT; allowed 17): slots began at once and made up for nothing that had been sent.

Cause: the bound counts requests from before the limit was named, and the owner of the slots knew none of them. Now each gateway counts what it sends, over the last second, and tells the owner with its requests for slots; those that have not told yet count as the average of the others. The owner holds the slots back as far as the first window would otherwise hold more than 1.25 times the limit and 3 requests, by 3 s at most; gateways that are denied in that time come back at its end rather than after a doubled back-off. A gateway without an owner begins its own part at once, as before.

TargetSlots.ANewLimitBeginsWithAPauseForWhatWasJustSent is new with the counter.

--- a/source/core/limits/limit_messages.h
+++ b/source/core/limits/limit_messages.h
@@ -29,6 +29,8 @@
   /// Time until the last slot that the sender has. Tells a new owner what
   /// earlier owners have granted.
   common::milliseconds reserved_for{0};
+  /// Requests of the sender in the second before it knew of the limit.
+  uint32_t sent_before = 0;
   bool operator==(const slot_request&) const = default;
 };
 
--- a/source/core/limits/target_limits.cc
+++ b/source/core/limits/target_limits.cc
@@ -102,12 +102,14 @@
                               : known.limited != observed.limited ||
                                     known.per_second != observed.per_second ||
                                     known.started_ms != observed.started_ms;
+  const bool begun = !known.limited && observed.limited;
   const bool ended = known.limited && !observed.limited;
   limited_ -= known.limited ? 1 : 0;
   limited_ += observed.limited ? 1 : 0;
   known = observed;
   common::Metrics().Set("wisteria_limited_targets",
                         static_cast<double>(limited_));
+  if (begun && on_begun_) on_begun_(target);
   if (ended && on_ended_) on_ended_(target);
   return changed;
 }
--- a/source/core/limits/target_limits.h
+++ b/source/core/limits/target_limits.h
@@ -42,6 +42,10 @@
   void SetReportHandler(std::function<void(const limit_report&)> handler) {
     on_report_ = std::move(handler);
   }
+  /// @param handler called with the id of a target that had no limit so far
+  void SetBegunHandler(std::function<void(const std::string&)> handler) {
+    on_begun_ = std::move(handler);
+  }
   /// @param handler called with the id of a target whose limit has ended
   void SetEndedHandler(std::function<void(const std::string&)> handler) {
     on_ended_ = std::move(handler);
@@ -88,6 +92,7 @@
   std::map<std::string, entry, std::less<>> entries_;
   size_t limited_ = 0;
   std::function<void(const limit_report&)> on_report_;
+  std::function<void(const std::string&)> on_begun_;
   std::function<void(const std::string&)> on_ended_;
 };
 
--- a/source/core/limits/target_slots.cc
+++ b/source/core/limits/target_slots.cc
@@ -19,6 +19,25 @@
 constexpr double kBackOffSpread = 0.5;
 constexpr uint32_t kMaxDoublings = 16;
 
+// The windows over which targets judge their limit reach back to before it was
+// named by a second, and three seconds beyond. A first window may hold more
+// than a later one, by a margin that a target bears.
+constexpr double kFirstWindowSeconds = 3;
+constexpr double kFirstWindowFactor = 1.25;
+constexpr double kFirstWindowMargin = 3;
+
+/// @param sent_before requests in the second before the limit was known
+/// @return the time for which a target gets no requests then
+common::duration FirstPause(double sent_before, double per_second) {
+  const double allowed =
+      kFirstWindowFactor * (1 + kFirstWindowSeconds) * per_second +
+      kFirstWindowMargin;
+  const double excess =
+      sent_before + kFirstWindowSeconds * per_second - allowed;
+  return common::FromSeconds(
+      std::clamp(excess / per_second, 0.0, kFirstWindowSeconds));
+}
+
 common::milliseconds CeilMillis(common::duration value) {
   return std::chrono::ceil<common::milliseconds>(value);
 }
@@ -50,7 +69,10 @@
 }
 
 void target_slots::Use(const target_entry& target) {
-  if (!limits_.LimitOf(target.id, target.started_ms)) return;
+  if (!limits_.LimitOf(target.id, target.started_ms)) {
+    sends_.Note(target.id, clock_.Now());
+    return;
+  }
   std::vector<common::time_point>& ready = targets_[target.id].ready;
   const common::time_point now = clock_.Now();
   std::erase_if(ready,
@@ -117,8 +139,13 @@
   request.started_ms = target.started_ms;
   request.per_second = RateOf(pending);
   request.max_delay = CeilMillis(max_delay);
-  request.reserved_for = CeilMillis(std::max(
-      targets_[target.id].last_slot - clock_.Now(), common::duration(0)));
+  target_state& state = targets_[target.id];
+  const common::time_point now = clock_.Now();
+  request.reserved_for =
+      CeilMillis(std::max(state.last_slot - now, common::duration(0)));
+  if (now - state.limited_since < common::FromSeconds(kFirstWindowSeconds)) {
+    request.sent_before = state.sent_before;
+  }
   if (pending.owner == peers_.name()) {
     OnDecided(id, DecideAsOwner(pending.owner, request));
     return id;
@@ -154,6 +181,9 @@
   if (reserved_for.count() > 0) {
     owned_.NoteReserved(request.target, clock_.Now() + reserved_for);
   }
+  NoteEarlierSends(gateway, request,
+                   limits_.LimitOf(request.target, request.started_ms)
+                       .value_or(request.per_second));
   const size_t expected = std::max<size_t>(peers_.expected(), 1);
   const double part =
       static_cast<double>(std::min(peers_.agreeing(), expected)) /
@@ -176,6 +206,32 @@
   return reservation;
 }
 
+void target_slots::NoteEarlierSends(const std::string& gateway,
+                                    const slot_request& request,
+                                    double per_second) {
+  if (request.sent_before == 0) return;
+  const common::time_point now = clock_.Now();
+  earlier_sends& known = earlier_sends_[request.target];
+  if (known.known_at == common::time_point{}) {
+    known.known_at = now;
+    known.by_gateway[peers_.name()] = targets_[request.target].sent_before;
+  }
+  known.by_gateway[gateway] = request.sent_before;
+  uint32_t told = 0;
+  for (const auto& [name, count] : known.by_gateway) told += count;
+  // Those that have not told yet are taken to have sent as much as the others.
+  const size_t expected = std::max(peers_.expected(), known.by_gateway.size());
+  const double sent_before = static_cast<double>(told) *
+                             static_cast<double>(expected) /
+                             static_cast<double>(known.by_gateway.size());
+  const common::duration pause = FirstPause(sent_before, per_second);
+  if (pause.count() == 0) return;
+  // The next slot is an interval after the latest.
+  const common::duration interval =
+      common::FromSeconds(std::min(1 / per_second, kFirstWindowSeconds));
+  owned_.NoteReserved(request.target, known.known_at + pause - interval);
+}
+
 void target_slots::OnRequest(const std::string& gateway,
                              const slot_request& request) {
   if (!std::isfinite(request.per_second) || request.per_second <= 0) {
@@ -257,27 +313,42 @@
     if (outcome.granted) {
       state->second.denials = 0;
     } else if (state->second.wanted == id) {
-      BackOff(&state->second);
+      BackOff(&state->second, outcome.delay);
     }
     if (state->second.wanted == id) state->second.wanted = 0;
   }
   if (ended.handler) ended.handler(outcome);
 }
 
-void target_slots::BackOff(target_state* state) {
+void target_slots::BackOff(target_state* state, common::duration delay) {
+  const common::time_point now = clock_.Now();
+  const double factor = 1 + kBackOffSpread * (2 * random_.Uniform() - 1);
+  // The first pause is no sign that others take the slots.
+  if (now - state->limited_since < common::FromSeconds(kFirstWindowSeconds)) {
+    state->next_want =
+        now + std::max(options_.min_back_off, delay - options_.horizon) +
+        common::duration(static_cast<int64_t>(
+            factor * static_cast<double>(options_.min_back_off.count())));
+    return;
+  }
   const common::duration longest = std::min(
       options_.min_back_off * (1 << std::min(state->denials, kMaxDoublings)),
       options_.max_back_off);
   state->denials += 1;
-  const double factor = 1 + kBackOffSpread * (2 * random_.Uniform() - 1);
-  state->next_want =
-      clock_.Now() + common::duration(static_cast<int64_t>(
-                         factor * static_cast<double>(longest.count())));
+  state->next_want = now + common::duration(static_cast<int64_t>(
+                               factor * static_cast<double>(longest.count())));
+}
+
+void target_slots::OnLimitBegun(const std::string& target) {
+  target_state& state = targets_[target];
+  state.limited_since = clock_.Now();
+  state.sent_before = sends_.Count(target, state.limited_since);
 }
 
 void target_slots::OnLimitEnded(const std::string& target) {
   owned_.Forget(target);
   own_part_.Forget(target);
+  earlier_sends_.erase(target);
   targets_.erase(target);
   for (auto& [id, request] : requests_) {
     if (request.target != target) continue;
--- a/source/core/limits/target_slots.h
+++ b/source/core/limits/target_slots.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/random.h"
 #include "core/limits/limit_messages.h"
+#include "core/limits/recent_sends.h"
 #include "core/limits/slot_schedule.h"
 #include "core/limits/target_limits.h"
 
@@ -101,10 +102,18 @@
   /// Handles a request to this gateway as the owner.
   void OnRequest(const std::string& gateway, const slot_request& request);
   void OnReply(const std::string& gateway, const slot_reply& reply);
+  /// The target takes no more than its limit from now on.
+  void OnLimitBegun(const std::string& target);
   /// The target takes any number of requests again.
   void OnLimitEnded(const std::string& target);
 
  private:
+  /// What gateways sent to a target just before they knew of its limit.
+  struct earlier_sends {
+    common::time_point known_at{};  ///< when this gateway first heard of it
+    std::map<std::string, uint32_t> by_gateway;
+  };
+
   struct target_state {
     /// When slots that can be used expire, earliest first.
     std::vector<common::time_point> ready;
@@ -114,6 +123,8 @@
     uint64_t wanted = 0;   ///< id of a request without a waiting handler
     uint32_t denials = 0;  ///< in a row
     common::time_point next_want{};
+    common::time_point limited_since{};
+    uint32_t sent_before = 0;  ///< in the second before that
   };
   struct pending_request {
     std::string target;
@@ -133,11 +144,16 @@
   /// Decides as the owner.
   slot_reservation DecideAsOwner(const std::string& gateway,
                                  const slot_request& request);
+  /// Holds the slots of a target back for what was sent to it before its limit
+  /// was known.
+  void NoteEarlierSends(const std::string& gateway, const slot_request& request,
+                        double per_second);
   void OnDecided(uint64_t id, const slot_reservation& reservation);
   void OnSlotDue(uint64_t id);
   void End(uint64_t id, const slot_outcome& outcome);
   /// Delays the next Want of a target that was denied.
-  void BackOff(target_state* state);
+  /// @param delay until its next free slot
+  void BackOff(target_state* state, common::duration delay);
   double RateOf(const pending_request& request) const;
 
   target_slots_options options_;
@@ -148,6 +164,8 @@
   common::random_source& random_;
   slot_schedule owned_;     ///< slots of the targets that this gateway owns
   slot_schedule own_part_;  ///< slots while no owner replies
+  recent_sends sends_;      ///< to targets without a limit
+  std::map<std::string, earlier_sends, std::less<>> earlier_sends_;
   std::map<std::string, target_state, std::less<>> targets_;
   std::map<uint64_t, pending_request> requests_;
   uint64_t last_id_ = 0;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -272,6 +272,8 @@
                                                 *loop_, *random_);
   limits_->SetReportHandler(
       [this](const core::limit_report& report) { links_->Broadcast(report); });
+  limits_->SetBegunHandler(
+      [this](const std::string& target) { slots_->OnLimitBegun(target); });
   limits_->SetEndedHandler(
       [this](const std::string& target) { slots_->OnLimitEnded(target); });
 }
--- a/source/unit_tests/core/limits/limit_cluster.h
+++ b/source/unit_tests/core/limits/limit_cluster.h
@@ -116,6 +116,8 @@
           if (i != index && sees[i]) SendReport(i, report);
         }
       });
+      limits.SetBegunHandler(
+          [this](const std::string& target) { slots.OnLimitBegun(target); });
       limits.SetEndedHandler(
           [this](const std::string& target) { slots.OnLimitEnded(target); });
     }
--- a/source/unit_tests/core/limits/target_slots_test.cc
+++ b/source/unit_tests/core/limits/target_slots_test.cc
@@ -47,6 +47,8 @@
   void setup() override {
     target.id = "t";
     time.Advance(seconds(10));
+    limits.SetBegunHandler(
+        [this](const std::string& target) { slots.OnLimitBegun(target); });
     limits.SetEndedHandler(
         [this](const std::string& id) { slots.OnLimitEnded(id); });
     Name(2);
@@ -75,6 +77,38 @@
   CHECK_FALSE(slots.MaySend(target));
 }
 
+// The window over which a target judges its limit reaches back to before that.
+TEST(TargetSlots, ANewLimitBeginsWithAPauseForWhatWasJustSent) {
+  target.id = "busy";
+  others.expect = 1;
+  others.agree = 1;
+  for (int i = 0; i < 14; ++i) {
+    slots.Use(target);
+    time.Advance(milliseconds(70));
+  }
+  Name(2);
+  for (int i = 0; i < 58; ++i) {
+    Wait();
+    time.Advance(milliseconds(50));
+  }
+  LONGS_EQUAL(0, granted);
+  for (int i = 0; i < 160; ++i) {
+    Wait();
+    time.Advance(milliseconds(50));
+  }
+  CHECK(granted >= 15);
+  CHECK(granted <= 17);
+}
+
+TEST(TargetSlots, ALimitOfATargetThatWasHardlyUsedBeginsAtOnce) {
+  target.id = "idle";
+  slots.Use(target);
+  Name(2);
+  Wait();
+  time.Advance(milliseconds(510));
+  LONGS_EQUAL(1, granted);
+}
+
 TEST(TargetSlots, UnusedSlotsExpire) {
   slots.Want(target);
   time.Advance(milliseconds(510));
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -154,6 +154,7 @@
     to.per_second = from.per_second;
     to.max_delay_ms = Milliseconds(from.max_delay);
     to.reserved_for_ms = Milliseconds(from.reserved_for);
+    to.sent_before = static_cast<int32_t>(from.sent_before);
     frame->__set_slot_request_part(to);
   }
   void operator()(const core::slot_reply& from) const {
@@ -233,7 +234,8 @@
           from.started_ms,
           from.per_second,
           common::milliseconds(from.max_delay_ms),
-          common::milliseconds(from.reserved_for_ms)};
+          common::milliseconds(from.reserved_for_ms),
+          static_cast<uint32_t>(std::max(from.sent_before, 0))};
 }
 
 std::optional<core::gateway_message> FromWire(
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -114,6 +114,7 @@
   4: double per_second
   5: i32 max_delay_ms
   6: i32 reserved_for_ms
+  7: i32 sent_before
 }
 
 // Values of verdict: 0 granted, 1 denied, 2 not the owner.
