--- a/source/core/fleet/routes_exchange.cc
+++ b/source/core/fleet/routes_exchange.cc
@@ -38,7 +38,7 @@
 void routes_exchange::DropOutdated() {
   const routes_edition known = std::max(routes_.edition(), refused_);
   std::erase_if(holders_, [known](const auto& entry) {
-    return entry.second.edition <= known;
+    return !(known < entry.second.edition);
   });
 }
 
--- a/source/core/ports/row_store.h
+++ b/source/core/ports/row_store.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "common/clock.h"
@@ -34,7 +34,11 @@
   uint64_t era = 0;  ///< rises with each restore; 0: not stated
   uint64_t version = 0;
 
-  friend auto operator<=>(const store_point&, const store_point&) = default;
+  friend bool operator==(const store_point&, const store_point&) = default;
+  friend bool operator<(const store_point& left, const store_point& right) {
+    return std::tie(left.era, left.version) <
+           std::tie(right.era, right.version);
+  }
 };
 
 struct row_store_result {
--- a/source/core/routes/route_table.cc
+++ b/source/core/routes/route_table.cc
@@ -60,7 +60,7 @@
 bool route_holder::ReplaceIfNewer(std::shared_ptr<const route_table> table,
                                   uint64_t era) {
   const routes_edition latest = {table->version(), era};
-  if (current_ && latest <= edition()) return false;
+  if (current_ && !(edition() < latest)) return false;
   current_ = std::move(table);
   era_ = era;
   return true;
--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -149,8 +149,13 @@
   uint64_t version = 0;
   uint64_t era = 0;  ///< see store_point
 
-  friend auto operator<=>(const routes_edition&,
-                          const routes_edition&) = default;
+  friend bool operator==(const routes_edition&,
+                         const routes_edition&) = default;
+  friend bool operator<(const routes_edition& left,
+                        const routes_edition& right) {
+    return std::tie(left.version, left.era) <
+           std::tie(right.version, right.era);
+  }
 };
 
 /// Holds the route table in force. Only newer editions replace it.
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -16,7 +16,7 @@
 using common::log_event;
 
 // Departures of targets that a gateway is told when it joins.
-constexpr size_t kMaxToldDepartures = 1000;
+constexpr size_t kMaxToldDepartures = 256;
 // Period at which the addresses of the other gateways are read from the store.
 constexpr double kDiscoveryPeriodS = 5;
 // Added at random, as a share: gateways that started together neither read nor
@@ -410,7 +410,7 @@
     return;
   }
   // Decoding takes long; the store may have been faster.
-  if (message.edition <= routes_.edition()) return;
+  if (!(routes_.edition() < message.edition)) return;
   fleet_sync_->ApplyRoutes(message.document, gateway, message.edition.era);
   if (routes_.edition() < message.edition) {
     routes_exchange_->OnRefused(message.edition);
