--- a/source/unit_tests/core/fleet/restored_store_cluster.h
+++ b/source/unit_tests/core/fleet/restored_store_cluster.h
@@ -140,13 +140,12 @@
 
   void ReadTable(std::string_view table,
                  core::row_store_handler handler) override {
-    Call(std::string(table), std::nullopt, common::milliseconds(0),
-         std::move(handler));
+    Call(std::string(table), std::nullopt, common::milliseconds(0), handler);
   }
   void ReadChanges(std::string_view table, uint64_t after,
                    common::milliseconds wait,
                    core::row_store_handler handler) override {
-    Call(std::string(table), after, wait, std::move(handler));
+    Call(std::string(table), after, wait, handler);
   }
   void Put(std::string_view, std::string_view, std::string_view,
            core::row_store_handler) override {}
@@ -164,7 +163,7 @@
     return common::milliseconds(1 + random_.Below(20));
   }
   void Call(const std::string& table, std::optional<uint64_t> after,
-            common::milliseconds wait, core::row_store_handler handler) {
+            common::milliseconds wait, const core::row_store_handler& handler) {
     ++calls;
     time_.Schedule(Delay(),
                    [this, table, after, handler, until = time_.Now() + wait] {
