Name what fleet_sync checks entries for, and reword what read badly

Nothing but names, comments and the place of a function. Read as a newcomer: entries were 'doubted', reports 'heard', and two comments on eras and outages did not say what they meant. Now: possibly outdated, reported, and the reason in plain words. The log field doubted_for_ms stays.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -140,8 +140,8 @@
       ApplyRoutes(row.value, "store", at.era);
     }
   }
-  // The changes after a version of an earlier era are not those after what this
-  // gateway has read.
+  // Changes after a version of an earlier era do not follow on what was read:
+  // some may be missing.
   if (!full && at.era > routes_read_to_.era) {
     ReadRoutesAgain();
     return;
@@ -220,10 +220,10 @@
     return;
   }
   if (result.status != row_store_status::kOk) {
-    // What expires while the store is away is removed later, and written again
-    // later.
-    if (EntriesDoubted()) DoubtEntries();
-    if (entries_awaited_) HoldRemovals();
+    // An outage delays both the removal of expired entries and the writing of
+    // missing ones: these periods begin anew.
+    if (EntriesMayBeOutdated()) ExpectOutdatedEntries();
+    if (full_read_pending_) HoldRemovals();
     RecordFailure();
     RestartTimer(&targets_timer_, PauseAfter(sent),
                  [this, full] { full ? ReadTargets() : ReadTargetChanges(); });
@@ -232,11 +232,11 @@
   RecordSuccess();
   RecordTargetsRead(sent);
   if (RemovalsHeld()) {
-    ApplyGoneHeard();
+    ApplyReportedGone();
   } else {
-    // What this gateway reads itself is newer.
-    std::erase_if(gone_heard_, [sent](const gone_target& each) {
-      return each.heard_at <= sent;
+    // This gateway's own read began after these reports.
+    std::erase_if(reported_gone_, [sent](const gone_target& each) {
+      return each.reported_at <= sent;
     });
   }
   if (!full && at.era > targets_read_to_.era) {
@@ -272,7 +272,7 @@
     ApplyEntry(*entry, row.version);
   }
   targets_.RemoveMissing(listed);
-  entries_awaited_ = false;
+  full_read_pending_ = false;
 }
 
 void fleet_sync::ApplyRow(const stored_row& row) {
@@ -289,12 +289,12 @@
 }
 
 void fleet_sync::ApplyEntry(const target_entry& entry, uint64_t version) {
-  const bool may_be_old =
-      EntriesDoubted() && (!era_noticed_at_ || version <= *era_noticed_at_);
+  const bool may_be_old = EntriesMayBeOutdated() &&
+                          (!era_noticed_at_ || version <= *era_noticed_at_);
   if (may_be_old) {
-    doubted_entries_.insert(entry.id);
+    possibly_outdated_.insert(entry.id);
   } else {
-    doubted_entries_.erase(entry.id);
+    possibly_outdated_.erase(entry.id);
   }
   const entry_origin origin =
       may_be_old ? entry_origin::kRestoredStore : entry_origin::kStore;
@@ -307,7 +307,7 @@
        {"version", static_cast<int64_t>(version)},
        {"era_noticed_at", static_cast<int64_t>(era_noticed_at_.value_or(0))},
        {"doubted_for_ms",
-        common::ToMillis(*entries_doubted_until_ - targets_current_at_)}});
+        common::ToMillis(*outdated_entries_until_ - targets_current_at_)}});
 }
 
 std::optional<target_entry> fleet_sync::Decode(const stored_row& row) const {
@@ -323,17 +323,17 @@
                                      std::span<const target_start> gone) {
   for (const target_start& each : draining) targets_.MarkLeaving(each);
   for (const target_start& each : gone) {
-    if (EntriesDoubted() && doubted_entries_.contains(each.id)) {
+    if (EntriesMayBeOutdated() && possibly_outdated_.contains(each.id)) {
       targets_.Remove(each);
     } else {
-      gone_heard_.push_back({each, clock_.Now()});
+      reported_gone_.push_back({each, clock_.Now()});
     }
   }
-  if (store_failing_ || RemovalsHeld()) ApplyGoneHeard();
+  if (store_failing_ || RemovalsHeld()) ApplyReportedGone();
 }
 
-void fleet_sync::ApplyGoneHeard() {
-  for (const gone_target& each : std::exchange(gone_heard_, {})) {
+void fleet_sync::ApplyReportedGone() {
+  for (const gone_target& each : std::exchange(reported_gone_, {})) {
     targets_.Remove(each.start);
   }
 }
@@ -359,7 +359,7 @@
     HoldRemovals();
   }
   // Also at the start, as the store may just have been restored.
-  DoubtEntries();
+  ExpectOutdatedEntries();
   era_ = at.era;
   era_noticed_at_.reset();
   if (result.status == row_store_status::kOk) era_noticed_at_ = at.version;
@@ -369,8 +369,8 @@
 void fleet_sync::RecordTargetsRead(common::time_point sent) {
   const common::duration away = clock_.Now() - targets_current_at_;
   // The store may have been away while this process was suspended.
-  if (EntriesDoubted() && away > kMissedReads * options_.targets_period) {
-    DoubtEntries();
+  if (EntriesMayBeOutdated() && away > kMissedReads * options_.targets_period) {
+    ExpectOutdatedEntries();
   }
   targets_current_at_ = sent;
   if (away < options_.expiring_outage) return;
@@ -380,16 +380,16 @@
   HoldRemovals();
 }
 
-bool fleet_sync::EntriesDoubted() const {
-  return entries_doubted_until_ &&
-         targets_current_at_ < *entries_doubted_until_;
+bool fleet_sync::EntriesMayBeOutdated() const {
+  return outdated_entries_until_ &&
+         targets_current_at_ < *outdated_entries_until_;
 }
 
-void fleet_sync::DoubtEntries() {
-  entries_doubted_until_ = clock_.Now() + options_.entry_expiry;
+void fleet_sync::ExpectOutdatedEntries() {
+  outdated_entries_until_ = clock_.Now() + options_.entry_expiry;
   // What is still there then was written since, or it would have expired.
   RestartTimer(&expiry_timer_, options_.entry_expiry, [this] {
-    doubted_entries_.clear();
+    possibly_outdated_.clear();
     ReadTargets();
   });
 }
@@ -398,7 +398,7 @@
   common::Metrics().Count("wisteria_store_failures_total");
   if (store_failing_) return;
   store_failing_ = true;
-  ApplyGoneHeard();
+  ApplyReportedGone();
   common::LogEvent(log_event::kDependencyLost, "", {{"dependency", "store"}});
 }
 
@@ -414,7 +414,7 @@
 }
 
 void fleet_sync::HoldRemovals() {
-  entries_awaited_ = true;
+  full_read_pending_ = true;
   removals_held_until_ = clock_.Now() + options_.removal_grace;
   // Targets whose entries are still missing after that time are gone.
   RestartTimer(&removal_timer_, options_.removal_grace,
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -101,7 +101,7 @@
   /// A target without an entry, as another gateway says.
   struct gone_target {
     target_start start;
-    common::time_point heard_at;
+    common::time_point reported_at;
   };
 
   void ReadRoutes();
@@ -128,14 +128,15 @@
   store_point RecordPoint(const row_store_result& result);
   /// Notices that the targets could not be read for long.
   void RecordTargetsRead(common::time_point sent);
-  /// Takes entries for possibly outdated for a while, then reads all targets.
-  void DoubtEntries();
-  /// @return whether the latest read that succeeded began in that time
-  bool EntriesDoubted() const;
+  /// Checks entries against what is known for a while, as they may be from a
+  /// copy, then reads all targets.
+  void ExpectOutdatedEntries();
+  /// @return whether the latest successful read of targets began in that time
+  bool EntriesMayBeOutdated() const;
   /// Ignores removals for a while, then reads all targets.
   void HoldRemovals();
   bool RemovalsHeld() const;
-  void ApplyGoneHeard();
+  void ApplyReportedGone();
   /// @param version of its row
   void ApplyEntry(const target_entry& entry, uint64_t version);
   void ApplyRow(const stored_row& row);
@@ -168,20 +169,20 @@
   bool store_failing_ = false;
   /// Until then, missing entries may belong to targets that are alive.
   std::optional<common::time_point> removals_held_until_;
-  /// Entries may not have been written again: all are to be read after that
-  /// time.
-  bool entries_awaited_ = false;
-  /// Since the latest read of targets that succeeded.
-  std::vector<gone_target> gone_heard_;
+  /// All targets are to be read once missing entries have had the time to be
+  /// written again.
+  bool full_read_pending_ = false;
+  /// Reported since the latest successful read of targets.
+  std::vector<gone_target> reported_gone_;
   /// When the latest read of targets that succeeded began.
   common::time_point targets_current_at_{};
   /// Until then, entries may be from the copy that the store was restored from.
-  std::optional<common::time_point> entries_doubted_until_;
+  std::optional<common::time_point> outdated_entries_until_;
   /// The store's version when this gateway first read it in its latest era:
   /// rows with a higher one are not from a copy.
   std::optional<uint64_t> era_noticed_at_;
   /// Ids of targets whose entries may be from the copy.
-  std::set<std::string> doubted_entries_;
+  std::set<std::string> possibly_outdated_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -36,10 +36,8 @@
 constexpr double kMillisPerSecond = 1000;
 // Longer than any route's timeout; larger values would overflow a duration.
 constexpr double kMaxDeadlineSeconds = 1e6;
-// Minimum Retry-After values. Routes are read within half a second of a start;
-// by the second delay an overloaded target has finished a few requests.
+// Minimum Retry-After: routes are read within half a second of a start.
 constexpr common::duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
-constexpr common::duration kRefusedRetryAfter = std::chrono::milliseconds(200);
 
 /// @return whether the body is made of events; targets of streaming routes may
 /// also respond with a plain body
@@ -614,19 +612,6 @@
   Respond({502, "Bad Gateway", why}, common::duration(0));
 }
 
-common::duration forward_request::RetryAfter() {
-  const common::time_point now = deps_.clock.Now();
-  common::duration min_delay = std::max(kRefusedRetryAfter, next_slot_delay_);
-  if (!route_->stages.empty() &&
-      piece_counts_.size() == route_->stages.size()) {
-    min_delay = std::max(min_delay, deps_.latency_estimator
-                                        .Estimate(*route_table_, route_->stages,
-                                                  piece_counts_, priority_)
-                                        .in_time);
-  }
-  return deps_.admission.RetryAfter(min_delay, deadline_ - now);
-}
-
 void forward_request::Respond(const local_response& response,
                               common::duration retry_after) {
   std::vector<net::http_header> headers;
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -4,7 +4,7 @@
 #include "gateway/forward_headers.h"
 #include "gateway/forward_request.h"
 
-// Requests to targets that name a limit.
+// Requests to targets that take only some, or none for a time.
 
 namespace wisteriadale::gateway {
 namespace {
@@ -18,6 +18,10 @@
 // few milliseconds.
 constexpr common::duration kMinSlotDelay = std::chrono::milliseconds(100);
 
+// Minimum Retry-After: by then an overloaded target has finished a few
+// requests.
+constexpr common::duration kRefusedRetryAfter = std::chrono::milliseconds(200);
+
 }  // namespace
 
 void forward_request::ObserveStatements() {
@@ -71,6 +75,19 @@
       next_slot_delay_.count() == 0 ? delay : std::min(next_slot_delay_, delay);
 }
 
+common::duration forward_request::RetryAfter() {
+  const common::time_point now = deps_.clock.Now();
+  common::duration min_delay = std::max(kRefusedRetryAfter, next_slot_delay_);
+  if (!route_->stages.empty() &&
+      piece_counts_.size() == route_->stages.size()) {
+    min_delay = std::max(min_delay, deps_.latency_estimator
+                                        .Estimate(*route_table_, route_->stages,
+                                                  piece_counts_, priority_)
+                                        .in_time);
+  }
+  return deps_.admission.RetryAfter(min_delay, deadline_ - now);
+}
+
 void forward_request::RespondNoTarget() {
   if (relaying_) {
     exchange_->Abort();
--- a/source/unit_tests/core/fleet/restored_store_test.cc
+++ b/source/unit_tests/core/fleet/restored_store_test.cc
@@ -21,7 +21,8 @@
 // The limits hold for gateways and a store that have been undisturbed for so
 // long.
 constexpr seconds kContact{3};
-// For what the store said before it was stable: the rules do not count that.
+// Instead of kContact, for entries that changed before the store was stable:
+// the stated limits do not apply to those.
 constexpr seconds kUnstableContact{6};
 // After an outage, the store takes so long to remove what has expired.
 constexpr seconds kSweep{1};
@@ -35,7 +36,8 @@
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
 }
 
-/// A target that writes its entry, as the platform's pages describe.
+/// A target that writes its entry at its start, on changes, and if it is
+/// missing.
 struct simulated_target {
   int64_t started_ms = 1;
   uint64_t sequence = 0;
