Refuse entries whose numbers or addresses are out of range

Cause: numbers of an entry were cast without a bound. Slots of 1e300 (the cast is undefined) became 4,294,967,295, slots of 0.4 became 0, a warm-up of 1e300 ms the longest duration there is, a start of 2^64-1 an older start than any. The addresses 10.0.0.1:0, 999.1.1.1:80 and ...:80 were taken as sound. Rows of the gateways' own table were dialled whatever they held, names to be resolved among them, and passed on to all other gateways. A page of the store that did not advance was read for ever.

Change: each number has a bound, with its name in the error; addresses are numeric IPv4 with a port; a page that does not advance ends the read with a log line. The routes are read by the same functions.

--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -56,7 +56,7 @@
 }
 
 void gateway_links::AddAddress(const std::string& address) {
-  if (address == own_address_ || !net::ParseEndpoint(address)) return;
+  if (address == own_address_ || !net::ParseNumericEndpoint(address)) return;
   addresses_.insert(address);
 }
 
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -34,7 +34,8 @@
   gateway_links& operator=(const gateway_links&) = delete;
 
   /// Adds an address at which another gateway may listen; ignored if invalid.
-  /// @param address "ip:port"
+  /// @param address "ip:port", numeric: a name would have to be resolved, and
+  /// other writers may leave rows among those of the gateways
   void AddAddress(const std::string& address);
   /// Adds a link that another gateway opened.
   void Accept(const std::shared_ptr<net::channel>& channel);
--- a/source/net/endpoint.cc
+++ b/source/net/endpoint.cc
@@ -1,5 +1,7 @@
 #include "net/endpoint.h"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 #include "common/last_error.h"
@@ -21,6 +23,20 @@
   return std::nullopt;
 }
 
+std::optional<endpoint> ParseNumericEndpoint(std::string_view text) {
+  std::optional<endpoint> parsed = ParseEndpoint(text);
+  if (!parsed) return std::nullopt;
+  in_addr address{};
+  if (parsed->port != 0 &&
+      inet_pton(AF_INET, parsed->address.c_str(), &address) == 1) {
+    return parsed;
+  }
+  common::SetLastError(common::result_code::kBadRequest,
+                       "\"" + std::string(text) +
+                           "\" is not a numeric IPv4 address with a port");
+  return std::nullopt;
+}
+
 std::string FormatEndpoint(const endpoint& from) {
   return from.address + ":" + std::to_string(from.port);
 }
--- a/source/net/endpoint.h
+++ b/source/net/endpoint.h
@@ -18,6 +18,10 @@
 /// @return the endpoint, or nothing with LastError set
 std::optional<endpoint> ParseEndpoint(std::string_view text);
 
+/// @param text numeric IPv4 address and a port other than 0: "10.0.0.1:80"
+/// @return the endpoint, or nothing with LastError set
+std::optional<endpoint> ParseNumericEndpoint(std::string_view text);
+
 /// @return "ip:port"
 std::string FormatEndpoint(const endpoint& from);
 
--- a/source/platform/http_row_store.cc
+++ b/source/platform/http_row_store.cc
@@ -242,35 +242,43 @@
     std::string target = "/v1/rows-get?table=" + EscapeQuery(table) +
                          "&part=&limit=" + std::to_string(kRowsPerPage);
     if (!from.empty()) target += "&from=" + EscapeQuery(from);
-    Call("GET", std::move(target), "", timeout_,
-         [this, table, from, all, handler = std::move(handler)](
-             core::row_store_result& page, bool truncated) {
-           all->status = page.status;
-           if (page.status != row_store_status::kOk) {
-             all->at.era = page.at.era;
-             handler(*all);
-             return;
-           }
-           // The pages of a store that was restored meanwhile do not belong
-           // together.
-           if (!from.empty() && page.at.era != all->at.era) {
-             ReadPage(table, "", std::make_shared<core::row_store_result>(),
-                      handler);
-             return;
-           }
-           // Rows may change while pages are read. With the version of the
-           // first page, ReadChanges reports every change that a later page may
-           // have missed.
-           if (from.empty()) all->at = page.at;
-           for (core::stored_row& row : page.rows) {
-             if (row.key != from) all->rows.push_back(std::move(row));
-           }
-           if (!truncated || page.rows.empty()) {
-             handler(*all);
-             return;
-           }
-           ReadPage(table, all->rows.back().key, all, handler);
-         });
+    Call(
+        "GET", std::move(target), "", timeout_,
+        [this, table, from, all, handler = std::move(handler)](
+            core::row_store_result& page, bool truncated) {
+          all->status = page.status;
+          if (page.status != row_store_status::kOk) {
+            all->at.era = page.at.era;
+            handler(*all);
+            return;
+          }
+          // The pages of a store that was restored meanwhile do not belong
+          // together.
+          if (!from.empty() && page.at.era != all->at.era) {
+            ReadPage(table, "", std::make_shared<core::row_store_result>(),
+                     handler);
+            return;
+          }
+          // Rows may change while pages are read. With the version of the
+          // first page, ReadChanges reports every change that a later page may
+          // have missed.
+          if (from.empty()) all->at = page.at;
+          const size_t read_before = all->rows.size();
+          for (core::stored_row& row : page.rows) {
+            if (row.key != from) all->rows.push_back(std::move(row));
+          }
+          if (!truncated) {
+            handler(*all);
+            return;
+          }
+          if (all->rows.size() == read_before || all->rows.back().key <= from) {
+            LogWarning("a page of table " + table + " after key " + from +
+                       " does not advance");
+            handler(core::row_store_result());
+            return;
+          }
+          ReadPage(table, all->rows.back().key, all, handler);
+        });
   }
 
   net::event_loop& loop_;
--- a/source/platform/route_decoder.cc
+++ b/source/platform/route_decoder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
@@ -15,6 +16,15 @@
 using nlohmann::json;
 
 constexpr double kBytesPerMegabyte = 1e6;
+// Far above what any deployment uses. Larger numbers would overflow when they
+// are converted, or when they are added to the time.
+constexpr double kMaxMilliseconds = 1e10;
+constexpr double kMaxWarmUpMilliseconds = 24.0 * 3600 * 1000;
+constexpr double kMaxSlots = 1e6;
+constexpr double kMaxWholeNumber = 9007199254740992.0;  // 2^53
+// The year 9999.
+constexpr uint64_t kMaxStartMs = 253402300799999;
+constexpr double kMaxCount = std::numeric_limits<uint32_t>::max();
 // Callers abandon a stream after a gap of this, of four times the latency
 // objective, or of eight times the event gap objective, whichever is longest.
 constexpr common::duration kMinPatience = std::chrono::seconds(2);
@@ -52,8 +62,30 @@
   return number;
 }
 
-double NumberFieldOr(const json& object, const char* name, double fallback) {
-  return object.contains(name) ? NumberField(object, name) : fallback;
+/// @param max largest value that is accepted
+double NumberField(const json& object, const char* name, double max) {
+  const double number = NumberField(object, name);
+  if (number > max) throw format_error(std::string(name) + " is too large");
+  return number;
+}
+
+/// @return the field, without its fraction
+uint32_t CountField(const json& object, const char* name) {
+  return static_cast<uint32_t>(NumberField(object, name, kMaxCount));
+}
+
+uint32_t CountFieldOr(const json& object, const char* name, uint32_t fallback) {
+  return object.contains(name) ? CountField(object, name) : fallback;
+}
+
+/// @return the field, without its fraction
+uint64_t WholeNumberField(const json& object, const char* name) {
+  return static_cast<uint64_t>(NumberField(object, name, kMaxWholeNumber));
+}
+
+uint64_t WholeNumberFieldOr(const json& object, const char* name,
+                            uint64_t fallback) {
+  return object.contains(name) ? WholeNumberField(object, name) : fallback;
 }
 
 bool BoolFieldOr(const json& object, const char* name, bool fallback) {
@@ -69,6 +101,11 @@
   return common::duration(static_cast<int64_t>(value * 1000.0));
 }
 
+common::duration DurationField(const json& object, const char* name,
+                               double max_ms = kMaxMilliseconds) {
+  return Milliseconds(NumberField(object, name, max_ms));
+}
+
 const json& ListField(const json& object, const char* name) {
   const json& value = RequiredField(object, name);
   if (!value.is_array()) {
@@ -87,8 +124,7 @@
 core::stage_spec ParseStage(const json& from, size_t index) {
   core::stage_spec stage;
   stage.service = TextField(from, "service");
-  stage.result_bytes =
-      static_cast<uint64_t>(NumberFieldOr(from, "size-bytes", 0));
+  stage.result_bytes = WholeNumberFieldOr(from, "size-bytes", 0);
   if (!from.contains("after")) return stage;
   for (const json& dependency : ListField(from, "after")) {
     // A stage that depends on itself, or on a later one, could never start.
@@ -106,26 +142,26 @@
   route.host = TextField(from, "host");
   route.path_prefix = TextField(from, "path-prefix");
   route.kind = ParseKind(TextField(from, "kind"));
-  route.timeout = Milliseconds(NumberField(from, "timeout-ms"));
-  route.objective = Milliseconds(NumberFieldOr(
-      from, "target-latency-ms", NumberField(from, "timeout-ms")));
-  route.event_gap_objective =
-      Milliseconds(NumberFieldOr(from, "target-gap-ms", 0));
+  route.timeout = DurationField(from, "timeout-ms");
+  route.objective = from.contains("target-latency-ms")
+                        ? DurationField(from, "target-latency-ms")
+                        : route.timeout;
+  if (from.contains("target-gap-ms")) {
+    route.event_gap_objective = DurationField(from, "target-gap-ms");
+  }
   if (route.kind == core::request_kind::kStreaming) {
     route.patience = std::max(
         {kMinPatience, 4 * route.objective, 8 * route.event_gap_objective});
   }
-  route.priority = static_cast<uint32_t>(NumberFieldOr(from, "priority", 0));
-  route.max_attempts =
-      static_cast<uint32_t>(NumberFieldOr(from, "max-attempts", 1));
+  route.priority = CountFieldOr(from, "priority", 0);
+  route.max_attempts = CountFieldOr(from, "max-attempts", 1);
   route.is_public = BoolFieldOr(from, "public", false);
   route.resumable = BoolFieldOr(from, "resumable", false);
   route.shares_prompt_prefixes = BoolFieldOr(from, "sticky", false);
   if (from.contains("weighted-services")) {
     for (const json& weighted : ListField(from, "weighted-services")) {
       route.services.push_back(
-          {TextField(weighted, "service"),
-           static_cast<uint32_t>(NumberField(weighted, "weight"))});
+          {TextField(weighted, "service"), CountField(weighted, "weight")});
     }
   } else {
     route.services.push_back({TextField(from, "service"), 1});
@@ -141,27 +177,26 @@
 core::service_spec ParseService(const json& from) {
   core::service_spec service;
   service.name = TextField(from, "name");
-  service.max_connections =
-      static_cast<uint32_t>(NumberFieldOr(from, "max-connections", 0));
+  service.max_connections = CountFieldOr(from, "max-connections", 0);
   if (from.contains("pieces")) {
     const json& pieces = from.at("pieces");
     core::batch_spec spec;
-    spec.slots = static_cast<uint32_t>(NumberField(pieces, "slots"));
-    spec.max_pieces = static_cast<uint32_t>(NumberField(pieces, "batch"));
-    spec.call_time = Milliseconds(NumberField(pieces, "call-ms"));
-    spec.piece_time = Milliseconds(NumberField(pieces, "item-ms"));
+    spec.slots = CountField(pieces, "slots");
+    spec.max_pieces = CountField(pieces, "batch");
+    spec.call_time = DurationField(pieces, "call-ms");
+    spec.piece_time = DurationField(pieces, "item-ms");
     // Despite its name: the capacity for results, not a margin to keep free.
     spec.result_capacity_bytes = static_cast<uint64_t>(
-        NumberField(pieces, "headroom-mb") * kBytesPerMegabyte);
-    spec.result_lifetime =
-        Milliseconds(NumberField(pieces, "handle-s") * 1000.0);
+        NumberField(pieces, "headroom-mb", kMaxCount) * kBytesPerMegabyte);
+    spec.result_lifetime = Milliseconds(
+        NumberField(pieces, "handle-s", kMaxMilliseconds / 1000.0) * 1000.0);
     service.batches = spec;
   }
   if (from.contains("engine")) {
     const json& engine = from.at("engine");
-    service.engine = core::engine_spec{
-        static_cast<uint32_t>(NumberField(engine, "slots")),
-        static_cast<uint64_t>(NumberField(engine, "kv-capacity-tokens"))};
+    service.engine =
+        core::engine_spec{CountField(engine, "slots"),
+                          WholeNumberField(engine, "kv-capacity-tokens")};
   }
   return service;
 }
@@ -174,20 +209,17 @@
     organisation.keys.push_back(key.get<std::string>());
   }
   if (from.contains("priority")) {
-    organisation.priority =
-        static_cast<uint32_t>(NumberField(from, "priority"));
+    organisation.priority = CountField(from, "priority");
   }
   return organisation;
 }
 
 core::caller_limits ParseLimits(const json& from) {
   core::caller_limits limits;
-  limits.max_header_bytes =
-      static_cast<uint64_t>(NumberField(from, "max-header-bytes"));
-  limits.max_body_bytes =
-      static_cast<uint64_t>(NumberField(from, "max-body-bytes"));
-  limits.header_timeout = Milliseconds(NumberField(from, "header-timeout-ms"));
-  limits.idle_timeout = Milliseconds(NumberField(from, "idle-timeout-ms"));
+  limits.max_header_bytes = WholeNumberField(from, "max-header-bytes");
+  limits.max_body_bytes = WholeNumberField(from, "max-body-bytes");
+  limits.header_timeout = DurationField(from, "header-timeout-ms");
+  limits.idle_timeout = DurationField(from, "idle-timeout-ms");
   return limits;
 }
 
@@ -200,7 +232,7 @@
 core::route_document ParseDocument(std::string_view text) {
   const json from = ParseJsonObject(text);
   core::route_document document;
-  document.version = static_cast<uint64_t>(NumberField(from, "version"));
+  document.version = WholeNumberField(from, "version");
   for (const json& route : ListField(from, "routes")) {
     document.routes.push_back(ParseRoute(route));
   }
@@ -216,10 +248,16 @@
   return document;
 }
 
-bool IsAddress(const std::string& text) {
-  const std::optional<net::endpoint> endpoint = net::ParseEndpoint(text);
-  return endpoint && endpoint->address.find_first_not_of("0123456789.") ==
-                         std::string::npos;
+/// @return the wall time of a start, in milliseconds
+int64_t StartField(const json& object, const char* name) {
+  const json& value = RequiredField(object, name);
+  if (!value.is_number_integer() ||
+      (value.is_number_unsigned() && value.get<uint64_t>() > kMaxStartMs) ||
+      value.get<int64_t>() < 0) {
+    throw format_error(std::string(name) +
+                       " is not an integer, or out of range");
+  }
+  return value.get<int64_t>();
 }
 
 core::target_entry ParseTarget(std::string_view id, std::string_view text) {
@@ -228,24 +266,23 @@
   entry.id = id;
   entry.service = TextField(from, "service");
   entry.address = TextField(from, "address");
-  if (!IsAddress(entry.address)) throw format_error("address is not ip:port");
+  if (!net::ParseNumericEndpoint(entry.address)) {
+    throw format_error("address is not ip:port");
+  }
   entry.data_centre = TextField(from, "zone");
   TextField(from, "version");
-  entry.slots = static_cast<uint32_t>(NumberField(from, "slots"));
+  const double slots = NumberField(from, "slots", kMaxSlots);
+  if (slots < 1) throw format_error("slots is below 1");
+  entry.slots = static_cast<uint32_t>(slots);
   const std::string state = TextField(from, "state");
   if (state != "ready" && state != "draining") {
     throw format_error("state " + state + " is unknown");
   }
   entry.draining = state == "draining";
   entry.warm_up_remaining =
-      Milliseconds(NumberField(from, "cold-remaining-ms"));
+      DurationField(from, "cold-remaining-ms", kMaxWarmUpMilliseconds);
   NumberField(from, "sequence");
-  if (from.contains("born")) {
-    if (!from.at("born").is_number_integer()) {
-      throw format_error("born is not an integer");
-    }
-    entry.started_ms = from.at("born").get<int64_t>();
-  }
+  if (from.contains("born")) entry.started_ms = StartField(from, "born");
   return entry;
 }
 
--- a/source/unit_tests/platform/http_row_store_test.cc
+++ b/source/unit_tests/platform/http_row_store_test.cc
@@ -102,3 +102,11 @@
     CHECK(result.at == (core::store_point{0, 9}));
   }
 }
+
+TEST(HttpRowStore, APageThatDoesNotAdvanceEndsTheRead) {
+  responses = {
+      {"1", 9, {"a", "b"}, true}, {"1", 9, {"b"}, true}, {"1", 9, {"b"}, true}};
+  const core::row_store_result result = Read();
+  CHECK(result.status != core::row_store_status::kOk);
+  LONGS_EQUAL(2, requests.size());
+}
