Turn requests away that a planned stop would cut off

Cause: in a planned stop a gateway took each request that became complete on an open connection until the end of its grace, passed it on, and cut what was left at the end. Shown by gateway_stop_late_requests.lua on: a stream sent 3.0 s into a grace of 5 s was cut without an end.

Change: stop_admission knows the longest time that each route's requests took lately (in all, and from the target on). During a stop a request begins, and is sent to a target, only if that time and a quarter, or its deadline, ends before the process does; the others get 503 with Retry-After 0.1 s before anything of them runs. A route without a figure counts with its deadline. A request whose deadline has passed when it is read is answered at once, not sent.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -36,6 +36,8 @@
 constexpr double kMillisPerSecond = 1000;
 // Longer than any route's timeout; larger values would overflow a duration.
 constexpr double kMaxDeadlineSeconds = 1e6;
+// The balancer sends a caller that returns to another process.
+constexpr common::duration kStoppingRetryAfter = std::chrono::milliseconds(100);
 // Minimum Retry-After: routes are read within half a second of a start.
 constexpr common::duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
 
@@ -83,6 +85,11 @@
   ParsePromptHeaders();
   if (RejectQuarantined()) return;
   ComputeDeadlines();
+  if (RemainingTime() <= common::duration(0)) {
+    RespondNotRun("its time was over before it was read");
+    return;
+  }
+  if (RejectedByStop(deps_.stop.OnArrival(route_->name, deadline_))) return;
   deps_.retry_budget.OnRequest(service_);
   common::LogEvent(log_event::kRouted, request_id_,
                    {{"route", route_->name},
@@ -130,6 +137,25 @@
   return true;
 }
 
+bool forward_request::RejectedByStop(const core::stop_decision& decision) {
+  if (decision.may_start) return false;
+  common::Metrics().Count("wisteria_requests_refused_by_stop_total");
+  common::LogEvent(log_event::kRefused, request_id_,
+                   {{"route", route_->name},
+                    {"reason", "the process stops"},
+                    {"expected_ms", common::ToMillis(decision.expected)},
+                    {"left_ms", common::ToMillis(decision.left)},
+                    {"attempts", int64_t{attempts_}},
+                    {"may_have_run", may_have_run_}});
+  if (may_have_run_) {
+    RespondUnknownOutcome("the process stops");
+  } else {
+    Respond({503, "Service Unavailable", "the process stops"},
+            kStoppingRetryAfter);
+  }
+  return true;
+}
+
 bool forward_request::FindOrganisation() {
   if (route_->is_public || !route_table_->needs_keys()) return true;
   const net::message_head& head = exchange_->head();
@@ -217,6 +243,10 @@
   }
   // The quarantine may have begun while the stages ran.
   if (plan_ && attempts_ == 0 && RejectQuarantined()) return;
+  if (!relaying_ &&
+      RejectedByStop(deps_.stop.BeforeAttempt(route_->name, deadline_))) {
+    return;
+  }
   const core::target_choice choice =
       deps_.selector.Choose(SelectionContextWithInputs());
   if (choice.back_off_left.count() > 0) NoteSlotDelay(choice.back_off_left);
@@ -448,6 +478,9 @@
     return;
   }
   deps_.ejection.OnSuccess(target_.get());
+  const common::time_point now = deps_.clock.Now();
+  deps_.stop.OnComplete(route_->name, now - exchange_->received_at(),
+                        now - attempt_started_);
   const std::string target = target_->entry.id;
   ReleaseTarget();
   if (relaying_) {
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -67,6 +67,10 @@
   void ClearSuspects();
   /// @return parts of the prompt that other requests have too: all but the last
   std::span<const core::prompt_part> SharedParts() const;
+  /// Turns a request away that a planned stop would cut off.
+  /// @param decision on the request
+  /// @return whether it was turned away; `this` is destroyed then
+  bool RejectedByStop(const core::stop_decision& decision);
   /// Sets the deadline, the objective and the priority.
   void ComputeDeadlines();
   /// @return whether the header with the piece counts was valid; else the
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -10,6 +10,7 @@
 #include "common/random.h"
 #include "core/admission/caller_retry_detector.h"
 #include "core/admission/stage_admission.h"
+#include "core/admission/stop_admission.h"
 #include "core/fleet/target_directory.h"
 #include "core/fleet/target_ejection.h"
 #include "core/fleet/target_statements.h"
@@ -49,6 +50,7 @@
   stage_router& stages;
   core::stage_latency_estimator& latency_estimator;
   core::stage_admission& admission;
+  core::stop_admission& stop;
 };
 
 class forward_request;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -243,10 +243,13 @@
       });
   stage_router_->SetDispatcher(*dispatcher_);
   forwarder_ = std::make_unique<forwarder>(forward_dependencies{
-      *loop_, clock_, *random_, *client_, *codec_, routes_, targets_,
-      *selector_, *retry_budget_, ejection_, *suspects_, *part_suspects_,
-      *statements_, *limits_, *slots_, *caller_retries_, *stage_router_,
-      *latency_estimator_, *admission_});
+      *loop_,           clock_,         *random_,
+      *client_,         *codec_,        routes_,
+      targets_,         *selector_,     *retry_budget_,
+      ejection_,        *suspects_,     *part_suspects_,
+      *statements_,     *limits_,       *slots_,
+      *caller_retries_, *stage_router_, *latency_estimator_,
+      *admission_,      stop_admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   targets_.SetLeavingHandler(
       [this](const core::fleet_target& target, core::leaving_reason why) {
@@ -516,3 +519,4 @@
 }
 
 }  // namespace wisteriadale::gateway
+  stop_admission_.Begin(stop_started_ + stop_timeout_);
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/random.h"
 #include "core/admission/stage_admission.h"
+#include "core/admission/stop_admission.h"
 #include "core/fleet/fleet_sync.h"
 #include "core/fleet/routes_exchange.h"
 #include "core/fleet/target_directory.h"
@@ -116,6 +117,7 @@
   std::unique_ptr<core::target_slots> slots_;
   std::unique_ptr<core::routes_exchange> routes_exchange_;
   std::unique_ptr<stage_router> stage_router_;
+  core::stop_admission stop_admission_{core::stop_admission_options(), clock_};
   std::unique_ptr<stage_dispatcher> dispatcher_;
   std::unique_ptr<forwarder> forwarder_;
   std::unique_ptr<net::http1_server> caller_server_;
