Limit the calls to targets whose memory is full of others' results

Cause: after all gateways were killed, targets of stages hold results of before for up to 4 s, which the new owner of the queue does not know.

Change: result_memory keeps account of a service's targets. A call that is denied memory limits the next ones to as many pieces as it had memory for, at least one; each full success doubles the limit. The most urgent job's pieces thus go first at all targets. The throughput that gateways estimate waits from follows the limits. Denied calls do not count as call times. Shares of memory are trusted less only once the results of others must have expired.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -20,11 +20,6 @@
 // other targets.
 constexpr common::duration kSlowTargetRetryInterval =
     std::chrono::milliseconds(1500);
-// Share of a target's result capacity that is used. A call that finds no memory
-// left reduces it and ten calls restore it, since result sizes are approximate.
-constexpr double kMinTrustedShare = 0.5;
-constexpr double kTrustedShareDecrease = 0.9;
-constexpr double kTrustedShareIncrease = 0.01;
 // A call is overdue after this many times its estimate plus the margin: normal
 // calls stay below 1.3 times their estimate.
 constexpr int kOverdueFactor = 2;
@@ -69,6 +64,24 @@
   }
 }
 
+uint64_t ResultBytes(const piece_batch& batch) {
+  uint64_t bytes = 0;
+  for (const piece_ref& piece : batch.pieces) bytes += piece.result_bytes;
+  return bytes;
+}
+
+call_memory_use MemoryUse(const piece_batch& batch,
+                          std::span<const piece_result> results) {
+  call_memory_use use;
+  use.bytes = ResultBytes(batch);
+  use.pieces = batch.pieces.size();
+  for (const piece_result& each : results) {
+    if (each.end == piece_outcome::kCompleted) ++use.completed;
+    if (each.end == piece_outcome::kNoRoom) use.denied = true;
+  }
+  return use;
+}
+
 }  // namespace
 
 std::string_view ToString(piece_outcome outcome) {
@@ -80,7 +93,9 @@
 piece_queue::piece_queue(const batch_spec& spec)
     : spec_(spec),
       ejection_(EjectionOptions()),
-      in_time_rate_(kRateTimeConstant) {}
+      in_time_rate_(kRateTimeConstant) {
+  memory_.SetSpec(spec);
+}
 
 void piece_queue::Add(const stage_job& job, common::time_point now) {
   Remove(job.request_id, job.stage);
@@ -128,13 +143,7 @@
 }
 
 void piece_queue::Free(std::span<const std::string> handles) {
-  for (const std::string& handle : handles) {
-    const auto found = results_.find(handle);
-    if (found == results_.end()) continue;
-    uint64_t& reserved = reserved_bytes_[found->second.target_id];
-    reserved -= std::min(reserved, found->second.bytes);
-    results_.erase(found);
-  }
+  memory_.Free(handles);
 }
 
 size_t piece_queue::queued_pieces() const {
@@ -145,16 +154,6 @@
   return pieces;
 }
 
-uint64_t piece_queue::CapacityLeft(const std::string& target_id) const {
-  const auto found = reserved_bytes_.find(target_id);
-  const uint64_t reserved = found == reserved_bytes_.end() ? 0 : found->second;
-  const auto share = trusted_share_.find(target_id);
-  const double trusted = share == trusted_share_.end() ? 1.0 : share->second;
-  const uint64_t capacity = static_cast<uint64_t>(
-      static_cast<double>(spec_.result_capacity_bytes) * trusted);
-  return capacity > reserved ? capacity - reserved : 0;
-}
-
 bool piece_queue::IsTooSlow(const fleet_target& target,
                             common::time_point now) const {
   if (target.slowness <= kMaxNormalSlowness || normal_rate_ <= 0) return false;
@@ -206,6 +205,17 @@
   return calls == calls_by_target_.end() || calls->second < spec_.slots;
 }
 
+bool piece_queue::IsBetter(const fleet_target& target,
+                           const fleet_target& other) const {
+  if (target.slowness != other.slowness) {
+    return target.slowness < other.slowness;
+  }
+  const size_t limit = memory_.CallLimit(target.entry.id);
+  const size_t other_limit = memory_.CallLimit(other.entry.id);
+  if (limit != other_limit) return limit > other_limit;
+  return memory_.Left(target.entry.id) > memory_.Left(other.entry.id);
+}
+
 std::shared_ptr<fleet_target> piece_queue::BestFreeTarget(
     const target_directory::pool& targets, const std::string& data_centre,
     common::time_point now) const {
@@ -215,11 +225,7 @@
       continue;
     }
     if (!IsFree(*each, now)) continue;
-    const bool better =
-        !best || each->slowness < best->slowness ||
-        (each->slowness == best->slowness &&
-         CapacityLeft(each->entry.id) > CapacityLeft(best->entry.id));
-    if (better) best = each;
+    if (!best || IsBetter(*each, *best)) best = each;
   }
   return best;
 }
@@ -275,7 +281,8 @@
 
 void piece_queue::AddPieces(queued_job* from, bool may_split,
                             piece_batch* batch, uint64_t* capacity) {
-  const size_t left = spec_.max_pieces - batch->pieces.size();
+  const size_t left =
+      memory_.CallLimit(batch->target->entry.id) - batch->pieces.size();
   size_t taken = std::min(from->pending_pieces.size(), left);
   const uint64_t bytes = std::max<uint64_t>(1, from->job.result_bytes);
   taken = std::min(taken, static_cast<size_t>(*capacity / bytes));
@@ -297,11 +304,13 @@
 
 void piece_queue::Fill(piece_batch* batch, common::time_point now) {
   const std::string& data_centre = batch->target->entry.data_centre;
-  uint64_t capacity = CapacityLeft(batch->target->entry.id);
-  const bool may_split = queued_pieces() > spec_.max_pieces;
+  const std::string& target_id = batch->target->entry.id;
+  uint64_t capacity = memory_.Left(target_id);
+  const size_t max_pieces = memory_.CallLimit(target_id);
+  const bool may_split = queued_pieces() > max_pieces;
   for (const bool match : {true, false}) {
     for (const std::unique_ptr<queued_job>& each : jobs_) {
-      if (batch->pieces.size() >= spec_.max_pieces) return;
+      if (batch->pieces.size() >= max_pieces) return;
       const std::string& preferred = each->job.data_centre;
       const bool matches = preferred.empty() || preferred == data_centre;
       if (each->pending_pieces.empty() || matches != match) continue;
@@ -344,9 +353,7 @@
   if (batch.pieces.empty()) return std::nullopt;
   batch.expected = CallTime(batch.pieces.size());
   const std::string& target_id = batch.target->entry.id;
-  for (const piece_ref& piece : batch.pieces) {
-    reserved_bytes_[target_id] += piece.result_bytes;
-  }
+  memory_.OnCallStart(target_id, ResultBytes(batch), now);
   calls_by_target_[target_id] += 1;
   batch.target->in_flight += 1;
   calls_ += 1;
@@ -391,12 +398,11 @@
   calls_ -= 1;
   target->in_flight -= 1;
   if (--calls_by_target_[target_id] == 0) calls_by_target_.erase(target_id);
-  uint64_t& reserved = reserved_bytes_[target_id];
-  for (const piece_ref& piece : batch.pieces) {
-    reserved -= std::min(reserved, piece.result_bytes);
-  }
   const piece_outcome first =
       results.empty() ? piece_outcome::kLost : results[0].end;
+  if (first == piece_outcome::kLost || first == piece_outcome::kNotRun) {
+    memory_.OnCallLost(target_id, ResultBytes(batch));
+  }
   if (first == piece_outcome::kLost) {
     ejection_.OnLost(target, now);
     return;
@@ -405,18 +411,14 @@
     ejection_.OnOverloaded(target, now);
     return;
   }
-  const bool out_of_capacity =
-      std::any_of(results.begin(), results.end(), [](const piece_result& each) {
-        return each.end == piece_outcome::kNoRoom;
-      });
-  double& share = trusted_share_.try_emplace(target_id, 1.0).first->second;
-  if (out_of_capacity) {
+  const call_memory_use use = MemoryUse(batch, results);
+  memory_.OnCallEnd(target_id, use, now);
+  ejection_.OnSuccess(target);
+  if (use.denied) {
+    // Its duration says nothing: pieces that are turned away take no time.
     ejection_.OnOverloaded(target, now);
-    share = std::max(kMinTrustedShare, share * kTrustedShareDecrease);
-  } else {
-    share = std::min(1.0, share + kTrustedShareIncrease);
+    return;
   }
-  ejection_.OnSuccess(target);
   smoothed_call_time_ =
       smoothed_call_time_.count() == 0
           ? took
@@ -437,8 +439,7 @@
 std::optional<stage_job_outcome> piece_queue::OnCompleted(
     const piece_ref& ref, const std::string& handle,
     const std::string& target_id, common::time_point now) {
-  results_[handle] = {target_id, ref.result_bytes, now + spec_.result_lifetime};
-  reserved_bytes_[target_id] += ref.result_bytes;
+  memory_.Add(handle, target_id, ref.result_bytes, now);
   queued_job* queued = FindJob(ref.request_id, ref.stage);
   // The piece may belong to a call for an earlier job of the same stage, or to
   // an overdue call. Each piece counts once; a duplicate is released.
@@ -508,13 +509,14 @@
 double piece_queue::PiecesPerSecond(const target_directory::pool& targets,
                                     double max_slowness,
                                     common::time_point now) const {
-  const double full_seconds =
-      std::chrono::duration<double>(CallTime(spec_.max_pieces)).count();
   double rate = 0;
   for (const std::shared_ptr<fleet_target>& each : targets) {
     if (!each->Usable(now) || each->slowness > max_slowness) continue;
-    rate += static_cast<double>(spec_.slots) * spec_.max_pieces /
-            (full_seconds * std::max(1.0, each->slowness));
+    const size_t pieces = memory_.CallLimit(each->entry.id);
+    const double seconds =
+        std::chrono::duration<double>(CallTime(pieces)).count();
+    rate += static_cast<double>(spec_.slots) * static_cast<double>(pieces) /
+            (seconds * std::max(1.0, each->slowness));
   }
   return rate;
 }
@@ -564,15 +566,7 @@
   std::erase_if(upcoming_stages_, [now](const auto& entry) {
     return entry.second.expires <= now;
   });
-  for (auto entry = results_.begin(); entry != results_.end();) {
-    if (entry->second.expires > now) {
-      ++entry;
-      continue;
-    }
-    uint64_t& reserved = reserved_bytes_[entry->second.target_id];
-    reserved -= std::min(reserved, entry->second.bytes);
-    entry = results_.erase(entry);
-  }
+  memory_.DropExpired(now);
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -14,6 +14,7 @@
 #include "core/fleet/target_ejection.h"
 #include "core/routes/route_table.h"
 #include "core/stages/decayed_rate.h"
+#include "core/stages/result_memory.h"
 #include "core/stages/stage_latency_estimator.h"
 
 namespace wisteriadale::core {
@@ -107,7 +108,10 @@
  public:
   explicit piece_queue(const batch_spec& spec);
 
-  void SetSpec(const batch_spec& spec) { spec_ = spec; }
+  void SetSpec(const batch_spec& spec) {
+    spec_ = spec;
+    memory_.SetSpec(spec);
+  }
   const batch_spec& spec() const { return spec_; }
 
   /// Queues a job. Replaces a queued job of the same request and stage.
@@ -161,12 +165,6 @@
     common::time_point added;
     bool is_late = false;  ///< as of the last Sort
   };
-  /// A result that occupies memory of its target.
-  struct stored_result {
-    std::string target_id;
-    uint64_t bytes = 0;
-    common::time_point expires;
-  };
   using job_list = std::vector<std::unique_ptr<queued_job>>;
 
   bool IsFree(const fleet_target& target, common::time_point now) const;
@@ -176,8 +174,10 @@
   /// @param ratio duration of a call over its estimate
   static void UpdateSlowness(fleet_target* target, double ratio);
   /// @param data_centre restricts the choice; empty: any
-  /// @return the fastest target that can take a call now, the one with most
-  /// capacity left among equals, or null
+  /// @return whether a target is to be preferred to another: it is faster,
+  /// takes larger calls or has more memory left
+  bool IsBetter(const fleet_target& target, const fleet_target& other) const;
+  /// @return the best target that can take a call now, or null
   std::shared_ptr<fleet_target> BestFreeTarget(
       const target_directory::pool& targets, const std::string& data_centre,
       common::time_point now) const;
@@ -186,8 +186,6 @@
   bool WaitsForDataCentre(const queued_job& queued,
                           const std::string& data_centre,
                           common::time_point now) const;
-  /// @return bytes of results that a target can still hold
-  uint64_t CapacityLeft(const std::string& target_id) const;
   /// @return the time between the starts of evenly spaced calls. Without it,
   /// targets that become free together would each take a small batch, and the
   /// next pieces would wait for all of them.
@@ -242,10 +240,7 @@
   target_ejection ejection_;
   job_list jobs_;
   std::unordered_map<std::string, uint32_t> calls_by_target_;
-  std::unordered_map<std::string, uint64_t> reserved_bytes_;  ///< by target
-  std::unordered_map<std::string, stored_result> results_;    ///< by handle
-  /// Part of each target's capacity that is used: result sizes are approximate.
-  std::unordered_map<std::string, double> trusted_share_;
+  result_memory memory_;
   /// Announced jobs, by request and stage.
   std::map<std::pair<std::string, uint32_t>, upcoming_stage> upcoming_stages_;
   decayed_rate in_time_rate_;  ///< pieces of jobs that were in time when queued
--- /dev/null
+++ b/source/core/stages/result_memory.cc
@@ -0,0 +1,97 @@
+#include "core/stages/result_memory.h"
+
+#include <algorithm>
+
+namespace wisteriadale::core {
+namespace {
+
+// Share of a target's memory that is used. A call that is denied memory reduces
+// it and ten calls restore it, since sizes of results are approximate.
+constexpr double kMinTrustedShare = 0.5;
+constexpr double kTrustedShareDecrease = 0.9;
+constexpr double kTrustedShareIncrease = 0.01;
+constexpr size_t kCallLimitIncrease = 2;
+
+}  // namespace
+
+uint64_t result_memory::Left(const std::string& target) const {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) return spec_.result_capacity_bytes;
+  const uint64_t capacity =
+      static_cast<uint64_t>(static_cast<double>(spec_.result_capacity_bytes) *
+                            found->second.trusted_share);
+  const uint64_t reserved = found->second.reserved;
+  return capacity > reserved ? capacity - reserved : 0;
+}
+
+size_t result_memory::CallLimit(const std::string& target) const {
+  const auto found = targets_.find(target);
+  if (found == targets_.end() || !found->second.call_limit) {
+    return spec_.max_pieces;
+  }
+  return std::min<size_t>(*found->second.call_limit, spec_.max_pieces);
+}
+
+void result_memory::OnCallStart(const std::string& target, uint64_t bytes,
+                                common::time_point now) {
+  if (!first_call_) first_call_ = now;
+  targets_[target].reserved += bytes;
+}
+
+void result_memory::OnCallLost(const std::string& target, uint64_t bytes) {
+  Return(target, bytes);
+}
+
+void result_memory::OnCallEnd(const std::string& target,
+                              const call_memory_use& use,
+                              common::time_point now) {
+  Return(target, use.bytes);
+  target_memory& memory = targets_[target];
+  if (use.denied) {
+    memory.call_limit = std::max<size_t>(1, use.completed);
+    // Results of others expire by themselves.
+    if (first_call_ && now - *first_call_ > spec_.result_lifetime) {
+      memory.trusted_share = std::max(
+          kMinTrustedShare, memory.trusted_share * kTrustedShareDecrease);
+    }
+    return;
+  }
+  memory.trusted_share =
+      std::min(1.0, memory.trusted_share + kTrustedShareIncrease);
+  if (!memory.call_limit || use.pieces < *memory.call_limit) return;
+  *memory.call_limit *= kCallLimitIncrease;
+  if (*memory.call_limit >= spec_.max_pieces) memory.call_limit.reset();
+}
+
+void result_memory::Add(const std::string& handle, const std::string& target,
+                        uint64_t bytes, common::time_point now) {
+  results_[handle] = {target, bytes, now + spec_.result_lifetime};
+  targets_[target].reserved += bytes;
+}
+
+void result_memory::Free(std::span<const std::string> handles) {
+  for (const std::string& handle : handles) {
+    const auto found = results_.find(handle);
+    if (found == results_.end()) continue;
+    Return(found->second.target, found->second.bytes);
+    results_.erase(found);
+  }
+}
+
+void result_memory::DropExpired(common::time_point now) {
+  for (auto entry = results_.begin(); entry != results_.end();) {
+    if (entry->second.expires > now) {
+      ++entry;
+      continue;
+    }
+    Return(entry->second.target, entry->second.bytes);
+    entry = results_.erase(entry);
+  }
+}
+
+void result_memory::Return(const std::string& target, uint64_t bytes) {
+  uint64_t& reserved = targets_[target].reserved;
+  reserved -= std::min(reserved, bytes);
+}
+
+}  // namespace wisteriadale::core
--- /dev/null
+++ b/source/core/stages/result_memory.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+#include "common/clock.h"
+#include "core/routes/route_table.h"
+
+namespace wisteriadale::core {
+
+/// How the pieces of a call used the memory of its target.
+struct call_memory_use {
+  uint64_t bytes = 0;  ///< of the results of all pieces, as announced
+  size_t pieces = 0;
+  size_t completed = 0;
+  bool denied = false;  ///< for at least one piece there was no memory
+};
+
+/// Keeps account of the results that occupy the memory of a service's targets,
+/// as far as they are known here. What others have left there, such as an owner
+/// of the queue that was killed, shows only when a target has no memory for a
+/// piece: calls to it then have no more pieces than it had memory for, and
+/// twice as many after each call that found enough. Pieces that are turned away
+/// would otherwise leave many jobs half done, each with results that wait for
+/// the rest.
+class result_memory {
+ public:
+  /// Sets what the operator says of the targets.
+  void SetSpec(const batch_spec& spec) { spec_ = spec; }
+
+  /// @return bytes of results that a target can still hold
+  uint64_t Left(const std::string& target) const;
+  /// @return how many pieces a call to the target may have
+  size_t CallLimit(const std::string& target) const;
+
+  /// Reserves memory for the pieces of a call.
+  /// @param bytes of all their results
+  void OnCallStart(const std::string& target, uint64_t bytes,
+                   common::time_point now);
+  /// Returns what was reserved for a call that had no effect, or whose effect
+  /// is not known.
+  void OnCallLost(const std::string& target, uint64_t bytes);
+  /// Returns what was reserved, and learns from what the target had memory for.
+  void OnCallEnd(const std::string& target, const call_memory_use& use,
+                 common::time_point now);
+  /// Records a result, which occupies memory until it is freed or expires.
+  void Add(const std::string& handle, const std::string& target, uint64_t bytes,
+           common::time_point now);
+  /// Returns the memory of results that their targets have released.
+  void Free(std::span<const std::string> handles);
+  /// Forgets results that have expired at their targets.
+  void DropExpired(common::time_point now);
+
+ private:
+  /// A result that occupies memory of its target.
+  struct stored_result {
+    std::string target;
+    uint64_t bytes = 0;
+    common::time_point expires;
+  };
+  /// What is known of a target.
+  struct target_memory {
+    uint64_t reserved = 0;  ///< bytes of results and of pieces in calls
+    /// Part of its memory that is used: sizes of results are approximate.
+    double trusted_share = 1.0;
+    std::optional<size_t> call_limit;  ///< in pieces; nothing: not limited
+  };
+
+  void Return(const std::string& target, uint64_t bytes);
+
+  batch_spec spec_;
+  std::unordered_map<std::string, target_memory> targets_;  ///< by id
+  std::unordered_map<std::string, stored_result> results_;  ///< by handle
+  /// When the first call started here. Results of others may have been at the
+  /// targets then.
+  std::optional<common::time_point> first_call_;
+};
+
+}  // namespace wisteriadale::core
