Take the limits of calls out again

What remains of is what helps: calls that are denied memory are no call times, and results of an owner before do not reduce the memory that is trusted. The test fails on: the call time that waits are estimated from fell from 140 ms to 20.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -74,11 +74,10 @@
                           std::span<const piece_result> results) {
   call_memory_use use;
   use.bytes = ResultBytes(batch);
-  use.pieces = batch.pieces.size();
-  for (const piece_result& each : results) {
-    if (each.end == piece_outcome::kCompleted) ++use.completed;
-    if (each.end == piece_outcome::kNoRoom) use.denied = true;
-  }
+  use.denied =
+      std::any_of(results.begin(), results.end(), [](const piece_result& each) {
+        return each.end == piece_outcome::kNoRoom;
+      });
   return use;
 }
 
@@ -210,9 +209,6 @@
   if (target.slowness != other.slowness) {
     return target.slowness < other.slowness;
   }
-  const size_t limit = memory_.CallLimit(target.entry.id);
-  const size_t other_limit = memory_.CallLimit(other.entry.id);
-  if (limit != other_limit) return limit > other_limit;
   return memory_.Left(target.entry.id) > memory_.Left(other.entry.id);
 }
 
@@ -240,8 +236,9 @@
   if (job.remote_input_bytes < kLargeInputBytes) return false;
   const common::duration slack =
       job.objective - queued.added - CallTime(spec_.max_pieces);
-  const common::duration wait = std::min(
-      kMaxDataCentreWait, std::max(slack, common::duration(0)) / kSlackDivisor);
+  const common::duration wait =
+      std::min(CallTime(spec_.max_pieces),
+               std::max(slack, common::duration(0)) / kSlackDivisor);
   return now < queued.added + wait;
 }
 
@@ -281,8 +278,7 @@
 
 void piece_queue::AddPieces(queued_job* from, bool may_split,
                             piece_batch* batch, uint64_t* capacity) {
-  const size_t left =
-      memory_.CallLimit(batch->target->entry.id) - batch->pieces.size();
+  const size_t left = spec_.max_pieces - batch->pieces.size();
   size_t taken = std::min(from->pending_pieces.size(), left);
   const uint64_t bytes = std::max<uint64_t>(1, from->job.result_bytes);
   taken = std::min(taken, static_cast<size_t>(*capacity / bytes));
@@ -304,13 +300,11 @@
 
 void piece_queue::Fill(piece_batch* batch, common::time_point now) {
   const std::string& data_centre = batch->target->entry.data_centre;
-  const std::string& target_id = batch->target->entry.id;
-  uint64_t capacity = memory_.Left(target_id);
-  const size_t max_pieces = memory_.CallLimit(target_id);
-  const bool may_split = queued_pieces() > max_pieces;
+  uint64_t capacity = memory_.Left(batch->target->entry.id);
+  const bool may_split = queued_pieces() > spec_.max_pieces;
   for (const bool match : {true, false}) {
     for (const std::unique_ptr<queued_job>& each : jobs_) {
-      if (batch->pieces.size() >= max_pieces) return;
+      if (batch->pieces.size() >= spec_.max_pieces) return;
       const std::string& preferred = each->job.data_centre;
       const bool matches = preferred.empty() || preferred == data_centre;
       if (each->pending_pieces.empty() || matches != match) continue;
@@ -415,7 +409,7 @@
   memory_.OnCallEnd(target_id, use, now);
   ejection_.OnSuccess(target);
   if (use.denied) {
-    // Its duration says nothing: pieces that are turned away take no time.
+    // Its duration says nothing: pieces without memory take no time.
     ejection_.OnOverloaded(target, now);
     return;
   }
@@ -509,14 +503,13 @@
 double piece_queue::PiecesPerSecond(const target_directory::pool& targets,
                                     double max_slowness,
                                     common::time_point now) const {
+  const double full_seconds =
+      std::chrono::duration<double>(CallTime(spec_.max_pieces)).count();
   double rate = 0;
   for (const std::shared_ptr<fleet_target>& each : targets) {
     if (!each->Usable(now) || each->slowness > max_slowness) continue;
-    const size_t pieces = memory_.CallLimit(each->entry.id);
-    const double seconds =
-        std::chrono::duration<double>(CallTime(pieces)).count();
-    rate += static_cast<double>(spec_.slots) * static_cast<double>(pieces) /
-            (seconds * std::max(1.0, each->slowness));
+    rate += static_cast<double>(spec_.slots) * spec_.max_pieces /
+            (full_seconds * std::max(1.0, each->slowness));
   }
   return rate;
 }
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -174,8 +174,8 @@
   /// @param ratio duration of a call over its estimate
   static void UpdateSlowness(fleet_target* target, double ratio);
   /// @param data_centre restricts the choice; empty: any
-  /// @return whether a target is to be preferred to another: it is faster,
-  /// takes larger calls or has more memory left
+  /// @return whether a target is to be preferred to another: it is faster, or
+  /// as fast and has more memory left
   bool IsBetter(const fleet_target& target, const fleet_target& other) const;
   /// @return the best target that can take a call now, or null
   std::shared_ptr<fleet_target> BestFreeTarget(
--- a/source/core/stages/result_memory.cc
+++ b/source/core/stages/result_memory.cc
@@ -10,7 +10,9 @@
 constexpr double kMinTrustedShare = 0.5;
 constexpr double kTrustedShareDecrease = 0.9;
 constexpr double kTrustedShareIncrease = 0.01;
-constexpr size_t kCallLimitIncrease = 2;
+// A queue without a call for so long may have had another owner meanwhile:
+// calls take a few hundred milliseconds.
+constexpr common::duration kIdleTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -24,17 +26,11 @@
   return capacity > reserved ? capacity - reserved : 0;
 }
 
-size_t result_memory::CallLimit(const std::string& target) const {
-  const auto found = targets_.find(target);
-  if (found == targets_.end() || !found->second.call_limit) {
-    return spec_.max_pieces;
-  }
-  return std::min<size_t>(*found->second.call_limit, spec_.max_pieces);
-}
-
 void result_memory::OnCallStart(const std::string& target, uint64_t bytes,
                                 common::time_point now) {
-  if (!first_call_) first_call_ = now;
+  // Another owner may have had the queue while this one was idle.
+  if (!last_call_ || now - *last_call_ > kIdleTime) owner_since_ = now;
+  last_call_ = now;
   targets_[target].reserved += bytes;
 }
 
@@ -47,20 +43,13 @@
                               common::time_point now) {
   Return(target, use.bytes);
   target_memory& memory = targets_[target];
-  if (use.denied) {
-    memory.call_limit = std::max<size_t>(1, use.completed);
-    // Results of others expire by themselves.
-    if (first_call_ && now - *first_call_ > spec_.result_lifetime) {
-      memory.trusted_share = std::max(
-          kMinTrustedShare, memory.trusted_share * kTrustedShareDecrease);
-    }
-    return;
+  if (!use.denied) {
+    memory.trusted_share =
+        std::min(1.0, memory.trusted_share + kTrustedShareIncrease);
+  } else if (now - owner_since_ > spec_.result_lifetime) {
+    memory.trusted_share = std::max(
+        kMinTrustedShare, memory.trusted_share * kTrustedShareDecrease);
   }
-  memory.trusted_share =
-      std::min(1.0, memory.trusted_share + kTrustedShareIncrease);
-  if (!memory.call_limit || use.pieces < *memory.call_limit) return;
-  *memory.call_limit *= kCallLimitIncrease;
-  if (*memory.call_limit >= spec_.max_pieces) memory.call_limit.reset();
 }
 
 void result_memory::Add(const std::string& handle, const std::string& target,
--- a/source/core/stages/result_memory.h
+++ b/source/core/stages/result_memory.h
@@ -13,19 +13,15 @@
 
 /// How the pieces of a call used the memory of its target.
 struct call_memory_use {
-  uint64_t bytes = 0;  ///< of the results of all pieces, as announced
-  size_t pieces = 0;
-  size_t completed = 0;
+  uint64_t bytes = 0;   ///< of the results of all pieces, as announced
   bool denied = false;  ///< for at least one piece there was no memory
 };
 
 /// Keeps account of the results that occupy the memory of a service's targets,
-/// as far as they are known here. What others have left there, such as an owner
-/// of the queue that was killed, shows only when a target has no memory for a
-/// piece: calls to it then have no more pieces than it had memory for, and
-/// twice as many after each call that found enough. Pieces that are turned away
-/// would otherwise leave many jobs half done, each with results that wait for
-/// the rest.
+/// as far as they are known here. Sizes are approximate: a target without
+/// memory for a piece is trusted with less for a while.
+/// What an owner of the queue before has left, as when it was killed, is not
+/// known here and says nothing about sizes.
 class result_memory {
  public:
   /// Sets what the operator says of the targets.
@@ -33,8 +29,6 @@
 
   /// @return bytes of results that a target can still hold
   uint64_t Left(const std::string& target) const;
-  /// @return how many pieces a call to the target may have
-  size_t CallLimit(const std::string& target) const;
 
   /// Reserves memory for the pieces of a call.
   /// @param bytes of all their results
@@ -66,7 +60,6 @@
     uint64_t reserved = 0;  ///< bytes of results and of pieces in calls
     /// Part of its memory that is used: sizes of results are approximate.
     double trusted_share = 1.0;
-    std::optional<size_t> call_limit;  ///< in pieces; nothing: not limited
   };
 
   void Return(const std::string& target, uint64_t bytes);
@@ -74,9 +67,10 @@
   batch_spec spec_;
   std::unordered_map<std::string, target_memory> targets_;  ///< by id
   std::unordered_map<std::string, stored_result> results_;  ///< by handle
-  /// When the first call started here. Results of others may have been at the
-  /// targets then.
-  std::optional<common::time_point> first_call_;
+  /// Since when this is the owner of the queue, as its calls show. Results of
+  /// an owner before may have been at the targets then.
+  common::time_point owner_since_{};
+  std::optional<common::time_point> last_call_;
 };
 
 }  // namespace wisteriadale::core
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -424,3 +424,22 @@
   const core::piece_batch batch = Next(kStart + milliseconds(300));
   STRCMP_EQUAL("turned-late", batch.pieces[0].request_id.c_str());
 }
+
+// After all gateways were killed, targets are full of results that nobody
+// knows: calls end at once, without memory for their pieces.
+TEST(PieceQueue, CallsWithoutMemoryDoNotCountAsCallTimes) {
+  queue.Add(Job("r1", 4), kStart);
+  const core::piece_batch first = Next();
+  const common::time_point end = kStart + milliseconds(140);
+  queue.OnCallEnd(first, Completed(first, "t1"), milliseconds(140), end);
+  CHECK(queue.Load(targets, end).call_time == milliseconds(140));
+  common::time_point now = end;
+  for (int i = 0; i < 20; ++i) {
+    now += milliseconds(70);
+    queue.Add(Job("r2", 4), now);
+    const core::piece_batch denied = Next(now);
+    queue.OnCallEnd(denied, AllWith(denied, core::piece_outcome::kNoRoom),
+                    milliseconds(8), now);
+  }
+  CHECK(queue.Load(targets, now).call_time == milliseconds(140));
+}
