Learn the time to the first event, and wait longer for a data centre

And pieces with large inputs waited at most 60 ms for a target in their data centre, while a call takes up to 278 ms: three of four large results crossed data centres.

Change: first_event_estimator fits a line through the recent times to the first event by prompt length, for each service. The line of a request's end names the time to its first event and to its objective.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -41,9 +41,9 @@
 constexpr int kCallTimeSmoothing = 8;
 // Inputs of this many bytes are worth a wait for a target in their data centre:
 // a stage's results for one request are either 0.5 MB and more or far smaller.
-// The wait is a fifth of a full call, and at most a third of the job's slack.
+// The wait is a full call at most, after which a target there has become free,
+// and a third of the job's slack.
 constexpr uint64_t kLargeInputBytes = 500000;
-constexpr common::duration kMaxDataCentreWait = std::chrono::milliseconds(60);
 constexpr int kSlackDivisor = 3;
 
 // Targets of pieces run one call of about 200 ms at a time. After a lost call
--- a/source/core/stages/stage_schedule.cc
+++ b/source/core/stages/stage_schedule.cc
@@ -5,10 +5,6 @@
 namespace wisteriadale::core {
 namespace {
 
-// Ten steps of the users' engines (6.08 ms each), and prefill at 110 prompt
-// tokens per ms.
-constexpr common::duration kEngineBaseTime = std::chrono::milliseconds(60);
-constexpr common::duration kPrefillTimePerToken{9};
 // Results of at least this many bytes are worth a delay: targets have memory
 // for 54 to 87 MB of results.
 constexpr uint64_t kLargeResultBytes = 500000;
@@ -18,10 +14,6 @@
 
 }  // namespace
 
-common::duration EstimateTimeToFirstEvent(uint32_t prompt_tokens) {
-  return kEngineBaseTime + kPrefillTimePerToken * prompt_tokens;
-}
-
 stage_time_limits StageTimeLimits(const route_table& table,
                                   std::span<const stage_spec> stages,
                                   uint32_t stage,
--- a/source/core/stages/stage_schedule.h
+++ b/source/core/stages/stage_schedule.h
@@ -24,10 +24,6 @@
   common::duration time_after_stages{0};  ///< for what follows the stages
 };
 
-/// @return typical time from the start of a prompt on an engine to its first
-/// event
-common::duration EstimateTimeToFirstEvent(uint32_t prompt_tokens);
-
 /// Splits the time of a request among its stages. The usual duration of the
 /// later stages is subtracted from the objective, their minimum from the
 /// deadline.
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -357,6 +357,7 @@
 
 void forward_request::OnHead(const net::message_head& head) {
   response_head_ = head;
+  head_at_ = deps_.clock.Now();
   const core::deployment_codec& codec = deps_.codec;
   const bool has_not_run_header = head.Find(codec.headers().not_run) != nullptr;
   response_not_run_ = codec.IndicatesNotRun(head.status, has_not_run_header);
@@ -367,6 +368,8 @@
   target_->outstanding_tokens -= outstanding_tokens_;
   outstanding_tokens_ = 0;
   if (!Succeeded()) return;
+  deps_.first_events.OnFirstEvent(service_, prompt_tokens_,
+                                  head_at_ - attempt_started_);
   may_have_run_ = true;
   if (route_->kind == core::request_kind::kStreaming) {
     // The target fetches its inputs before it starts to respond.
@@ -670,16 +673,22 @@
                           {{"route", route}, {"status", status_text}});
   common::Metrics().Observe("wisteria_request_seconds", elapsed,
                             {{"route", route}});
-  common::LogEvent(log_event::kAnswered, request_id_,
-                   {{"status", int64_t{status}},
-                    {"outcome", outcome},
-                    {"route", route},
-                    {"target", target},
-                    {"framing", net::ToString(response_head_.framing)},
-                    {"attempts", int64_t{attempts_}},
-                    {"may_have_run", may_have_run_},
-                    {"late", late_},
-                    {"took_ms", common::ToMillis(elapsed)}});
+  common::LogEvent(
+      log_event::kAnswered, request_id_,
+      {{"status", int64_t{status}},
+       {"outcome", outcome},
+       {"route", route},
+       {"target", target},
+       {"framing", net::ToString(response_head_.framing)},
+       {"attempts", int64_t{attempts_}},
+       {"may_have_run", may_have_run_},
+       {"late", late_},
+       {"to_objective_ms",
+        common::ToMillis(objective_ - exchange_->received_at())},
+       {"head_ms", head_at_ == common::time_point()
+                       ? int64_t{-1}
+                       : common::ToMillis(head_at_ - exchange_->received_at())},
+       {"took_ms", common::ToMillis(elapsed)}});
   End();
 }
 
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -197,6 +197,8 @@
   std::unique_ptr<net::http1_call> call_;
   std::vector<std::string> tried_targets_;  ///< ids
   common::time_point attempt_started_{};
+  /// When the head of the latest response arrived; zero: none has.
+  common::time_point head_at_{};
   uint64_t slot_wait_ = 0;   ///< id of the wait for a slot; 0: none
   uint32_t slot_waits_ = 0;  ///< number of waits
   /// Time until the next free slot of those that were denied; 0: none was.
--- a/source/gateway/forward_request_stages.cc
+++ b/source/gateway/forward_request_stages.cc
@@ -55,7 +55,8 @@
   core::stage_admission_context context;
   context.path = deps_.latency_estimator.Estimate(*route_table_, route_->stages,
                                                   piece_counts_, priority_);
-  context.time_after_stages = core::EstimateTimeToFirstEvent(prompt_tokens_);
+  context.time_after_stages =
+      deps_.first_events.Expected(service_, prompt_tokens_);
   context.to_objective = objective_ - now;
   context.to_deadline = start_by_ - now;
   const core::stage_admission_decision decision =
@@ -148,7 +149,8 @@
   SetPreferredDataCentre(&job);
   const core::stage_time_limits limits = core::StageTimeLimits(
       *route_table_, route_->stages, stage, deps_.latency_estimator,
-      {objective_, start_by_, core::EstimateTimeToFirstEvent(prompt_tokens_)});
+      {objective_, start_by_,
+       deps_.first_events.Expected(service_, prompt_tokens_)});
   job.objective = limits.objective;
   job.deadline = limits.deadline;
   stage_starts_[stage] = {deps_.clock.Now(),
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -14,6 +14,7 @@
 #include "core/fleet/target_directory.h"
 #include "core/fleet/target_ejection.h"
 #include "core/fleet/target_statements.h"
+#include "core/forwarding/first_event_estimator.h"
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/forwarding/target_selector.h"
 #include "core/limits/target_limits.h"
@@ -39,6 +40,7 @@
   const core::route_holder& routes;
   core::target_directory& targets;
   core::target_selector& selector;
+  core::first_event_estimator& first_events;
   core::gateway_retry_budget& retry_budget;
   const core::target_ejection& ejection;
   core::crash_suspects& suspects;       ///< requests
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -242,14 +242,28 @@
         links_->Broadcast(core::service_load_message{service, load});
       });
   stage_router_->SetDispatcher(*dispatcher_);
-  forwarder_ = std::make_unique<forwarder>(forward_dependencies{
-      *loop_,           clock_,         *random_,
-      *client_,         *codec_,        routes_,
-      targets_,         *selector_,     *retry_budget_,
-      ejection_,        *suspects_,     *part_suspects_,
-      *statements_,     *limits_,       *slots_,
-      *caller_retries_, *stage_router_, *latency_estimator_,
-      *admission_,      stop_admission_});
+  forwarder_ =
+      std::make_unique<forwarder>(forward_dependencies{*loop_,
+                                                       clock_,
+                                                       *random_,
+                                                       *client_,
+                                                       *codec_,
+                                                       routes_,
+                                                       targets_,
+                                                       *selector_,
+                                                       first_events_,
+                                                       *retry_budget_,
+                                                       ejection_,
+                                                       *suspects_,
+                                                       *part_suspects_,
+                                                       *statements_,
+                                                       *limits_,
+                                                       *slots_,
+                                                       *caller_retries_,
+                                                       *stage_router_,
+                                                       *latency_estimator_,
+                                                       *admission_,
+                                                       stop_admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   targets_.SetLeavingHandler(
       [this](const core::fleet_target& target, core::leaving_reason why) {
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -13,6 +13,7 @@
 #include "core/fleet/target_directory.h"
 #include "core/fleet/target_ejection.h"
 #include "core/fleet/target_statements.h"
+#include "core/forwarding/first_event_estimator.h"
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/forwarding/target_selector.h"
 #include "core/ports/deployment_codec.h"
@@ -111,6 +112,8 @@
   std::unique_ptr<core::caller_retry_detector> caller_retries_;
   std::unique_ptr<core::stage_admission> admission_;
   std::unique_ptr<gateway_links> links_;
+  core::first_event_estimator first_events_{
+      core::first_event_estimator_options(), clock_};
   std::unique_ptr<core::target_statements> statements_;
   std::unique_ptr<core::target_limits> limits_;
   std::unique_ptr<limit_links> limit_links_;
