Let one gateway of a data centre read the store for the others

Change: one gateway of each data centre, chosen as owners of queues are, passes what its reads of changes brought on to the others: how far it has read, the entries that differ, and whether it follows the changes of routes. They apply it if it follows on what they know, and read for themselves once the latest read is 1.5 periods old (0.45 of the time within which a target must have left), while entries may be from a copy of the store, and after a failed read of their own. Two readers cost calls, not truth. A statement is as old as its read: the delay of its message beyond the fastest one so far is taken off. New routes are announced as before, and then read from the store at once. The addresses of gateways are read more seldom the more gateways there are. Reads of targets are at least as frequent as heartbeats, or each pause would count as an outage.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -34,10 +34,11 @@
   kEntryOutdated,  ///< an entry of a restored store is older than what is known
   kLimitEnded,     ///< a target no longer names a request limit
   kLimitInvalid,   ///< a request limit that cannot be used was ignored
-  kLimitOwnerLost,  ///< the owner of a target's slots does not grant any
-  kLimitSlot,       ///< the owner of a target's slots granted or denied one
-  kSlotWait,        ///< a request waits for a slot, or does not
-  kLimitNamed,      ///< a response named the request limit of its target
+  kLimitOwnerLost,     ///< the owner of a target's slots does not grant any
+  kLimitSlot,          ///< the owner of a target's slots granted or denied one
+  kSlotWait,           ///< a request waits for a slot, or does not
+  kLimitNamed,         ///< a response named the request limit of its target
+  kStoreReaderChosen,  ///< another gateway reads the store for a data centre
   kGatewayLinked,
   kGatewayLost,
   kOwnerChanged,
--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/digest.h"
 #include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/metrics.h"
@@ -31,6 +32,11 @@
 // Part of the limit for leaving targets that may pass between two reads. The
 // rest is for a response that is lost and requested again.
 constexpr double kTargetsPeriodShare = 0.3;
+// A read that others tell of is at most this many periods old before a gateway
+// reads for itself: the next one is late, and one response may be lost still.
+constexpr double kRelayPatiencePeriods = 1.5;
+// More changes at once are not passed on: the others read them from the store.
+constexpr size_t kMaxRelayedChanges = 256;
 // Lower bound for very short limits: the store, which serves a few hundred
 // calls per second, would otherwise be read without a pause.
 constexpr common::milliseconds kMinPeriod{100};
@@ -44,6 +50,23 @@
 // Stores do not hold a long poll for longer than this.
 constexpr common::milliseconds kMaxWait{30000};
 
+// Stands for the content of an entry that was refused.
+constexpr uint64_t kRefusedContent = 0;
+
+/// @return a digest of what an entry says, without the time that the target
+/// stays slow, which changes with each heartbeat
+uint64_t ContentDigest(const target_entry& entry) {
+  std::string text;
+  for (const std::string* each :
+       {&entry.service, &entry.address, &entry.data_centre}) {
+    text.append(*each).push_back('\n');
+  }
+  text.append(std::to_string(entry.slots)).push_back('\n');
+  text.append(std::to_string(entry.started_ms)).push_back('\n');
+  text.append(entry.draining ? "draining" : "ready");
+  return common::Hash64(text);
+}
+
 }  // namespace
 
 fleet_sync_options MakeSyncOptions(common::duration routes_limit,
@@ -55,11 +78,17 @@
       std::clamp(std::chrono::duration_cast<common::milliseconds>(
                      routes_limit - response_limit),
                  kMinPeriod, kMaxWait);
-  options.targets_period =
-      std::max(common::duration(kMinPeriod),
+  // Not above a heartbeat: a longer pause would look like an outage in which
+  // entries expire.
+  options.targets_period = std::max(
+      common::duration(kMinPeriod),
+      std::min(heartbeat,
                common::FromSeconds(
                    kTargetsPeriodShare *
-                   std::chrono::duration<double>(leaving_limit).count()));
+                   std::chrono::duration<double>(leaving_limit).count())));
+  options.relay_patience = common::FromSeconds(
+      kRelayPatiencePeriods *
+      std::chrono::duration<double>(options.targets_period).count());
   options.entry_expiry = kExpiryHeartbeats * heartbeat;
   options.expiring_outage = kExpiringOutageHeartbeats * heartbeat;
   return options;
@@ -100,6 +129,7 @@
 }
 
 void fleet_sync::ReadRoutes() {
+  reading_routes_ = true;
   routes_read_at_ = clock_.Now();
   rows_.ReadTable(codec_.locations().routes_table,
                   [this, alive = std::weak_ptr<bool>(alive_)](
@@ -108,7 +138,26 @@
                   });
 }
 
+void fleet_sync::FollowRoutes() {
+  const common::duration relayed = routes_relayed_until_ - clock_.Now();
+  if (relayed.count() <= 0) {
+    ReadRouteChanges();
+    return;
+  }
+  RestartTimer(&routes_timer_, relayed, [this] { FollowRoutes(); });
+}
+
+void fleet_sync::OnRoutesAnnounced(const routes_edition& edition) {
+  if (!(routes_.edition() < edition)) return;
+  routes_relayed_until_ = {};
+  if (reading_routes_ || !routes_.current()) return;
+  timers_.Cancel(routes_timer_);
+  routes_timer_ = 0;
+  ReadRouteChanges();
+}
+
 void fleet_sync::ReadRouteChanges() {
+  reading_routes_ = true;
   rows_.ReadChanges(codec_.locations().routes_table, routes_read_to_.version,
                     options_.routes_wait,
                     [this, alive = std::weak_ptr<bool>(alive_)](
@@ -118,6 +167,7 @@
 }
 
 void fleet_sync::OnRoutesRead(const row_store_result& result, bool full) {
+  reading_routes_ = false;
   const store_point at = RecordPoint(result);
   if (result.status == row_store_status::kCompacted) {
     common::LogEvent(log_event::kDependencyLost, "",
@@ -135,6 +185,7 @@
     return;
   }
   RecordSuccess();
+  routes_current_at_ = clock_.Now();
   for (const stored_row& row : result.rows) {
     if (row.key == codec_.locations().routes_key && !row.removed) {
       ApplyRoutes(row.value, "store", at.era);
@@ -153,7 +204,7 @@
                  [this] { ReadRouteChanges(); });
     return;
   }
-  ReadRouteChanges();
+  FollowRoutes();
 }
 
 void fleet_sync::ApplyRoutes(std::string_view text, std::string_view source,
@@ -246,15 +297,81 @@
   // A stale response would bring back targets that have left.
   const bool outdated = at < targets_read_to_;
   if (!outdated) {
+    const store_point from = targets_read_to_;
+    changed_rows_.clear();
     ApplyTargets(result.rows, full);
     targets_read_to_ = at;
+    // What changed since an earlier point is not known after a full read.
+    if (full) last_content_change_ = at.version;
+    if (!full) ReportRead(from, sent);
   }
+  common::Metrics().Count("wisteria_target_reads_total", {{"by", "itself"}});
   const bool full_again = full && outdated;
-  RestartTimer(&targets_timer_, options_.targets_period, [this, full_again] {
+  const common::duration pause = targets_relayed_until_ > clock_.Now()
+                                     ? options_.relay_patience
+                                     : options_.targets_period;
+  RestartTimer(&targets_timer_, pause, [this, full_again] {
     full_again ? ReadTargets() : ReadTargetChanges();
   });
 }
 
+bool fleet_sync::Undisturbed() const {
+  return targets_known() && !EntriesMayBeOutdated() && !RemovalsHeld() &&
+         !full_read_pending_;
+}
+
+bool fleet_sync::FollowsRoutes() const {
+  return routes_.current() &&
+         clock_.Now() - routes_current_at_ <=
+             options_.routes_wait + options_.targets_period;
+}
+
+void fleet_sync::ReportRead(const store_point& from, common::time_point sent) {
+  if (!read_handler_ || store_failing_ || !Undisturbed() ||
+      changed_rows_.size() > kMaxRelayedChanges) {
+    return;
+  }
+  read_handler_({from, targets_read_to_, std::exchange(changed_rows_, {}),
+                 routes_.edition(), FollowsRoutes()},
+                sent);
+}
+
+void fleet_sync::ApplyRelayedRead(const store_read& read,
+                                  common::time_point as_of) {
+  // It follows on what is known if nothing changed between the two points.
+  const bool follows = read.from == targets_read_to_ ||
+                       (!(targets_read_to_ < read.from) &&
+                        last_content_change_ <= read.from.version);
+  // While its own reads fail, a gateway removes targets that others call gone:
+  // it needs to see each heartbeat afterwards.
+  if (!Undisturbed() || store_failing_ || read.from.era != era_ ||
+      read.to.era != era_ || read.to < targets_read_to_ ||
+      as_of <= targets_current_at_ || !follows) {
+    common::Metrics().Count("wisteria_relayed_reads_ignored_total");
+    return;
+  }
+  common::Metrics().Count("wisteria_target_reads_total", {{"by", "another"}});
+  applying_relayed_read_ = true;
+  for (const stored_row& row : read.changes) ApplyRow(row);
+  applying_relayed_read_ = false;
+  changed_rows_.clear();
+  targets_read_to_ = read.to;
+  RecordTargetsRead(as_of);
+  std::erase_if(reported_gone_, [as_of](const gone_target& each) {
+    return each.reported_at <= as_of;
+  });
+  targets_relayed_until_ = as_of + options_.relay_patience;
+  RestartTimer(
+      &targets_timer_,
+      std::max(common::duration(0), targets_relayed_until_ - clock_.Now()),
+      [this] { ReadTargetChanges(); });
+  if (read.routes_current && read.routes == routes_.edition()) {
+    routes_relayed_until_ = targets_relayed_until_;
+  } else {
+    OnRoutesAnnounced(read.routes);
+  }
+}
+
 void fleet_sync::ApplyTargets(std::span<const stored_row> rows, bool full) {
   const bool hold_removals = RemovalsHeld();
   if (!full || hold_removals) {
@@ -265,8 +382,10 @@
     return;
   }
   std::set<std::string_view> listed;
+  contents_.clear();
   for (const stored_row& row : rows) {
     const std::optional<target_entry> entry = Decode(row);
+    RecordContent(row, entry);
     if (!entry) continue;
     listed.insert(row.key);
     ApplyEntry(*entry, row.version);
@@ -275,12 +394,28 @@
   full_read_pending_ = false;
 }
 
+void fleet_sync::RecordContent(const stored_row& row,
+                               const std::optional<target_entry>& entry) {
+  if (row.removed) {
+    contents_.erase(row.key);
+  } else {
+    const uint64_t digest = entry ? ContentDigest(*entry) : kRefusedContent;
+    const auto [known, is_new] = contents_.try_emplace(row.key, digest);
+    if (!is_new && known->second == digest) return;
+    known->second = digest;
+  }
+  last_content_change_ = std::max(last_content_change_, row.version);
+  changed_rows_.push_back(row);
+}
+
 void fleet_sync::ApplyRow(const stored_row& row) {
+  const std::optional<target_entry> entry =
+      row.removed ? std::nullopt : Decode(row);
+  RecordContent(row, entry);
   if (row.removed) {
     targets_.Remove(row.key);
     return;
   }
-  const std::optional<target_entry> entry = Decode(row);
   if (entry) {
     ApplyEntry(*entry, row.version);
   } else {
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -12,6 +13,7 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "core/fleet/store_read.h"
 #include "core/fleet/target_directory.h"
 #include "core/ports/deployment_codec.h"
 #include "core/ports/row_store.h"
@@ -25,6 +27,9 @@
   common::milliseconds routes_wait{1200};
   /// Interval between two reads of target changes.
   common::duration targets_period = std::chrono::milliseconds(600);
+  /// A gateway that others tell what they read reads for itself once the latest
+  /// read that it knows of is this old.
+  common::duration relay_patience = std::chrono::milliseconds(900);
   /// Delay before a failed read is repeated.
   common::duration retry_delay = std::chrono::milliseconds(250);
   /// Entries may expire in an outage of the store from this length on.
@@ -86,6 +91,28 @@
   void ApplyLeavingTargets(std::span<const target_start> draining,
                            std::span<const target_start> gone);
 
+  /// Applies what another gateway has read from the store. Ignored if it does
+  /// not follow on what is known here, or while entries may be from a copy of
+  /// the store: this gateway then reads for itself.
+  /// @param as_of when that read began
+  void ApplyRelayedRead(const store_read& read, common::time_point as_of);
+  /// Another gateway has these routes in force: newer ones are read at once, as
+  /// changes of routes may not be followed here.
+  void OnRoutesAnnounced(const routes_edition& edition);
+  /// @param handler called after each read of target changes that other
+  /// gateways can rely on, with the time at which it began
+  void SetReadHandler(
+      std::function<void(const store_read&, common::time_point)> handler) {
+    read_handler_ = std::move(handler);
+  }
+  /// @return whether a read of another gateway is being applied, which tells
+  /// the others of it
+  bool applying_relayed_read() const { return applying_relayed_read_; }
+  /// @return age of what is known about targets
+  common::duration TargetsAge() const {
+    return clock_.Now() - targets_current_at_;
+  }
+
   /// @param handler called after newer routes came into force
   void SetRoutesHandler(std::function<void()> handler) {
     routes_handler_ = std::move(handler);
@@ -106,6 +133,8 @@
 
   void ReadRoutes();
   void ReadRouteChanges();
+  /// Reads changes of routes, or waits while another gateway follows them.
+  void FollowRoutes();
   void OnRoutesRead(const row_store_result& result, bool full);
   /// Reads all routes after their changes turned out not to be available, but
   /// not without a pause since the last time.
@@ -140,6 +169,17 @@
   /// @param version of its row
   void ApplyEntry(const target_entry& entry, uint64_t version);
   void ApplyRow(const stored_row& row);
+  /// Records whether an entry differs from what was read before.
+  /// @param entry of the row; nothing for a tombstone or a refused entry
+  void RecordContent(const stored_row& row,
+                     const std::optional<target_entry>& entry);
+  /// @return whether entries and removals can be taken as they are read
+  bool Undisturbed() const;
+  /// @return whether others may rely on this gateway for changes of routes
+  bool FollowsRoutes() const;
+  /// Passes a read on to the read handler.
+  /// @param from how far targets had been read before
+  void ReportRead(const store_point& from, common::time_point sent);
   /// @return the target, or nothing with a log event
   std::optional<target_entry> Decode(const stored_row& row) const;
   /// Replaces a timer that may be pending.
@@ -154,6 +194,7 @@
   common::clock& clock_;
   common::timer_service& timers_;
   std::function<void()> routes_handler_;
+  std::function<void(const store_read&, common::time_point)> read_handler_;
   std::string routes_text_;
   /// How far routes and targets have been read.
   store_point routes_read_to_;
@@ -172,6 +213,21 @@
   /// All targets are to be read once missing entries have had the time to be
   /// written again.
   bool full_read_pending_ = false;
+  /// Digests of the entries as read last, without what changes with each
+  /// heartbeat; by key.
+  std::map<std::string, uint64_t> contents_;
+  /// Rows of the present read whose content is new.
+  std::vector<stored_row> changed_rows_;
+  /// The store's version up to which the latest change of an entry's content
+  /// was read.
+  uint64_t last_content_change_ = 0;
+  /// Until then, the latest read of another gateway is recent enough.
+  common::time_point targets_relayed_until_{};
+  common::time_point routes_relayed_until_{};
+  /// When routes were read the last time, changes included.
+  common::time_point routes_current_at_{};
+  bool reading_routes_ = false;
+  bool applying_relayed_read_ = false;
   /// Reported since the latest successful read of targets.
   std::vector<gone_target> reported_gone_;
   /// When the latest read of targets that succeeded began.
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "core/fleet/store_read.h"
 #include "core/fleet/target_directory.h"
 #include "core/limits/limit_messages.h"
 #include "core/quarantine/crash_suspects.h"
@@ -20,7 +21,8 @@
   uint64_t incarnation = 0;  ///< differs for each start of the process
   std::string address;       ///< "ip:port" where the sender accepts links
   std::vector<std::string> known_addresses;  ///< of other gateways
-  double capacity = 0;  ///< of its VM, in the same unit for all
+  double capacity = 0;      ///< of its VM, in the same unit for all
+  std::string data_centre;  ///< empty: not known
 };
 
 /// Tells whether the sender is slow; sent on each change and on new links.
@@ -117,6 +119,13 @@
   std::vector<target_start> gone;  ///< without an entry
 };
 
+/// A read of the store, for the other gateways of the sender's data centre.
+struct store_read_message {
+  store_read read;
+  /// When the read began, by the sender's clock, since the start of its VM.
+  common::duration read_at{0};
+};
+
 /// A message of a type that this version does not know. Ignored, so that
 /// gateways of several versions can be linked.
 struct unknown_gateway_message {};
@@ -128,6 +137,6 @@
                  upcoming_stage_message, service_load_message,
                  gateway_shutdown_notice, crash_report, gateway_slow_state,
                  routes_request, limit_report, slot_request, slot_reply,
-                 gateway_view, unknown_gateway_message>;
+                 gateway_view, store_read_message, unknown_gateway_message>;
 
 }  // namespace wisteriadale::core
--- a/source/gateway/gateway_links.cc
+++ b/source/gateway/gateway_links.cc
@@ -35,13 +35,15 @@
 
 gateway_links::gateway_links(net::event_loop& loop, common::clock& clock,
                              std::string name, const net::endpoint& own_address,
-                             uint64_t incarnation, double capacity)
+                             uint64_t incarnation, double capacity,
+                             std::string data_centre)
     : loop_(loop),
       clock_(clock),
       name_(std::move(name)),
       own_address_(net::FormatEndpoint(own_address)),
       incarnation_(incarnation),
-      capacity_(capacity) {}
+      capacity_(capacity),
+      data_centre_(std::move(data_centre)) {}
 
 gateway_links::~gateway_links() { Stop(); }
 
@@ -61,9 +63,12 @@
 }
 
 core::gateway_hello gateway_links::MakeHello() const {
-  return {name_, incarnation_, own_address_,
+  return {name_,
+          incarnation_,
+          own_address_,
           std::vector<std::string>(addresses_.begin(), addresses_.end()),
-          capacity_};
+          capacity_,
+          data_centre_};
 }
 
 void gateway_links::Tick() {
@@ -250,6 +255,7 @@
   from->gateway = hello.name;
   from->incarnation = hello.incarnation;
   from->capacity = hello.capacity;
+  from->data_centre = hello.data_centre;
   AddAddress(hello.address);
   for (const std::string& address : hello.known_addresses) AddAddress(address);
   last_seen_[hello.name] = clock_.Now();
@@ -290,20 +296,39 @@
 }
 
 void gateway_links::Broadcast(const core::gateway_message& message) {
+  SendToEach(message, [](const link&) { return true; });
+}
+
+void gateway_links::BroadcastToDataCentre(
+    const core::gateway_message& message) {
+  SendToEach(message, [this](const link& each) { return InDataCentre(each); });
+}
+
+void gateway_links::SendToEach(const core::gateway_message& message,
+                               const link_filter& meant) {
   std::set<std::string_view> recipients;
   const std::vector<std::shared_ptr<link>> links = links_;
   for (const std::shared_ptr<link>& each : links) {
-    if (!each->open || each->gateway.empty()) continue;
+    if (!each->open || each->gateway.empty() || !meant(*each)) continue;
     if (recipients.insert(each->gateway).second) SendTo(each.get(), message);
   }
 }
 
 std::vector<core::owner_candidate> gateway_links::OwnerCandidates() const {
+  return Candidates([](const link&) { return true; });
+}
+
+std::vector<core::owner_candidate> gateway_links::DataCentreCandidates() const {
+  return Candidates([this](const link& each) { return InDataCentre(each); });
+}
+
+std::vector<core::owner_candidate> gateway_links::Candidates(
+    const link_filter& meant) const {
   std::vector<core::owner_candidate> candidates;
   std::set<std::string_view> known;
   for (const std::shared_ptr<link>& each : links_) {
     if (each->open && !each->stopping && !each->gateway.empty() &&
-        known.insert(each->gateway).second) {
+        meant(*each) && known.insert(each->gateway).second) {
       candidates.push_back({each->gateway, each->capacity, each->slow});
     }
   }
--- a/source/gateway/gateway_links.h
+++ b/source/gateway/gateway_links.h
@@ -28,7 +28,7 @@
   /// @param capacity    of this VM, in any unit that all gateways share
   gateway_links(net::event_loop& loop, common::clock& clock, std::string name,
                 const net::endpoint& own_address, uint64_t incarnation,
-                double capacity);
+                double capacity, std::string data_centre);
   ~gateway_links();
   gateway_links(const gateway_links&) = delete;
   gateway_links& operator=(const gateway_links&) = delete;
@@ -54,6 +54,8 @@
   bool Send(std::string_view gateway, const core::gateway_message& message);
   /// Sends a message to each linked gateway once.
   void Broadcast(const core::gateway_message& message);
+  /// Sends a message to each linked gateway of this one's data centre once.
+  void BroadcastToDataCentre(const core::gateway_message& message);
 
   /// @param handler called with each message that the links don't handle
   /// themselves
@@ -74,6 +76,8 @@
   /// @return gateways that may own queues: those with an open link and this
   /// one, without those that are stopping; never empty
   std::vector<core::owner_candidate> OwnerCandidates() const;
+  /// @return those of this gateway's data centre
+  std::vector<core::owner_candidate> DataCentreCandidates() const;
   /// @return capacity of a gateway's VM, 0 if there is no open link to it
   double CapacityOf(std::string_view gateway) const;
   /// @return number of gateways, this one included, that are linked and choose
@@ -101,7 +105,10 @@
     bool stopping = false;  ///< it announced its shutdown
     double capacity = 0;
     bool slow = false;  ///< it reported a high event-loop lag
+    std::string data_centre;
   };
+  /// Whether a link is meant.
+  using link_filter = std::function<bool(const link&)>;
 
   /// Pings links, removes those that timed out, and dials missing ones.
   void Tick();
@@ -119,6 +126,12 @@
   /// Tells the other gateways among which ones this one chooses owners, if that
   /// has changed.
   void AnnounceView();
+  bool InDataCentre(const link& each) const {
+    return !data_centre_.empty() && each.data_centre == data_centre_;
+  }
+  std::vector<core::owner_candidate> Candidates(const link_filter& meant) const;
+  void SendToEach(const core::gateway_message& message,
+                  const link_filter& meant);
   core::gateway_hello MakeHello() const;
   static void SendTo(link* to, const core::gateway_message& message);
 
@@ -128,6 +141,7 @@
   std::string own_address_;
   uint64_t incarnation_;
   double capacity_;
+  std::string data_centre_;
   uint64_t ping_sequence_ = 0;
   std::set<std::string> addresses_;
   std::set<std::string> dialling_addresses_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -17,8 +17,13 @@
 
 // Departures of targets that a gateway is told when it joins.
 constexpr size_t kMaxToldDepartures = 256;
-// Period at which the addresses of the other gateways are read from the store.
+// Shortest period at which the addresses of the other gateways are read from
+// the store.
 constexpr double kDiscoveryPeriodS = 5;
+// The period grows with the fleet, so that its calls do not: all gateways
+// together read as often as this many did.
+constexpr double kDiscoveringGateways = 8;
+constexpr double kMaxDiscoveryPeriodS = 60;
 // Added at random, as a share: gateways that started together neither read nor
 // write at the same moment for long.
 constexpr double kDiscoverySpread = 0.2;
@@ -114,6 +119,7 @@
   selector_ = std::make_unique<core::target_selector>(
       core::target_selector_options(), targets_, clock_, *random_,
       settings.Text(settings::kDataCentre));
+  data_centre_ = settings.Text(settings::kDataCentre);
   link_address_ = net::FormatEndpoint(*own);
   // Must differ after each restart, even with a fixed random seed.
   const uint64_t incarnation = common::SystemSeed() >> 1 | 1;
@@ -121,7 +127,7 @@
       settings.Number(settings::kCapacityCores),
       settings.Number(settings::kCapacityLinkMbps) / kOwnerMbpsPerCore);
   links_ = std::make_unique<gateway_links>(*loop_, clock_, name_, *own,
-                                           incarnation, capacity);
+                                           incarnation, capacity, data_centre_);
   routes_exchange_ = std::make_unique<core::routes_exchange>(
       core::MakeRoutesExchangeOptions(
           common::milliseconds(settings.Integer(settings::kRoutesApplyMs))),
@@ -182,6 +188,9 @@
   void operator()(const core::leaving_targets_message& leaving) const {
     process->fleet_sync_->ApplyLeavingTargets(leaving.draining, leaving.gone);
   }
+  void operator()(const core::store_read_message& read) const {
+    process->OnStoreReadMessage(gateway, read);
+  }
   void operator()(const core::crash_report& report) const {
     (core::IsPartDigest(report.digest) ? process->part_suspects_
                                        : process->suspects_)
@@ -265,6 +274,10 @@
                                                        *admission_,
                                                        stop_admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
+  fleet_sync_->SetReadHandler(
+      [this](const core::store_read& read, common::time_point read_at) {
+        OnStoreRead(read, read_at);
+      });
   targets_.SetLeavingHandler(
       [this](const core::fleet_target& target, core::leaving_reason why) {
         OnTargetLeaving(target, why);
@@ -276,6 +289,7 @@
   links_->SetJoinedHandler(
       [this](const std::string& gateway) { OnGatewayJoined(gateway); });
   links_->SetLostHandler([this](const std::string& gateway) {
+    statement_clock_.Forget(gateway);
     routes_exchange_->OnGatewayLost(gateway);
     stage_router_->OnGatewayLost(gateway);
   });
@@ -387,6 +401,18 @@
 }
 
 void gateway_process::DiscoverGateways() {
+  retry_budget_->SetGateways(links_->RecentGatewayCount());
+  loop_->Schedule(
+      common::FromSeconds(kDiscoveryPeriodS *
+                          (1 + kDiscoverySpread * random_->Uniform())),
+      [this] { DiscoverGateways(); });
+  const common::time_point now = clock_.Now();
+  if (now < next_discovery_) return;
+  const double share =
+      static_cast<double>(links_->RecentGatewayCount()) / kDiscoveringGateways;
+  // Rounded down to the periods of this timer.
+  next_discovery_ = now + common::FromSeconds(std::min(
+                              kDiscoveryPeriodS * share, kMaxDiscoveryPeriodS));
   store_->ReadTable(
       codec_->locations().gateways_table,
       [this](const core::row_store_result& result) {
@@ -396,17 +422,45 @@
           listed = listed || (row.key == name_ && row.value == link_address_);
         }
         // Not written at the start, or lost when the store was restored.
-        if (result.status == core::row_store_status::kOk && !listed) {
+        if (result.status != core::row_store_status::kOk) {
+          next_discovery_ = {};
+        } else if (!listed) {
           WriteOwnRow();
         }
-        retry_budget_->SetGateways(links_->RecentGatewayCount());
-        loop_->Schedule(
-            common::FromSeconds(kDiscoveryPeriodS *
-                                (1 + kDiscoverySpread * random_->Uniform())),
-            [this] { DiscoverGateways(); });
       });
 }
 
+bool gateway_process::ReadsForDataCentre() {
+  const std::string chosen =
+      core::ChooseStoreReader(links_->DataCentreCandidates(), data_centre_);
+  if (chosen != store_reader_) {
+    common::LogEvent(
+        log_event::kStoreReaderChosen, "",
+        {{"gateway", chosen},
+         {"previous", store_reader_},
+         {"data_centre", data_centre_},
+         {"targets_age_ms", common::ToMillis(fleet_sync_->TargetsAge())}});
+    store_reader_ = chosen;
+  }
+  return chosen == name_;
+}
+
+void gateway_process::OnStoreRead(const core::store_read& read,
+                                  common::time_point read_at) {
+  if (!ReadsForDataCentre()) return;
+  links_->BroadcastToDataCentre(
+      core::store_read_message{read, read_at.time_since_epoch()});
+}
+
+void gateway_process::OnStoreReadMessage(
+    const std::string& gateway, const core::store_read_message& message) {
+  const common::time_point read_at = statement_clock_.WhenStated(
+      gateway, common::time_point(message.read_at), clock_.Now());
+  // The reader reads for itself, whatever another gateway takes itself for.
+  if (ReadsForDataCentre()) return;
+  fleet_sync_->ApplyRelayedRead(message.read, read_at);
+}
+
 void gateway_process::OnRoutesChanged() {
   const core::caller_limits& limits = routes_.current()->limits();
   net::http1_server_limits server_limits;
@@ -421,6 +475,7 @@
 void gateway_process::OnRoutesMessage(const std::string& gateway,
                                       const core::routes_message& message) {
   if (message.document.empty()) {
+    fleet_sync_->OnRoutesAnnounced(message.edition);
     routes_exchange_->OnAnnounced(
         {gateway, links_->CapacityOf(gateway), message.edition},
         fleet_sync_->store_failing());
@@ -459,6 +514,7 @@
                     {"service", target.entry.service},
                     {"why", core::ToString(why)},
                     {"in_flight", int64_t{target.in_flight}}});
+  if (fleet_sync_->applying_relayed_read()) return;
   const core::target_start start = {target.entry.id, target.entry.started_ms};
   if (why == core::leaving_reason::kDraining ||
       why == core::leaving_reason::kStated) {
@@ -484,6 +540,11 @@
         {"Content-Type", "text/plain; version=0.0.4"}};
     common::Metrics().Set("wisteria_gateways_linked",
                           static_cast<double>(links_->LinkedGatewayCount()));
+    common::Metrics().Set("wisteria_store_reader",
+                          ReadsForDataCentre() ? 1 : 0);
+    common::Metrics().Set(
+        "wisteria_targets_age_ms",
+        static_cast<double>(common::ToMillis(fleet_sync_->TargetsAge())));
     common::Metrics().Set("wisteria_link_bytes_pending",
                           static_cast<double>(links_->PendingBytes()));
     exchange->Send(200, "OK", headers, common::Metrics().PrometheusText());
@@ -499,6 +560,7 @@
   if (stopping_) return;
   stopping_ = true;
   stop_started_ = clock_.Now();
+  stop_admission_.Begin(stop_started_ + stop_timeout_);
   common::LogEvent(log_event::kStopping, "",
                    {{"requests", static_cast<int64_t>(forwarder_->active())}});
   caller_server_->DisableKeepAlive();
@@ -533,4 +595,3 @@
 }
 
 }  // namespace wisteriadale::gateway
-  stop_admission_.Begin(stop_started_ + stop_timeout_);
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -76,6 +76,13 @@
                        const core::routes_message& message);
   void OnRoutesRequest(const std::string& gateway,
                        const core::routes_request& request);
+  /// Passes what this gateway read from the store on to those of its data
+  /// centre, if it reads for them.
+  void OnStoreRead(const core::store_read& read, common::time_point read_at);
+  void OnStoreReadMessage(const std::string& gateway,
+                          const core::store_read_message& message);
+  /// @return whether this gateway reads the store for its data centre
+  bool ReadsForDataCentre();
   void OnTargetLeaving(const core::fleet_target& target,
                        core::leaving_reason why);
   void HandleOperatorRequest(
@@ -105,22 +112,22 @@
   core::target_ejection ejection_{core::target_ejection_options()};
   std::unique_ptr<core::fleet_sync> fleet_sync_;
   std::unique_ptr<core::gateway_retry_budget> retry_budget_;
+  core::first_event_estimator first_events_{
+      core::first_event_estimator_options(), clock_};
   std::unique_ptr<core::target_selector> selector_;
   std::unique_ptr<core::crash_suspects> suspects_;
   std::unique_ptr<core::crash_suspects> part_suspects_;
   std::unique_ptr<core::stage_latency_estimator> latency_estimator_;
   std::unique_ptr<core::caller_retry_detector> caller_retries_;
   std::unique_ptr<core::stage_admission> admission_;
+  core::stop_admission stop_admission_{core::stop_admission_options(), clock_};
   std::unique_ptr<gateway_links> links_;
-  core::first_event_estimator first_events_{
-      core::first_event_estimator_options(), clock_};
   std::unique_ptr<core::target_statements> statements_;
   std::unique_ptr<core::target_limits> limits_;
   std::unique_ptr<limit_links> limit_links_;
   std::unique_ptr<core::target_slots> slots_;
   std::unique_ptr<core::routes_exchange> routes_exchange_;
   std::unique_ptr<stage_router> stage_router_;
-  core::stop_admission stop_admission_{core::stop_admission_options(), clock_};
   std::unique_ptr<stage_dispatcher> dispatcher_;
   std::unique_ptr<forwarder> forwarder_;
   std::unique_ptr<net::http1_server> caller_server_;
@@ -128,6 +135,12 @@
   std::unique_ptr<net::http_server> link_server_;
   std::string name_;
   std::string link_address_;
+  std::string data_centre_;
+  /// Of this data centre, as chosen last.
+  std::string store_reader_;
+  core::statement_clock statement_clock_;
+  /// When the addresses of the other gateways are read the next time.
+  common::time_point next_discovery_{};
   common::duration stop_timeout_{};  ///< grace period without the margin
   common::time_point stop_started_{};
   bool writing_own_row_ = false;
--- a/source/unit_tests/core/fleet/restored_store_test.cc
+++ b/source/unit_tests/core/fleet/restored_store_test.cc
@@ -21,6 +21,11 @@
 // The limits hold for gateways and a store that have been undisturbed for so
 // long.
 constexpr seconds kContact{3};
+// Delays of what a gateway tells the others that it has read.
+constexpr uint64_t kMaxRelayDelayMs = 30;
+constexpr uint64_t kMaxSlowRelayDelayMs = 2000;
+// Clocks of two gateways show times this far apart.
+constexpr seconds kClockSkew{1000};
 // Instead of kContact, for entries that changed before the store was stable:
 // the stated limits do not apply to those.
 constexpr seconds kUnstableContact{6};
@@ -59,13 +64,22 @@
   std::map<std::string, int64_t> used;             ///< starts of used targets
   std::set<std::pair<std::string, int64_t>> left;  ///< no longer used
   uint64_t calls = 0;
+  core::statement_clock statement_clock;
+  bool cut_from_gateways = false;
+};
+
+/// How gateways learn what is in the store.
+enum class reading {
+  kEachForItself,
+  kOneForAll  ///< one gateway, another one from time to time, tells the others
 };
 
 /// Targets, an operator and gateways around a store that is away at times, and
 /// restored from copies, under virtual time.
 class simulation {
  public:
-  explicit simulation(uint64_t seed) : random_(seed), store_(time_) {
+  simulation(uint64_t seed, reading how)
+      : random_(seed), how_(how), store_(time_) {
     for (size_t i = 0; i < 6; ++i) StartTarget("t" + std::to_string(i));
     WriteRoutes(true);
     for (simulated_gateway& each : gateways_) StartGateway(&each);
@@ -78,6 +92,9 @@
       time_.Advance(kStep);
       if (Chance(60)) DisturbStore();
       if (Chance(40)) DisturbGateway();
+      // For a while two gateways may take themselves for the reader.
+      if (Chance(100)) previous_reader_ = reader_;
+      if (Chance(100)) reader_ = random_.Below(gateways_.size());
       if (down_until_ && time_.Now() >= *down_until_) ReturnStore();
       if (!store_.down) RunOutside();
       for (simulated_gateway& each : gateways_) RunGateway(&each, step);
@@ -113,6 +130,13 @@
                                                core::leaving_reason why) {
           TellOthers(*reader, {target.entry.id, target.entry.started_ms}, why);
         });
+    gateway->reader->sync.SetReadHandler(
+        [this, gateway](const core::store_read& read,
+                        common::time_point read_at) {
+          RelayRead(*gateway, read, read_at);
+        });
+    gateway->reader->sync.SetRoutesHandler(
+        [this, gateway] { AnnounceRoutes(*gateway); });
     for (const simulated_gateway& each : gateways_) {
       if (!each.reader || each.reader == gateway->reader) continue;
       const core::departed_targets departed =
@@ -124,6 +148,47 @@
     }
   }
 
+  bool IsReader(const simulated_gateway& gateway) const {
+    const size_t index = static_cast<size_t>(&gateway - gateways_.data());
+    return index == reader_ || index == previous_reader_;
+  }
+
+  bool Linked(const simulated_gateway& from,
+              const simulated_gateway& to) const {
+    return &from != &to && to.reader && !from.cut_from_gateways &&
+           !to.cut_from_gateways;
+  }
+
+  void RelayRead(const simulated_gateway& from, const core::store_read& read,
+                 common::time_point read_at) {
+    if (how_ != reading::kOneForAll || !IsReader(from)) return;
+    for (simulated_gateway& each : gateways_) {
+      if (!Linked(from, each)) continue;
+      const uint64_t max_delay =
+          Chance(20) ? kMaxSlowRelayDelayMs : kMaxRelayDelayMs;
+      each.reader->process.Schedule(
+          Between(1, max_delay),
+          [this, to = &each, target = each.reader.get(), read,
+           name = std::to_string(&from - gateways_.data()),
+           stated = read_at + kClockSkew] {
+            const common::time_point as_of = to->statement_clock.WhenStated(
+                name, stated, target->process.Now());
+            if (!IsReader(*to)) target->sync.ApplyRelayedRead(read, as_of);
+          });
+    }
+  }
+
+  void AnnounceRoutes(const simulated_gateway& from) {
+    for (const simulated_gateway& each : gateways_) {
+      if (!Linked(from, each)) continue;
+      each.reader->process.Schedule(
+          milliseconds(5),
+          [to = each.reader.get(), edition = from.reader->routes.edition()] {
+            to->sync.OnRoutesAnnounced(edition);
+          });
+    }
+  }
+
   /// Gateways tell each other about leaving targets, over links that are not
   /// cut.
   void TellOthers(const fakes::store_reader& from,
@@ -189,6 +254,7 @@
     switch (random_.Below(4)) {
       case 0:
         gateway.reader->client.cut = true;
+        gateway.cut_from_gateways = Chance(2);
         gateway.connected = time_.Now() + Between(200, 6000);
         break;
       case 1:
@@ -298,7 +364,10 @@
     }
     if (reader.client.cut) {
       gateway->disturbed = time_.Now();
-      if (time_.Now() >= gateway->connected) reader.client.cut = false;
+      if (time_.Now() >= gateway->connected) {
+        reader.client.cut = false;
+        gateway->cut_from_gateways = false;
+      }
     }
     if (step % (seconds(1) / kStep) == 0) {
       if (reader.client.calls - gateway->calls > kMaxCallsPerSecond) {
@@ -376,6 +445,9 @@
 
   fakes::virtual_time time_;
   common::seeded_random random_;
+  reading how_;
+  size_t reader_ = 0;  ///< index of the gateway that reads for the others
+  size_t previous_reader_ = 0;
   fakes::restorable_store store_;
   std::map<std::string, simulated_target> targets_;
   std::array<simulated_gateway, 4> gateways_;
@@ -399,7 +471,19 @@
   const uint64_t first = FromEnvironment("WISTERIA_SEED", 1);
   const uint64_t seeds = FromEnvironment("WISTERIA_SEEDS", 60);
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
-    simulation run(seed);
+    simulation run(seed, reading::kEachForItself);
+    run.Run(seconds(60));
+    CHECK_TEXT(run.failure.empty(),
+               ("seed " + std::to_string(seed) + ": " + run.failure).c_str());
+  }
+}
+
+// The same bounds hold where one gateway reads for the others.
+TEST(RestoredStore, GatewaysFollowWhatOneOfThemReads) {
+  const uint64_t first = FromEnvironment("WISTERIA_SEED", 1);
+  const uint64_t seeds = FromEnvironment("WISTERIA_SEEDS", 60);
+  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+    simulation run(seed, reading::kOneForAll);
     run.Run(seconds(60));
     CHECK_TEXT(run.failure.empty(),
                ("seed " + std::to_string(seed) + ": " + run.failure).c_str());
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -25,6 +25,7 @@
     to.address = from.address;
     to.known_addresses = from.known_addresses;
     to.capacity = from.capacity;
+    to.data_centre = from.data_centre;
     frame->__set_hello_part(to);
   }
   void operator()(const core::gateway_ping& from) const {
@@ -137,6 +138,23 @@
     }
     frame->__set_leaving_part(to);
   }
+  void operator()(const core::store_read_message& from) const {
+    generated::store_read to;
+    to.era = static_cast<int64_t>(from.read.to.era);
+    to.from_version = static_cast<int64_t>(from.read.from.version);
+    to.to_version = static_cast<int64_t>(from.read.to.version);
+    for (const core::stored_row& each : from.read.changes) {
+      to.keys.push_back(each.key);
+      to.entry_texts.push_back(each.value);
+      to.versions.push_back(static_cast<int64_t>(each.version));
+      to.removals.push_back(each.removed);
+    }
+    to.routes_version = static_cast<int64_t>(from.read.routes.version);
+    to.routes_era = static_cast<int64_t>(from.read.routes.era);
+    to.routes_current = from.read.routes_current;
+    to.read_at_us = from.read_at.count();
+    frame->__set_store_read_part(to);
+  }
   void operator()(const core::limit_report& from) const {
     generated::target_limit to;
     to.target = from.target;
@@ -249,13 +267,36 @@
                           common::milliseconds(from.delay_ms)};
 }
 
+std::optional<core::gateway_message> FromWire(
+    const generated::store_read& from) {
+  const size_t count = from.keys.size();
+  if (from.entry_texts.size() != count || from.versions.size() != count ||
+      from.removals.size() != count) {
+    return std::nullopt;
+  }
+  core::store_read_message to;
+  const uint64_t era = static_cast<uint64_t>(from.era);
+  to.read.from = {era, static_cast<uint64_t>(from.from_version)};
+  to.read.to = {era, static_cast<uint64_t>(from.to_version)};
+  for (size_t i = 0; i < count; ++i) {
+    to.read.changes.push_back({from.keys[i], from.entry_texts[i],
+                               static_cast<uint64_t>(from.versions[i]),
+                               from.removals[i]});
+  }
+  to.read.routes = Edition(from.routes_version, from.routes_era);
+  to.read.routes_current = from.routes_current;
+  to.read_at = common::duration(from.read_at_us);
+  return to;
+}
+
 std::optional<core::gateway_message> FromWire(
     const generated::gateway_frame& frame) {
   if (frame.__isset.hello_part) {
     const generated::link_hello& part = frame.hello_part;
     return core::gateway_hello{
-        part.name, static_cast<uint64_t>(part.incarnation), part.address,
-        part.known_addresses, part.capacity};
+        part.name,     static_cast<uint64_t>(part.incarnation),
+        part.address,  part.known_addresses,
+        part.capacity, part.data_centre};
   }
   if (frame.__isset.ping_part) {
     const generated::link_ping& part = frame.ping_part;
@@ -304,6 +345,7 @@
   if (frame.__isset.view_part) {
     return core::gateway_view{static_cast<uint64_t>(frame.view_part.digest)};
   }
+  if (frame.__isset.store_read_part) return FromWire(frame.store_read_part);
   if (frame.__isset.limit_part) return FromWire(frame.limit_part);
   if (frame.__isset.slot_request_part) return FromWire(frame.slot_request_part);
   if (frame.__isset.slot_reply_part) return FromWire(frame.slot_reply_part);
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -8,6 +8,7 @@
   3: string address
   4: list<string> known_addresses
   5: double capacity
+  6: string data_centre
 }
 
 struct link_ping {
@@ -128,6 +129,21 @@
   1: i64 digest
 }
 
+// The lists have one entry for each change.
+struct store_read {
+  1: i64 era
+  2: i64 from_version
+  3: i64 to_version
+  4: list<string> keys
+  5: list<string> entry_texts
+  6: list<i64> versions
+  7: list<bool> removals
+  8: i64 routes_version
+  9: i64 routes_era
+  10: bool routes_current
+  11: i64 read_at_us
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -147,4 +163,5 @@
   16: optional slot_request slot_request_part
   17: optional slot_reply slot_reply_part
   18: optional view view_part
+  19: optional store_read store_read_part
 }
