Replace a reader that cannot read, and slow down failed reads

Change: a reader that has told nothing for three periods, or knows that it cannot read, is replaced for 5 s (store_reader_choice). A gateway whose own reads fail follows the reader's: it does not remove targets on the word of others meanwhile, and if it has done so it needs an own read first. Failed reads are repeated after a pause that doubles up to the period of reads.

--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -35,6 +35,9 @@
 // A read that others tell of is at most this many periods old before a gateway
 // reads for itself: the next one is late, and one response may be lost still.
 constexpr double kRelayPatiencePeriods = 1.5;
+// Failed reads are repeated after a pause that doubles, up to the period of
+// reads: a store that turns gateways away gets no more calls than otherwise.
+constexpr uint32_t kMaxRetryDoublings = 6;
 // More changes at once are not passed on: the others read them from the store.
 constexpr size_t kMaxRelayedChanges = 256;
 // Lower bound for very short limits: the store, which serves a few hundred
@@ -113,6 +116,13 @@
   *timer = timers_.Schedule(delay, std::move(handler));
 }
 
+common::duration fleet_sync::RetryDelay(uint32_t failures,
+                                        common::duration max_delay) const {
+  const uint32_t doublings = std::min(failures, kMaxRetryDoublings);
+  return std::min(options_.retry_delay * (1 << doublings),
+                  std::max(max_delay, options_.retry_delay));
+}
+
 common::duration fleet_sync::PauseAfter(common::time_point last) const {
   return std::max(common::duration(0),
                   last + options_.retry_delay - clock_.Now());
@@ -180,12 +190,16 @@
   }
   if (result.status != row_store_status::kOk) {
     RecordFailure();
-    RestartTimer(&routes_timer_, options_.retry_delay,
-                 [this, full] { full ? ReadRoutes() : ReadRouteChanges(); });
+    const common::duration relayed = routes_relayed_until_ - clock_.Now();
+    const common::duration pause =
+        RetryDelay(route_failures_++, options_.targets_period);
+    RestartTimer(&routes_timer_, std::max(relayed, pause),
+                 [this, full] { full ? ReadRoutes() : FollowRoutes(); });
     return;
   }
   RecordSuccess();
   routes_current_at_ = clock_.Now();
+  route_failures_ = 0;
   for (const stored_row& row : result.rows) {
     if (row.key == codec_.locations().routes_key && !row.removed) {
       ApplyRoutes(row.value, "store", at.era);
@@ -276,11 +290,18 @@
     if (EntriesMayBeOutdated()) ExpectOutdatedEntries();
     if (full_read_pending_) HoldRemovals();
     RecordFailure();
-    RestartTimer(&targets_timer_, PauseAfter(sent),
+    if (ReliesOnReports()) ApplyReportedGone();
+    const common::duration relayed = targets_relayed_until_ - clock_.Now();
+    const common::duration pause =
+        RetryDelay(target_failures_++, options_.targets_period);
+    RestartTimer(&targets_timer_,
+                 std::max(relayed, sent + pause - clock_.Now()),
                  [this, full] { full ? ReadTargets() : ReadTargetChanges(); });
     return;
   }
   RecordSuccess();
+  target_failures_ = 0;
+  removed_on_reports_ = false;
   RecordTargetsRead(sent);
   if (RemovalsHeld()) {
     ApplyReportedGone();
@@ -342,9 +363,9 @@
   const bool follows = read.from == targets_read_to_ ||
                        (!(targets_read_to_ < read.from) &&
                         last_content_change_ <= read.from.version);
-  // While its own reads fail, a gateway removes targets that others call gone:
-  // it needs to see each heartbeat afterwards.
-  if (!Undisturbed() || store_failing_ || read.from.era != era_ ||
+  // A target that was removed because others call it gone comes back with its
+  // next heartbeat, which only an own read shows.
+  if (!Undisturbed() || removed_on_reports_ || read.from.era != era_ ||
       read.to.era != era_ || read.to < targets_read_to_ ||
       as_of <= targets_current_at_ || !follows) {
     common::Metrics().Count("wisteria_relayed_reads_ignored_total");
@@ -464,10 +485,16 @@
       reported_gone_.push_back({each, clock_.Now()});
     }
   }
-  if (store_failing_ || RemovalsHeld()) ApplyReportedGone();
+  if (ReliesOnReports()) ApplyReportedGone();
+}
+
+bool fleet_sync::ReliesOnReports() const {
+  return RemovalsHeld() ||
+         (store_failing_ && targets_relayed_until_ <= clock_.Now());
 }
 
 void fleet_sync::ApplyReportedGone() {
+  if (!reported_gone_.empty()) removed_on_reports_ = true;
   for (const gone_target& each : std::exchange(reported_gone_, {})) {
     targets_.Remove(each.start);
   }
@@ -533,7 +560,7 @@
   common::Metrics().Count("wisteria_store_failures_total");
   if (store_failing_) return;
   store_failing_ = true;
-  ApplyReportedGone();
+  if (ReliesOnReports()) ApplyReportedGone();
   common::LogEvent(log_event::kDependencyLost, "", {{"dependency", "store"}});
 }
 
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -30,7 +30,7 @@
   /// A gateway that others tell what they read reads for itself once the latest
   /// read that it knows of is this old.
   common::duration relay_patience = std::chrono::milliseconds(900);
-  /// Delay before a failed read is repeated.
+  /// Delay before a failed read is repeated; it doubles with each failure.
   common::duration retry_delay = std::chrono::milliseconds(250);
   /// Entries may expire in an outage of the store from this length on.
   common::duration expiring_outage = std::chrono::milliseconds(2400);
@@ -165,6 +165,13 @@
   /// Ignores removals for a while, then reads all targets.
   void HoldRemovals();
   bool RemovalsHeld() const;
+  /// @return whether targets that others call gone are removed, as neither own
+  /// reads nor those of another gateway tell
+  bool ReliesOnReports() const;
+  /// @param failures in a row before
+  /// @return the pause before a failed read is repeated
+  common::duration RetryDelay(uint32_t failures,
+                              common::duration max_delay) const;
   void ApplyReportedGone();
   /// @param version of its row
   void ApplyEntry(const target_entry& entry, uint64_t version);
@@ -227,6 +234,12 @@
   /// When routes were read the last time, changes included.
   common::time_point routes_current_at_{};
   bool reading_routes_ = false;
+  /// Failures in a row.
+  uint32_t target_failures_ = 0;
+  uint32_t route_failures_ = 0;
+  /// Targets were removed because others called them gone, since the latest own
+  /// read.
+  bool removed_on_reports_ = false;
   bool applying_relayed_read_ = false;
   /// Reported since the latest successful read of targets.
   std::vector<gone_target> reported_gone_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -20,6 +20,9 @@
 // Shortest period at which the addresses of the other gateways are read from
 // the store.
 constexpr double kDiscoveryPeriodS = 5;
+// A reader of the store that has told nothing for so many periods of reads is
+// replaced.
+constexpr int kMaxReaderSilence = 3;
 // The period grows with the fleet, so that its calls do not: all gateways
 // together read as often as this many did.
 constexpr double kDiscoveringGateways = 8;
@@ -107,6 +110,11 @@
       common::milliseconds(settings.Integer(settings::kTargetsLeaveMs)),
       store_timeout,
       common::milliseconds(settings.Integer(settings::kTargetsHeartbeatMs)));
+  data_centre_ = settings.Text(settings::kDataCentre);
+  core::store_reader_choice_options reader_options;
+  reader_options.max_silence = kMaxReaderSilence * sync_options.targets_period;
+  store_reader_ = std::make_unique<core::store_reader_choice>(
+      reader_options, clock_, name_, data_centre_);
   fleet_sync_ = std::make_unique<core::fleet_sync>(
       sync_options, *store_, *codec_, routes_, targets_, clock_, *loop_);
   core::gateway_retry_budget_options budget_options;
@@ -119,7 +127,6 @@
   selector_ = std::make_unique<core::target_selector>(
       core::target_selector_options(), targets_, clock_, *random_,
       settings.Text(settings::kDataCentre));
-  data_centre_ = settings.Text(settings::kDataCentre);
   link_address_ = net::FormatEndpoint(*own);
   // Must differ after each restart, even with a fixed random seed.
   const uint64_t incarnation = common::SystemSeed() >> 1 | 1;
@@ -290,6 +297,7 @@
       [this](const std::string& gateway) { OnGatewayJoined(gateway); });
   links_->SetLostHandler([this](const std::string& gateway) {
     statement_clock_.Forget(gateway);
+    store_reader_->OnGatewayLost(gateway);
     routes_exchange_->OnGatewayLost(gateway);
     stage_router_->OnGatewayLost(gateway);
   });
@@ -431,18 +439,18 @@
 }
 
 bool gateway_process::ReadsForDataCentre() {
-  const std::string chosen =
-      core::ChooseStoreReader(links_->DataCentreCandidates(), data_centre_);
-  if (chosen != store_reader_) {
+  const std::string previous = store_reader_->reader();
+  const bool can_read = !fleet_sync_->store_failing();
+  if (store_reader_->Update(links_->DataCentreCandidates(), can_read)) {
     common::LogEvent(
         log_event::kStoreReaderChosen, "",
-        {{"gateway", chosen},
-         {"previous", store_reader_},
+        {{"gateway", store_reader_->reader()},
+         {"previous", previous},
          {"data_centre", data_centre_},
+         {"can_read", can_read},
          {"targets_age_ms", common::ToMillis(fleet_sync_->TargetsAge())}});
-    store_reader_ = chosen;
   }
-  return chosen == name_;
+  return store_reader_->is_reader();
 }
 
 void gateway_process::OnStoreRead(const core::store_read& read,
@@ -456,6 +464,7 @@
     const std::string& gateway, const core::store_read_message& message) {
   const common::time_point read_at = statement_clock_.WhenStated(
       gateway, common::time_point(message.read_at), clock_.Now());
+  store_reader_->OnRead(gateway);
   // The reader reads for itself, whatever another gateway takes itself for.
   if (ReadsForDataCentre()) return;
   fleet_sync_->ApplyRelayedRead(message.read, read_at);
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -81,7 +81,8 @@
   void OnStoreRead(const core::store_read& read, common::time_point read_at);
   void OnStoreReadMessage(const std::string& gateway,
                           const core::store_read_message& message);
-  /// @return whether this gateway reads the store for its data centre
+  /// Chooses the gateway that reads the store for this data centre again.
+  /// @return whether it is this one
   bool ReadsForDataCentre();
   void OnTargetLeaving(const core::fleet_target& target,
                        core::leaving_reason why);
@@ -136,8 +137,7 @@
   std::string name_;
   std::string link_address_;
   std::string data_centre_;
-  /// Of this data centre, as chosen last.
-  std::string store_reader_;
+  std::unique_ptr<core::store_reader_choice> store_reader_;
   core::statement_clock statement_clock_;
   /// When the addresses of the other gateways are read the next time.
   common::time_point next_discovery_{};
--- a/source/unit_tests/core/fleet/store_read_test.cc
+++ b/source/unit_tests/core/fleet/store_read_test.cc
@@ -176,3 +176,53 @@
   CHECK_EQUAL("large", core::ChooseStoreReader(candidates, "a"));
   CHECK_EQUAL("", core::ChooseStoreReader({}, "a"));
 }
+
+TEST(StoreReaderChoice, AReaderThatIsSilentIsReplacedForAWhile) {
+  fakes::virtual_time time;
+  const core::store_reader_choice_options options;
+  core::store_reader_choice choice(options, time, "own", "a");
+  const std::vector<core::owner_candidate> candidates = {
+      {"own", 0.1, false}, {"first", 1, false}, {"second", 0.5, false}};
+  CHECK(choice.Update(candidates, true));
+  const std::string first = choice.reader();
+  CHECK(!choice.is_reader());
+  for (int i = 0; i < 5; ++i) {
+    time.Advance(options.max_silence);
+    choice.OnRead(first);
+    CHECK(!choice.Update(candidates, true));
+  }
+  time.Advance(options.max_silence + milliseconds(1));
+  CHECK(choice.Update(candidates, true));
+  CHECK(choice.reader() != first);
+  choice.OnRead(choice.reader());
+  // It reads again, and may be chosen after the exclusion.
+  time.Advance(options.exclusion + milliseconds(1));
+  choice.OnRead(first);
+  CHECK(choice.Update(candidates, true));
+  CHECK_EQUAL(first, choice.reader());
+}
+
+TEST(StoreReaderChoice, AGatewayThatCannotReadIsNotTheReader) {
+  fakes::virtual_time time;
+  core::store_reader_choice choice({}, time, "own", "a");
+  const std::vector<core::owner_candidate> candidates = {{"own", 1, false},
+                                                         {"other", 0.1, false}};
+  choice.Update(candidates, true);
+  CHECK(choice.is_reader());
+  choice.Update(candidates, false);
+  CHECK_EQUAL("other", choice.reader());
+}
+
+// The store turns a gateway away and serves the others.
+TEST(StoreRead, AGatewayThatTheStoreTurnsAwayFollowsTheReader) {
+  fakes::store_reader& turned_away = *gateways[1];
+  turned_away.client.cut = true;
+  const uint64_t before = turned_away.client.calls;
+  Run(seconds(30));
+  CHECK(turned_away.client.calls - before < 10);
+  Write(1, "draining");
+  store.Set("servers", "new", "1 1 ready");
+  time.Advance(kLeavingLimit);
+  CHECK(!turned_away.Uses("t1"));
+  CHECK(turned_away.Uses("new"));
+}
