Estimate the throughput of a stage by the memory of its targets too

Requests were admitted that could not be served, did their first stages in vain and were refused late.

Change: result_memory keeps the smoothed product of a result's bytes and the time for which it occupied memory, from the start of its call to its release. The throughput of a target is the lesser of what its time and its memory allow.

The test replays a burst of large results; before, the estimate was seven times what the target made.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -141,8 +141,9 @@
   return produced;
 }
 
-void piece_queue::Free(std::span<const std::string> handles) {
-  memory_.Free(handles);
+void piece_queue::Free(std::span<const std::string> handles,
+                       common::time_point now) {
+  memory_.Free(handles, now);
 }
 
 size_t piece_queue::queued_pieces() const {
@@ -377,7 +378,8 @@
         i < results.size() ? results[i] : piece_result();
     std::optional<stage_job_outcome> outcome =
         result.end == piece_outcome::kCompleted
-            ? OnCompleted(ref, result.handle, batch.target->entry.id, now)
+            ? OnCompleted(ref, result.handle, batch.target->entry.id,
+                          now - took, now)
             : OnNotCompleted(ref, result.end);
     if (outcome) ended.push_back(std::move(*outcome));
   }
@@ -432,8 +434,9 @@
 
 std::optional<stage_job_outcome> piece_queue::OnCompleted(
     const piece_ref& ref, const std::string& handle,
-    const std::string& target_id, common::time_point now) {
-  memory_.Add(handle, target_id, ref.result_bytes, now);
+    const std::string& target_id, common::time_point since,
+    common::time_point now) {
+  memory_.Add(handle, target_id, ref.result_bytes, since, now);
   queued_job* queued = FindJob(ref.request_id, ref.stage);
   // The piece may belong to a call for an earlier job of the same stage, or to
   // an overdue call. Each piece counts once; a duplicate is released.
@@ -508,8 +511,9 @@
   double rate = 0;
   for (const std::shared_ptr<fleet_target>& each : targets) {
     if (!each->Usable(now) || each->slowness > max_slowness) continue;
-    rate += static_cast<double>(spec_.slots) * spec_.max_pieces /
-            (full_seconds * std::max(1.0, each->slowness));
+    const double by_time = static_cast<double>(spec_.slots) * spec_.max_pieces /
+                           (full_seconds * std::max(1.0, each->slowness));
+    rate += std::min(by_time, memory_.ResultsPerSecond(each->entry.id));
   }
   return rate;
 }
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -122,7 +122,7 @@
   /// @return handles of the results that were already produced for it
   std::vector<std::string> Cancel(std::string_view request_id);
   /// Returns the capacity of results that their targets have released.
-  void Free(std::span<const std::string> handles);
+  void Free(std::span<const std::string> handles, common::time_point now);
 
   /// @return the next call to start now, if any; its pieces leave the queue
   std::optional<piece_batch> Next(const target_directory::pool& targets,
@@ -193,7 +193,8 @@
                                 common::time_point now) const;
   bool IsLate(const queued_job& queued, common::time_point now) const;
   /// @param max_slowness slower targets are not counted
-  /// @return throughput of the targets with full batches
+  /// @return throughput of the targets with full batches, as far as their
+  /// memory allows
   double PiecesPerSecond(const target_directory::pool& targets,
                          double max_slowness, common::time_point now) const;
   /// @param rate throughput of the targets, in pieces per second
@@ -217,10 +218,12 @@
   /// @param queued may be null
   /// @return whether the job still lacks the result of a piece
   static bool NeedsPiece(const queued_job* queued, uint32_t piece);
+  /// @param since start of the call
   /// @return the outcome of the job if it ended, or a surplus result to release
   std::optional<stage_job_outcome> OnCompleted(const piece_ref& ref,
                                                const std::string& handle,
                                                const std::string& target_id,
+                                               common::time_point since,
                                                common::time_point now);
   /// @return the outcome of the job if it failed for good
   std::optional<stage_job_outcome> OnNotCompleted(const piece_ref& ref,
--- a/source/core/stages/result_memory.cc
+++ b/source/core/stages/result_memory.cc
@@ -1,6 +1,7 @@
 #include "core/stages/result_memory.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace wisteriadale::core {
 namespace {
@@ -10,6 +11,9 @@
 constexpr double kMinTrustedShare = 0.5;
 constexpr double kTrustedShareDecrease = 0.9;
 constexpr double kTrustedShareIncrease = 0.01;
+// Weight of the newest result in the smoothed use of memory: it averages over
+// some fifty results, which a busy stage makes in less than a second.
+constexpr double kUseWeight = 0.02;
 // A queue without a call for so long may have had another owner meanwhile:
 // calls take a few hundred milliseconds.
 constexpr common::duration kIdleTime = std::chrono::seconds(1);
@@ -18,14 +22,34 @@
 
 uint64_t result_memory::Left(const std::string& target) const {
   const auto found = targets_.find(target);
-  if (found == targets_.end()) return spec_.result_capacity_bytes;
-  const uint64_t capacity =
-      static_cast<uint64_t>(static_cast<double>(spec_.result_capacity_bytes) *
-                            found->second.trusted_share);
-  const uint64_t reserved = found->second.reserved;
+  const uint64_t reserved =
+      found == targets_.end() ? 0 : found->second.reserved;
+  const uint64_t capacity = static_cast<uint64_t>(Trusted(target));
   return capacity > reserved ? capacity - reserved : 0;
 }
 
+double result_memory::Trusted(const std::string& target) const {
+  const auto found = targets_.find(target);
+  const double share =
+      found == targets_.end() ? 1.0 : found->second.trusted_share;
+  return static_cast<double>(spec_.result_capacity_bytes) * share;
+}
+
+double result_memory::ResultsPerSecond(const std::string& target) const {
+  if (byte_seconds_ <= 0) return std::numeric_limits<double>::infinity();
+  return Trusted(target) / byte_seconds_;
+}
+
+void result_memory::RecordUse(const stored_result& result,
+                              common::time_point until) {
+  const double use =
+      static_cast<double>(result.bytes) *
+      std::chrono::duration<double>(until - result.since).count();
+  byte_seconds_ = byte_seconds_ <= 0
+                      ? use
+                      : byte_seconds_ + kUseWeight * (use - byte_seconds_);
+}
+
 void result_memory::OnCallStart(const std::string& target, uint64_t bytes,
                                 common::time_point now) {
   // Another owner may have had the queue while this one was idle.
@@ -53,15 +77,18 @@
 }
 
 void result_memory::Add(const std::string& handle, const std::string& target,
-                        uint64_t bytes, common::time_point now) {
-  results_[handle] = {target, bytes, now + spec_.result_lifetime};
+                        uint64_t bytes, common::time_point since,
+                        common::time_point now) {
+  results_[handle] = {target, bytes, since, now + spec_.result_lifetime};
   targets_[target].reserved += bytes;
 }
 
-void result_memory::Free(std::span<const std::string> handles) {
+void result_memory::Free(std::span<const std::string> handles,
+                         common::time_point now) {
   for (const std::string& handle : handles) {
     const auto found = results_.find(handle);
     if (found == results_.end()) continue;
+    RecordUse(found->second, now);
     Return(found->second.target, found->second.bytes);
     results_.erase(found);
   }
@@ -73,6 +100,7 @@
       ++entry;
       continue;
     }
+    RecordUse(entry->second, now);
     Return(entry->second.target, entry->second.bytes);
     entry = results_.erase(entry);
   }
--- a/source/core/stages/result_memory.h
+++ b/source/core/stages/result_memory.h
@@ -41,10 +41,16 @@
   void OnCallEnd(const std::string& target, const call_memory_use& use,
                  common::time_point now);
   /// Records a result, which occupies memory until it is freed or expires.
+  /// @param since start of its call, from which on it occupies memory
+  /// @param now   end of its call
   void Add(const std::string& handle, const std::string& target, uint64_t bytes,
-           common::time_point now);
+           common::time_point since, common::time_point now);
   /// Returns the memory of results that their targets have released.
-  void Free(std::span<const std::string> handles);
+  void Free(std::span<const std::string> handles, common::time_point now);
+  /// @param target id of a target
+  /// @return results that the target's memory has room for in a second, by the
+  /// time that results occupied it lately; infinite if none was observed
+  double ResultsPerSecond(const std::string& target) const;
   /// Forgets results that have expired at their targets.
   void DropExpired(common::time_point now);
 
@@ -53,6 +59,7 @@
   struct stored_result {
     std::string target;
     uint64_t bytes = 0;
+    common::time_point since;
     common::time_point expires;
   };
   /// What is known of a target.
@@ -63,10 +70,17 @@
   };
 
   void Return(const std::string& target, uint64_t bytes);
+  /// @return bytes that a target can be trusted with
+  double Trusted(const std::string& target) const;
+  /// Records for how long a result occupied memory.
+  void RecordUse(const stored_result& result, common::time_point until);
 
   batch_spec spec_;
   std::unordered_map<std::string, target_memory> targets_;  ///< by id
   std::unordered_map<std::string, stored_result> results_;  ///< by handle
+  /// Smoothed product of a result's bytes and the seconds for which it occupied
+  /// memory; 0: none was observed.
+  double byte_seconds_ = 0;
   /// Since when this is the owner of the queue, as its calls show. Results of
   /// an owner before may have been at the targets then.
   common::time_point owner_since_{};
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -319,7 +319,7 @@
   releases_.erase(found);
   core::piece_queue* queue = FindOrCreateQueue(call->service());
   if (queue == nullptr) return;
-  queue->Free(call->handles());
+  queue->Free(call->handles(), clock_.Now());
   Dispatch(call->service(), queue);
 }
 
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -174,7 +174,7 @@
   queue.Add(large, kStart);
   CHECK(!queue.Next(targets, kStart).has_value());
   const std::vector<std::string> released = {"h/0"};
-  queue.Free(released);
+  queue.Free(released, kStart);
   CHECK(queue.Next(targets, kStart).has_value());
 }
 
@@ -445,3 +445,46 @@
   }
   CHECK(queue.Load(targets, now).call_time == milliseconds(140));
 }
+
+// A replay of a burst of jobs with large results, which their requests need for
+// a while: the memory of the targets is their bound, not their time.
+TEST(PieceQueue, TheThroughputIsWhatTheMemoryAllows) {
+  constexpr uint64_t kLargeResultBytes = 250;
+  constexpr common::duration kCallTime = milliseconds(140);
+  constexpr common::duration kNeededFor = milliseconds(860);
+  constexpr int kCalls = 60;
+  std::vector<std::pair<common::time_point, std::vector<std::string>>> needed;
+  common::time_point now = kStart;
+  size_t completed = 0;
+  for (int job = 0; job < kCalls; ++job) {
+    core::stage_job added = InTimeJob("r" + std::to_string(job), now);
+    added.result_bytes = kLargeResultBytes;
+    queue.Add(added, now);
+  }
+  const common::time_point end = kStart + std::chrono::seconds(20);
+  while (now < end) {
+    std::erase_if(needed, [&](const auto& each) {
+      if (each.first > now) return false;
+      queue.Free(each.second, now);
+      return true;
+    });
+    const std::optional<core::piece_batch> batch = queue.Next(targets, now);
+    if (!batch) {
+      now += milliseconds(10);
+      continue;
+    }
+    now += kCallTime;
+    const std::vector<core::piece_result> results =
+        Completed(*batch, "t1/" + std::to_string(completed));
+    std::vector<std::string> handles;
+    for (const core::piece_result& each : results) {
+      handles.push_back(each.handle);
+    }
+    completed += results.size();
+    needed.emplace_back(now + kNeededFor, handles);
+    queue.OnCallEnd(*batch, results, kCallTime, now);
+  }
+  // Four results of 250 bytes fit, each for a second; by time it would be 28.
+  const double actual = static_cast<double>(completed) / 20;
+  DOUBLES_EQUAL(actual, queue.Load(targets, now).pieces_per_s, 0.2 * actual);
+}
--- a/source/unit_tests/core/stages/result_memory_test.cc
+++ b/source/unit_tests/core/stages/result_memory_test.cc
@@ -38,11 +38,11 @@
 };
 
 TEST(ResultMemory, ResultsOccupyMemoryUntilTheyAreFreedOrExpire) {
-  memory.Add("h1", "t", 1000, now);
-  memory.Add("h2", "t", 500, now);
+  memory.Add("h1", "t", 1000, now, now);
+  memory.Add("h2", "t", 500, now, now);
   CHECK_EQUAL(kCapacityBytes - 1500, memory.Left("t"));
   const std::vector<std::string> freed = {"h1", "unknown"};
-  memory.Free(freed);
+  memory.Free(freed, now);
   CHECK_EQUAL(kCapacityBytes - 500, memory.Left("t"));
   memory.DropExpired(now + kLifetime);
   CHECK_EQUAL(kCapacityBytes, memory.Left("t"));
@@ -74,3 +74,15 @@
   Call(true);
   CHECK_EQUAL(kCapacityBytes, memory.Left("t"));
 }
+
+TEST(ResultMemory, RoomForResultsFollowsTheTimeForWhichTheyAreNeeded) {
+  CHECK(memory.ResultsPerSecond("t") > 1e9);
+  for (int i = 0; i < 300; ++i) {
+    const std::vector<std::string> handle = {"h" + std::to_string(i)};
+    memory.Add(handle.front(), "t", kCapacityBytes / 10, now,
+               now + milliseconds(300));
+    memory.Free(handle, now + milliseconds(500));
+  }
+  // Ten fit, each for half a second.
+  DOUBLES_EQUAL(20, memory.ResultsPerSecond("t"), 0.1);
+}
