--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -477,6 +477,7 @@
     const std::vector<core::piece_result> results =
         Completed(*batch, "t1/" + std::to_string(completed));
     std::vector<std::string> handles;
+    handles.reserve(results.size());
     for (const core::piece_result& each : results) {
       handles.push_back(each.handle);
     }
