--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -36,8 +36,6 @@
 constexpr double kMillisPerSecond = 1000;
 // Longer than any route's timeout; larger values would overflow a duration.
 constexpr double kMaxDeadlineSeconds = 1e6;
-// The balancer sends a caller that returns to another process.
-constexpr common::duration kStoppingRetryAfter = std::chrono::milliseconds(100);
 // Minimum Retry-After: routes are read within half a second of a start.
 constexpr common::duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
 
@@ -137,25 +135,6 @@
   return true;
 }
 
-bool forward_request::RejectedByStop(const core::stop_decision& decision) {
-  if (decision.may_start) return false;
-  common::Metrics().Count("wisteria_requests_refused_by_stop_total");
-  common::LogEvent(log_event::kRefused, request_id_,
-                   {{"route", route_->name},
-                    {"reason", "the process stops"},
-                    {"expected_ms", common::ToMillis(decision.expected)},
-                    {"left_ms", common::ToMillis(decision.left)},
-                    {"attempts", int64_t{attempts_}},
-                    {"may_have_run", may_have_run_}});
-  if (may_have_run_) {
-    RespondUnknownOutcome("the process stops");
-  } else {
-    Respond({503, "Service Unavailable", "the process stops"},
-            kStoppingRetryAfter);
-  }
-  return true;
-}
-
 bool forward_request::FindOrganisation() {
   if (route_->is_public || !route_table_->needs_keys()) return true;
   const net::message_head& head = exchange_->head();
@@ -505,24 +484,6 @@
                     : attempt_outcome::kLost);
 }
 
-void forward_request::UpdateTargetHealth(attempt_outcome outcome) {
-  const common::time_point now = deps_.clock.Now();
-  switch (outcome) {
-    case attempt_outcome::kNotRun:
-      deps_.ejection.OnOverloaded(target_.get(), now);
-      break;
-    case attempt_outcome::kUnconfirmed:
-      break;
-    case attempt_outcome::kFailed:
-      if (response_head_.status >= 500) {
-        deps_.ejection.OnTargetFailure(target_.get(), now);
-      }
-      break;
-    default:
-      deps_.ejection.OnLost(target_.get(), now);
-  }
-}
-
 void forward_request::ReleaseTarget() {
   if (!target_) return;
   target_->in_flight -= 1;
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -1,15 +1,18 @@
 #include <algorithm>
 
 #include "common/event_log.h"
+#include "common/metrics.h"
 #include "gateway/forward_headers.h"
 #include "gateway/forward_request.h"
 
-// Requests to targets that take only some, or none for a time.
+// Requests to targets that take only some, or none for a time, and requests to
+// a gateway that stops.
 
 namespace wisteriadale::gateway {
 namespace {
 
 using common::log_event;
+using core::attempt_outcome;
 
 // Each wait asks the owner of one target's slots. What owners denied is known
 // for the next request, so that more waits hardly find a slot.
@@ -18,6 +21,8 @@
 // few milliseconds.
 constexpr common::duration kMinSlotDelay = std::chrono::milliseconds(100);
 
+// The balancer sends a caller that returns to another process.
+constexpr common::duration kStoppingRetryAfter = std::chrono::milliseconds(100);
 // Minimum Retry-After: by then an overloaded target has finished a few
 // requests.
 constexpr common::duration kRefusedRetryAfter = std::chrono::milliseconds(200);
@@ -37,6 +42,24 @@
   deps_.limits.OnResponse(target_->entry, observation, request_id_);
 }
 
+void forward_request::UpdateTargetHealth(attempt_outcome outcome) {
+  const common::time_point now = deps_.clock.Now();
+  switch (outcome) {
+    case attempt_outcome::kNotRun:
+      deps_.ejection.OnOverloaded(target_.get(), now);
+      break;
+    case attempt_outcome::kUnconfirmed:
+      break;
+    case attempt_outcome::kFailed:
+      if (response_head_.status >= 500) {
+        deps_.ejection.OnTargetFailure(target_.get(), now);
+      }
+      break;
+    default:
+      deps_.ejection.OnLost(target_.get(), now);
+  }
+}
+
 common::duration forward_request::MaxSlotDelay() const {
   const common::duration to_objective = objective_ - deps_.clock.Now();
   return std::min(std::max(to_objective, kMinSlotDelay), RemainingTime());
@@ -88,6 +111,25 @@
   return deps_.admission.RetryAfter(min_delay, deadline_ - now);
 }
 
+bool forward_request::RejectedByStop(const core::stop_decision& decision) {
+  if (decision.may_start) return false;
+  common::Metrics().Count("wisteria_requests_refused_by_stop_total");
+  common::LogEvent(log_event::kRefused, request_id_,
+                   {{"route", route_->name},
+                    {"reason", "the process stops"},
+                    {"expected_ms", common::ToMillis(decision.expected)},
+                    {"left_ms", common::ToMillis(decision.left)},
+                    {"attempts", int64_t{attempts_}},
+                    {"may_have_run", may_have_run_}});
+  if (may_have_run_) {
+    RespondUnknownOutcome("the process stops");
+  } else {
+    Respond({503, "Service Unavailable", "the process stops"},
+            kStoppingRetryAfter);
+  }
+  return true;
+}
+
 void forward_request::RespondNoTarget() {
   if (relaying_) {
     exchange_->Abort();
