Review case 4: a request whose piece crashes its stage's workers is never refused

Cause: pieces of a lost call go on to the next worker and are not told to crash_suspects, which knows only a request's own attempts.

--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -548,6 +549,10 @@
     born_ = WallMs();
     server_ = std::make_unique<http_server>(
         port_, [this](stream& peer, const message& request) {
+          if (dark_) {
+            WaitWhileDark();
+            return false;
+          }
           const std::string expected =
               request.Find("X-Wisteriadale-Expect-Instance");
           if (!expected.empty() && expected != id()) {
@@ -576,11 +581,29 @@
     back_at_ = NowMs() + back_after_ms;
     server_->Crash();
   }
+  /// The process stops at once and says nothing more, while its connections
+  /// stay open (it writes its memory to disk, say); then it ends, and is back
+  /// after a time. Returns after it has ended.
+  void GoDark(int64_t silent_ms, int64_t back_after_ms) {
+    if (dark_.exchange(true)) {
+      WaitWhileDark();
+      return;
+    }
+    Record().Line("worker %s (%s) goes dark", id().c_str(), service_.c_str());
+    SleepMs(silent_ms);
+    CrashFor(back_after_ms);
+    dark_ = false;
+  }
+  bool dark() const { return dark_; }
+  void WaitWhileDark() {
+    while (dark_ && !stopping_) SleepMs(5);
+  }
   std::string id() {
     std::lock_guard<std::mutex> lock(mutex_);
     return id_;
   }
   bool down() const { return down_; }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   const std::string& service() const { return service_; }
 
  private:
@@ -619,15 +642,13 @@
         StartAgain();
         continue;
       }
-      if (NowMs() - last_beat_ >= kHeartbeatMs) Beat();
+      if (!dark_ && NowMs() - last_beat_ >= kHeartbeatMs) Beat();
     }
   }
   void StartAgain() {
-    const std::string next = id();
     Start();
     Record().Line("worker %s (%s) is back", id().c_str(), service_.c_str());
     down_ = false;
-    (void)next;
   }
 
   store& platform_;
@@ -643,6 +664,7 @@
   std::thread heart_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> down_{false};
+  std::atomic<bool> dark_{false};
   bool closed_ = false;
   std::atomic<int64_t> crashed_at_{0}, back_at_{0}, last_beat_{0};
   std::vector<std::pair<std::string, int64_t>> expiring_;
@@ -691,6 +713,8 @@
     ended_ = false;
     const pid_t child = fork();
     if (child == 0) {
+      // It ends with this process, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = open((folder_ + "/" + name_ + ".log").c_str(),
                            O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
