--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -63,7 +63,7 @@
 /// The record of a run: what was sent, answered and run.
 class recorder {
  public:
-  void Open(const std::string& path) { file_ = std::fopen(path.c_str(), "w"); }
+  void Open(const std::string& path) { file_ = std::fopen(path.c_str(), "a"); }
   void Line(const char* format, ...) __attribute__((format(printf, 2, 3))) {
     std::lock_guard<std::mutex> lock(mutex_);
     if (file_ == nullptr) return;
@@ -887,27 +887,24 @@
 /// What a script's main function gets.
 struct setting {
   bool trouble = true;
-  std::string folder;     ///< of the case
-  std::string temporary;  ///< for settings and logs
+  std::string temporary;  ///< folder for settings and logs; run.sh removes it
 };
 
-/// Runs a case: prepares, limits its time, ends what it started.
-/// @param run returns 0: the rule held, 1: it was broken, 2: could not run
+/// Runs a case: limits its time, and ends the processes that it started.
+/// @param argv the record's path, and a temporary folder
+/// @param run  returns 0: the rule held, 1: it was broken, 2: could not run
 inline int RunCase(int argc, char** argv, const std::function<int(const setting&)>& run) {
-  if (argc < 2) return 2;
+  if (argc != 3) return 2;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with run.sh
   signal(SIGPIPE, SIG_IGN);
   setting given;
-  given.folder = argv[1];
   const char* trouble = std::getenv("TROUBLE");
   given.trouble = trouble == nullptr || std::string(trouble) != "0";
-  char name[] = "/tmp/review.XXXXXX";
-  if (mkdtemp(name) == nullptr) return 2;
-  given.temporary = name;
-  Record().Open(given.folder + "/record.txt");
-  Record().Line("TROUBLE=%d", given.trouble ? 1 : 0);
+  given.temporary = argv[2];
+  Record().Open(argv[1]);
   std::thread([] {
     SleepMs(112000);
-    Record().Line("the script takes too long");
+    Record().Line("could not run: the script takes too long");
     for (const pid_t child : Children()) kill(child, SIGKILL);
     _exit(2);
   }).detach();
@@ -916,10 +913,6 @@
     kill(child, SIGKILL);
     waitpid(child, nullptr, 0);
   }
-  if (std::getenv("KEEP_LOGS") == nullptr) {
-    const std::string remove = "rm -rf '" + given.temporary + "'";
-    if (std::system(remove.c_str()) != 0) return 2;
-  }
   Record().Line("exit code %d: %s", result,
                 result == 0 ? "the rule held" : result == 1 ? "the rule was broken" : "could not run");
   std::printf("%s\n", result == 0 ? "held" : result == 1 ? "broken" : "could not run");
