Log what a peer lacks when its connection ends

A connection that ended within a response left no trace: the exchange was already logged as answered, and only the expired drain limit had a line. The event bytes_undelivered and two metrics tell the peer, the direction, the reason (reset, timed out, closed by the peer, aborted, drain limit, stop), the bytes that are unsent here and unacknowledged in the kernel (SIOCOUTQ), and the time since the kernel last took any.

--- a/source/net/socket_bytes.cc
+++ b/source/net/socket_bytes.cc
@@ -1,6 +1,7 @@
 #include "net/socket_bytes.h"
 
 #include <libwebsockets.h>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <openssl/err.h>
@@ -42,6 +43,12 @@
   return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+size_t UnacknowledgedBytes(int fd) {
+  int bytes = 0;
+  if (ioctl(fd, SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<size_t>(bytes);
+}
+
 std::optional<size_t> WriteToSocket(lws* wsi, std::string_view data) {
   SSL* tls = lws_get_ssl(wsi);
   if (tls != nullptr) return WriteToTls(tls, data);
--- a/source/net/socket_bytes.h
+++ b/source/net/socket_bytes.h
@@ -17,6 +17,11 @@
 /// @return whether the peer has closed its side and all its bytes were read
 bool PeerHasClosed(int fd);
 
+/// @param fd a TCP socket
+/// @return number of bytes that the kernel holds because the peer has not
+/// acknowledged them; 0 if the kernel does not tell
+size_t UnacknowledgedBytes(int fd);
+
 /// Writes to a connection without the send buffer of libwebsockets.
 /// @param wsi  an open connection, with or without TLS
 /// @param data not empty
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -14,10 +14,12 @@
 #include <unordered_map>
 #include <utility>
 
+#include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/log.h"
 #include "common/metrics.h"
 #include "net/lws_protocols.h"
+#include "net/socket_bytes.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -115,6 +117,20 @@
   return wsi;
 }
 
+// Why a connection ended, in logs and metrics.
+constexpr std::string_view kEndedByPeer = "closed by the peer";
+constexpr std::string_view kEndedByReset = "reset";
+constexpr std::string_view kEndedByTimeout = "timed out";
+constexpr std::string_view kAborted = "aborted";
+constexpr std::string_view kDrainExpired = "drain limit";
+constexpr std::string_view kEndedByStop = "stop";
+
+std::string_view ReasonOf(int error) {
+  return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH
+             ? kEndedByTimeout
+             : kEndedByReset;
+}
+
 void CloseAsync(lws* wsi) {
   lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
 }
@@ -126,7 +142,11 @@
       public std::enable_shared_from_this<connection> {
  public:
   connection(event_loop& loop, int fd, bool connecting, std::string peer)
-      : loop_(loop), fd_(fd), connecting_(connecting), peer_(std::move(peer)) {}
+      : loop_(loop),
+        fd_(fd),
+        connecting_(connecting),
+        dialled_(connecting),
+        peer_(std::move(peer)) {}
 
   bool Register() {
     wsi_ = Adopt(loop_, fd_, shared_from_this());
@@ -138,6 +158,13 @@
   void SetHandler(tcp_handler* handler) { handler_ = handler; }
   size_t PendingBytes() const { return outgoing_.size() - sent_; }
   const std::string& peer() const { return peer_; }
+  owed_bytes Owed() const {
+    if (wsi_ == nullptr || connecting_) return {PendingBytes(), 0};
+    const size_t unacknowledged = UnacknowledgedBytes(fd_);
+    // The end of this side counts as a byte.
+    const size_t end = shut_down_ && unacknowledged > 0 ? 1 : 0;
+    return {PendingBytes(), unacknowledged - end};
+  }
   bool PeerClosed() const {
     if (wsi_ == nullptr || ended_) return true;
     char next = 0;
@@ -156,10 +183,16 @@
     if (wsi_ == nullptr || ended_) return;
     if (outgoing_.empty() && !connecting_) {
       const ssize_t written = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
-      if (written > 0) data.remove_prefix(static_cast<size_t>(written));
+      if (written > 0) {
+        data.remove_prefix(static_cast<size_t>(written));
+        OnProgress();
+      }
       // A failed write is reported as the end of the connection at the next
       // poll.
-      if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK) data = {};
+      if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+        write_error_ = errno;
+        data = {};
+      }
       if (data.empty()) return;
     }
     outgoing_.append(data);
@@ -196,6 +229,7 @@
   void Abort() {
     handler_ = nullptr;
     if (wsi_ == nullptr || ended_) return;
+    ReportUndelivered(kAborted);
     ended_ = true;
     SetReset(fd_, true);
     CloseAsync(wsi_);
@@ -221,7 +255,11 @@
       }
       if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
       if (received < 0 && errno == EINTR) continue;
-      End(received == 0 ? stream_end::kClosed : stream_end::kReset);
+      if (received == 0) {
+        End(stream_end::kClosed, kEndedByPeer);
+      } else {
+        End(stream_end::kReset, ReasonOf(errno));
+      }
       return false;
     }
     return true;
@@ -235,13 +273,14 @@
       if (written < 0) {
         if (errno == EINTR) continue;
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
-          End(stream_end::kReset);
+          End(stream_end::kReset, ReasonOf(errno));
           return false;
         }
         lws_callback_on_writable(wsi_);
         return true;
       }
       sent_ += static_cast<size_t>(written);
+      OnProgress();
     }
     const bool drained = sent_ > 0;
     outgoing_.clear();
@@ -253,8 +292,12 @@
   }
 
   void OnClosed() override {
+    if (!ended_) {
+      ReportUndelivered(close_reason_.empty() ? ReasonOfClose()
+                                              : close_reason_);
+    }
     wsi_ = nullptr;
-    End(stream_end::kReset);
+    End(stream_end::kReset, kEndedByStop);
   }
 
  private:
@@ -263,7 +306,7 @@
     socklen_t size = sizeof(error);
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-      End(stream_end::kReset);
+      End(stream_end::kReset, ReasonOf(error));
       return false;
     }
     connecting_ = false;
@@ -274,6 +317,7 @@
   void ShutDown() {
     SetReset(fd_, false);
     shutdown(fd_, SHUT_WR);
+    shut_down_ = true;
     CloseAfter(kLingerLimit);
   }
 
@@ -282,18 +326,43 @@
     loop_.Schedule(delay, [self] {
       const std::shared_ptr<connection> kept = self.lock();
       if (!kept || kept->wsi_ == nullptr) return;
-      if (kept->PendingBytes() > 0) {
-        common::Log(common::log_channel::kNet, common::log_level::kInfo,
-                    "closed a connection to " + kept->peer_ +
-                        " that reads too slowly, with " +
-                        std::to_string(kept->PendingBytes()) + " bytes unsent");
-      }
+      kept->close_reason_ = kDrainExpired;
       CloseAsync(kept->wsi_);
     });
   }
 
-  void End(stream_end how) {
+  /// @return why the kernel or the loop closed the connection
+  std::string_view ReasonOfClose() const {
+    int error = write_error_;
+    socklen_t size = sizeof(error);
+    if (error == 0) getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error == 0 ? kEndedByStop : ReasonOf(error);
+  }
+
+  void OnProgress() { last_progress_ = clock_.Now(); }
+
+  /// Logs and counts what the peer will not get, as the connection ends.
+  void ReportUndelivered(std::string_view why) const {
+    const owed_bytes owed = Owed();
+    if (owed.total() == 0) return;
+    common::Metrics().Count("wisteria_connections_undelivered_total",
+                            {{"why", why}});
+    common::Metrics().Count("wisteria_bytes_undelivered_total", {{"why", why}},
+                            owed.total());
+    common::LogEvent(
+        common::log_event::kBytesUndelivered, "",
+        {{"peer", peer_},
+         {"direction", dialled_ ? "to a server" : "to a caller"},
+         {"why", why},
+         {"bytes_unsent", static_cast<int64_t>(owed.unsent)},
+         {"bytes_unacknowledged", static_cast<int64_t>(owed.unacknowledged)},
+         {"last_progress_ms",
+          common::ToMillis(clock_.Now() - last_progress_)}});
+  }
+
+  void End(stream_end how, std::string_view why) {
     if (ended_) return;
+    if (wsi_ != nullptr) ReportUndelivered(why);
     ended_ = true;
     tcp_handler* handler = std::exchange(handler_, nullptr);
     if (handler != nullptr) handler->OnEnd(how);
@@ -304,13 +373,20 @@
   lws* wsi_ = nullptr;
   tcp_handler* handler_ = nullptr;
   bool connecting_;
+  bool dialled_;
   bool reading_ = true;
   bool released_ = false;
+  bool shut_down_ = false;
   bool reset_on_close_ = false;
   bool ended_ = false;
   std::string peer_;
   std::string outgoing_;
-  size_t sent_ = 0;  ///< number of bytes of outgoing_ already sent
+  size_t sent_ = 0;      ///< number of bytes of outgoing_ already sent
+  int write_error_ = 0;  ///< of the last direct write
+  std::string_view close_reason_;  ///< set before this side closes
+  common::system_clock clock_;
+  /// When bytes were last handed to the kernel.
+  common::time_point last_progress_ = clock_.Now();
 };
 
 tcp_stream::tcp_stream(std::shared_ptr<connection> registered)
@@ -323,6 +399,7 @@
 }
 void tcp_stream::Write(std::string_view data) { connection_->Write(data); }
 size_t tcp_stream::PendingBytes() const { return connection_->PendingBytes(); }
+owed_bytes tcp_stream::Owed() const { return connection_->Owed(); }
 void tcp_stream::PauseReading() { connection_->SetReading(false); }
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -17,6 +17,13 @@
   kReset,   ///< reset, failed or timed out; data may be missing
 };
 
+/// Bytes of a connection that its peer does not have, as far as is known.
+struct owed_bytes {
+  size_t unsent = 0;          ///< held by this process
+  size_t unacknowledged = 0;  ///< held by the kernel
+  size_t total() const { return unsent + unacknowledged; }
+};
+
 /// Receives the events of a connection, on the loop's thread. No event follows
 /// OnEnd.
 class tcp_handler {
@@ -47,6 +54,9 @@
   void Write(std::string_view data);
   /// @return number of bytes written but not yet handed to the kernel
   size_t PendingBytes() const;
+  /// Asks the kernel.
+  /// @return the bytes that the peer has not acknowledged
+  owed_bytes Owed() const;
   /// Stops reading; TCP flow control then stops the peer.
   void PauseReading();
   void ResumeReading();
