Show memory, descriptors and connections of the gateway

Neither metrics nor logs of a gateway told how much memory it holds, how many descriptors are open and how many connections it serves, so that a process that was ended for its memory, or could not accept, could not be told from others (hypotheses 1 and 4 of docs/incidents/processes-that-end.md).

/metrics gains wisteria_resident_bytes, wisteria_open_descriptors, wisteria_descriptor_limit and wisteria_connections. The event process_usage is logged when one of them is half as high again as in the last line, and at the stop. A file that /proc does not offer is left out.

--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -50,6 +50,7 @@
 // with a single loss, from each gateway, would fill its link; without them it
 // allows one more loss.
 constexpr uint32_t kMinPassedCrashes = 2;
+constexpr common::duration kUsageCheckPeriod = std::chrono::seconds(1);
 constexpr common::duration kStopCheckPeriod = std::chrono::milliseconds(100);
 // Time for the last responses to leave before the event loop stops.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(50);
@@ -390,6 +391,7 @@
   loop_->Schedule(kInitialDiscoveryDelay, [this] { DiscoverGateways(); });
   common::LogEvent(log_event::kStarted, "",
                    {{"port", int64_t{caller_server_->port()}}});
+  CheckUsage();
   loop_->Run();
   common::LogEvent(
       log_event::kStopped, "",
@@ -538,6 +540,19 @@
   return !stopping_ && routes_.current() && fleet_sync_->targets_known();
 }
 
+common::process_usage gateway_process::ReadUsage() const {
+  common::process_usage usage = common::ReadProcessUsage();
+  usage.connections = static_cast<int64_t>(caller_server_->ConnectionCount() +
+                                           operator_server_->ConnectionCount());
+  return usage;
+}
+
+void gateway_process::CheckUsage() {
+  const common::process_usage usage = ReadUsage();
+  if (usage_growth_.Update(usage)) common::LogProcessUsage(usage, "grown");
+  loop_->Schedule(kUsageCheckPeriod, [this] { CheckUsage(); });
+}
+
 void gateway_process::HandleOperatorRequest(
     const std::shared_ptr<net::http1_exchange>& exchange) {
   const std::string& path = exchange->head().target;
@@ -554,6 +569,7 @@
     common::Metrics().Set(
         "wisteria_targets_age_ms",
         static_cast<double>(common::ToMillis(fleet_sync_->TargetsAge())));
+    common::SetUsageMetrics(ReadUsage());
     common::Metrics().Set("wisteria_link_bytes_pending",
                           static_cast<double>(links_->PendingBytes()));
     exchange->Send(200, "OK", headers, common::Metrics().PrometheusText());
@@ -581,6 +597,7 @@
                    if (result.status == core::row_store_status::kOk) return;
                    common::Metrics().Count("wisteria_own_rows_left_total");
                  });
+  common::LogProcessUsage(ReadUsage(), "stopping");
   StopWhenIdle();
 }
 
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "common/clock.h"
+#include "common/process_usage.h"
 #include "common/random.h"
 #include "core/admission/stage_admission.h"
 #include "core/admission/stop_admission.h"
@@ -101,6 +102,10 @@
   /// Checks periodically whether the process is idle, or the grace period over.
   void StopWhenIdle();
   bool Ready() const;
+  /// @return memory, descriptors and connections of the process
+  common::process_usage ReadUsage() const;
+  /// Logs the usage when it has grown notably, periodically.
+  void CheckUsage();
 
   common::system_clock clock_;
   std::unique_ptr<common::seeded_random> random_;
@@ -143,6 +148,7 @@
   common::time_point next_discovery_{};
   common::duration stop_timeout_{};  ///< grace period without the margin
   common::time_point stop_started_{};
+  common::usage_growth usage_growth_;
   bool writing_own_row_ = false;
   bool stopping_ = false;
   /// Requests that did not finish within the grace period.
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -98,6 +98,8 @@
   /// @return number of requests without a complete response, including those
   /// that are only partly read
   size_t ActiveRequests() const;
+  /// @return number of open connections
+  size_t ConnectionCount() const { return connections_.size(); }
   uint16_t port() const { return port_; }
 
   class connection;
