Take the gateway of a stage's job from the job, not from a table beside

What callers saw: nothing, until the process that owns a queue reached the memory of its VM after hours and was ended with all requests in it.

Cause: stage_dispatcher kept the gateway that had submitted each request by request id, and removed it only when the request was cancelled.

Why this fixes it: the job holds the name of its gateway, and the outcome carries it back. There is no second table that could be forgotten; the jobs of a lost gateway are found in the queues. Announcements without a job that follows expired only when a call was started, and now with each load report too. Gauges show what each queue holds.

Test: gateway_stages checks that the gauges return to 0; on the code before, with the gauge set from the table, it fails ("no job is kept").

--- a/scenarios/gateway_stages.lua
+++ b/scenarios/gateway_stages.lua
@@ -61,6 +61,17 @@
   return released >= 30
 end, 3000, "results are released")
 
+-- The queues keep nothing of requests that have ended.
+wait_until(function()
+  for _, gateway in ipairs(fleet.all) do
+    local text = http{port = gateway.operators, path = "/metrics"}.body
+    for value in text:gmatch("wisteria_stage_jobs{[^}]*} (%d+)") do
+      if value ~= "0" then return false end
+    end
+  end
+  return true
+end, 1000, "no job is kept")
+
 -- After a route's timeout is shortened, first requests are not mistaken for
 -- retries of callers that already waited, which would be admitted late.
 local function admitted_late()
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -141,6 +141,15 @@
   return produced;
 }
 
+std::set<std::string> piece_queue::RequestsFrom(
+    std::string_view gateway) const {
+  std::set<std::string> requests;
+  for (const std::unique_ptr<queued_job>& each : jobs_) {
+    if (each->job.origin == gateway) requests.insert(each->job.request_id);
+  }
+  return requests;
+}
+
 void piece_queue::Free(std::span<const std::string> handles,
                        common::time_point now) {
   memory_.Free(handles, now);
@@ -442,12 +451,16 @@
   // an overdue call. Each piece counts once; a duplicate is released.
   if (!NeedsPiece(queued, ref.piece)) {
     return stage_job_outcome{
-        ref.request_id, ref.stage, false, piece_outcome::kCompleted, {handle}};
+        ref.request_id, "", ref.stage, false, piece_outcome::kCompleted,
+        {handle}};
   }
   std::erase(queued->pending_pieces, ref.piece);
   queued->handles[ref.piece] = handle;
   if (++queued->completed_pieces < queued->job.pieces) return std::nullopt;
-  return stage_job_outcome{ref.request_id, ref.stage, true,
+  return stage_job_outcome{ref.request_id,
+                           queued->job.origin,
+                           ref.stage,
+                           true,
                            piece_outcome::kCompleted,
                            Remove(ref.request_id, ref.stage)};
 }
@@ -462,8 +475,9 @@
   const bool is_final = outcome == piece_outcome::kExpired ||
                         outcome == piece_outcome::kInputMissing;
   if (is_final || queued->failures > kMaxFailures) {
-    return stage_job_outcome{ref.request_id, ref.stage, false, outcome,
-                             Remove(ref.request_id, ref.stage)};
+    return stage_job_outcome{ref.request_id, queued->job.origin,
+                             ref.stage,      false,
+                             outcome,        Remove(ref.request_id, ref.stage)};
   }
   if (std::find(queued->pending_pieces.begin(), queued->pending_pieces.end(),
                 ref.piece) == queued->pending_pieces.end()) {
@@ -492,6 +506,7 @@
         static_cast<double>(each->pending_pieces.size());
     if (now + wait + min_call_time <= each->job.deadline) continue;
     ended.push_back({each->job.request_id,
+                     each->job.origin,
                      each->job.stage,
                      false,
                      piece_outcome::kExpired,
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,6 +23,7 @@
 /// All pieces of one stage of one request.
 struct stage_job {
   std::string request_id;
+  std::string origin;  ///< gateway that submitted it
   std::string service;
   std::string organisation;
   uint32_t stage = 0;
@@ -90,6 +92,7 @@
 /// Final result of a job, or of a duplicate of one of its pieces.
 struct stage_job_outcome {
   std::string request_id;
+  std::string origin;  ///< gateway that submitted the job; empty: no job ended
   uint32_t stage = 0;
   bool completed = false;
   piece_outcome failure = piece_outcome::kCompleted;
@@ -121,6 +124,8 @@
   /// Removes all jobs of a request.
   /// @return handles of the results that were already produced for it
   std::vector<std::string> Cancel(std::string_view request_id);
+  /// @return the requests whose jobs a gateway submitted
+  std::set<std::string> RequestsFrom(std::string_view gateway) const;
   /// Returns the capacity of results that their targets have released.
   void Free(std::span<const std::string> handles, common::time_point now);
 
@@ -150,8 +155,16 @@
   /// @return the load that gateways estimate the latency of a job from
   service_load Load(const target_directory::pool& targets,
                     common::time_point now) const;
+  /// Forgets expired results and announcements.
+  void DropExpired(common::time_point now);
   /// @return pieces that are in no call
   size_t queued_pieces() const;
+  /// @return jobs that have not ended
+  size_t jobs() const { return jobs_.size(); }
+  /// @return jobs that were announced and not yet queued
+  size_t announced_jobs() const { return upcoming_stages_.size(); }
+  /// @return results that are tracked until they are released or expire
+  size_t results() const { return memory_.size(); }
   /// @return calls in progress
   size_t calls() const { return calls_; }
 
@@ -232,8 +245,6 @@
   /// @return handles of the results that were already produced for it
   std::vector<std::string> Remove(std::string_view request_id, uint32_t stage);
   queued_job* FindJob(std::string_view request_id, uint32_t stage);
-  /// Forgets expired results and announcements.
-  void DropExpired(common::time_point now);
   /// @return estimated duration of a call with this many pieces
   common::duration CallTime(size_t pieces) const {
     return spec_.call_time + spec_.piece_time * static_cast<int64_t>(pieces);
--- a/source/core/stages/result_memory.h
+++ b/source/core/stages/result_memory.h
@@ -53,6 +53,8 @@
   double ResultsPerSecond(const std::string& target) const;
   /// Forgets results that have expired at their targets.
   void DropExpired(common::time_point now);
+  /// @return results that are tracked
+  size_t size() const { return results_.size(); }
 
  private:
   /// A result that occupies memory of its target.
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -249,9 +249,8 @@
   dispatcher_ = std::make_unique<stage_dispatcher>(
       *loop_, clock_, *client_, *codec_, routes_, targets_, *retry_budget_,
       *statements_, *limits_, *slots_,
-      [this](const std::string& gateway,
-             const core::stage_job_outcome& outcome) {
-        stage_router_->ReportOutcome(gateway, outcome);
+      [this](const core::stage_job_outcome& outcome) {
+        stage_router_->ReportOutcome(outcome);
       },
       [this](const std::string& service, const core::service_load& load) {
         latency_estimator_->UpdateLoad(service, load);
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -36,6 +36,18 @@
                                          core::piece_result{outcome, ""});
 }
 
+void SetQueueGauges(const std::string& service,
+                    const core::piece_queue& queue) {
+  common::metric_registry& metrics = common::Metrics();
+  metrics.Set("wisteria_stage_jobs", static_cast<double>(queue.jobs()),
+              {{"service", service}});
+  metrics.Set("wisteria_stage_jobs_announced",
+              static_cast<double>(queue.announced_jobs()),
+              {{"service", service}});
+  metrics.Set("wisteria_stage_results", static_cast<double>(queue.results()),
+              {{"service", service}});
+}
+
 }  // namespace
 
 /// One call that computes a batch of pieces on a target.
@@ -217,8 +229,7 @@
       .first->second.get();
 }
 
-void stage_dispatcher::Enqueue(const std::string& gateway,
-                               const core::stage_job& job) {
+void stage_dispatcher::Enqueue(const core::stage_job& job) {
   core::piece_queue* queue = FindOrCreateQueue(job.service);
   const bool too_large = job.pieces > core::kMaxPieces;
   if (queue == nullptr || too_large) {
@@ -229,12 +240,14 @@
          {"outcome",
           too_large ? "too many pieces" : "the service does not run stages"},
          {"pieces", int64_t{job.pieces}}});
-    on_outcome_(
-        gateway,
-        {job.request_id, job.stage, false, core::piece_outcome::kError, {}});
+    on_outcome_({job.request_id,
+                 job.origin,
+                 job.stage,
+                 false,
+                 core::piece_outcome::kError,
+                 {}});
     return;
   }
-  origin_gateways_[job.request_id] = gateway;
   retry_budget_.OnRequest(job.service);
   queue->Add(job, clock_.Now());
   Dispatch(job.service, queue);
@@ -248,6 +261,8 @@
 void stage_dispatcher::ReportLoads() {
   const common::time_point now = clock_.Now();
   for (const auto& [service, queue] : queues_) {
+    queue->DropExpired(now);
+    SetQueueGauges(service, *queue);
     const core::service_load load = queue->Load(targets_.Pool(service), now);
     if (load.ahead.back() == 0 && load.late_pieces == 0 &&
         queue->calls() == 0) {
@@ -259,7 +274,6 @@
 }
 
 void stage_dispatcher::Cancel(std::string_view request_id) {
-  origin_gateways_.erase(std::string(request_id));
   for (const auto& [service, queue] : queues_) {
     const std::vector<std::string> completed = queue->Cancel(request_id);
     if (!completed.empty()) Release(service, completed);
@@ -267,9 +281,9 @@
 }
 
 void stage_dispatcher::CancelAllFrom(std::string_view gateway) {
-  std::vector<std::string> requests;
-  for (const auto& [request, origin] : origin_gateways_) {
-    if (origin == gateway) requests.push_back(request);
+  std::set<std::string> requests;
+  for (const auto& [service, queue] : queues_) {
+    requests.merge(queue->RequestsFrom(gateway));
   }
   for (const std::string& request : requests) Cancel(request);
 }
@@ -441,15 +455,9 @@
     const std::string& service,
     const std::vector<core::stage_job_outcome>& outcomes) {
   for (const core::stage_job_outcome& outcome : outcomes) {
-    const auto origin = origin_gateways_.find(outcome.request_id);
-    const bool wanted = origin != origin_gateways_.end();
-    if (!outcome.completed || !wanted) Release(service, outcome.handles);
-    const bool is_duplicate =
-        !outcome.completed &&
-        outcome.failure == core::piece_outcome::kCompleted;
-    if (!wanted || is_duplicate) continue;
-    const std::string gateway = origin->second;
-    on_outcome_(gateway, outcome);
+    if (!outcome.completed) Release(service, outcome.handles);
+    const bool is_surplus_result = outcome.origin.empty();
+    if (!is_surplus_result) on_outcome_(outcome);
   }
 }
 
--- a/source/gateway/stage_dispatcher.h
+++ b/source/gateway/stage_dispatcher.h
@@ -27,9 +27,8 @@
 /// calls that they form to targets, and releases results.
 class stage_dispatcher {
  public:
-  /// Called with the outcome of a job, and the gateway that submitted it.
-  using outcome_handler = std::function<void(const std::string& gateway,
-                                             const core::stage_job_outcome&)>;
+  /// Called with the outcome of a job.
+  using outcome_handler = std::function<void(const core::stage_job_outcome&)>;
   /// Called periodically with the load of each queue that has any.
   using load_handler = std::function<void(const std::string& service,
                                           const core::service_load&)>;
@@ -48,8 +47,7 @@
   stage_dispatcher& operator=(const stage_dispatcher&) = delete;
 
   /// Queues a job. The outcome may be reported before this returns.
-  /// @param gateway that submitted it
-  void Enqueue(const std::string& gateway, const core::stage_job& job);
+  void Enqueue(const core::stage_job& job);
   /// Tells the queue of a job that will be submitted later.
   void Announce(const core::upcoming_stage& upcoming);
   /// Drops all jobs of a request and releases their results.
@@ -105,8 +103,6 @@
   outcome_handler on_outcome_;
   load_handler on_load_;
   std::map<std::string, std::unique_ptr<core::piece_queue>> queues_;
-  /// Gateway that submitted the jobs of a request, by request id.
-  std::unordered_map<std::string, std::string> origin_gateways_;
   std::unordered_map<stage_call*, std::unique_ptr<stage_call>> calls_;
   std::unordered_map<release_call*, std::unique_ptr<release_call>> releases_;
   std::map<result_location, std::vector<std::string>> pending_releases_;
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -32,9 +32,11 @@
   return message;
 }
 
-core::stage_job FromMessage(const core::stage_job_message& message,
+core::stage_job FromMessage(const std::string& gateway,
+                            const core::stage_job_message& message,
                             common::time_point now) {
   core::stage_job job;
+  job.origin = gateway;
   job.request_id = message.request_id;
   job.service = message.service;
   job.organisation = message.organisation;
@@ -67,6 +69,7 @@
   const std::pair<std::string, uint32_t> key(job.request_id, job.stage);
   pending_job& pending = pending_[key];
   pending = {job, "", std::move(on_outcome)};
+  pending.job.origin = name_;
   Send(&pending);
 }
 
@@ -97,7 +100,7 @@
     return;
   }
   pending->owner = name_;
-  dispatcher_->Enqueue(name_, job);
+  dispatcher_->Enqueue(job);
 }
 
 void stage_router::Cancel(const std::string& request_id) {
@@ -129,7 +132,7 @@
 
 void stage_router::OnJob(const std::string& gateway,
                          const core::stage_job_message& message) {
-  dispatcher_->Enqueue(gateway, FromMessage(message, clock_.Now()));
+  dispatcher_->Enqueue(FromMessage(gateway, message, clock_.Now()));
 }
 
 void stage_router::OnOutcome(const core::stage_outcome_message& message) {
@@ -161,8 +164,8 @@
   }
 }
 
-void stage_router::ReportOutcome(const std::string& gateway,
-                                 const core::stage_job_outcome& outcome) {
+void stage_router::ReportOutcome(const core::stage_job_outcome& outcome) {
+  const std::string& gateway = outcome.origin;
   core::stage_outcome_message message;
   message.request_id = outcome.request_id;
   message.stage = outcome.stage;
--- a/source/gateway/stage_router.h
+++ b/source/gateway/stage_router.h
@@ -55,8 +55,7 @@
   /// their next owner.
   void OnGatewayLost(const std::string& gateway);
   /// Sends the outcome of a job to the gateway that submitted it.
-  void ReportOutcome(const std::string& gateway,
-                     const core::stage_job_outcome& outcome);
+  void ReportOutcome(const core::stage_job_outcome& outcome);
 
  private:
   struct pending_job {
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -255,6 +255,45 @@
   CHECK_EQUAL(0, queue.queued_pieces());
 }
 
+// The owner of a queue kept an entry for each job that had completed, until its
+// memory reached the limit of its VM.
+TEST(PieceQueue, AMillionJobsLeaveNothingBehind) {
+  constexpr int kJobs = 1000000;
+  common::time_point now = kStart;
+  for (int i = 0; i < kJobs; ++i) {
+    now += milliseconds(10);
+    const std::string id = std::to_string(i);
+    core::stage_job job = InTimeJob(id, now);
+    job.origin = "g1";
+    job.pieces = 1;
+    queue.Announce({id, "", 0, 1, 0, job.objective});
+    queue.Announce({id, "", 1, 1, 0, now + milliseconds(500)});
+    queue.Add(job, now);
+    const core::piece_batch batch = Next(now);
+    const std::vector<core::stage_job_outcome> ended =
+        queue.OnCallEnd(batch, Completed(batch, id), milliseconds(9), now);
+    CHECK_EQUAL(1, ended.size());
+    CHECK_EQUAL("g1", ended[0].origin);
+    queue.Free(ended[0].handles, now);
+    CHECK(queue.announced_jobs() < 100);
+  }
+  queue.DropExpired(now + std::chrono::seconds(10));
+  CHECK_EQUAL(0, queue.jobs());
+  CHECK_EQUAL(0, queue.announced_jobs());
+  CHECK_EQUAL(0, queue.results());
+  CHECK_EQUAL(0, queue.calls());
+  CHECK(queue.RequestsFrom("g1").empty());
+}
+
+TEST(PieceQueue, JobsOfALostGatewayAreFoundByIt) {
+  for (const char* id : {"r1", "r2", "r3"}) {
+    core::stage_job job = Job(id, 1);
+    job.origin = id[1] == '2' ? "g2" : "g1";
+    queue.Add(job, kStart);
+  }
+  CHECK((queue.RequestsFrom("g1") == std::set<std::string>{"r1", "r3"}));
+}
+
 TEST(PieceQueue, JobsExpireWhenTheirDeadlineCannotBeMet) {
   core::stage_job job = Job("r1", 1);
   job.deadline = kStart + milliseconds(200);
