Write on after each event that fills the socket

OnWritable requested the next writable event inside that event's own callback. libwebsockets clears the request when the callback of a raw file descriptor returns, so that a connection that filled the socket twice in a row was never written to again; the same for bytes written from OnDrained. The next event is now requested from a timer of the loop, after the callback.

One readable event reads 256 KB at most, as a peer that sends faster than its bytes are handled kept the loop in one event; what arrived before a reset is still read. What has been sent is freed while the rest is still pending: it stayed until a connection had drained once. An error that a write has consumed is no longer taken for an orderly end.

--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -11,6 +11,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 
@@ -26,6 +27,9 @@
 
 constexpr size_t kReadBytes = size_t{32} * 1024;
 constexpr int kBacklog = 512;
+// Bytes that one readable event reads: a peer that sends faster than its bytes
+// are handled would keep the loop from everything else.
+constexpr size_t kMaxReadBytes = 8 * kReadBytes;
 // Limits after which unacknowledged bytes or unanswered keepalive probes end a
 // connection: shorter than the two seconds after which callers of a stream time
 // out.
@@ -190,7 +194,7 @@
       // A failed write is reported as the end of the connection at the next
       // poll.
       if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-        write_error_ = errno;
+        error_ = errno;
         data = {};
       }
       if (data.empty()) return;
@@ -242,28 +246,7 @@
     reset_on_close_ = reset;
   }
 
-  bool OnReadable() override {
-    static std::array<char, kReadBytes> buffer;
-    while (reading_ && !ended_) {
-      const ssize_t received = recv(fd_, buffer.data(), buffer.size(), 0);
-      if (received > 0) {
-        if (handler_ != nullptr) {
-          handler_->OnData({buffer.data(), static_cast<size_t>(received)});
-        }
-        if (static_cast<size_t>(received) < buffer.size()) break;
-        continue;
-      }
-      if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
-      if (received < 0 && errno == EINTR) continue;
-      if (received == 0) {
-        End(stream_end::kClosed, kEndedByPeer);
-      } else {
-        End(stream_end::kReset, ReasonOf(errno));
-      }
-      return false;
-    }
-    return true;
-  }
+  bool OnReadable() override { return ReadUpTo(kMaxReadBytes); }
 
   bool OnWritable() override {
     if (connecting_ && !FinishConnect()) return false;
@@ -276,18 +259,16 @@
           End(stream_end::kReset, ReasonOf(errno));
           return false;
         }
-        lws_callback_on_writable(wsi_);
-        return true;
+        break;
       }
       sent_ += static_cast<size_t>(written);
       OnProgress();
     }
-    const bool drained = sent_ > 0;
-    outgoing_.clear();
-    sent_ = 0;
-    if (outgoing_.capacity() > kReadBytes) outgoing_.shrink_to_fit();
-    if (released_) ShutDown();
+    const bool drained = sent_ > 0 && PendingBytes() == 0;
+    DiscardSent();
+    if (drained && released_) ShutDown();
     if (drained && handler_ != nullptr) handler_->OnDrained();
+    if (PendingBytes() > 0) RequestWritable();
     return true;
   }
 
@@ -297,10 +278,44 @@
                                               : close_reason_);
     }
     wsi_ = nullptr;
+    // What arrived before a reset is reported.
+    if (!ended_ && error_ != 0) {
+      ReadUpTo(std::numeric_limits<size_t>::max());
+    }
     End(stream_end::kReset, kEndedByStop);
   }
 
  private:
+  /// Reads what has arrived, up to about that many bytes.
+  /// @return false if the connection has ended
+  bool ReadUpTo(size_t max_bytes) {
+    static std::array<char, kReadBytes> buffer;
+    size_t total = 0;
+    while (reading_ && !ended_ && total < max_bytes) {
+      const ssize_t received = recv(fd_, buffer.data(), buffer.size(), 0);
+      if (received > 0) {
+        total += static_cast<size_t>(received);
+        if (handler_ != nullptr) {
+          handler_->OnData({buffer.data(), static_cast<size_t>(received)});
+        }
+        if (static_cast<size_t>(received) < buffer.size()) break;
+        continue;
+      }
+      if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+      if (received < 0 && errno == EINTR) continue;
+      // The kernel reports an error once; after that it says that the peer
+      // closed.
+      if (received < 0) error_ = errno;
+      if (error_ == 0) {
+        End(stream_end::kClosed, kEndedByPeer);
+      } else {
+        End(stream_end::kReset, ReasonOf(error_));
+      }
+      return false;
+    }
+    return true;
+  }
+
   bool FinishConnect() {
     int error = 0;
     socklen_t size = sizeof(error);
@@ -331,12 +346,29 @@
     });
   }
 
+  /// Frees what was sent, once that is at least half: a peer that is always a
+  /// little behind would let it grow for as long as the connection lasts.
+  void DiscardSent() {
+    if (sent_ < PendingBytes()) return;
+    outgoing_.erase(0, std::exchange(sent_, 0));
+    if (outgoing_.capacity() > kReadBytes) outgoing_.shrink_to_fit();
+  }
+
+  /// Requests the next writable event from the loop: libwebsockets drops a
+  /// request that is made within that event's own callback.
+  void RequestWritable() {
+    const std::weak_ptr<connection> self = weak_from_this();
+    loop_.Schedule(common::duration(0), [self] {
+      const std::shared_ptr<connection> kept = self.lock();
+      if (kept && kept->wsi_ != nullptr) lws_callback_on_writable(kept->wsi_);
+    });
+  }
+
   /// @return why the kernel or the loop closed the connection
-  std::string_view ReasonOfClose() const {
-    int error = write_error_;
-    socklen_t size = sizeof(error);
-    if (error == 0) getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
-    return error == 0 ? kEndedByStop : ReasonOf(error);
+  std::string_view ReasonOfClose() {
+    socklen_t size = sizeof(error_);
+    if (error_ == 0) getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error_, &size);
+    return error_ == 0 ? kEndedByStop : ReasonOf(error_);
   }
 
   void OnProgress() { last_progress_ = clock_.Now(); }
@@ -381,8 +413,8 @@
   bool ended_ = false;
   std::string peer_;
   std::string outgoing_;
-  size_t sent_ = 0;      ///< number of bytes of outgoing_ already sent
-  int write_error_ = 0;  ///< of the last direct write
+  size_t sent_ = 0;  ///< number of bytes of outgoing_ already sent
+  int error_ = 0;    ///< of the socket
   std::string_view close_reason_;  ///< set before this side closes
   common::system_clock clock_;
   /// When bytes were last handed to the kernel.
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -52,6 +52,22 @@
     if (accepted >= 0) close(accepted);
   }
 
+  /// Sets the receive buffer, which accepted connections inherit.
+  /// @param window_bytes its size
+  void SetWindow(int window_bytes) const {
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof(window_bytes));
+  }
+
+  /// Takes the next connection of a listener's backlog.
+  /// @return whether there was one
+  bool AcceptFrom(const raw_socket& listener) {
+    const int accepted = accept4(listener.fd_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (accepted < 0) return false;
+    close(fd_);
+    fd_ = accepted;
+    return true;
+  }
+
   /// @param window_bytes size of the receive buffer
   bool Connect(uint16_t port, int window_bytes = 4096) const {
     setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof(window_bytes));
--- a/source/unit_tests/net/tcp_stream_test.cc
+++ b/source/unit_tests/net/tcp_stream_test.cc
@@ -1,5 +1,7 @@
 #include "net/tcp_stream.h"
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -17,8 +19,12 @@
 class counting_handler final : public net::tcp_handler {
  public:
   void OnData(std::string_view data) override { received += data.size(); }
+  void OnDrained() override {
+    if (on_drained) on_drained();
+  }
   void OnEnd(net::stream_end) override { ended = true; }
 
+  std::function<void()> on_drained;
   size_t received = 0;
   bool ended = false;
 };
@@ -74,3 +80,73 @@
   CHECK(RunUntil([this] { return handler.ended; }));
   LONGS_EQUAL(before, Undelivered("closed by the peer"));
 }
+
+// An answer that filled the socket more than once was never finished.
+TEST(TcpStreamOwed, BytesAreOwedUntilThePeerAcknowledgesThem) {
+  constexpr size_t kBytes = size_t{8} << 20;
+  stream->Write(std::string(kBytes, 'x'));
+  const net::owed_bytes owed = stream->Owed();
+  CHECK(owed.unsent > 0);
+  CHECK(owed.unacknowledged > 0);
+  CHECK(owed.total() <= kBytes);
+  CHECK(RunUntil([&] {
+    caller->Read();
+    return stream->Owed().total() == 0;
+  }));
+}
+
+// Its own writable event is where a connection that drained is written again.
+TEST(TcpStreamOwed, BytesWrittenWhenTheConnectionDrainsAreSent) {
+  constexpr int kRounds = 4;
+  constexpr size_t kBytes = size_t{6} << 20;
+  int rounds = 1;
+  handler.on_drained = [&] {
+    if (rounds < kRounds) stream->Write(std::string(kBytes, 'x'));
+    ++rounds;
+  };
+  stream->Write(std::string(kBytes, 'x'));
+  CHECK(RunUntil([&] { return caller->Read().size() == kRounds * kBytes; }));
+}
+
+TEST(TcpStreamOwed, ABodyToASlowServerIsSentWhole) {
+  constexpr size_t kBytes = size_t{8} << 20;
+  const fakes::raw_socket backlog;
+  backlog.SetWindow(kWindowBytes);
+  counting_handler at_client;
+  const std::unique_ptr<net::tcp_stream> client =
+      net::tcp_stream::Dial(**loop, {"127.0.0.1", backlog.Listen()}, at_client);
+  CHECK(client != nullptr);
+  client->Write(std::string(kBytes, 'x'));
+  fakes::raw_socket server;
+  CHECK(server.AcceptFrom(backlog));
+  CHECK(RunUntil([&] { return server.Read().size() == kBytes; }));
+}
+
+// A peer that sends faster than it is read kept the loop in one event.
+TEST(TcpStreamOwed, OneReadableEventReadsABoundedAmount) {
+  constexpr size_t kBytes = size_t{8} << 20;
+  constexpr size_t kMaxTurnBytes = size_t{512} * 1024;
+  counting_handler at_client;
+  const std::unique_ptr<net::tcp_stream> client =
+      net::tcp_stream::Dial(**loop, {"127.0.0.1", listener->port()}, at_client);
+  CHECK(client != nullptr);
+  const net::tcp_stream* first = stream.get();
+  CHECK(RunUntil([&] { return stream.get() != first; }));
+  stream->PauseReading();
+  client->Write(std::string(kBytes, 'x'));
+  fakes::RunUntil(**loop, std::chrono::milliseconds(50), [] { return false; });
+  size_t largest = 0;
+  size_t turn_start = 0;
+  std::function<void()> count_turn = [&] {
+    largest = std::max(largest, handler.received - turn_start);
+    turn_start = handler.received;
+    if (handler.received < kBytes) {
+      (*loop)->Schedule(common::duration(0), count_turn);
+    }
+  };
+  count_turn();
+  stream->ResumeReading();
+  CHECK(RunUntil([&] { return handler.received == kBytes; }));
+  CHECK(largest > 0);
+  CHECK(largest <= kMaxTurnBytes);
+}
