Catch signals from the beginning of main on

Callers saw: a gateway that got SIGHUP or SIGTERM within its first moments was ended by the signal: it did not start, or did not end with code 0.

Cause: the handlers were installed in Run, after the settings were read and all components created; until then the signals had their default action. The limit on file size (SIGXFSZ) kept it throughout.

Why it works: SetUpProcess, the first call of main in each program, installs handlers that count, and ignores SIGPIPE and SIGXFSZ; the loop handles what was counted before its first turn. A process that is told to stop before it could be created ends with code 0.

--- a/source/agent/main.cc
+++ b/source/agent/main.cc
@@ -1,7 +1,4 @@
-#include <cstdio>
-
 #include "agent/agent_process.h"
-#include "common/last_error.h"
 #include "settings/agent_settings.h"
 #include "settings/process_setup.h"
 
@@ -14,11 +11,7 @@
   if (!start.settings) return start.exit_code;
   const std::optional<std::unique_ptr<agent::agent_process>> process =
       agent::agent_process::Create(*start.settings);
-  if (!process) {
-    std::fprintf(stderr, "wisteria-agent: %s\n",
-                 common::LastError().text.c_str());
-    return settings::kExitFailed;
-  }
+  if (!process) return settings::ExitCodeOfFailedStart("wisteria-agent");
   (*process)->Run();
   return settings::kExitOk;
 }
--- a/source/gateway/main.cc
+++ b/source/gateway/main.cc
@@ -1,6 +1,3 @@
-#include <cstdio>
-
-#include "common/last_error.h"
 #include "gateway/gateway_process.h"
 #include "platform/platform_codec.h"
 #include "settings/gateway_settings.h"
@@ -15,12 +12,7 @@
   if (!start.settings) return start.exit_code;
   const std::optional<std::unique_ptr<gateway::gateway_process>> process =
       gateway::gateway_process::Create(*start.settings);
-  if (!process) {
-    std::fprintf(stderr, "wisteria-gateway: %u %s\n",
-                 static_cast<unsigned>(common::LastError().code),
-                 common::LastError().text.c_str());
-    return settings::kExitFailed;
-  }
+  if (!process) return settings::ExitCodeOfFailedStart("wisteria-gateway");
   (*process)->Run([] {
     return settings::LoadSettings(settings::GatewaySettings(),
                                   platform::SettingsPathFromEnvironment());
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -12,6 +12,7 @@
 
 #include "common/last_error.h"
 #include "common/log.h"
+#include "common/process_signals.h"
 #include "net/lws_protocols.h"
 
 namespace wisteriadale::net {
@@ -38,18 +39,10 @@
   return false;
 }
 
-// The only state that the signal handlers may access.
-volatile std::sig_atomic_t stop_signals = 0;
-volatile std::sig_atomic_t reload_signals = 0;
+// Context of the loop that handles the signals of the process.
 lws_context* signal_context = nullptr;
 
-void HandleStopSignal(int) {
-  stop_signals = stop_signals + 1;
-  if (signal_context != nullptr) lws_cancel_service(signal_context);
-}
-
-void HandleReloadSignal(int) {
-  reload_signals = reload_signals + 1;
+void WakeSignalLoop() {
   if (signal_context != nullptr) lws_cancel_service(signal_context);
 }
 
@@ -172,7 +165,10 @@
 }
 
 event_loop::~event_loop() {
-  if (signal_context == context_) signal_context = nullptr;
+  if (signal_context == context_) {
+    common::SetSignalWaker(nullptr);
+    signal_context = nullptr;
+  }
   for (auto& [id, entry] : timers_) lws_sul_cancel(&entry->scheduled.sul);
   // Objects that an action captures may cancel timers when they are destroyed.
   std::unordered_map<common::timer_id, std::unique_ptr<timer>> dropped;
@@ -186,20 +182,24 @@
 }
 
 void event_loop::Run() {
-  int handled_signals = 0;
-  int handled_reloads = 0;
   stopping_ = false;
+  // Signals may have arrived before the loop could be woken.
+  HandleSignals();
   while (!stopping_) {
     loop_turns = loop_turns + 1;
     if (lws_service(context_, 0) < 0) break;
-    while (handled_signals < stop_signals) {
-      ++handled_signals;
-      if (on_stop_signal_) on_stop_signal_();
-    }
-    while (handled_reloads < reload_signals) {
-      ++handled_reloads;
-      if (on_reload_signal_) on_reload_signal_();
-    }
+    HandleSignals();
+  }
+}
+
+void event_loop::HandleSignals() {
+  while (handled_stops_ < common::StopSignalCount()) {
+    ++handled_stops_;
+    if (on_stop_signal_) on_stop_signal_();
+  }
+  while (handled_reloads_ < common::ReloadSignalCount()) {
+    ++handled_reloads_;
+    if (on_reload_signal_) on_reload_signal_();
   }
 }
 
@@ -210,20 +210,18 @@
 
 void event_loop::SetStopSignalHandler(std::function<void()> action) {
   on_stop_signal_ = std::move(action);
-  signal_context = context_;
-  struct sigaction handler {};
-  handler.sa_handler = HandleStopSignal;
-  sigaction(SIGTERM, &handler, nullptr);
-  sigaction(SIGINT, &handler, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  ReceiveSignals();
 }
 
 void event_loop::SetReloadSignalHandler(std::function<void()> action) {
   on_reload_signal_ = std::move(action);
+  ReceiveSignals();
+}
+
+void event_loop::ReceiveSignals() {
   signal_context = context_;
-  struct sigaction handler {};
-  handler.sa_handler = HandleReloadSignal;
-  sigaction(SIGHUP, &handler, nullptr);
+  common::SetSignalWaker(WakeSignalLoop);
+  common::CatchSignals();
 }
 
 common::timer_id event_loop::Schedule(common::duration delay,
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -46,8 +46,8 @@
   void Run();
   void Stop();
 
-  /// Sets the action that the loop runs for each SIGTERM or SIGINT. Also makes
-  /// the process ignore SIGPIPE.
+  /// Sets the action that the loop runs for each SIGTERM or SIGINT, also for
+  /// those that common::CatchSignals caught before. Calls it as well.
   void SetStopSignalHandler(std::function<void()> action);
   /// Sets the action that the loop runs for each SIGHUP, which would otherwise
   /// end the process.
@@ -77,12 +77,18 @@
   /// Starts or restarts a timer.
   void Arm(timer* armed, int64_t micros);
   void Fire(common::timer_id id);
+  /// Makes this loop the one that signals wake.
+  void ReceiveSignals();
+  /// Runs the actions for the signals that have arrived since the last call.
+  void HandleSignals();
 
   lws_context* context_ = nullptr;
   lws_vhost* client_vhost_ = nullptr;
   bool client_tls_ = false;
   common::duration dial_timeout_{};
   bool stopping_ = false;
+  int handled_stops_ = 0;
+  int handled_reloads_ = 0;
   common::timer_id next_timer_ = 1;
   std::unordered_map<common::timer_id, std::unique_ptr<timer>> timers_;
   std::function<void()> on_stop_signal_;
--- a/source/router/main.cc
+++ b/source/router/main.cc
@@ -1,6 +1,3 @@
-#include <cstdio>
-
-#include "common/last_error.h"
 #include "router/router_process.h"
 #include "settings/process_setup.h"
 #include "settings/router_settings.h"
@@ -14,11 +11,7 @@
   if (!start.settings) return start.exit_code;
   const std::optional<std::unique_ptr<router::router_process>> process =
       router::router_process::Create(*start.settings);
-  if (!process) {
-    std::fprintf(stderr, "wisteria-router: %s\n",
-                 common::LastError().text.c_str());
-    return settings::kExitFailed;
-  }
+  if (!process) return settings::ExitCodeOfFailedStart("wisteria-router");
   (*process)->Run();
   return settings::kExitOk;
 }
--- a/source/settings/process_setup.cc
+++ b/source/settings/process_setup.cc
@@ -8,6 +8,7 @@
 #include "common/invariant.h"
 #include "common/last_error.h"
 #include "common/log.h"
+#include "common/process_signals.h"
 #include "settings/command_line.h"
 #include "settings/common_settings.h"
 
@@ -49,6 +50,7 @@
 startup_result SetUpProcess(int* argc, char*** argv, const std::string& binary,
                             const std::string& about, setting_table table,
                             const std::string& default_path) {
+  common::CatchSignals();
   startup_result start;
   if (!ParseCommandLine(argc, argv, binary, about)) return start;
   if (FLAGS_print_settings) {
@@ -71,6 +73,13 @@
   return start;
 }
 
+int ExitCodeOfFailedStart(const std::string& binary) {
+  std::fprintf(stderr, "%s: %u %s\n", binary.c_str(),
+               static_cast<unsigned>(common::LastError().code),
+               common::LastError().text.c_str());
+  return common::StopSignalCount() > 0 ? kExitOk : kExitFailed;
+}
+
 std::optional<settings_document> LoadSettings(setting_table table,
                                               const std::string& default_path) {
   return settings_document::Load(
--- a/source/settings/process_setup.h
+++ b/source/settings/process_setup.h
@@ -17,7 +17,8 @@
   int exit_code = kExitOk;
 };
 
-/// Parses the command line, loads the settings and starts logging.
+/// Catches signals, parses the command line, loads the settings and starts
+/// logging. Called first, so that no signal ends the process from then on.
 /// @param binary name of the program
 /// @param about  one sentence for --help
 /// @param table  settings that the program accepts
@@ -26,6 +27,10 @@
                             const std::string& about, setting_table table,
                             const std::string& default_path = "");
 
+/// Reports LastError as the reason why a process could not be created.
+/// @return the exit code: kExitOk if the process has been told to stop
+int ExitCodeOfFailedStart(const std::string& binary);
+
 /// Reads the settings that the parsed command line names.
 /// @return the settings, or nothing with LastError naming every error
 std::optional<settings_document> LoadSettings(
