Never block on the output, whatever it is

Callers saw: nothing yet; found on the way. A process whose output is a socket or a terminal that nobody reads blocks in write, and all requests with it.

Cause: only pipes were made non-blocking. Sockets and terminals may take a part of a line, so the line after a cut one now begins anew.

--- a/source/common/log.cc
+++ b/source/common/log.cc
@@ -31,6 +31,7 @@
   log_options options;
   log_rate_limiter rate{kLinesPerSecond};
   uint64_t unwritten = 0;  ///< lines dropped because the output took no more
+  bool line_cut = false;   ///< the output took only a part of the last line
   std::array<log_level, kChannels> levels{};
   bool started = false;
 };
@@ -80,21 +81,26 @@
 class line_writer final : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
-    const std::string line = data->logMessage()->message() + "\n";
+    std::string line = data->logMessage()->message() + "\n";
+    if (State().line_cut) line.insert(0, "\n");
     const bool to_output = State().options.json;
     const int fd = to_output ? STDOUT_FILENO : STDERR_FILENO;
     // One call per line, so that a full pipe takes it whole or not at all.
-    if (write(fd, line.data(), line.size()) !=
-        static_cast<ssize_t>(line.size())) {
-      State().unwritten += 1;
+    const ssize_t written = write(fd, line.data(), line.size());
+    if (written == static_cast<ssize_t>(line.size())) {
+      State().line_cut = false;
+      return;
     }
+    State().unwritten += 1;
+    State().line_cut = State().line_cut ? written != 1 : written > 0;
   }
 };
 
-void SetPipesNonBlocking() {
+/// Makes writes to pipes, sockets and terminals fail when nobody reads them.
+void SetOutputNonBlocking() {
   for (const int fd : {STDOUT_FILENO, STDERR_FILENO}) {
     struct stat about {};
-    if (fstat(fd, &about) != 0 || !S_ISFIFO(about.st_mode)) continue;
+    if (fstat(fd, &about) != 0 || S_ISREG(about.st_mode)) continue;
     fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
   }
 }
@@ -118,7 +124,7 @@
   }
   el::Loggers::reconfigureAllLoggers(configuration);
   if (to_file) return;
-  SetPipesNonBlocking();
+  SetOutputNonBlocking();
   el::Helpers::installLogDispatchCallback<line_writer>("line_writer");
 }
 
--- a/source/common/log.h
+++ b/source/common/log.h
@@ -52,8 +52,9 @@
 std::string BeginJsonLine(std::string_view event);
 /// Appends a text as a quoted and escaped JSON string.
 void AppendJsonString(std::string_view text, std::string* to);
-/// Writes one whole line without blocking on the reader: when a pipe is full,
-/// the line is dropped, and the next one reports how many were.
+/// Writes one line without blocking on the reader: when a pipe, socket or
+/// terminal is full, the line is dropped, and the next one reports how many
+/// were.
 void WriteLogLine(std::string_view line);
 
 /// @return the channel's name as used in settings
