Wait for a limited time until an address to listen on is free

Callers saw: a gateway does not start (exit code 1, 7004) while another process has one of its ports for a moment, such as an outgoing connection that got it as its local port, or a predecessor that is about to end.

Cause: each listener tried once. Now all three try again for 2 s while the error is one that goes away by itself, and log it (listen_failed); a stop signal ends the wait. libwebsockets binds by itself after the check, so that a port taken in between is checked once more.

Before, scenario gateway_signals_at_start failed: 'a gateway waits for its callers port'. Measured after: it passes (10.8 s) for the ports of callers, operators and gateways, as do gateway_start_and_stop (a port that stays taken still ends the start with code 1 within 3 s) and tls. Not tested: the port taken between the check and the bind of libwebsockets.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -43,6 +43,7 @@
   kGatewayLost,
   kOwnerChanged,
   kSpeedChanged,  ///< this process became short of CPU time, or recovered
+  kListenFailed,  ///< an address to listen on is taken
   kProcessUsage,  ///< memory, descriptors and connections of this process
   kLoopStalled,   ///< the event loop did not run its timers for a long time
   kRouted,        ///< a request was admitted to a service
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr size_t kMaxHeaderBytes = 2048;
+// A second one if another process takes the port after it was found free.
+constexpr int kListenTries = 2;
 constexpr size_t kWriteBytes = size_t{16} * 1024;
 constexpr size_t kMaxHeaderValueBytes = 1024;
 constexpr common::duration kDisconnectCheckPeriod =
@@ -540,9 +542,6 @@
 std::optional<std::unique_ptr<http_server>> http_server::Create(
     event_loop& loop, const options& chosen, http_handler on_request,
     channel_acceptor on_channel) {
-  // libwebsockets waits for an address that this VM does not have, without
-  // reporting it.
-  if (!CanListen({chosen.address, chosen.port})) return std::nullopt;
   std::unique_ptr<http_server> server(new http_server());
   server->loop_ = &loop;
   server->limits_ = chosen;
@@ -569,7 +568,12 @@
       info.options |= LWS_SERVER_OPTION_REQUIRE_VALID_OPENSSL_CLIENT_CERT;
     }
   }
-  server->vhost_ = lws_create_vhost(loop.context(), &info);
+  for (int i = 0; i < kListenTries && server->vhost_ == nullptr; ++i) {
+    // libwebsockets waits for an address that this VM does not have, without
+    // reporting it, and does not try again if another process has the port.
+    if (!CanListen({chosen.address, chosen.port})) return std::nullopt;
+    server->vhost_ = lws_create_vhost(loop.context(), &info);
+  }
   if (server->vhost_ == nullptr) {
     common::SetLastError(
         common::result_code::kBadSettings,
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -17,6 +17,7 @@
 #include "common/last_error.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "net/listen_retry.h"
 #include "net/lws_protocols.h"
 
 namespace wisteriadale::net {
@@ -68,8 +69,9 @@
   return what + " " + FormatEndpoint(where) + ": " + std::strerror(errno);
 }
 
-/// @return a listening socket, or -1 with LastError set to kCannotListen
-int OpenListener(const endpoint& at) {
+/// @return a listening socket, or -1 with errno set and LastError set to
+/// kCannotListen
+int TryToListen(const endpoint& at) {
   sockaddr_in address{};
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
                           IPPROTO_TCP);
@@ -82,10 +84,22 @@
   }
   common::SetLastError(common::result_code::kCannotListen,
                        ErrorText("cannot listen on", at));
+  const int error = errno;
   if (fd >= 0) ::close(fd);
+  errno = error;
   return -1;
 }
 
+/// Waits for a limited time until the address is free.
+/// @return a listening socket, or -1 with LastError set to kCannotListen
+int OpenListener(const endpoint& at) {
+  listen_retry retry(at);
+  for (;;) {
+    const int fd = TryToListen(at);
+    if (fd >= 0 || !retry.Wait(errno)) return fd;
+  }
+}
+
 /// Receives the events that libwebsockets reports for one descriptor.
 class pollable {
  public:
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -74,7 +74,7 @@
 };
 
 /// Checks an address by listening on it briefly, for callers whose library does
-/// not report that it cannot listen.
+/// not report that it cannot listen. Waits for a limited time until it is free.
 /// @return whether the address and port can be listened on, else with
 /// LastError set to kCannotListen
 bool CanListen(const endpoint& at);
