--- a/scenarios/lib/helpers.lua
+++ b/scenarios/lib/helpers.lua
@@ -52,9 +52,11 @@
 local process = {}
 process.__index = process
 
---- Starts a program. Settings are named by JSON pointer.
-function start(binary, settings)
-  return setmetatable({id = runner.spawn(binary, settings)}, process)
+--- Starts a program. Settings are named by JSON pointer. max_files, if given,
+--- is its limit of open descriptors.
+function start(binary, settings, max_files)
+  return setmetatable({id = runner.spawn(binary, settings, max_files or 0)},
+                      process)
 end
 
 function process:kill() runner.signal(self.id, "KILL") end
@@ -121,6 +123,12 @@
 end
 --- Closes the connections that are open now.
 function relay_methods:cut() runner.relay_do(self.id, "cut") end
+--- Resets the connections that are open now.
+function relay_methods:reset() runner.relay_do(self.id, "reset") end
+--- Limits each direction of each connection; 0 removes the limit.
+function relay_methods:pace(bytes_per_s)
+  runner.relay_do(self.id, "pace", bytes_per_s)
+end
 --- Closes new connections at once, until accept is called.
 function relay_methods:refuse() runner.relay_do(self.id, "refuse") end
 function relay_methods:accept() runner.relay_do(self.id, "admit") end
@@ -132,13 +140,48 @@
 local socket = {}
 socket.__index = socket
 
+local function wrap_socket(id)
+  return setmetatable({id = id, received = "", closed = false, reset = false},
+                      socket)
+end
+
 --- Opens a TCP connection, for raw bytes that an HTTP client would not send.
-function connect(port)
-  return setmetatable({id = runner.socket_open(port), received = "",
-                       closed = false, reset = false}, socket)
+--- Options: receive_buffer and max_segment, in bytes.
+function connect(port, options)
+  options = options or {}
+  return wrap_socket(runner.socket_open(port, options.receive_buffer,
+                                        options.max_segment))
+end
+
+local acceptor = {}
+acceptor.__index = acceptor
+
+--- Listens on a port, for a peer that the scenario plays itself.
+function listen(port)
+  return setmetatable({id = runner.listen(port)}, acceptor)
+end
+--- Returns the next connection, or nil while there is none.
+function acceptor:accept()
+  local id = runner.accept(self.id)
+  return id and wrap_socket(id)
 end
+function acceptor:close() runner.unlisten(self.id) end
 
 function socket:send(bytes) return runner.socket_send(self.id, bytes) end
+--- Sends what the connection takes without waiting, from an offset in bytes.
+--- Returns the number of bytes, or nil when the connection failed.
+function socket:send_some(bytes, offset)
+  return runner.socket_send_some(self.id, bytes, offset or 0)
+end
+--- Reads up to limit bytes without blocking, and does not keep them.
+function socket:read_some(limit)
+  if self.closed then return "" end
+  local bytes
+  bytes, self.closed, self.reset = runner.socket_read(self.id, limit)
+  return bytes
+end
+--- Closes the connection with a reset.
+function socket:abort() runner.socket_reset(self.id) end
 function socket:shutdown() runner.socket_shutdown(self.id) end
 function socket:close() runner.socket_close(self.id) end
 
--- a/source/unit_tests/scenario/child_process.cc
+++ b/source/unit_tests/scenario/child_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -19,11 +20,16 @@
 /// Replaces the forked child by the command; exits with kExecFailed when that
 /// fails.
 [[noreturn]] void Execute(const std::vector<std::string>& command,
-                          const std::string& log_file, pid_t runner) {
+                          const std::string& log_file,
+                          const process_limits& limits, pid_t runner) {
   // Kills the child when the runner is killed. The check of the parent covers a
   // runner that died before the call.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (getppid() != runner) _exit(kExecFailed);
+  const rlimit files = {limits.max_files, limits.max_files};
+  if (limits.max_files > 0 && setrlimit(RLIMIT_NOFILE, &files) != 0) {
+    _exit(kExecFailed);
+  }
   const int log = open(log_file.c_str(),
                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kLogMode);
   if (log < 0) _exit(kExecFailed);
@@ -43,12 +49,12 @@
 
 std::optional<std::unique_ptr<child_process>> child_process::Start(
     const std::string& program, const std::vector<std::string>& arguments,
-    const std::string& log_file) {
+    const std::string& log_file, const process_limits& limits) {
   std::vector<std::string> command = {program};
   command.insert(command.end(), arguments.begin(), arguments.end());
   const pid_t runner = getpid();
   const pid_t pid = fork();
-  if (pid == 0) Execute(command, log_file, runner);
+  if (pid == 0) Execute(command, log_file, limits, runner);
   if (pid < 0) {
     common::SetLastError(common::result_code::kInternal, "fork failed");
     return std::nullopt;
--- a/source/unit_tests/scenario/child_process.h
+++ b/source/unit_tests/scenario/child_process.h
@@ -11,6 +11,11 @@
 /// Runner of Lua scenarios against the processes of the product.
 namespace wisteriadale::scenario {
 
+/// Limits of a child process; 0 leaves the runner's own.
+struct process_limits {
+  uint64_t max_files = 0;  ///< open descriptors
+};
+
 /// A child process of the system under test. It is killed when its object is
 /// destroyed and when the runner dies.
 class child_process {
@@ -18,10 +23,11 @@
   /// @param program   path of the binary
   /// @param arguments without the program's name
   /// @param log_file  receives standard output and standard error, appended
+  /// @param limits    apply from the start of the program
   /// @return the process, or nothing with LastError set
   static std::optional<std::unique_ptr<child_process>> Start(
       const std::string& program, const std::vector<std::string>& arguments,
-      const std::string& log_file);
+      const std::string& log_file, const process_limits& limits = {});
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <limits>
 
 #include "common/digest.h"
 #include "common/last_error.h"
@@ -54,7 +55,7 @@
   return settings;
 }
 
-// spawn(binary, settings by JSON pointer) -> process
+// spawn(binary, settings by JSON pointer, max_files=0) -> process
 int Spawn(lua_State* state) {
   scenario_state& scenario = Scenario(state);
   const std::string binary = StringArgument(state, 1);
@@ -64,9 +65,9 @@
                            settings.value("name", binary);
   const std::string settings_file = base + ".json";
   std::ofstream(settings_file) << settings.dump(2) << "\n";
-  std::optional<std::unique_ptr<child_process>> child =
-      child_process::Start(scenario.binaries + "/" + binary,
-                           {"--settings=" + settings_file}, base + ".log");
+  std::optional<std::unique_ptr<child_process>> child = child_process::Start(
+      scenario.binaries + "/" + binary, {"--settings=" + settings_file},
+      base + ".log", {static_cast<uint64_t>(luaL_optinteger(state, 3, 0))});
   if (!child) return RaiseLastReason(state);
   scenario.children.push_back(std::move(*child));
   return PushHandle(state, scenario.children.size());
@@ -196,7 +197,7 @@
   return PushHandle(state, scenario.relays.size());
 }
 
-// relay_do(relay, action)
+// relay_do(relay, action, bytes per second for "pace")
 int RelayDo(lua_State* state) {
   const std::string action = StringArgument(state, 2);
   tcp_relay& relay = *ObjectArgument(state, Scenario(state).relays);
@@ -204,6 +205,10 @@
   if (action == "silence_to_server") relay.Silence(relay_direction::kToServer);
   if (action == "silence_to_client") relay.Silence(relay_direction::kToClient);
   if (action == "cut") relay.Cut();
+  if (action == "reset") relay.Reset();
+  if (action == "pace") {
+    relay.Pace(static_cast<size_t>(luaL_checkinteger(state, 3)));
+  }
   if (action == "refuse") relay.Refuse(true);
   if (action == "admit") relay.Refuse(false);
   return 0;
@@ -215,11 +220,15 @@
                     ObjectArgument(state, Scenario(state).relays)->accepted());
 }
 
-// socket_open(port) -> socket
+// socket_open(port, receive buffer, segment size) -> socket
 int SocketOpen(lua_State* state) {
   scenario_state& scenario = Scenario(state);
-  std::optional<std::unique_ptr<tcp_socket>> opened =
-      tcp_socket::Connect(static_cast<uint16_t>(luaL_checkinteger(state, 1)));
+  tcp_socket_options options;
+  options.receive_buffer_bytes =
+      static_cast<int>(luaL_optinteger(state, 2, options.receive_buffer_bytes));
+  options.max_segment_bytes = static_cast<int>(luaL_optinteger(state, 3, 0));
+  std::optional<std::unique_ptr<tcp_socket>> opened = tcp_socket::Connect(
+      static_cast<uint16_t>(luaL_checkinteger(state, 1)), options);
   if (!opened) return RaiseLastReason(state);
   scenario.sockets.push_back(std::move(*opened));
   return PushHandle(state, scenario.sockets.size());
@@ -233,12 +242,29 @@
   return 1;
 }
 
-// socket_read(socket) -> bytes, closed, reset
+// socket_send_some(socket, bytes, offset) -> bytes sent without waiting, or nil
+// when the connection failed
+int SocketSendSome(lua_State* state) {
+  size_t length = 0;
+  const char* data = luaL_checklstring(state, 2, &length);
+  const std::string_view rest =
+      std::string_view(data, length)
+          .substr(static_cast<size_t>(luaL_checkinteger(state, 3)));
+  const std::optional<size_t> sent =
+      ObjectArgument(state, Scenario(state).sockets)->SendSome(rest);
+  if (!sent) return 0;
+  lua_pushinteger(state, static_cast<lua_Integer>(*sent));
+  return 1;
+}
+
+// socket_read(socket, limit in bytes) -> bytes, closed, reset
 int SocketRead(lua_State* state) {
   bool closed = false;
   bool reset = false;
-  const std::string data =
-      ObjectArgument(state, Scenario(state).sockets)->Read(&closed, &reset);
+  const size_t limit = static_cast<size_t>(
+      luaL_optinteger(state, 2, std::numeric_limits<lua_Integer>::max()));
+  const std::string data = ObjectArgument(state, Scenario(state).sockets)
+                               ->Read(limit, &closed, &reset);
   lua_pushlstring(state, data.data(), data.size());
   lua_pushboolean(state, closed ? 1 : 0);
   lua_pushboolean(state, reset ? 1 : 0);
@@ -257,6 +283,41 @@
   return 0;
 }
 
+// socket_reset(socket)
+int SocketReset(lua_State* state) {
+  std::unique_ptr<tcp_socket>& socket =
+      ObjectArgument(state, Scenario(state).sockets);
+  socket->ResetOnClose();
+  socket.reset();
+  return 0;
+}
+
+// listen(port) -> acceptor
+int ListenOn(lua_State* state) {
+  scenario_state& scenario = Scenario(state);
+  std::optional<std::unique_ptr<tcp_acceptor>> acceptor =
+      tcp_acceptor::Listen(static_cast<uint16_t>(luaL_checkinteger(state, 1)));
+  if (!acceptor) return RaiseLastReason(state);
+  scenario.acceptors.push_back(std::move(*acceptor));
+  return PushHandle(state, scenario.acceptors.size());
+}
+
+// accept(acceptor) -> socket, or nil while there is no connection
+int AcceptFrom(lua_State* state) {
+  scenario_state& scenario = Scenario(state);
+  std::unique_ptr<tcp_socket> accepted =
+      ObjectArgument(state, scenario.acceptors)->Accept();
+  if (!accepted) return 0;
+  scenario.sockets.push_back(std::move(accepted));
+  return PushHandle(state, scenario.sockets.size());
+}
+
+// unlisten(acceptor)
+int StopListening(lua_State* state) {
+  ObjectArgument(state, Scenario(state).acceptors).reset();
+  return 0;
+}
+
 // now_ms() -> number
 int NowMs(lua_State* state) {
   const common::time_point now = Scenario(state).clock.Now();
@@ -307,7 +368,12 @@
                                   {"relay_accepted", RelayAccepted},
                                   {"socket_open", SocketOpen},
                                   {"socket_send", SocketSend},
+                                  {"socket_send_some", SocketSendSome},
                                   {"socket_read", SocketRead},
+                                  {"socket_reset", SocketReset},
+                                  {"listen", ListenOn},
+                                  {"accept", AcceptFrom},
+                                  {"unlisten", StopListening},
                                   {"socket_shutdown", SocketShutdown},
                                   {"socket_close", SocketClose},
                                   {"now_ms", NowMs},
--- a/source/unit_tests/scenario/lua_bindings.h
+++ b/source/unit_tests/scenario/lua_bindings.h
@@ -11,6 +11,7 @@
 #include "net/http_client.h"
 #include "unit_tests/scenario/child_process.h"
 #include "unit_tests/scenario/port_block.h"
+#include "unit_tests/scenario/tcp_acceptor.h"
 #include "unit_tests/scenario/tcp_relay.h"
 #include "unit_tests/scenario/tcp_socket.h"
 
@@ -46,6 +47,7 @@
   std::vector<std::shared_ptr<http_request_state>> calls;
   std::vector<std::unique_ptr<tcp_relay>> relays;
   std::vector<std::unique_ptr<tcp_socket>> sockets;
+  std::vector<std::unique_ptr<tcp_acceptor>> acceptors;
 
  private:
   scenario_state() = default;
--- a/source/unit_tests/scenario/tcp_relay.cc
+++ b/source/unit_tests/scenario/tcp_relay.cc
@@ -7,7 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <vector>
 
 #include "common/last_error.h"
@@ -17,6 +19,7 @@
 
 constexpr int kPollMs = 10;
 constexpr int kBacklog = 64;
+constexpr double kMaxBurstSeconds = 0.05;
 constexpr size_t kReadBufferBytes = size_t{16} * 1024;
 
 using poll_events = decltype(pollfd::events);
@@ -51,22 +54,35 @@
   bool silent = false;
   bool sender_closed = false;  ///< the sender's close was forwarded
   std::string pending;
+  bool paced = false;
+  double credit = 0;  ///< bytes that a paced flow may read now
 
   bool WantsRead() const {
-    return !silent && !sender_closed && pending.empty();
+    return !silent && !sender_closed && pending.empty() &&
+           (!paced || credit >= 1);
   }
   bool WantsWrite() const { return !silent && !pending.empty(); }
 
+  void AddCredit(size_t bytes_per_s, double seconds) {
+    const double rate = static_cast<double>(bytes_per_s);
+    paced = bytes_per_s > 0;
+    credit = std::min(credit + rate * seconds, rate * kMaxBurstSeconds);
+  }
+
   /// @return false when the connection failed
   bool Read() {
     std::array<char, kReadBufferBytes> buffer;
-    const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
+    const size_t limit =
+        paced ? std::min(buffer.size(), static_cast<size_t>(credit))
+              : buffer.size();
+    const ssize_t size = recv(from, buffer.data(), limit, 0);
     if (size < 0) return errno == EAGAIN || errno == EINTR;
     if (size == 0) {
       sender_closed = true;
       shutdown(to, SHUT_WR);
       return true;
     }
+    credit -= static_cast<double>(size);
     pending.append(buffer.data(), static_cast<size_t>(size));
     return Write();
   }
@@ -158,6 +174,22 @@
   for (const std::unique_ptr<link>& open : links_) open->broken = true;
 }
 
+void tcp_relay::Reset() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const linger at_once = {1, 0};
+  for (const std::unique_ptr<link>& open : links_) {
+    for (const int fd : {open->to_server.from, open->to_server.to}) {
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    }
+    open->broken = true;
+  }
+}
+
+void tcp_relay::Pace(size_t bytes_per_s) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  bytes_per_s_ = bytes_per_s;
+}
+
 void tcp_relay::Refuse(bool refuse) {
   const std::lock_guard<std::mutex> lock(mutex_);
   refusing_ = refuse;
@@ -183,13 +215,20 @@
 }
 
 void tcp_relay::Run() {
+  std::chrono::steady_clock::time_point last = std::chrono::steady_clock::now();
   while (!stopping_) {
+    const std::chrono::steady_clock::time_point now =
+        std::chrono::steady_clock::now();
+    const double seconds = std::chrono::duration<double>(now - last).count();
+    last = now;
     std::vector<pollfd> polled = {{listener_, POLLIN, 0}};
     std::vector<link*> polled_links;
     {
       const std::lock_guard<std::mutex> lock(mutex_);
       for (const std::unique_ptr<link>& open : links_) {
         polled_links.push_back(open.get());
+        open->to_server.AddCredit(bytes_per_s_, seconds);
+        open->to_client.AddCredit(bytes_per_s_, seconds);
         const poll_events client =
             link::Events(open->to_server, open->to_client);
         const poll_events server =
--- a/source/unit_tests/scenario/tcp_relay.h
+++ b/source/unit_tests/scenario/tcp_relay.h
@@ -29,6 +29,11 @@
   void Silence(relay_direction direction);
   /// Closes the connections that are open now.
   void Cut();
+  /// Resets the connections that are open now.
+  void Reset();
+  /// Limits each direction of each connection, new ones included.
+  /// @param bytes_per_s 0 for no limit
+  void Pace(size_t bytes_per_s);
   /// @param refuse whether new connections are closed at once
   void Refuse(bool refuse);
   /// @return connections accepted so far
@@ -47,6 +52,7 @@
   std::atomic<uint64_t> accepted_ = 0;
   std::mutex mutex_;  ///< guards the members below
   bool refusing_ = false;
+  size_t bytes_per_s_ = 0;
   std::list<std::unique_ptr<link>> links_;
   std::thread thread_;
 };
--- a/source/unit_tests/scenario/tcp_socket.cc
+++ b/source/unit_tests/scenario/tcp_socket.cc
@@ -1,9 +1,11 @@
 #include "unit_tests/scenario/tcp_socket.h"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -13,16 +15,18 @@
 namespace {
 
 constexpr size_t kReadBufferBytes = size_t{16} * 1024;
-// With a small receive window, a client that does not read exerts backpressure
-// early.
-constexpr int kReceiveBufferBytes = 4096;
+
+void SetOption(int fd, int level, int name, int value) {
+  if (value > 0) setsockopt(fd, level, name, &value, sizeof(value));
+}
 
 }  // namespace
 
-std::optional<std::unique_ptr<tcp_socket>> tcp_socket::Connect(uint16_t port) {
+std::optional<std::unique_ptr<tcp_socket>> tcp_socket::Connect(
+    uint16_t port, const tcp_socket_options& options) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
-             sizeof(kReceiveBufferBytes));
+  SetOption(fd, SOL_SOCKET, SO_RCVBUF, options.receive_buffer_bytes);
+  SetOption(fd, IPPROTO_TCP, TCP_MAXSEG, options.max_segment_bytes);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -36,6 +40,10 @@
   return std::unique_ptr<tcp_socket>(new tcp_socket(fd));
 }
 
+std::unique_ptr<tcp_socket> tcp_socket::Adopt(int fd) {
+  return std::unique_ptr<tcp_socket>(new tcp_socket(fd));
+}
+
 tcp_socket::~tcp_socket() { close(fd_); }
 
 bool tcp_socket::Send(std::string_view data) const {
@@ -48,11 +56,23 @@
   return true;
 }
 
-std::string tcp_socket::Read(bool* closed, bool* reset) const {
+std::optional<size_t> tcp_socket::SendSome(std::string_view data) const {
+  const ssize_t sent =
+      send(fd_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (sent >= 0) return static_cast<size_t>(sent);
+  if (errno == EAGAIN || errno == EINTR) return 0;
+  return std::nullopt;
+}
+
+std::string tcp_socket::Read(size_t limit, bool* closed, bool* reset) const {
   std::string data;
   std::array<char, kReadBufferBytes> buffer;
-  while (true) {
-    const ssize_t size = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  *closed = false;
+  *reset = false;
+  while (data.size() < limit) {
+    const ssize_t size =
+        recv(fd_, buffer.data(), std::min(buffer.size(), limit - data.size()),
+             MSG_DONTWAIT);
     if (size > 0) {
       data.append(buffer.data(), static_cast<size_t>(size));
       continue;
@@ -61,8 +81,14 @@
     *closed = size == 0 || *reset;
     return data;
   }
+  return data;
 }
 
 void tcp_socket::Shutdown() const { shutdown(fd_, SHUT_WR); }
 
+void tcp_socket::ResetOnClose() const {
+  const linger at_once = {1, 0};
+  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 }  // namespace wisteriadale::scenario
