--- a/scenarios/gateway_fault_soak.lua
+++ b/scenarios/gateway_fault_soak.lua
@@ -45,6 +45,8 @@
                             body = next_call.body}
 end
 
+soak.odd_store = soak_targets.start(soak, "odd-store")
+
 local timers = {}
 --- Calls a function after a time.
 function soak:later(time_ms, action)
@@ -98,6 +100,7 @@
   run_control_calls()
   for _, gateway in ipairs(soak.gateways) do soak_gateways.turn(soak, gateway) end
   for _, target in ipairs(soak.targets) do target:turn(elapsed_ms) end
+  soak.odd_store:turn(elapsed_ms)
   soak_odd_callers.turn(soak, elapsed_ms)
   for _, caller in ipairs(callers) do
     if calling or caller.request then caller:turn(elapsed_ms, stalled_ms) end
@@ -118,6 +121,7 @@
 
 local start_ms = now_ms()
 local next_ms = start_ms + 3000
+for _, fault in ipairs(faults) do if fault.at_start then fault[2](soak) end end
 while now_ms() - start_ms < kTimeMs do
   if now_ms() >= next_ms then
     local fault = faults[random(#faults)]
--- a/scenarios/lib/helpers.lua
+++ b/scenarios/lib/helpers.lua
@@ -129,6 +129,10 @@
 function relay_methods:pace(bytes_per_s)
   runner.relay_do(self.id, "pace", bytes_per_s)
 end
+--- Connects new connections to another port.
+function relay_methods:redirect(port)
+  runner.relay_do(self.id, "redirect", port)
+end
 --- Closes new connections at once, until accept is called.
 function relay_methods:refuse() runner.relay_do(self.id, "refuse") end
 function relay_methods:accept() runner.relay_do(self.id, "admit") end
--- a/scenarios/lib/soak_odd_callers.lua
+++ b/scenarios/lib/soak_odd_callers.lua
@@ -32,7 +32,9 @@
 local function open(soak, options)
   local gateway = soak:pick_gateway()
   if not gateway then return nil end
-  local opened, socket = pcall(connect, gateway.callers, options)
+  local ports = {gateway.callers, gateway.callers, gateway.callers,
+                 gateway.callers, gateway.operators, gateway.links}
+  local opened, socket = pcall(connect, ports[soak.random(#ports)], options)
   if not opened then return nil end
   return {socket = socket, out = paced_output.new(socket), gateway = gateway,
           end_ms = now_ms() + kLimitMs}
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -197,7 +197,7 @@
   return PushHandle(state, scenario.relays.size());
 }
 
-// relay_do(relay, action, bytes per second for "pace")
+// relay_do(relay, action, bytes per second for "pace", port for "redirect")
 int RelayDo(lua_State* state) {
   const std::string action = StringArgument(state, 2);
   tcp_relay& relay = *ObjectArgument(state, Scenario(state).relays);
@@ -209,6 +209,9 @@
   if (action == "pace") {
     relay.Pace(static_cast<size_t>(luaL_checkinteger(state, 3)));
   }
+  if (action == "redirect") {
+    relay.Redirect(static_cast<uint16_t>(luaL_checkinteger(state, 3)));
+  }
   if (action == "refuse") relay.Refuse(true);
   if (action == "admit") relay.Refuse(false);
   return 0;
--- a/source/unit_tests/scenario/tcp_relay.cc
+++ b/source/unit_tests/scenario/tcp_relay.cc
@@ -190,6 +190,11 @@
   bytes_per_s_ = bytes_per_s;
 }
 
+void tcp_relay::Redirect(uint16_t to_port) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  to_port_ = to_port;
+}
+
 void tcp_relay::Refuse(bool refuse) {
   const std::lock_guard<std::mutex> lock(mutex_);
   refusing_ = refuse;
--- a/source/unit_tests/scenario/tcp_relay.h
+++ b/source/unit_tests/scenario/tcp_relay.h
@@ -34,6 +34,8 @@
   /// Limits each direction of each connection, new ones included.
   /// @param bytes_per_s 0 for no limit
   void Pace(size_t bytes_per_s);
+  /// Connects new connections to another port.
+  void Redirect(uint16_t to_port);
   /// @param refuse whether new connections are closed at once
   void Refuse(bool refuse);
   /// @return connections accepted so far
@@ -47,10 +49,10 @@
   void Accept();
 
   int listener_;
-  uint16_t to_port_;
   std::atomic<bool> stopping_ = false;
   std::atomic<uint64_t> accepted_ = 0;
   std::mutex mutex_;  ///< guards the members below
+  uint16_t to_port_;
   bool refusing_ = false;
   size_t bytes_per_s_ = 0;
   std::list<std::unique_ptr<link>> links_;
