--- a/scenarios/gateway_fault_soak.lua
+++ b/scenarios/gateway_fault_soak.lua
@@ -65,7 +65,7 @@
 --- Returns a gateway that takes connections, or nil.
 function soak:pick_gateway()
   local gateway = self.gateways[random(#self.gateways)]
-  if gateway.process and not gateway.expected then return gateway end
+  if gateway.process and not gateway.life.expected then return gateway end
 end
 
 local max_files = random(4) == 1 and random(200, 400) or 4200
@@ -135,7 +135,7 @@
 
 soak.ending = true
 for _, gateway in ipairs(soak.gateways) do
-  if gateway.paused then soak_gateways.continue(gateway) end
+  if gateway.life.paused then soak_gateways.continue(gateway) end
 end
 local drain_ms = now_ms()
 local function waiting()
--- a/scenarios/lib/soak_callers.lua
+++ b/scenarios/lib/soak_callers.lua
@@ -117,7 +117,7 @@
   local request = self:choose()
   request.caller, request.gateway = self, self.gateway
   request.start_ms, request.extra_ms = now_ms(), 0
-  request.process = self.gateway.process
+  request.life = self.gateway.life
   soak:add_request(request)
   local head, dots = soak_callers.bytes(request)
   self.out:add(head)
--- a/scenarios/lib/soak_checks.lua
+++ b/scenarios/lib/soak_checks.lua
@@ -55,7 +55,7 @@
   elseif not sent.odd then
     local size = sent.body_bytes
     if request.method ~= sent.method or request.path ~= sent.path or
-        request.body_bytes ~= size or not request.filled or
+        (request.complete and request.body_bytes ~= size) or not request.filled or
         request.body:sub(1, #id) ~= (size > 0 and id or "") or
         request.headers["x-wisteriadale-key"] then
       self:fail("UNASKED", "a request was changed: " .. id .. " " ..
@@ -81,7 +81,7 @@
   if kind.count == 3 then kind.third_ms = now_ms() end
   local sent = self.requests[id]
   if kind.third_ms and sent and sent.start_ms > kind.third_ms + kContactMs and
-      not kind.late[id] and not self:disturbed(sent, now_ms()) then
+      not kind.late[id] and not self:disturbed(sent) then
     kind.late[id] = true
     kind.late_count = kind.late_count + 1
     if kind.late_count == 4 then
@@ -91,13 +91,12 @@
   end
 end
 
---- Returns whether a request's gateway was disturbed without plan from the
---- contact time before the request to its end.
-function soak:disturbed(request, end_ms)
-  local gateway = request.gateway
-  if gateway.process ~= request.process or gateway.paused then return true end
-  return (gateway.disturbed_ms or -kContactMs) + kContactMs >= request.start_ms or
-             end_ms < request.start_ms
+--- Returns whether the life of a gateway that took a request was disturbed
+--- without plan from the contact time before the request to now.
+function soak:disturbed(request)
+  local life = request.life
+  return life.killed or life.failed or life.paused or
+             life.disturbed_ms + kContactMs >= request.start_ms
 end
 
 local function describe(request, answer, text)
@@ -155,16 +154,16 @@
   local about = describe(request, answer, text)
   if text == "answered" then return self:judge_answer(request, answer, about) end
   self.statuses[text] = (self.statuses[text] or 0) + 1
-  if self:disturbed(request, request.end_ms) or request.relay_harmed then return end
+  if self:disturbed(request) or request.relay_harmed then return end
   if run and (run.broke or (run.target.disturbed_ms or -1) >= run.at_ms) then
     return
   end
-  local gateway = request.gateway
+  local gateway, life = request.gateway, request.life
   if request.stream and (self.standin_until_ms or -1) + kContactMs > request.start_ms then
     return
   end
   if text == "late" then
-    if not gateway.stop_ms and not self.slow then
+    if not life.stop_ms and not self.slow then
       self:fail("CONFIG", "no final answer in time: " .. about, gateway)
     end
     return
@@ -176,8 +175,7 @@
   if request.end_ms - request.start_ms - request.extra_ms >= request.timeout_ms then
     return
   end
-  if gateway.stop_ms and request.end_ms > gateway.stop_ms + gateway.grace_ms * 5 // 6
-      then
+  if life.stop_ms and request.end_ms > life.stop_ms + gateway.grace_ms * 5 // 6 then
     return
   end
   self:fail("LOST", about, gateway)
--- a/scenarios/lib/soak_faults.lua
+++ b/scenarios/lib/soak_faults.lua
@@ -11,7 +11,7 @@
 
 local function pick_running(soak)
   local gateway = soak.gateways[soak.random(#soak.gateways)]
-  if gateway.process and not gateway.expected then return gateway end
+  if gateway.process and not gateway.life.expected then return gateway end
 end
 
 local function with_gateway(action)
@@ -66,7 +66,7 @@
   end)},
   {"kill", with_gateway(function(_, gateway) soak_gateways.kill(gateway) end)},
   {"pause", with_gateway(function(soak, gateway)
-    if gateway.paused or gateway.stop_ms then return end
+    if gateway.life.paused or gateway.life.stop_ms then return end
     soak_gateways.pause(gateway)
     local process = gateway.process
     soak:later(soak.random(100, 4000), function()
@@ -194,7 +194,7 @@
         local request = {id = string.format("%016x", soak.next_number()),
                          method = wanted.method or "GET", path = wanted.path,
                          headers = {}, body_bytes = 0, odd = true,
-                         gateway = gateway, process = gateway.process,
+                         gateway = gateway, life = gateway.life,
                          start_ms = now_ms()}
         for name, value in pairs(wanted.headers or {}) do
           request.headers[name] = value
--- a/scenarios/lib/soak_gateways.lua
+++ b/scenarios/lib/soak_gateways.lua
@@ -74,41 +74,41 @@
 
 function soak_gateways.start(gateway)
   gateway.process = start("wisteria-gateway", gateway.settings, gateway.max_files)
-  gateway.disturbed_ms, gateway.started_ms = now_ms(), now_ms()
-  gateway.stop_ms, gateway.expected, gateway.start_ms = nil, nil, nil
-  gateway.paused = false
+  gateway.life = {started_ms = now_ms(), disturbed_ms = now_ms()}
+  gateway.start_ms = nil
 end
 
 function soak_gateways.kill(gateway)
-  gateway.expected, gateway.disturbed_ms = -9, now_ms()
+  gateway.life.expected, gateway.life.killed = -9, true
   gateway.process:kill()
 end
 
 function soak_gateways.stop(gateway)
-  if gateway.stop_ms or gateway.expected then return end
-  gateway.stop_ms, gateway.expected = now_ms(), 0
+  if gateway.life.expected then return end
+  gateway.life.stop_ms, gateway.life.expected = now_ms(), 0
   gateway.process:stop()
 end
 
 function soak_gateways.pause(gateway)
-  gateway.paused = true
+  gateway.life.paused = true
   gateway.process:pause()
 end
 
 function soak_gateways.continue(gateway)
-  gateway.paused, gateway.disturbed_ms = false, now_ms()
+  gateway.life.paused, gateway.life.disturbed_ms = false, now_ms()
   gateway.process:continue()
 end
 
 local function check_end(soak, gateway, code)
-  local since = now_ms() - gateway.started_ms
-  if code ~= gateway.expected then
+  local life = gateway.life
+  local since = now_ms() - life.started_ms
+  if code ~= life.expected then
+    life.failed = true
     local text = string.format("exit code %d, %d ms after its start, %s", code,
-                               since, gateway.stop_ms and "of a planned stop" or
+                               since, life.stop_ms and "of a planned stop" or
                                    "which nobody asked for")
     soak:fail("FAULT", text, gateway)
   end
-  gateway.ended_ms, gateway.disturbed_ms = now_ms(), now_ms()
   gateway.process = nil
   gateway.start_ms = now_ms() + soak.random(50, 1500)
 end
@@ -116,7 +116,7 @@
 local function check_memory(soak, gateway)
   local resident_kb = gateway.process:resident_kb()
   gateway.peak_kb = math.max(gateway.peak_kb, resident_kb)
-  if resident_kb > kLimitKb and not gateway.expected then
+  if resident_kb > kLimitKb and not gateway.life.expected then
     soak:fail("FAULT", string.format("memory %d KB over the limit of %d KB, %s",
                                      resident_kb, kLimitKb,
                                      soak:faults_now()), gateway)
@@ -138,12 +138,12 @@
     gateway.watch_ms = now_ms() + kWatchMs
     check_memory(soak, gateway)
   end
-  if gateway.stop_ms and now_ms() > gateway.stop_ms + kGraceMs and
-      gateway.expected ~= -9 then
+  local stop_ms = gateway.life.stop_ms
+  if stop_ms and now_ms() > stop_ms + kGraceMs and not gateway.life.killed then
     soak:print(gateway.name .. " is killed at the end of its grace period")
     soak_gateways.kill(gateway)
   end
-  if soak.slow and not gateway.paused then
+  if soak.slow and not gateway.life.paused then
     local runs = now_ms() % kDutyMs < kDutyRunsMs
     if runs ~= gateway.runs then
       gateway.runs = runs
--- a/scenarios/lib/soak_targets.lua
+++ b/scenarios/lib/soak_targets.lua
@@ -65,6 +65,8 @@
 for name in pairs(soak_targets.odd) do
   soak_targets.odd_names[#soak_targets.odd_names + 1] = name
 end
+-- Answers before the body is read, and reads on.
+soak_targets.odd_names[#soak_targets.odd_names + 1] = "early_answer"
 table.sort(soak_targets.odd_names)
 
 --- Starts a target. soak records its runs and is told of failures. Without a
@@ -143,7 +145,8 @@
   local expected = request.headers["x-wisteriadale-expect-instance"]
   local headers = id ~= "" and "X-Wisteriadale-Request-Id: " .. id .. "\r\n" or ""
   if not self.service then
-    connection.last = soak_targets.odd[self.mode](connection.out, headers, {})
+    local odd = soak_targets.odd[self.mode] or soak_targets.odd.close
+    connection.last = odd(connection.out, headers, {})
   elseif request.path == "/healthz" then
     reply(connection, "200 OK", "", "")
   elseif expected and expected ~= self.id then
@@ -199,8 +202,16 @@
   local limit = self.read_rate and math.ceil(self.read_rate * elapsed_ms / 1000)
   connection.run = nil
   connection.request:feed(connection.socket:read_some(limit or 1048576))
-  if connection.request.complete then
+  if connection.request.complete and connection.answered then
+    local rest = connection.request.buffer
+    connection.request, connection.answered = messages.new(false), false
+    connection.request:feed(rest)
+  elseif connection.request.complete then
     connection.due = now_ms() + self.work_ms
+  elseif self.mode == "early_answer" and not connection.answered and
+      connection.request.body_bytes > 0 then
+    connection.answered = true
+    self:run(connection, connection.request)
   elseif connection.socket.closed then
     self:drop(connection, "close")
   end
