--- a/scenarios/gateway_fault_soak.lua
+++ b/scenarios/gateway_fault_soak.lua
@@ -84,6 +84,7 @@
                          table.concat(names, ", ")))
 
 local callers = {}
+soak.callers = callers
 for number, options in ipairs(soak_callers.mix(random, kCallers)) do
   callers[number] = soak_callers.start(soak, number, options)
 end
--- a/scenarios/lib/soak_callers.lua
+++ b/scenarios/lib/soak_callers.lua
@@ -23,6 +23,13 @@
                        halt_ms = options.halt_ms, next_ms = 0}, caller)
 end
 
+--- Starts a caller that reads one long answer of a gateway, at a steady pace.
+function soak_callers.read_long_answer(soak, gateway, size, rate)
+  local made = soak_callers.start(soak, 1, {rate = rate})
+  made.only = {gateway = gateway, size = size}
+  soak.callers[#soak.callers + 1] = made
+end
+
 --- Returns the options of a number of callers, most of which read at once.
 function soak_callers.mix(random, count)
   local mix = {}
@@ -53,7 +60,11 @@
   local request = {id = id, method = "GET", headers = {}, timeout_ms = 3000,
                    body_bytes = 0, size = pick(20000, 1000)}
   local kind = random(20)
-  if kind <= 6 then
+  if self.only then
+    kind = 0
+    request.size, request.timeout_ms = self.only.size, 15000
+    request.path = "/sheets/" .. id .. "?bytes=" .. request.size
+  elseif kind <= 6 then
     request.path = "/stock/" .. id .. "?bytes=" .. request.size
   elseif kind <= 10 then
     request.method, request.unsafe = "POST", true
@@ -102,10 +113,11 @@
 function caller:send()
   local soak = self.soak
   if not self.socket then
-    local gateway = soak:pick_gateway()
+    local gateway = self.only and self.only.gateway or soak:pick_gateway()
     if not gateway then return end
     local options = self.rate and {receive_buffer = 16384, max_segment = 1448}
                         or {receive_buffer = 262144}
+    if self.only then options = {receive_buffer = 0} end
     local port = gateway.callers
     self.relayed = self.number % 4 == 0
     if self.relayed then port = gateway.relay.port end
@@ -135,7 +147,7 @@
                              (request.gateway.relay_harmed_ms or -1) >= self.open_ms
   self.soak:judge(request, answer, text)
   self.request = nil
-  self.next_ms = now_ms() + self.soak.random(20, 400)
+  self.next_ms = now_ms() + (self.only and math.huge or self.soak.random(20, 400))
   local ends = text ~= "answered" or self.socket.closed or
                    answer.headers["connection"] == "close"
   self.buffer = answer.buffer
--- a/scenarios/lib/soak_faults.lua
+++ b/scenarios/lib/soak_faults.lua
@@ -46,9 +46,19 @@
 end
 
 -- The first faults of the list end, signal or pause gateways.
-local kProcessFaults = 6
+local kProcessFaults = 7
 soak_faults.all = {
   {"term", with_gateway(function(_, gateway) soak_gateways.stop(gateway) end)},
+  {"term_of_long_answers", with_gateway(function(soak, gateway)
+    for _ = 1, 4 do
+      soak_callers.read_long_answer(soak, gateway, soak.random(4000000, 7500000),
+                                    1000000)
+    end
+    local life = gateway.life
+    soak:later(soak.random(300, 1000), function()
+      if gateway.life == life then soak_gateways.stop(gateway) end
+    end)
+  end)},
   {"reload", with_gateway(function(_, gateway) gateway.process:reload() end)},
   {"reload_burst", with_gateway(function(soak, gateway)
     for number = 1, 20 do
