Count the bytes that callers lack until they acknowledge them

A planned stop ended the process with the last bytes of responses still in it: callers that read slowly got a part (LOST). StopWhenIdle counted exchanges, which end when their bytes were handed to the connection, and CloseIdle took such connections for idle. Closed connections were forgotten.

One notion now: a stream owes what is unsent in the process and what the kernel holds unacknowledged (SIOCOUTQ; 0 where the kernel does not tell), also after its owner destroyed it. The server sums it over open and closing connections. The stop waits for it up to the grace, then logs each connection with its request's id and bytes, and counts both in 'stopped'. A connection with unsent bytes is neither idle nor without a request. A closing connection stays open until the peer has acknowledged everything, also if the peer sends no more; the drain limit of 60 s ends it only if fewer than 60,000 bytes were delivered within it, as it cut steady readers off.

--- a/scenarios/lib/helpers.lua
+++ b/scenarios/lib/helpers.lua
@@ -142,11 +142,12 @@
 function socket:shutdown() runner.socket_shutdown(self.id) end
 function socket:close() runner.socket_close(self.id) end
 
---- Reads without blocking, and returns all bytes received so far.
-function socket:read()
+--- Reads without blocking, about max_bytes at most if given, and returns all
+--- bytes received so far.
+function socket:read(max_bytes)
   if self.closed then return self.received end
   local bytes
-  bytes, self.closed, self.reset = runner.socket_read(self.id)
+  bytes, self.closed, self.reset = runner.socket_read(self.id, max_bytes)
   self.received = self.received .. bytes
   return self.received
 end
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -121,6 +121,7 @@
   }
   if (const std::string* id = head.Find(deps_.codec.headers().request_id)) {
     request_id_ = *id;
+    exchange_->SetRequestId(request_id_);
   }
   uint64_t total = 0;
   for (const core::weighted_service& each : route_->services) {
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -393,7 +393,9 @@
   loop_->Run();
   common::LogEvent(
       log_event::kStopped, "",
-      {{"requests_given_up", static_cast<int64_t>(terminated_requests_)}});
+      {{"requests_given_up", static_cast<int64_t>(terminated_requests_)},
+       {"responses_given_up", static_cast<int64_t>(given_up_.connections)},
+       {"bytes_given_up", static_cast<int64_t>(given_up_.bytes)}});
 }
 
 void gateway_process::WriteOwnRow() {
@@ -590,14 +592,18 @@
     caller_server_->StopAccepting();
     caller_server_->CloseIdle();
   }
-  const bool idle = forwarder_->active() == 0 &&
-                    caller_server_->ActiveRequests() == 0 &&
-                    !dispatcher_->busy();
+  const bool idle =
+      forwarder_->active() == 0 && caller_server_->ActiveRequests() == 0 &&
+      caller_server_->Undelivered().bytes == 0 && !dispatcher_->busy();
   const bool timed_out = elapsed >= stop_timeout_;
   if (timed_out) terminated_requests_ = forwarder_->TerminateAll();
   if ((elapsed >= kMinStopTime && idle) || timed_out) {
     caller_server_->CloseIdle();
-    loop_->Schedule(kFlushDelay, [this] { loop_->Stop(); });
+    loop_->Schedule(kFlushDelay, [this] {
+      given_up_ = caller_server_->Undelivered();
+      caller_server_->ReportGivenUp();
+      loop_->Stop();
+    });
     return;
   }
   loop_->Schedule(kStopCheckPeriod, [this] { StopWhenIdle(); });
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -147,6 +147,8 @@
   bool stopping_ = false;
   /// Requests that did not finish within the grace period.
   size_t terminated_requests_ = 0;
+  /// What callers had not acknowledged at the end of the process.
+  net::undelivered_responses given_up_;
 };
 
 }  // namespace wisteriadale::gateway
--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -77,6 +77,7 @@
     head_only_ = request.method == "HEAD";
     max_body_bytes_ = request.max_body_bytes;
     if (!request.echo_value.empty()) RememberId(request.echo_value);
+    stream_->SetRequestId(request.echo_value);
     skipped_bytes_ = 0;
     sent_ = false;
     if (open_) SendRequest();
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -88,6 +88,15 @@
     return busy() || is_new || (stream_ && stream_->HasUnreadData());
   }
 
+  /// @return whether this process has something to do for the caller
+  bool Active(common::time_point now) const {
+    return HasRequest(now) || (stream_ && stream_->PendingBytes() > 0);
+  }
+  owed_bytes Owed() const { return stream_ ? stream_->Owed() : owed_bytes(); }
+  void ReportGivenUp() const {
+    if (stream_) stream_->Observe().ReportGivenUp();
+  }
+
   /// Closes the connection if the caller exceeds the header or idle timeout.
   void CheckTimeouts(common::time_point now) {
     if (exchange_ != nullptr) return;
@@ -232,6 +241,10 @@
     return stream_ == nullptr ? 0 : stream_->PendingBytes();
   }
 
+  void SetRequestId(std::string_view id) override {
+    if (stream_ != nullptr) stream_->SetRequestId(id);
+  }
+
   bool CallerDisconnected() const override {
     return stream_ == nullptr || stream_->PeerClosed();
   }
@@ -268,6 +281,7 @@
 
 void http1_server::connection::Drop() {
   const std::shared_ptr<connection> self = shared_from_this();
+  if (server_ != nullptr && stream_) server_->AddClosing(*stream_);
   stream_.reset();
   parser_.reset();
   const std::shared_ptr<exchange> open = std::move(exchange_);
@@ -330,6 +344,7 @@
   body_.clear();
   parser_.reset();
   exchange_ = started;
+  stream_->SetRequestId("");
   ++requests_;
   server_->on_request_(started);
 }
@@ -385,6 +400,9 @@
   open.reserve(connections_.size());
   for (const auto& [raw, kept] : connections_) open.push_back(kept);
   for (const std::shared_ptr<connection>& each : open) each->CheckTimeouts(now);
+  std::erase_if(closing_streams_, [](const tcp_stream::observer& each) {
+    return each.Owed().total() == 0;
+  });
   check_timer_ =
       loop_.Schedule(kTimeoutCheckPeriod, [this] { CheckConnections(); });
 }
@@ -393,7 +411,7 @@
   const common::time_point now = clock_.Now();
   std::vector<std::shared_ptr<connection>> idle;
   for (const auto& [raw, kept] : connections_) {
-    if (!kept->HasRequest(now)) idle.push_back(kept);
+    if (!kept->Active(now)) idle.push_back(kept);
   }
   for (const std::shared_ptr<connection>& each : idle) each->Drop();
 }
@@ -402,7 +420,29 @@
   const common::time_point now = clock_.Now();
   return static_cast<size_t>(std::count_if(
       connections_.begin(), connections_.end(),
-      [now](const auto& kept) { return kept.second->HasRequest(now); }));
+      [now](const auto& kept) { return kept.second->Active(now); }));
+}
+
+undelivered_responses http1_server::Undelivered() const {
+  undelivered_responses result;
+  const auto add = [&result](const owed_bytes& owed) {
+    if (owed.total() > 0) ++result.connections;
+    result.bytes += owed.total();
+  };
+  for (const auto& [raw, open] : connections_) add(open->Owed());
+  for (const tcp_stream::observer& each : closing_streams_) add(each.Owed());
+  return result;
+}
+
+void http1_server::ReportGivenUp() const {
+  for (const auto& [raw, open] : connections_) open->ReportGivenUp();
+  for (const tcp_stream::observer& each : closing_streams_) {
+    each.ReportGivenUp();
+  }
+}
+
+void http1_server::AddClosing(const tcp_stream& stream) {
+  if (stream.Owed().total() > 0) closing_streams_.push_back(stream.Observe());
 }
 
 }  // namespace wisteriadale::net
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "common/clock.h"
 #include "net/http1_parser.h"
@@ -52,6 +53,9 @@
   /// complete
   virtual void SetDisconnectHandler(std::function<void()> action) = 0;
 
+  /// @param id of the request in logs
+  virtual void SetRequestId(std::string_view id) = 0;
+
   /// Sends a complete response.
   void Send(int status, std::string_view reason,
             std::span<const http_header> headers, std::string_view body) {
@@ -71,6 +75,12 @@
   common::duration idle_timeout = std::chrono::seconds(60);
 };
 
+/// What a server has not delivered to its callers.
+struct undelivered_responses {
+  size_t connections = 0;
+  size_t bytes = 0;
+};
+
 /// HTTP/1.1 server that passes on all headers as received.
 class http1_server {
  public:
@@ -93,11 +103,17 @@
   /// are refused.
   void StopAccepting() { listener_.reset(); }
   /// Closes the connections on which no request is in progress, has arrived or
-  /// is expected, as on a connection that was just accepted.
+  /// is expected, as on a connection that was just accepted, and that have no
+  /// unsent bytes.
   void CloseIdle();
-  /// @return number of requests without a complete response, including those
-  /// that are only partly read
+  /// @return number of requests whose response this process has not completely
+  /// handed to the kernel, including those that are only partly read
   size_t ActiveRequests() const;
+  /// @return what callers have not acknowledged, also on connections that this
+  /// side has closed
+  undelivered_responses Undelivered() const;
+  /// Logs and counts what callers have not acknowledged, as the process ends.
+  void ReportGivenUp() const;
   uint16_t port() const { return port_; }
 
   class connection;
@@ -111,6 +127,8 @@
         on_request_(std::move(on_request)) {}
   void Accept(std::unique_ptr<tcp_stream> stream);
   void CheckConnections();
+  /// Keeps count of what a connection that is closed has still to deliver.
+  void AddClosing(const tcp_stream& stream);
 
   event_loop& loop_;
   common::clock& clock_;
@@ -118,6 +136,8 @@
   handler on_request_;
   std::unique_ptr<tcp_listener> listener_;
   std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
+  /// Of connections that this side closed before their bytes were delivered.
+  std::vector<tcp_stream::observer> closing_streams_;
   common::timer_id check_timer_ = 0;
   uint16_t port_ = 0;
   bool closing_ = false;
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -40,9 +40,11 @@
 // How long a closed connection is still read (lingering close): unread bytes
 // from the peer would turn the close into a reset that destroys the response.
 constexpr common::duration kLingerLimit = std::chrono::milliseconds(1000);
-// How long a closed connection may take to send its pending bytes. If the peer
-// reads nothing, the kernel ends it after kUserTimeoutMs.
+// A closed connection that delivers fewer than kMinDrainBytes of its pending
+// bytes within this time is ended. If the peer reads nothing, the kernel ends
+// it after kUserTimeoutMs.
 constexpr common::duration kDrainLimit = std::chrono::seconds(60);
+constexpr uint64_t kMinDrainBytes = 60'000;
 
 void SetOption(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof(value));
@@ -163,7 +165,8 @@
   size_t PendingBytes() const { return outgoing_.size() - sent_; }
   const std::string& peer() const { return peer_; }
   owed_bytes Owed() const {
-    if (wsi_ == nullptr || connecting_) return {PendingBytes(), 0};
+    if (wsi_ == nullptr || ended_) return {};
+    if (connecting_) return {PendingBytes(), 0};
     const size_t unacknowledged = UnacknowledgedBytes(fd_);
     // The end of this side counts as a byte.
     const size_t end = shut_down_ && unacknowledged > 0 ? 1 : 0;
@@ -189,7 +192,7 @@
       const ssize_t written = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
       if (written > 0) {
         data.remove_prefix(static_cast<size_t>(written));
-        OnProgress();
+        OnHandedOver(written);
       }
       // A failed write is reported as the end of the connection at the next
       // poll.
@@ -203,6 +206,8 @@
     lws_callback_on_writable(wsi_);
   }
 
+  void SetRequestId(std::string_view id) { request_id_ = id; }
+
   void SetReading(bool reading) {
     if (wsi_ == nullptr || reading == reading_) return;
     reading_ = reading;
@@ -223,11 +228,8 @@
     }
     released_ = true;
     SetReading(true);
-    if (PendingBytes() == 0) {
-      ShutDown();
-    } else {
-      CloseAfter(kDrainLimit);
-    }
+    LimitDrain();
+    if (PendingBytes() == 0) ShutDown();
   }
 
   void Abort() {
@@ -262,7 +264,7 @@
         break;
       }
       sent_ += static_cast<size_t>(written);
-      OnProgress();
+      OnHandedOver(written);
     }
     const bool drained = sent_ > 0 && PendingBytes() == 0;
     DiscardSent();
@@ -272,6 +274,25 @@
     return true;
   }
 
+  /// Logs and counts what the peer will not get, as the connection ends.
+  void ReportUndelivered(std::string_view why) const {
+    const owed_bytes owed = Owed();
+    if (owed.total() == 0) return;
+    common::Metrics().Count("wisteria_connections_undelivered_total",
+                            {{"why", why}});
+    common::Metrics().Count("wisteria_bytes_undelivered_total", {{"why", why}},
+                            owed.total());
+    common::LogEvent(
+        common::log_event::kBytesUndelivered, request_id_,
+        {{"peer", peer_},
+         {"direction", dialled_ ? "to a server" : "to a caller"},
+         {"why", why},
+         {"bytes_unsent", static_cast<int64_t>(owed.unsent)},
+         {"bytes_unacknowledged", static_cast<int64_t>(owed.unacknowledged)},
+         {"last_progress_ms",
+          common::ToMillis(clock_.Now() - last_progress_)}});
+  }
+
   void OnClosed() override {
     if (!ended_) {
       ReportUndelivered(close_reason_.empty() ? ReasonOfClose()
@@ -303,6 +324,11 @@
       }
       if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
       if (received < 0 && errno == EINTR) continue;
+      // The peer sends nothing more, but may still read.
+      if (received == 0 && released_ && error_ == 0 && Owed().total() > 0) {
+        SetReading(false);
+        return true;
+      }
       // The kernel reports an error once; after that it says that the peer
       // closed.
       if (received < 0) error_ = errno;
@@ -333,19 +359,46 @@
     SetReset(fd_, false);
     shutdown(fd_, SHUT_WR);
     shut_down_ = true;
-    CloseAfter(kLingerLimit);
+    CloseWhenDelivered();
+  }
+
+  /// Closes after the linger time, once the peer has all bytes: those that the
+  /// kernel holds are lost if the VM ends with the process.
+  void CloseWhenDelivered() {
+    ScheduleFor(kLingerLimit, [](connection& self) {
+      if (self.Owed().total() > 0) {
+        self.CloseWhenDelivered();
+      } else {
+        CloseAsync(self.wsi_);
+      }
+    });
+  }
+
+  /// Ends a closed connection whose peer takes too few of the pending bytes.
+  void LimitDrain() {
+    drained_before_ = DeliveredBytes();
+    ScheduleFor(kDrainLimit, [](connection& self) {
+      if (self.DeliveredBytes() - self.drained_before_ >= kMinDrainBytes) {
+        self.LimitDrain();
+        return;
+      }
+      self.close_reason_ = kDrainExpired;
+      CloseAsync(self.wsi_);
+    });
   }
 
-  void CloseAfter(common::duration delay) {
+  /// Runs an action later, unless the connection has been closed by then.
+  void ScheduleFor(common::duration delay, void (*action)(connection&)) {
     const std::weak_ptr<connection> self = weak_from_this();
-    loop_.Schedule(delay, [self] {
+    loop_.Schedule(delay, [self, action] {
       const std::shared_ptr<connection> kept = self.lock();
-      if (!kept || kept->wsi_ == nullptr) return;
-      kept->close_reason_ = kDrainExpired;
-      CloseAsync(kept->wsi_);
+      if (kept && kept->wsi_ != nullptr) action(*kept);
     });
   }
 
+  /// @return number of bytes that the peer has acknowledged
+  uint64_t DeliveredBytes() const { return handed_ - Owed().unacknowledged; }
+
   /// Frees what was sent, once that is at least half: a peer that is always a
   /// little behind would let it grow for as long as the connection lasts.
   void DiscardSent() {
@@ -357,39 +410,21 @@
   /// Requests the next writable event from the loop: libwebsockets drops a
   /// request that is made within that event's own callback.
   void RequestWritable() {
-    const std::weak_ptr<connection> self = weak_from_this();
-    loop_.Schedule(common::duration(0), [self] {
-      const std::shared_ptr<connection> kept = self.lock();
-      if (kept && kept->wsi_ != nullptr) lws_callback_on_writable(kept->wsi_);
-    });
+    ScheduleFor(common::duration(0),
+                [](connection& self) { lws_callback_on_writable(self.wsi_); });
   }
 
   /// @return why the kernel or the loop closed the connection
   std::string_view ReasonOfClose() {
     socklen_t size = sizeof(error_);
     if (error_ == 0) getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error_, &size);
-    return error_ == 0 ? kEndedByStop : ReasonOf(error_);
+    if (error_ != 0) return ReasonOf(error_);
+    return PeerClosed() ? kEndedByPeer : kEndedByStop;
   }
 
-  void OnProgress() { last_progress_ = clock_.Now(); }
-
-  /// Logs and counts what the peer will not get, as the connection ends.
-  void ReportUndelivered(std::string_view why) const {
-    const owed_bytes owed = Owed();
-    if (owed.total() == 0) return;
-    common::Metrics().Count("wisteria_connections_undelivered_total",
-                            {{"why", why}});
-    common::Metrics().Count("wisteria_bytes_undelivered_total", {{"why", why}},
-                            owed.total());
-    common::LogEvent(
-        common::log_event::kBytesUndelivered, "",
-        {{"peer", peer_},
-         {"direction", dialled_ ? "to a server" : "to a caller"},
-         {"why", why},
-         {"bytes_unsent", static_cast<int64_t>(owed.unsent)},
-         {"bytes_unacknowledged", static_cast<int64_t>(owed.unacknowledged)},
-         {"last_progress_ms",
-          common::ToMillis(clock_.Now() - last_progress_)}});
+  void OnHandedOver(ssize_t bytes) {
+    handed_ += static_cast<uint64_t>(bytes);
+    last_progress_ = clock_.Now();
   }
 
   void End(stream_end how, std::string_view why) {
@@ -412,15 +447,28 @@
   bool reset_on_close_ = false;
   bool ended_ = false;
   std::string peer_;
+  std::string request_id_;
   std::string outgoing_;
-  size_t sent_ = 0;  ///< number of bytes of outgoing_ already sent
-  int error_ = 0;    ///< of the socket
+  uint64_t handed_ = 0;          ///< bytes that the kernel took so far
+  uint64_t drained_before_ = 0;  ///< delivered as the drain limit was started
+  size_t sent_ = 0;              ///< number of bytes of outgoing_ already sent
+  int error_ = 0;                ///< of the socket
   std::string_view close_reason_;  ///< set before this side closes
   common::system_clock clock_;
   /// When bytes were last handed to the kernel.
   common::time_point last_progress_ = clock_.Now();
 };
 
+owed_bytes tcp_stream::observer::Owed() const {
+  const std::shared_ptr<const connection> kept = connection_.lock();
+  return kept ? kept->Owed() : owed_bytes();
+}
+
+void tcp_stream::observer::ReportGivenUp() const {
+  const std::shared_ptr<const connection> kept = connection_.lock();
+  if (kept) kept->ReportUndelivered(kEndedByStop);
+}
+
 tcp_stream::tcp_stream(std::shared_ptr<connection> registered)
     : connection_(std::move(registered)) {}
 
@@ -432,6 +480,12 @@
 void tcp_stream::Write(std::string_view data) { connection_->Write(data); }
 size_t tcp_stream::PendingBytes() const { return connection_->PendingBytes(); }
 owed_bytes tcp_stream::Owed() const { return connection_->Owed(); }
+tcp_stream::observer tcp_stream::Observe() const {
+  return observer(connection_);
+}
+void tcp_stream::SetRequestId(std::string_view id) {
+  connection_->SetRequestId(id);
+}
 void tcp_stream::PauseReading() { connection_->SetReading(false); }
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -37,10 +37,27 @@
   virtual void OnEnd(stream_end how) = 0;
 };
 
-/// A TCP connection. Destroying it closes the connection after the pending
-/// bytes have been sent; Abort resets it.
+/// A TCP connection. Destroying it closes the connection after the peer has
+/// acknowledged the pending bytes; Abort resets it.
 class tcp_stream {
  public:
+  class connection;
+
+  /// Observes a connection, also after its stream was destroyed.
+  class observer {
+   public:
+    explicit observer(std::weak_ptr<const connection> observed)
+        : connection_(std::move(observed)) {}
+    /// @return the bytes that the peer has not acknowledged; none if the
+    /// connection has ended
+    owed_bytes Owed() const;
+    /// Logs and counts what is owed, as the process ends.
+    void ReportGivenUp() const;
+
+   private:
+    std::weak_ptr<const connection> connection_;
+  };
+
   /// Dials. OnConnected or OnEnd follows; the caller sets the time limit.
   /// @return the connection, or nothing with LastError set
   static std::unique_ptr<tcp_stream> Dial(event_loop& loop, const endpoint& to,
@@ -57,6 +74,9 @@
   /// Asks the kernel.
   /// @return the bytes that the peer has not acknowledged
   owed_bytes Owed() const;
+  observer Observe() const;
+  /// @param id of the request that bytes are sent for from now on, for logs
+  void SetRequestId(std::string_view id);
   /// Stops reading; TCP flow control then stops the peer.
   void PauseReading();
   void ResumeReading();
@@ -75,7 +95,6 @@
   /// @return the address of the other end
   const std::string& peer() const;
 
-  class connection;
   /// Wraps a connection that is registered with the loop.
   explicit tcp_stream(std::shared_ptr<connection> registered);
 
--- /dev/null
+++ b/source/unit_tests/net/http1_server_slow_caller_test.cc
@@ -0,0 +1,98 @@
+#include <CppUTest/TestHarness.h>
+
+#include "common/metrics.h"
+#include "net/http1_server.h"
+#include "unit_tests/net/loopback.h"
+
+using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
+
+TEST_GROUP(Http1ServerSlowCaller) {
+  static constexpr int kWindowBytes = 64 * 1024;
+  static constexpr size_t kBodyBytes = size_t{8} << 20;
+  common::system_clock clock;
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  std::unique_ptr<net::http1_server> server;
+  fakes::raw_socket caller;
+
+  void setup() override {
+    server = net::http1_server::Create(
+        **loop, clock, {"127.0.0.1", 0}, {},
+        [](const std::shared_ptr<net::http1_exchange>& exchange) {
+          exchange->Send(200, "OK", {}, std::string(kBodyBytes, 'x'));
+        });
+    CHECK(server != nullptr);
+    CHECK(caller.Connect(server->port(), kWindowBytes));
+  }
+  void Request(const std::string& headers) {
+    caller.Send("GET / HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n");
+    CHECK(RunUntil([this] { return server->Undelivered().bytes > 0; }));
+  }
+  template <typename condition>
+  bool RunUntil(condition holds) {
+    return fakes::RunUntil(**loop, std::chrono::seconds(5), holds);
+  }
+  void RunFor(common::duration time) {
+    fakes::RunUntil(**loop, time, [] { return false; });
+  }
+  bool HasWholeResponse() {
+    const std::string& all = caller.Read();
+    const size_t body = all.find("\r\n\r\n");
+    return body != std::string::npos && all.size() == body + 4 + kBodyBytes;
+  }
+};
+
+// A planned stop ended the process with the end of responses still in it.
+TEST(Http1ServerSlowCaller, AResponseIsUndeliveredUntilTheCallerHasItAll) {
+  Request("");
+  LONGS_EQUAL(1, server->Undelivered().connections);
+  LONGS_EQUAL(1, server->ActiveRequests());
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  CHECK(RunUntil([this] { return server->Undelivered().bytes == 0; }));
+  LONGS_EQUAL(0, server->Undelivered().connections);
+  LONGS_EQUAL(0, server->ActiveRequests());
+}
+
+TEST(Http1ServerSlowCaller, AConnectionWithUnsentBytesIsNotIdle) {
+  Request("");
+  server->DisableKeepAlive();
+  server->CloseIdle();
+  LONGS_EQUAL(1, server->ActiveRequests());
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  CHECK(RunUntil([this] { return server->ActiveRequests() == 0; }));
+  server->CloseIdle();
+  CHECK(RunUntil([this] { return caller.Closed(); }));
+  CHECK_FALSE(caller.reset());
+}
+
+TEST(Http1ServerSlowCaller, AClosedConnectionIsCountedUntilItIsDelivered) {
+  Request("Connection: close\r\n");
+  LONGS_EQUAL(1, server->Undelivered().connections);
+  // The kernel takes the rest some time before the caller has it.
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  CHECK(RunUntil([this] { return server->Undelivered().bytes == 0; }));
+  CHECK(RunUntil([this] { return caller.Closed(); }));
+  CHECK_FALSE(caller.reset());
+}
+
+// The rest of a response was dropped when the caller closed its sending side.
+TEST(Http1ServerSlowCaller, ACallerThatSendsNoMoreGetsTheWholeResponse) {
+  Request("Connection: close\r\n");
+  caller.Shutdown();
+  RunFor(std::chrono::milliseconds(20));
+  CHECK(server->Undelivered().bytes > 0);
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  CHECK(RunUntil([this] { return caller.Closed(); }));
+  CHECK_FALSE(caller.reset());
+}
+
+TEST(Http1ServerSlowCaller, WhatIsGivenUpIsCounted) {
+  Request("");
+  const auto given_up = [] {
+    return common::Metrics().Counter("wisteria_connections_undelivered_total",
+                                     {{"why", "stop"}});
+  };
+  const uint64_t before = given_up();
+  server->ReportGivenUp();
+  LONGS_EQUAL(before + 1, given_up());
+}
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <limits>
 
 #include "common/digest.h"
 #include "common/last_error.h"
@@ -233,12 +234,14 @@
   return 1;
 }
 
-// socket_read(socket) -> bytes, closed, reset
+// socket_read(socket, max_bytes) -> bytes, closed, reset
 int SocketRead(lua_State* state) {
+  const size_t max_bytes = static_cast<size_t>(
+      luaL_optinteger(state, 2, std::numeric_limits<lua_Integer>::max()));
   bool closed = false;
   bool reset = false;
-  const std::string data =
-      ObjectArgument(state, Scenario(state).sockets)->Read(&closed, &reset);
+  const std::string data = ObjectArgument(state, Scenario(state).sockets)
+                               ->Read(max_bytes, &closed, &reset);
   lua_pushlstring(state, data.data(), data.size());
   lua_pushboolean(state, closed ? 1 : 0);
   lua_pushboolean(state, reset ? 1 : 0);
--- a/source/unit_tests/scenario/tcp_socket.cc
+++ b/source/unit_tests/scenario/tcp_socket.cc
@@ -48,10 +48,11 @@
   return true;
 }
 
-std::string tcp_socket::Read(bool* closed, bool* reset) const {
+std::string tcp_socket::Read(size_t max_bytes, bool* closed,
+                             bool* reset) const {
   std::string data;
   std::array<char, kReadBufferBytes> buffer;
-  while (true) {
+  while (data.size() < max_bytes) {
     const ssize_t size = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (size > 0) {
       data.append(buffer.data(), static_cast<size_t>(size));
@@ -61,6 +62,7 @@
     *closed = size == 0 || *reset;
     return data;
   }
+  return data;
 }
 
 void tcp_socket::Shutdown() const { shutdown(fd_, SHUT_WR); }
--- a/source/unit_tests/scenario/tcp_socket.h
+++ b/source/unit_tests/scenario/tcp_socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -20,10 +21,11 @@
   /// Sends all of the data; blocks while the peer does not read.
   /// @return false when the connection failed
   bool Send(std::string_view data) const;
+  /// @param max_bytes to read at most, about
   /// @param closed set to whether the connection was closed or failed
   /// @param reset  set to whether it was reset or failed
   /// @return the bytes that have arrived, without waiting
-  std::string Read(bool* closed, bool* reset) const;
+  std::string Read(size_t max_bytes, bool* closed, bool* reset) const;
   /// Closes the sending side only.
   void Shutdown() const;
 
