Count attempts whose target is lost after their time

What callers saw: a request that silences each worker before the worker's process ends came again and again and reached a worker with each try; every worker it reached was lost with the requests of others on it.

Cause: Terminate and OnCallerDisconnected dropped the call without telling anyone. Only a connection that ended before the route's timeout was counted as a crash, and a silent target's connection ends later.

Fix: an attempt of a request ends in one place, forward_request::EndAttempt, whichever way it ends: answered, failed, lost, timed out, cancelled. It tells crash suspicion, target health, metrics and the target's load. An attempt that was dropped is watched (core/quarantine/crash_watch): it counts when its target leaves the fleet without notice within 10 s and has not answered a request that was sent after the drop. Timeouts alone, slow targets, planned stops and answers elsewhere on the same gateway convict nobody. Bounded to 2,000 watched attempts, with a gauge.

Not changed: timed-out attempts don't eject their target and don't use the retry budget, as before.

--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -131,6 +131,8 @@
 void target_directory::Detach(const std::shared_ptr<fleet_target>& target,
                               leaving_reason reason) {
   target->leaving = true;
+  target->vanished =
+      reason == leaving_reason::kGone || reason == leaving_reason::kReplaced;
   RecordDeparture({target->entry.id, target->entry.started_ms},
                   reason == leaving_reason::kGone);
   by_id_.erase(target->entry.id);
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -54,6 +54,8 @@
 struct fleet_target {
   target_entry entry;
   bool leaving = false;  ///< gets no new work; final for this start
+  /// It left without notice: its entry was removed, or a later start found.
+  bool vanished = false;
   uint32_t in_flight = 0;
   double outstanding_tokens = 0;  ///< prompt tokens sent and not yet answered
   uint32_t consecutive_failures = 0;
--- a/source/core/forwarding/attempt_rules.cc
+++ b/source/core/forwarding/attempt_rules.cc
@@ -3,8 +3,9 @@
 namespace wisteriadale::core {
 
 std::string_view ToString(attempt_outcome outcome) {
-  constexpr std::string_view kNames[] = {"not_sent", "not_run", "failed",
-                                         "lost", "unconfirmed"};
+  constexpr std::string_view kNames[] = {"not_sent",  "not_run",     "failed",
+                                         "lost",      "unconfirmed", "answered",
+                                         "timed_out", "cancelled"};
   return kNames[static_cast<size_t>(outcome)];
 }
 
--- a/source/core/forwarding/attempt_rules.h
+++ b/source/core/forwarding/attempt_rules.h
@@ -8,8 +8,7 @@
 
 namespace wisteriadale::core {
 
-/// How an attempt on a target ended before any byte of its response was
-/// forwarded.
+/// How an attempt on a target ended.
 enum class attempt_outcome {
   kNotSent,  ///< no connection: the target cannot have seen the request
   kNotRun,   ///< the target reports that it did not run the request
@@ -18,6 +17,9 @@
   /// The response may be complete or truncated: only the end of its connection
   /// shows where it ends.
   kUnconfirmed,
+  kAnswered,   ///< a complete response that is not a failure of the target
+  kTimedOut,   ///< the time of the request was over before the response was
+  kCancelled,  ///< the caller left before the response was complete
 };
 
 /// What to do next with a request.
--- a/source/core/quarantine/crash_suspects.cc
+++ b/source/core/quarantine/crash_suspects.cc
@@ -62,12 +62,12 @@
 }
 
 void crash_suspects::OnLost(const std::string& digest, uint32_t weight,
-                            bool widespread) {
+                            bool widespread, std::string_view request_id) {
   const auto found = entries_.find(digest);
   const entry* known = found == entries_.end() ? nullptr : &found->second;
   const bool counts = Counts(known, widespread);
   const uint32_t crashes = (known == nullptr ? 0 : known->crashes) + weight;
-  common::LogEvent(common::log_event::kCrashSuspected, "",
+  common::LogEvent(common::log_event::kCrashSuspected, request_id,
                    {{"digest", digest},
                     {"crashes", int64_t{crashes}},
                     {"weight", int64_t{weight}},
--- a/source/core/quarantine/crash_suspects.h
+++ b/source/core/quarantine/crash_suspects.h
@@ -71,7 +71,9 @@
   /// @param weight     how strongly the loss points to the suspect
   /// @param widespread most targets of the service are failing, so that the
   ///                   suspect is not to blame
-  void OnLost(const std::string& digest, uint32_t weight, bool widespread);
+  /// @param request_id of the lost request, for the log
+  void OnLost(const std::string& digest, uint32_t weight, bool widespread,
+              std::string_view request_id = "");
   /// A target answered a request.
   void OnAnswered(std::string_view digest);
   /// Notes that some request was answered, suspect or not.
--- /dev/null
+++ b/source/core/quarantine/crash_watch.cc
@@ -0,0 +1,94 @@
+#include "core/quarantine/crash_watch.h"
+
+#include <utility>
+
+#include "common/metrics.h"
+
+namespace wisteriadale::core {
+namespace {
+
+// An eviction costs time linear in the number of watched attempts.
+constexpr common::duration kEvictionInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void crash_watch::OnLost(const target_entry& target,
+                         const crash_suspicion& suspicion) {
+  if (!suspicion.digest.empty()) {
+    requests_.OnLost(suspicion.digest, 1,
+                     targets_.MostEjected(target.service, clock_.Now()),
+                     suspicion.request_id);
+  }
+  for (const std::string& part : suspicion.parts) {
+    parts_.OnLost(part, suspicion.part_weight, false, suspicion.request_id);
+  }
+}
+
+void crash_watch::OnDropped(const fleet_target& target,
+                            const crash_suspicion& suspicion) {
+  if (suspicion.digest.empty()) return;
+  if (target.vanished) {
+    OnLost(target.entry, suspicion);
+    return;
+  }
+  EvictExpired();
+  if (size() >= options_.max_watched) {
+    common::Metrics().Count("wisteria_crash_watches_not_kept_total");
+    return;
+  }
+  watched_[target.entry.id][suspicion.digest] = {clock_.Now(), suspicion};
+}
+
+void crash_watch::OnTargetAnswered(const std::string& target,
+                                   common::time_point sent_at) {
+  const auto found = watched_.find(target);
+  if (found == watched_.end()) return;
+  std::erase_if(found->second, [sent_at](const auto& each) {
+    return each.second.at <= sent_at;
+  });
+  if (found->second.empty()) watched_.erase(found);
+}
+
+void crash_watch::OnAnswered(std::string_view digest) {
+  for (auto each = watched_.begin(); each != watched_.end();) {
+    const auto found = each->second.find(digest);
+    if (found != each->second.end()) each->second.erase(found);
+    each = each->second.empty() ? watched_.erase(each) : std::next(each);
+  }
+}
+
+void crash_watch::OnTargetLeaving(const fleet_target& target) {
+  const auto found = watched_.find(target.entry.id);
+  if (found == watched_.end()) return;
+  const attempts_by_digest attempts = std::move(found->second);
+  watched_.erase(found);
+  if (!target.vanished) return;
+  for (const auto& [digest, attempt] : attempts) {
+    if (Expired(attempt)) continue;
+    common::Metrics().Count("wisteria_dropped_attempts_lost_total",
+                            {{"service", target.entry.service}});
+    OnLost(target.entry, attempt.suspicion);
+  }
+}
+
+size_t crash_watch::size() const {
+  size_t total = 0;
+  for (const auto& [target, attempts] : watched_) total += attempts.size();
+  return total;
+}
+
+bool crash_watch::Expired(const dropped_attempt& attempt) const {
+  return attempt.at + options_.watch_time < clock_.Now();
+}
+
+void crash_watch::EvictExpired() {
+  if (clock_.Now() < last_eviction_ + kEvictionInterval) return;
+  last_eviction_ = clock_.Now();
+  for (auto each = watched_.begin(); each != watched_.end();) {
+    std::erase_if(each->second,
+                  [this](const auto& entry) { return Expired(entry.second); });
+    each = each->second.empty() ? watched_.erase(each) : std::next(each);
+  }
+}
+
+}  // namespace wisteriadale::core
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -344,6 +344,9 @@
       codec.IndicatesMissingInputs(head.status, has_not_run_header);
   response_signed_ = head.Find(deps_.codec.headers().signature) != nullptr;
   ObserveStatements();
+  if (!codec.IndicatesMisdirected(head.status)) {
+    deps_.crash_watch.OnTargetAnswered(target_->entry.id, attempt_started_);
+  }
   target_->outstanding_tokens -= outstanding_tokens_;
   outstanding_tokens_ = 0;
   if (!Succeeded()) return;
@@ -452,19 +455,17 @@
     FinishAttempt(attempt_outcome::kUnconfirmed);
     return;
   }
-  ClearSuspects();
   // A failure too large to buffer has been relayed already.
   const bool already_relayed = relaying_ && !streaming_events_;
   if (!Succeeded() && !already_relayed) {
     FinishAttempt(attempt_outcome::kFailed);
     return;
   }
-  deps_.ejection.OnSuccess(target_.get());
   const common::time_point now = deps_.clock.Now();
   deps_.stop.OnComplete(route_->name, now - exchange_->received_at(),
                         now - attempt_started_);
   const std::string target = target_->entry.id;
-  ReleaseTarget();
+  EndAttempt(attempt_outcome::kAnswered);
   if (relaying_) {
     if (streaming_events_ && !filter_.rest().empty()) {
       exchange_->SendBody(filter_.rest());
@@ -478,7 +479,6 @@
 
 void forward_request::OnFailure(net::call_failure failure) {
   failure_ = failure;
-  RecordSuspectedCrash(failure);
   FinishAttempt(failure == net::call_failure::kNotSent
                     ? attempt_outcome::kNotSent
                     : attempt_outcome::kLost);
@@ -520,9 +520,8 @@
 }
 
 void forward_request::FinishAttempt(attempt_outcome outcome) {
-  UpdateTargetHealth(outcome);
   const std::string target = target_->entry.id;
-  ReleaseTarget();
+  EndAttempt(outcome);
   if (outcome == attempt_outcome::kNotSent) {
     --attempts_;
     ++failed_dials_;
@@ -544,9 +543,6 @@
     context.budget_left = deps_.retry_budget.TryAcquire(service_);
   }
   const next_step next = DecideNextStep(context);
-  common::Metrics().Count(
-      "wisteria_attempts_failed_total",
-      {{"service", service_}, {"end", core::ToString(outcome)}});
   common::LogEvent(
       log_event::kAttemptEnded, request_id_,
       {{"target", target},
@@ -655,8 +651,7 @@
 
 void forward_request::Terminate() {
   const bool was_sent = call_ && call_->sent();
-  call_.reset();
-  ReleaseTarget();
+  EndAttempt(attempt_outcome::kTimedOut);
   if (relaying_) {
     exchange_->Abort();
     Conclude("cut off by a timeout", response_head_.status, "");
@@ -688,8 +683,7 @@
 }
 
 void forward_request::End() {
-  call_.reset();
-  ReleaseTarget();
+  EndAttempt(attempt_outcome::kCancelled);
   DiscardStages();
   exchange_->SetDisconnectHandler(nullptr);
   owner_.Remove(this);
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -60,9 +60,13 @@
   common::duration RemainingQuarantine() const;
   /// @return whether the request is quarantined and the caller got a 503
   bool RejectQuarantined();
-  /// Counts a lost connection that this request, or a part of its prompt, may
-  /// have caused by crashing its target.
-  void RecordSuspectedCrash(net::call_failure failure);
+  /// @return whether the target sent a part of the response's body
+  bool TargetBeganToWrite() const;
+  /// @return what the loss of the target now may be due to
+  core::crash_suspicion CrashSuspicion() const;
+  /// Counts the end of an attempt that this request, or a part of its prompt,
+  /// may have caused by crashing its target, or clears them.
+  void RecordSuspectedCrash(core::attempt_outcome outcome);
   /// Clears the request and the parts of its prompt, as a target answered it.
   void ClearSuspects();
   /// @return parts of the prompt that other requests have too: all but the last
@@ -122,6 +126,10 @@
   void RelayBody(std::string_view data);
   /// Pauses reading from the target while the caller reads too slowly.
   void ApplyBackpressure();
+  /// Ends the attempt in progress, if any: the only place where attempts end.
+  /// Tells the counts of crashes, the target's health, the metrics and the
+  /// target's load of it.
+  void EndAttempt(core::attempt_outcome outcome);
   /// Decides what follows a failed attempt: a retry or a response to the
   /// caller.
   void FinishAttempt(core::attempt_outcome outcome);
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -48,7 +48,12 @@
     case attempt_outcome::kNotRun:
       deps_.ejection.OnOverloaded(target_.get(), now);
       break;
+    case attempt_outcome::kAnswered:
+      deps_.ejection.OnSuccess(target_.get());
+      break;
     case attempt_outcome::kUnconfirmed:
+    case attempt_outcome::kTimedOut:
+    case attempt_outcome::kCancelled:
       break;
     case attempt_outcome::kFailed:
       if (response_head_.status >= 500) {
--- a/source/gateway/forward_request_quarantine.cc
+++ b/source/gateway/forward_request_quarantine.cc
@@ -3,14 +3,16 @@
 
 #include "common/digest.h"
 #include "common/event_log.h"
+#include "common/metrics.h"
 #include "gateway/forward_request.h"
 
-// Requests, and parts of their prompts, that crash targets.
+// How attempts end, and requests and parts of their prompts that crash targets.
 
 namespace wisteriadale::gateway {
 namespace {
 
 using common::log_event;
+using core::attempt_outcome;
 
 // Weight of a loss for the parts of a prompt. A target that had sent the head
 // of the response was about to write its body; before that, it may have crashed
@@ -62,25 +64,74 @@
   return true;
 }
 
-void forward_request::RecordSuspectedCrash(net::call_failure failure) {
-  if (failure != net::call_failure::kLost &&
-      failure != net::call_failure::kTruncated &&
-      failure != net::call_failure::kReset) {
-    return;
-  }
-  deps_.suspects.OnLost(Digest(), 1,
-                        deps_.targets.MostEjected(service_, deps_.clock.Now()));
-  // The target had begun to write, and crashed by something else.
-  if (filter_.last_id() || !response_body_.empty()) return;
-  const uint32_t weight =
+bool forward_request::TargetBeganToWrite() const {
+  return filter_.last_id() || !response_body_.empty();
+}
+
+core::crash_suspicion forward_request::CrashSuspicion() const {
+  core::crash_suspicion suspicion;
+  suspicion.request_id = request_id_;
+  suspicion.digest = Digest();
+  // A target that had begun to write crashed by something else.
+  if (TargetBeganToWrite()) return suspicion;
+  suspicion.part_weight =
       Succeeded() ? kHeadReceivedWeight : kNothingReceivedWeight;
   for (const core::prompt_part& part : SharedParts()) {
-    deps_.part_suspects.OnLost(core::PartDigest(part.id), weight, false);
+    suspicion.parts.push_back(core::PartDigest(part.id));
+  }
+  return suspicion;
+}
+
+void forward_request::RecordSuspectedCrash(attempt_outcome outcome) {
+  switch (outcome) {
+    case attempt_outcome::kAnswered:
+    case attempt_outcome::kFailed:
+      ClearSuspects();
+      break;
+    case attempt_outcome::kLost:
+      if (failure_ && net::IndicatesLostServer(*failure_)) {
+        deps_.crash_watch.OnLost(target_->entry, CrashSuspicion());
+      }
+      break;
+    case attempt_outcome::kTimedOut:
+    case attempt_outcome::kCancelled:
+      if (call_ && call_->sent() && !TargetBeganToWrite()) {
+        deps_.crash_watch.OnDropped(*target_, CrashSuspicion());
+      }
+      break;
+    default:
+      break;
   }
 }
 
+void forward_request::EndAttempt(attempt_outcome outcome) {
+  if (!target_) return;
+  // Before this loss counts among those of the service's targets.
+  RecordSuspectedCrash(outcome);
+  UpdateTargetHealth(outcome);
+  if (outcome != attempt_outcome::kAnswered) {
+    common::Metrics().Count(
+        "wisteria_attempts_failed_total",
+        {{"service", service_}, {"end", core::ToString(outcome)}});
+  }
+  if (outcome == attempt_outcome::kTimedOut ||
+      outcome == attempt_outcome::kCancelled) {
+    common::LogEvent(log_event::kAttemptEnded, request_id_,
+                     {{"target", target_->entry.id},
+                      {"end", core::ToString(outcome)},
+                      {"sent", call_ && call_->sent()},
+                      {"status", int64_t{response_head_.status}},
+                      {"attempts", int64_t{attempts_}}});
+  }
+  ReleaseTarget();
+}
+
 void forward_request::ClearSuspects() {
-  if (!deps_.suspects.empty()) deps_.suspects.OnAnswered(Digest());
+  if (!deps_.suspects.empty() || !deps_.crash_watch.empty()) {
+    const std::string digest = Digest();
+    deps_.suspects.OnAnswered(digest);
+    deps_.crash_watch.OnAnswered(digest);
+  }
   if (!Succeeded() || prompt_parts_.empty()) return;
   deps_.part_suspects.NoteAnswer();
   if (deps_.part_suspects.empty()) return;
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -21,6 +21,7 @@
 #include "core/limits/target_slots.h"
 #include "core/ports/deployment_codec.h"
 #include "core/quarantine/crash_suspects.h"
+#include "core/quarantine/crash_watch.h"
 #include "core/routes/route_table.h"
 #include "core/stages/stage_latency_estimator.h"
 #include "gateway/stage_router.h"
@@ -45,6 +46,7 @@
   const core::target_ejection& ejection;
   core::crash_suspects& suspects;       ///< requests
   core::crash_suspects& part_suspects;  ///< parts of prompts
+  core::crash_watch& crash_watch;
   core::target_statements& statements;
   core::target_limits& limits;
   core::target_slots& slots;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -242,6 +242,9 @@
       links_->Broadcast(report);
     });
   }
+  crash_watch_ = std::make_unique<core::crash_watch>(
+      core::crash_watch_options(), *suspects_, *part_suspects_, targets_,
+      clock_);
   statements_ = std::make_unique<core::target_statements>(targets_, clock_);
   CreateLimits();
   stage_router_ =
@@ -257,28 +260,13 @@
         links_->Broadcast(core::service_load_message{service, load});
       });
   stage_router_->SetDispatcher(*dispatcher_);
-  forwarder_ =
-      std::make_unique<forwarder>(forward_dependencies{*loop_,
-                                                       clock_,
-                                                       *random_,
-                                                       *client_,
-                                                       *codec_,
-                                                       routes_,
-                                                       targets_,
-                                                       *selector_,
-                                                       first_events_,
-                                                       *retry_budget_,
-                                                       ejection_,
-                                                       *suspects_,
-                                                       *part_suspects_,
-                                                       *statements_,
-                                                       *limits_,
-                                                       *slots_,
-                                                       *caller_retries_,
-                                                       *stage_router_,
-                                                       *latency_estimator_,
-                                                       *admission_,
-                                                       stop_admission_});
+  forwarder_ = std::make_unique<forwarder>(forward_dependencies{
+      *loop_,          clock_,           *random_,       *client_,
+      *codec_,         routes_,          targets_,       *selector_,
+      first_events_,   *retry_budget_,   ejection_,      *suspects_,
+      *part_suspects_, *crash_watch_,    *statements_,   *limits_,
+      *slots_,         *caller_retries_, *stage_router_, *latency_estimator_,
+      *admission_,     stop_admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   fleet_sync_->SetReadHandler(
       [this](const core::store_read& read, common::time_point read_at) {
@@ -513,6 +501,7 @@
 void gateway_process::OnTargetLeaving(const core::fleet_target& target,
                                       core::leaving_reason why) {
   selector_->hints().Forget(target.entry.id);
+  crash_watch_->OnTargetLeaving(target);
   // An entry that only lapsed may return.
   if (why != core::leaving_reason::kGone) {
     limits_->Forget(target.entry.id, target.entry.started_ms);
@@ -553,6 +542,8 @@
     common::Metrics().Set(
         "wisteria_targets_age_ms",
         static_cast<double>(common::ToMillis(fleet_sync_->TargetsAge())));
+    common::Metrics().Set("wisteria_crash_watches",
+                          static_cast<double>(crash_watch_->size()));
     common::Metrics().Set("wisteria_link_bytes_pending",
                           static_cast<double>(links_->PendingBytes()));
     exchange->Send(200, "OK", headers, common::Metrics().PrometheusText());
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -118,6 +118,7 @@
   std::unique_ptr<core::target_selector> selector_;
   std::unique_ptr<core::crash_suspects> suspects_;
   std::unique_ptr<core::crash_suspects> part_suspects_;
+  std::unique_ptr<core::crash_watch> crash_watch_;
   std::unique_ptr<core::stage_latency_estimator> latency_estimator_;
   std::unique_ptr<core::caller_retry_detector> caller_retries_;
   std::unique_ptr<core::stage_admission> admission_;
--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -346,6 +346,11 @@
   return kNames[static_cast<size_t>(failure)];
 }
 
+bool IndicatesLostServer(call_failure failure) {
+  return failure == call_failure::kLost ||
+         failure == call_failure::kTruncated || failure == call_failure::kReset;
+}
+
 http1_client::http1_client(event_loop& loop, common::clock& clock,
                            const http1_client_options& options)
     : loop_(loop), clock_(clock), options_(options) {
--- a/source/net/http1_client.h
+++ b/source/net/http1_client.h
@@ -26,6 +26,9 @@
 
 /// @return the name used in logs
 std::string_view ToString(call_failure failure);
+/// @return whether the server's process may have ended: its connection did,
+/// after the request was sent and before the response was complete
+bool IndicatesLostServer(call_failure failure);
 
 /// Receives the response to a call. OnComplete or OnFailure is called once, as
 /// the last event.
