Bound each part of an HTTP/1 message, and examine each byte once

Callers saw: requests without an answer, from a gateway that ended by itself.

Cause: Beast limits the header fields and the body. It reports a chunk header and a trailer only when they are complete, and until then the parser's callers kept all bytes and passed them again; behind the header of the last chunk it searches again from its start. The start line of an interim response that arrived before the rest of its head was not counted as skipped, so that interim responses could go on without end. The end of a head was searched in the bytes that were left, so that a body of more than the head's limit, which arrived behind the last CR of the head, was rejected as too large a head.

Now the parser finds the end of each unit (start line, headers, chunk header, trailers) by itself, line by line, and passes complete units only. Bytes that are kept are bounded by max_head_bytes and 16; so are chunk headers and trailers together, less 16 bytes and twice the data of each chunk (as in Go's net/http), so that short chunks go on working without limit. A head may no longer exceed max_head_bytes; up to twice as much was accepted, depending on how it arrived. Callers get 431 for a trailer and 400 for a chunk header; a call to a target ends as malformed.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -52,7 +52,8 @@
                                                           "answered",
                                                           "cancelled",
                                                           "crash_suspected",
-                                                          "quarantined"};
+                                                          "quarantined",
+                                                          "message_too_large"};
 // Lines per second of each event: a request logs three of them, and a gateway
 // on a fifth of a core serves some 60 requests per second.
 constexpr double kLinesPerSecond = 120;
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -54,8 +54,9 @@
   kCallEnded,  ///< a queue owner's call to a target ended
   kAnswered,
   kCancelled,
-  kCrashSuspected,  ///< a target was lost while it ran a request
-  kQuarantined,     ///< a request is refused because it crashes targets
+  kCrashSuspected,   ///< a target was lost while it ran a request
+  kQuarantined,      ///< a request is refused because it crashes targets
+  kMessageTooLarge,  ///< a part of a message exceeds its size limit
   kCount
 };
 
--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -7,6 +7,7 @@
 #include "common/last_error.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "net/message_too_large.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -64,7 +65,9 @@
 
   const std::string& server() const { return server_; }
   bool open() const { return open_; }
-  bool usable() const { return open_ && !ended_ && input_.empty(); }
+  bool usable() const {
+    return open_ && !ended_ && input_consumed_ == input_.size();
+  }
   bool sent() const { return sent_; }
   common::time_point expires() const { return expires_; }
   tcp_stream* stream() { return stream_.get(); }
@@ -116,6 +119,7 @@
     request_.shrink_to_fit();
   }
   http1_error ParseInput();
+  void ReportExceeded(const exceeded_limit& limit) const;
   void FinishMessage();
 
   http1_client& owner_;
@@ -124,6 +128,7 @@
   call* call_ = nullptr;
   std::string request_;
   std::string input_;
+  size_t input_consumed_ = 0;  ///< bytes at the front of input_
   std::unique_ptr<http1_parser> parser_;
   bool head_only_ = false;
   uint64_t max_body_bytes_ = 0;
@@ -203,6 +208,8 @@
   }
 
   response_handler* handler() const { return handler_; }
+  /// @return the value that the response must echo, which identifies the call
+  const std::string& id() const { return echo_value_; }
 
   /// Ends the call with a complete response. `this` may be destroyed within.
   void Complete() {
@@ -245,7 +252,15 @@
   bool reused_ = false;
 };
 
+void http1_client::connection::ReportExceeded(
+    const exceeded_limit& limit) const {
+  ReportTooLarge("response", limit, call_ == nullptr ? "" : call_->id(),
+                 server_);
+}
+
 void http1_client::connection::OnData(std::string_view data) {
+  input_.erase(0, input_consumed_);
+  input_consumed_ = 0;
   input_.append(data);
   // Bytes on an idle connection belong to no call; they make it unusable.
   if (call_ == nullptr) return;
@@ -256,7 +271,7 @@
 
 http1_error http1_client::connection::ParseInput() {
   std::string body;
-  while (call_ != nullptr && !input_.empty()) {
+  while (call_ != nullptr && input_consumed_ < input_.size()) {
     if (!parser_) {
       parser_ = http1_parser::ForResponse(
           {owner_.options_.max_head_bytes, max_body_bytes_}, head_only_);
@@ -265,9 +280,13 @@
     }
     size_t consumed = 0;
     body.clear();
-    const http1_error error = parser_->Parse(input_, &consumed, &body);
-    input_.erase(0, consumed);
-    if (error != http1_error::kNone) return error;
+    const http1_error error = parser_->Parse(
+        std::string_view(input_).substr(input_consumed_), &consumed, &body);
+    input_consumed_ += consumed;
+    if (error != http1_error::kNone) {
+      if (parser_->exceeded()) ReportExceeded(*parser_->exceeded());
+      return error;
+    }
     if (!parser_->head_complete()) return http1_error::kNone;
     const message_head& head = parser_->head();
     const bool interim = head.status / 100 == 1;
@@ -286,6 +305,8 @@
     if (skipping_) {
       skipped_bytes_ += consumed;
       if (skipped_bytes_ > owner_.options_.max_skipped_bytes) {
+        ReportExceeded({message_part::kSkipped, skipped_bytes_,
+                        owner_.options_.max_skipped_bytes});
         return http1_error::kBodyTooLarge;
       }
     }
--- a/source/net/http1_parser.cc
+++ b/source/net/http1_parser.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <charconv>
 
 namespace wisteriadale::net {
 namespace {
@@ -19,12 +20,61 @@
 
 std::string_view View(string_view text) { return {text.data(), text.size()}; }
 
-/// @return whether a header line is folded: continues the line before it
-bool HasFoldedLine(std::string_view head) {
-  return head.find("\n ") != std::string_view::npos ||
-         head.find("\n\t") != std::string_view::npos;
+/// @return the number that a text begins with
+uint64_t ParseNumber(std::string_view text, int base) {
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number, base);
+  return number;
 }
 
+bool IsHexDigit(char letter) {
+  return (letter >= '0' && letter <= '9') ||
+         (ToLower(letter) >= 'a' && ToLower(letter) <= 'f');
+}
+
+/// @return whether a line is the header of the last chunk, which has size 0
+bool IsLastChunk(std::string_view line) {
+  const size_t digits = static_cast<size_t>(
+      std::find_if_not(line.begin(), line.end(), IsHexDigit) - line.begin());
+  return digits > 0 && line.find_first_not_of('0') >= digits;
+}
+
+/// Splits bytes that arrive in pieces into lines, and examines each byte once.
+class line_scanner {
+ public:
+  enum class outcome { kLine, kNeedMore, kMalformed };
+
+  /// @param input from the first byte since Reset
+  outcome Next(std::string_view input) {
+    const size_t end = input.find('\n', scanned_);
+    const size_t stop = end == std::string_view::npos ? input.size() : end + 1;
+    examined_ += stop - scanned_;
+    scanned_ = stop;
+    if (end == std::string_view::npos) return outcome::kNeedMore;
+    if (end == next_ || input[end - 1] != '\r') return outcome::kMalformed;
+    line_ = input.substr(next_, end - 1 - next_);
+    next_ = stop;
+    ++lines_;
+    return outcome::kLine;
+  }
+  void Reset() { scanned_ = next_ = lines_ = 0; }
+
+  /// @return the last line without its end
+  std::string_view line() const { return line_; }
+  /// @return offset of the line behind the last one
+  size_t next() const { return next_; }
+  /// @return lines since Reset
+  size_t lines() const { return lines_; }
+  uint64_t examined() const { return examined_; }
+
+ private:
+  std::string_view line_;
+  size_t scanned_ = 0;
+  size_t next_ = 0;
+  size_t lines_ = 0;
+  uint64_t examined_ = 0;
+};
+
 http1_error ErrorOf(const error_code& ec) {
   if (ec == http::error::header_limit) return http1_error::kHeadTooLarge;
   if (ec == http::error::body_limit) return http1_error::kBodyTooLarge;
@@ -51,19 +101,13 @@
     body_ = body;
     while (*consumed < input.size() && !base::is_done()) {
       const std::string_view rest = input.substr(*consumed);
-      if (!base::is_header_done()) {
-        const http1_error head_error = CheckHead(rest);
-        if (head_error != http1_error::kNone) return head_error;
-      }
-      error_code ec;
-      const size_t parsed =
-          base::put(boost::asio::const_buffer(rest.data(), rest.size()), ec);
+      size_t parsed = 0;
+      const http1_error error = ParsePart(rest, &parsed);
       *consumed += parsed;
-      if (ec == http::error::need_more) break;
-      if (ec) return ErrorOf(ec);
+      if (error != http1_error::kNone) return error;
       if (parsed == 0) break;
     }
-    return framing_error_ ? http1_error::kMalformed : http1_error::kNone;
+    return http1_error::kNone;
   }
 
   http1_error End() override {
@@ -78,16 +122,130 @@
   bool head_complete() const override { return base::is_header_done(); }
   bool complete() const override { return base::is_done(); }
   const message_head& head() const override { return head_; }
+  const std::optional<exceeded_limit>& exceeded() const override {
+    return exceeded_;
+  }
+  uint64_t examined_bytes() const override {
+    return lines_.examined() + put_bytes_;
+  }
 
  private:
-  http1_error CheckHead(std::string_view input) const {
-    const size_t end = input.find("\r\n\r\n");
-    if (end == std::string_view::npos) {
-      return input.size() > limits_.max_head_bytes ? http1_error::kHeadTooLarge
-                                                   : http1_error::kNone;
+  http1_error ParsePart(std::string_view rest, size_t* parsed) {
+    if (!base::is_header_done()) return ParseHead(rest, parsed);
+    if (!base::chunked()) return Put(rest, parsed);
+    if (chunk_remaining_ == 0) return ParseChunkHeader(rest, parsed);
+    return Put(rest.substr(0, chunk_remaining_), parsed);
+  }
+
+  /// Passes complete units to the library, which reads incomplete ones again
+  /// from their start.
+  /// @param parsed set to the number of bytes that belong to the message
+  http1_error Put(std::string_view unit, size_t* parsed) {
+    error_code ec;
+    *parsed =
+        base::put(boost::asio::const_buffer(unit.data(), unit.size()), ec);
+    put_bytes_ += *parsed;
+    if (!ec || ec == http::error::need_more) return http1_error::kNone;
+    const http1_error error = ErrorOf(ec);
+    if (error == http1_error::kBodyTooLarge) {
+      exceeded_ = {message_part::kBody,
+                   body_bytes_ + announced_bytes_.value_or(unit.size()),
+                   limits_.max_body_bytes};
     }
-    return HasFoldedLine(input.substr(0, end)) ? http1_error::kMalformed
-                                               : http1_error::kNone;
+    return error;
+  }
+
+  http1_error ParseHead(std::string_view rest, size_t* parsed) {
+    // Other protocols are told apart by their first bytes.
+    constexpr std::string_view kProtocol = "HTTP/1.";
+    const std::string_view begin = rest.substr(0, kProtocol.size());
+    if (is_request ? rest[0] <= ' ' || rest[0] > '~'
+                   : !kProtocol.starts_with(begin)) {
+      return http1_error::kMalformed;
+    }
+    const std::string_view input = rest.substr(0, limits_.max_head_bytes);
+    while (true) {
+      switch (lines_.Next(input)) {
+        case line_scanner::outcome::kMalformed:
+          return http1_error::kMalformed;
+        case line_scanner::outcome::kNeedMore:
+          if (rest.size() < limits_.max_head_bytes) return http1_error::kNone;
+          exceeded_ = {lines_.lines() == 0 ? message_part::kStartLine
+                                           : message_part::kHeaders,
+                       rest.size(), limits_.max_head_bytes};
+          return http1_error::kHeadTooLarge;
+        case line_scanner::outcome::kLine:
+          break;
+      }
+      const std::string_view line = lines_.line();
+      if (lines_.lines() == 1) {
+        const http1_error error =
+            Put(input.substr(0, lines_.next()), &start_line_bytes_);
+        if (error != http1_error::kNone) return error;
+      } else if (line.empty()) {
+        *parsed = lines_.next();
+        lines_.Reset();
+        size_t header_bytes = 0;
+        return Put(input.substr(start_line_bytes_, *parsed - start_line_bytes_),
+                   &header_bytes);
+      } else if (line[0] == ' ' || line[0] == '\t') {
+        return http1_error::kMalformed;
+      }
+    }
+  }
+
+  /// Parses the line end of the chunk before, the header of a chunk and, if it
+  /// is the last, the trailers.
+  http1_error ParseChunkHeader(std::string_view rest, size_t* parsed) {
+    constexpr std::string_view kLineEnd = "\r\n";
+    const size_t begin = is_first_chunk_ ? 0 : kLineEnd.size();
+    if (!kLineEnd.starts_with(rest.substr(0, begin)) ||
+        (rest.size() > begin && !IsHexDigit(rest[begin]))) {
+      return http1_error::kMalformed;
+    }
+    const uint64_t allowed =
+        limits_.max_head_bytes + kMaxShortChunkHeader - framing_bytes_;
+    const std::string_view input = rest.substr(0, allowed);
+    const size_t header_lines = is_first_chunk_ ? 1 : 2;
+    while (true) {
+      switch (lines_.Next(input)) {
+        case line_scanner::outcome::kMalformed:
+          return http1_error::kMalformed;
+        case line_scanner::outcome::kNeedMore:
+          return rest.size() < allowed
+                     ? http1_error::kNone
+                     : RejectChunkHeader(rest.size(),
+                                         lines_.lines() >= header_lines);
+        case line_scanner::outcome::kLine:
+          break;
+      }
+      const std::string_view line = lines_.line();
+      const bool ends = lines_.lines() == header_lines
+                            ? !IsLastChunk(line)
+                            : lines_.lines() > header_lines && line.empty();
+      if (ends) break;
+    }
+    *parsed = lines_.next();
+    lines_.Reset();
+    is_first_chunk_ = false;
+    const std::string_view unit = input.substr(0, *parsed);
+    announced_bytes_ = ParseNumber(unit.substr(begin), 16);
+    const http1_error error = Put(unit, parsed);
+    // Short chunks may have more framing than data, without limit.
+    const uint64_t granted =
+        kMaxShortChunkHeader +
+        2 * std::min<uint64_t>(chunk_remaining_, limits_.max_head_bytes);
+    const uint64_t total = framing_bytes_ + *parsed;
+    framing_bytes_ = total > granted ? total - granted : 0;
+    return error;
+  }
+
+  http1_error RejectChunkHeader(size_t bytes, bool in_trailer) {
+    exceeded_ = {
+        in_trailer ? message_part::kTrailer : message_part::kChunkHeader,
+        framing_bytes_ + bytes, limits_.max_head_bytes + kMaxShortChunkHeader};
+    return in_trailer ? http1_error::kTrailerTooLarge
+                      : http1_error::kChunkHeaderTooLarge;
   }
 
   void on_request_impl(http::verb, string_view method, string_view target,
@@ -113,6 +271,9 @@
          head_.Count("Transfer-Encoding") > 0)) {
       framing_error_ = true;
     }
+    if (name == http::field::content_length) {
+      announced_bytes_ = ParseNumber(View(value), 10);
+    }
     head_.headers.push_back(
         {std::string(View(text)), std::string(View(value))});
   }
@@ -133,11 +294,16 @@
                          error_code&) override {}
   size_t on_body_impl(string_view body, error_code&) override {
     body_->append(body.data(), body.size());
+    body_bytes_ += body.size();
     return body.size();
   }
-  void on_chunk_header_impl(uint64_t, string_view, error_code&) override {}
+  void on_chunk_header_impl(uint64_t size, string_view, error_code&) override {
+    chunk_remaining_ = size;
+  }
   size_t on_chunk_body_impl(uint64_t, string_view body, error_code&) override {
+    chunk_remaining_ -= body.size();
     body_->append(body.data(), body.size());
+    body_bytes_ += body.size();
     return body.size();
   }
   void on_finish_impl(error_code&) override {}
@@ -154,6 +320,15 @@
   message_head head_;
   std::string* body_ = nullptr;
   bool framing_error_ = false;
+  line_scanner lines_;
+  size_t start_line_bytes_ = 0;
+  bool is_first_chunk_ = true;
+  uint64_t chunk_remaining_ = 0;  ///< bytes of the chunk that is being read
+  uint64_t framing_bytes_ = 0;    ///< of chunks, beyond what is granted
+  uint64_t body_bytes_ = 0;
+  std::optional<uint64_t> announced_bytes_;  ///< of the body or the chunk
+  uint64_t put_bytes_ = 0;
+  std::optional<exceeded_limit> exceeded_;
 };
 
 }  // namespace
@@ -163,6 +338,13 @@
   return kNames[static_cast<size_t>(framing)];
 }
 
+std::string_view ToString(message_part part) {
+  constexpr std::string_view kNames[] = {
+      "start_line", "headers", "chunk_header", "trailer",
+      "body",       "skipped", "no_message"};
+  return kNames[static_cast<size_t>(part)];
+}
+
 bool SameName(std::string_view left, std::string_view right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](char a, char b) { return ToLower(a) == ToLower(b); });
--- a/source/net/http1_parser.h
+++ b/source/net/http1_parser.h
@@ -51,17 +51,48 @@
   kMalformed,  ///< not HTTP/1, or ambiguous framing
   kHeadTooLarge,
   kBodyTooLarge,
+  kChunkHeaderTooLarge,  ///< sizes and extensions of its chunks
+  kTrailerTooLarge,
   kTruncated,  ///< the connection closed before the end of the message
 };
 
+/// Part of a message that has a size limit.
+enum class message_part {
+  kStartLine,
+  kHeaders,
+  kChunkHeader,
+  kTrailer,
+  kBody,
+  kSkipped,   ///< interim responses, and responses to other calls
+  kNoMessage  ///< bytes on a connection on which no message is expected
+};
+
+/// @return the name used in logs and metrics
+std::string_view ToString(message_part part);
+
+/// A part of a message that exceeds its limit.
+struct exceeded_limit {
+  message_part part = message_part::kBody;
+  uint64_t bytes = 0;    ///< received or announced
+  uint64_t allowed = 0;  ///< in bytes
+};
+
 /// Size limits of a message.
 struct http1_limits {
+  /// Limit of the start line and headers, and of the chunk headers and trailers
+  /// beyond what short chunks need.
   size_t max_head_bytes = size_t{16} * 1024;
   uint64_t max_body_bytes = uint64_t{4} << 20;
 };
 
+/// Bytes of a chunk header, with the line end of the chunk before it, that do
+/// not count towards the limit.
+constexpr size_t kMaxShortChunkHeader = 16;
+
 /// Strict parser of one message: rejects conflicting lengths, folded headers
 /// and transfer codings other than `chunked`.
+/// The result does not depend on how the bytes are divided among calls, and the
+/// work is linear in the size of the message.
 class http1_parser {
  public:
   virtual ~http1_parser() = default;
@@ -71,7 +102,8 @@
                                                    bool head_only);
 
   /// Parses the next bytes. Bytes that are not consumed must be passed again,
-  /// followed by those that arrived since.
+  /// followed by those that arrived since; unless an error is returned, they
+  /// are fewer than max_head_bytes and kMaxShortChunkHeader together.
   /// @param input    bytes of the connection
   /// @param consumed set to the number of bytes consumed
   /// @param body     decoded bytes of the body are appended to it
@@ -83,6 +115,10 @@
   virtual bool head_complete() const = 0;
   virtual bool complete() const = 0;
   virtual const message_head& head() const = 0;
+  /// @return the limit that the message exceeds, after an error that says so
+  virtual const std::optional<exceeded_limit>& exceeded() const = 0;
+  /// @return bytes examined so far; those examined twice count twice
+  virtual uint64_t examined_bytes() const = 0;
 };
 
 }  // namespace wisteriadale::net
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -7,6 +7,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "net/message_too_large.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -39,6 +40,7 @@
 error_status StatusOf(http1_error error) {
   switch (error) {
     case http1_error::kHeadTooLarge:
+    case http1_error::kTrailerTooLarge:
       return {431, "Request Header Fields Too Large"};
     case http1_error::kBodyTooLarge:
       return {413, "Content Too Large"};
@@ -300,6 +302,9 @@
     const http1_error error = parser_->Parse(input_, &consumed, &body_);
     input_.erase(0, consumed);
     if (error != http1_error::kNone) {
+      if (parser_->exceeded()) {
+        ReportTooLarge("request", *parser_->exceeded(), "", stream_->peer());
+      }
       Reject(StatusOf(error));
       return;
     }
--- a/source/unit_tests/net/http1_client_test.cc
+++ b/source/unit_tests/net/http1_client_test.cc
@@ -214,6 +214,38 @@
   CHECK(Call("1").failure == net::call_failure::kMalformed);
 }
 
+// The chunk framing of a response was kept without limit.
+TEST(Http1Client, ChunkFramingWithoutEndIsMalformed) {
+  const std::string endless(size_t{1} << 20, '0');
+  for (const std::string& begin : {"", "5;a=", "0;a=", "0\r\nX: "}) {
+    server.AddResponse(
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        begin + endless);
+    CHECK(Call("1").failure == net::call_failure::kMalformed);
+  }
+}
+
+// The start line of an interim response that arrived before the rest of its
+// head was not counted as skipped.
+TEST(Http1Client, InterimResponsesWithoutEndInPartsAreMalformed) {
+  server.AddResponse("");
+  recorded_response response;
+  net::outgoing_request request;
+  request.to = server.listen_address();
+  const std::unique_ptr<net::http1_call> call = client.Start(request, response);
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] { return server.requests() == 1; }));
+  const std::string reason(size_t{16} * 1024, 'x');
+  for (int i = 0; i < 100 && !response.done; ++i) {
+    for (const std::string& part :
+         {"HTTP/1.1 100 " + reason + "\r\n", std::string("\r\n")}) {
+      server.SendUnsolicited(part);
+      fakes::RunUntil(*loop, std::chrono::milliseconds(4),
+                      [&] { return response.done; });
+    }
+  }
+  CHECK(response.failure == net::call_failure::kMalformed);
+}
+
 TEST(Http1Client, InterimResponsesWithoutEndAreMalformed) {
   std::string endless;
   while (endless.size() < size_t{3} << 20) {
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -145,6 +145,42 @@
   LONGS_EQUAL(0, server->ActiveRequests());
 }
 
+// The chunk framing of a request was kept without limit.
+TEST(Http1Server, PartsWithoutEndAreRejectedWithTheirStatus) {
+  struct expectation {
+    const char* begin;
+    char repeated;
+    const char* status;
+  };
+  const std::string chunked =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  common::system_clock clock;
+  const std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  net::http1_server_limits limits;
+  limits.message.max_head_bytes = 4096;
+  limits.message.max_body_bytes = 5000;
+  const std::unique_ptr<net::http1_server> server = net::http1_server::Create(
+      **loop, clock, {"127.0.0.1", 0}, limits,
+      [](const std::shared_ptr<net::http1_exchange>& exchange) {
+        exchange->Send(200, "OK", {}, "");
+      });
+  CHECK(server != nullptr);
+  for (const auto& [begin, repeated, status] :
+       {expectation{"", '0', "400"}, expectation{"5;a=", 'x', "400"},
+        expectation{"0;a=", 'x', "400"}, expectation{"0\r\nX: ", 'x', "431"},
+        expectation{"1388\r\n", 'x', "400"},
+        expectation{"1389\r\n", 'x', "413"}}) {
+    fakes::raw_socket caller;
+    CHECK(caller.Connect(server->port()));
+    caller.Send(chunked + begin + std::string(8192, repeated));
+    CHECK(fakes::RunUntil(**loop, std::chrono::seconds(2),
+                          [&] { return !caller.Read().empty(); }));
+    STRNCMP_EQUAL((std::string("HTTP/1.1 ") + status).c_str(),
+                  caller.Read().c_str(), 12);
+  }
+}
+
 TEST_GROUP(Http1ServerBody) {
   static constexpr common::duration kTimeout = std::chrono::milliseconds(400);
   static constexpr common::duration kGap = std::chrono::milliseconds(50);
