HTTP client: close idle connections that receive bytes

A target could send without end on a connection of the pool: all bytes were kept until the next eviction, up to half a second at the speed of the link. Found while bounding each part of a message; callers were not seen to be hit. Bytes that no call can use now close the connection at once, with a message_too_large line (part no_message).

BytesWithoutEndOnAnIdleConnectionCloseIt fails without the fix: the connection is open after 200 ms.

--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -259,11 +259,16 @@
 }
 
 void http1_client::connection::OnData(std::string_view data) {
+  if (call_ == nullptr) {
+    // No call can use them, and the server could send them without end.
+    ReportExceeded({message_part::kNoMessage, data.size(), 0});
+    ended_ = true;
+    stream_->Abort();
+    return;
+  }
   input_.erase(0, input_consumed_);
   input_consumed_ = 0;
   input_.append(data);
-  // Bytes on an idle connection belong to no call; they make it unusable.
-  if (call_ == nullptr) return;
   const http1_error error = ParseInput();
   if (call_ == nullptr) return;
   if (error != http1_error::kNone) call_->Fail(call_failure::kMalformed);
--- a/source/unit_tests/net/http1_client_test.cc
+++ b/source/unit_tests/net/http1_client_test.cc
@@ -225,6 +225,15 @@
   }
 }
 
+TEST(Http1Client, BytesWithoutEndOnAnIdleConnectionCloseIt) {
+  server.AddResponse(Response("1", "body"));
+  Call("1");
+  server.SendUnsolicited(std::string(size_t{1} << 20, 'x'));
+  // Earlier than the pool evicts unusable connections.
+  CHECK(fakes::RunUntil(*loop, std::chrono::milliseconds(200),
+                        [&] { return server.open_connections() == 0; }));
+}
+
 // The start line of an interim response that arrived before the rest of its
 // head was not counted as skipped.
 TEST(Http1Client, InterimResponsesWithoutEndInPartsAreMalformed) {
--- a/source/unit_tests/net/scripted_server.h
+++ b/source/unit_tests/net/scripted_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -38,6 +39,12 @@
     return {"127.0.0.1", listener_->port()};
   }
   size_t connections() const { return connections_.size(); }
+  /// @return connections that no peer has closed
+  size_t open_connections() const {
+    return static_cast<size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& each) { return each->open(); }));
+  }
   size_t requests() const { return requests_; }
 
  private:
@@ -47,6 +54,7 @@
         : owner_(owner), stream_(std::move(stream)) {
       stream_->SetHandler(*this);
     }
+    bool open() const { return stream_ != nullptr; }
     void Write(const std::string& text) {
       if (stream_) stream_->Write(text);
     }
