HTTP parser: don't merge trailers into the headers

The trailers of a message became headers of it if the whole message arrived at once, and were reported to nobody otherwise: a request's second Host or X- header could stand behind its body. Found by comparing results over all ways to divide a message. RFC 9110, 6.5.1, forbids merging; trailers are checked and dropped.

TrailersAreNotHeaders fails without the fix (2 Host headers rather than 1).

--- a/source/net/http1_parser.cc
+++ b/source/net/http1_parser.cc
@@ -264,6 +264,8 @@
 
   void on_field_impl(http::field name, string_view text, string_view value,
                      error_code&) override {
+    // RFC 9110, 6.5.1: trailers must not be merged into the headers.
+    if (base::is_header_done()) return;
     // Only `chunked`, named once, is supported: any other transfer coding would
     // let two parsers see different messages in the same bytes.
     if (name == http::field::transfer_encoding &&
--- a/source/net/http1_parser.h
+++ b/source/net/http1_parser.h
@@ -90,7 +90,7 @@
 constexpr size_t kMaxShortChunkHeader = 16;
 
 /// Strict parser of one message: rejects conflicting lengths, folded headers
-/// and transfer codings other than `chunked`.
+/// and transfer codings other than `chunked`. Trailers are checked and dropped.
 /// The result does not depend on how the bytes are divided among calls, and the
 /// work is linear in the size of the message.
 class http1_parser {
--- a/source/unit_tests/net/http1_message_limits_test.cc
+++ b/source/unit_tests/net/http1_message_limits_test.cc
@@ -214,3 +214,16 @@
     CHECK_EQUAL(body, received);
   }
 }
+
+// Trailers were headers of a message that arrived at once, and of no other.
+TEST(Http1MessageLimits, TrailersAreNotHeaders) {
+  for (const size_t piece : {size_t{1}, size_t{1000}}) {
+    const std::unique_ptr<net::http1_parser> parser = Parser(true);
+    Feed(parser.get(),
+         std::string(kChunkedRequest) + "0\r\nHost: y\r\nX-A: b\r\n\r\n", "",
+         piece);
+    CHECK(parser->complete());
+    CHECK_EQUAL(1, parser->head().Count("Host"));
+    CHECK(parser->head().Find("X-A") == nullptr);
+  }
+}
