--- a/source/unit_tests/net/http1_client_test.cc
+++ b/source/unit_tests/net/http1_client_test.cc
@@ -218,9 +218,10 @@
 TEST(Http1Client, ChunkFramingWithoutEndIsMalformed) {
   const std::string endless(size_t{1} << 20, '0');
   for (const std::string& begin : {"", "5;a=", "0;a=", "0\r\nX: "}) {
-    server.AddResponse(
-        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
-        begin + endless);
+    std::string text =
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    text.append(begin).append(endless);
+    server.AddResponse(text);
     CHECK(Call("1").failure == net::call_failure::kMalformed);
   }
 }
--- a/source/unit_tests/platform_standin/broken_target.cc
+++ b/source/unit_tests/platform_standin/broken_target.cc
@@ -11,6 +11,9 @@
 // How far a response comes within its headers, an event or its body.
 constexpr size_t kBytesWithin = 8;
 constexpr size_t kMissingBytes = 10;
+// An endless response is sent in pieces of this size, at this period.
+constexpr size_t kEndlessBytes = size_t{256} * 1024;
+constexpr common::duration kEndlessPeriod = std::chrono::milliseconds(1);
 
 std::string Chunk(std::string_view data) {
   if (data.empty()) return "";
@@ -65,6 +68,15 @@
       stream_->Write(std::exchange(refusal_, {}));
     }
     owner_.Record(head, body);
+    if (!owner_.break_.endless.empty()) {
+      while (repeated_.size() < kEndlessBytes) {
+        repeated_.append(owner_.break_.endless);
+      }
+      stream_->Write(owner_.Head(head, false, 0) + "\r\n" +
+                     owner_.break_.begin);
+      SendMore();
+      return;
+    }
     const bool breaks = owner_.break_.at != "whole" &&
                         owner_.responses_++ >= owner_.break_.whole_first;
     stream_->Write(owner_.Response(head, body, breaks));
@@ -80,6 +92,16 @@
         });
   }
 
+  void SendMore() {
+    if (!stream_) return;
+    if (stream_->PendingBytes() < kEndlessBytes) stream_->Write(repeated_);
+    const std::weak_ptr<connection> self = weak_from_this();
+    owner_.loop_.Schedule(kEndlessPeriod, [self] {
+      const std::shared_ptr<connection> kept = self.lock();
+      if (kept) kept->SendMore();
+    });
+  }
+
   void Close(bool reset) {
     const std::shared_ptr<connection> self = shared_from_this();
     if (stream_ && reset) stream_->Abort();
@@ -93,6 +115,7 @@
   std::string input_;
   std::string body_;
   std::string refusal_;
+  std::string repeated_;  ///< what the endless response consists of
   uint64_t requests_ = 0;
 };
 
@@ -113,6 +136,22 @@
   runs_.push_back(MakeRun(id_, head, body, clock_.Now()));
 }
 
+std::string broken_target::Head(const net::message_head& request, bool streams,
+                                size_t length) const {
+  std::string out = "HTTP/1.1 " + std::to_string(break_.status) + " Status\r\n";
+  if (const std::string* id = request.Find(kRequestId)) {
+    out.append(kRequestId).append(": ").append(*id).append("\r\n");
+  }
+  if (break_.is_signed) out.append(kSignature).append(": " + id_ + "\r\n");
+  if (streams) out.append("Content-Type: text/event-stream\r\n");
+  if (break_.framing == "length") {
+    out.append("Content-Length: " + std::to_string(length) + "\r\n");
+  } else if (break_.framing == "chunks") {
+    out.append("Transfer-Encoding: chunked\r\n");
+  }
+  return out;
+}
+
 std::string broken_target::Response(const net::message_head& head,
                                     const std::string& body,
                                     bool breaks) const {
@@ -131,17 +170,7 @@
   size_t length = at == "end" ? kMissingBytes : 0;
   for (const std::string& part : parts) length += part.size();
 
-  std::string out = "HTTP/1.1 " + std::to_string(break_.status) + " Status\r\n";
-  if (const std::string* id = head.Find(kRequestId)) {
-    out.append(kRequestId).append(": ").append(*id).append("\r\n");
-  }
-  if (break_.is_signed) out.append(kSignature).append(": " + id_ + "\r\n");
-  if (streams) out.append("Content-Type: text/event-stream\r\n");
-  if (break_.framing == "length") {
-    out.append("Content-Length: " + std::to_string(length) + "\r\n");
-  } else if (break_.framing == "chunks") {
-    out.append("Transfer-Encoding: chunked\r\n");
-  }
+  std::string out = Head(head, streams, length);
   if (at == "head") return out.substr(0, out.size() - kBytesWithin);
   out.append("\r\n");
   if (at == "start") return out;
--- a/source/unit_tests/platform_standin/broken_target.h
+++ b/source/unit_tests/platform_standin/broken_target.h
@@ -34,6 +34,10 @@
   /// Field `repeats`: refuses each other request of a connection (503, not
   /// executed), and sends that response once more before the next.
   bool repeats_refusal = false;
+  /// Field `endless`: if not empty, a response has a signed head with this
+  /// framing, then `begin`, and then these bytes again and again.
+  std::string endless;
+  std::string begin;
 };
 
 /// A target of the platform that writes the bytes of its responses itself, so
@@ -65,6 +69,9 @@
   /// @return the bytes of a response up to where it breaks off
   std::string Response(const net::message_head& head, const std::string& body,
                        bool breaks) const;
+  /// @return the head of a response
+  std::string Head(const net::message_head& request, bool streams,
+                   size_t length) const;
 
   net::event_loop& loop_;
   common::clock& clock_;
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -127,6 +127,8 @@
     next.padding = body.value("padding", next.padding);
     next.whole_first = body.value("whole_first", next.whole_first);
     next.end_ms = body.value("end_ms", next.end_ms);
+    next.endless = body.value("endless", next.endless);
+    next.begin = body.value("begin", next.begin);
     next.repeats_refusal = body.value("repeats", next.repeats_refusal);
     for (const std::unique_ptr<broken_target>& each : broken_targets_) {
       if (each->id() == body.value("id", each->id())) each->SetBreak(next);
