Keep connections of peers that read slowly

Callers that read steadily at 320 kbit/s, or halted for some seconds, were reset within their response (LOST). TCP_USER_TIMEOUT of 1.9 s ends a connection whose window was closed for that long, though the peer answers each probe: the window of a slow reader opens in steps that take longer.

peer_progress now judges a peer that lacks bytes, by what the kernel tells: one that acknowledges nothing for 1.9 s, not even a probe, is gone (TCP_INFO, time since the last acknowledgement); one that acknowledges but takes nothing for 30 s (http1_server_limits::stall_timeout) is ended as stalled; any other is kept. TCP_RTO_MAX_MS of 1 s (Linux 6.15) has a closed window probed each second, and one keepalive probe in place of the user timeout keeps the bound of idle connections. Where TCP_INFO or TCP_RTO_MAX_MS is unknown, fails or doesn't read back, a socket stays as it was: TCP_USER_TIMEOUT and two probes, nothing watched from the process. A minimum rate is not asked for: a stream may be slow because its target is. Memory held for a stalled caller stays bounded by the relay's back-pressure.

Http1ServerUntilClose.ACallerThatReadsNothingIsReset held the old bound of 2.5 s for callers that live and read nothing, which is the fault.

Measured on real sockets; a filter on the peer's socket drops all that arrives, so that nothing is acknowledged.

--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -62,6 +62,7 @@
         accepted_at_(server.clock_.Now()),
         last_activity_(accepted_at_) {
     stream_->SetHandler(*this);
+    stream_->SetStallTimeout(server.limits_.stall_timeout);
   }
 
   void OnData(std::string_view data) override {
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -11,6 +11,7 @@
 
 #include "common/clock.h"
 #include "net/http1_parser.h"
+#include "net/peer_progress.h"
 #include "net/tcp_stream.h"
 
 namespace wisteriadale::net {
@@ -73,6 +74,8 @@
   common::duration header_timeout = std::chrono::seconds(10);
   /// How long an open connection may be without a request.
   common::duration idle_timeout = std::chrono::seconds(60);
+  /// How long a caller may take nothing of a response.
+  common::duration stall_timeout = kStallTimeout;
 };
 
 /// What a server has not delivered to its callers.
--- /dev/null
+++ b/source/net/socket_options.cc
@@ -0,0 +1,87 @@
+#include "net/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <optional>
+
+#include "net/peer_progress.h"
+
+namespace wisteriadale::net {
+namespace {
+
+constexpr int kUserTimeoutMs = static_cast<int>(
+    std::chrono::duration_cast<common::milliseconds>(kSilenceTimeout).count());
+constexpr int kProbeIdleSeconds = 1;
+constexpr int kProbePeriodSeconds = 1;
+constexpr int kProbes = 2;
+// Without a user timeout, the kernel ends an idle connection one period after
+// the last of these probes; with one, after the first that is late.
+constexpr int kProbesWithoutUserTimeout = 1;
+// TCP_RTO_MAX_MS of Linux 6.15, which the headers may lack. Bounds the period
+// of retransmissions and of window probes.
+constexpr int kRetransmissionLimitOption = 44;
+constexpr int kRetransmissionLimitMs = 1000;
+
+/// @return what the kernel tells of a connection, unless it tells nothing
+std::optional<tcp_info> InfoOf(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      size < sizeof(info)) {
+    return std::nullopt;
+  }
+  return info;
+}
+
+bool BoundRetransmissionPeriod(int fd) {
+  int value = kRetransmissionLimitMs;
+  socklen_t size = sizeof(value);
+  if (setsockopt(fd, IPPROTO_TCP, kRetransmissionLimitOption, &value, size) !=
+      0) {
+    return false;
+  }
+  value = 0;
+  return getsockopt(fd, IPPROTO_TCP, kRetransmissionLimitOption, &value,
+                    &size) == 0 &&
+         value == kRetransmissionLimitMs;
+}
+
+}  // namespace
+
+void SetSocketOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void SetResetOption(int fd, bool reset) {
+  const linger option{reset ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+void TuneSocket(int fd) {
+  SetSocketOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetSocketOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbePeriodSeconds);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+bool WatchAcknowledgements(int fd) {
+  const std::optional<tcp_info> info = InfoOf(fd);
+  if (!info || info->tcpi_state == 0 || !BoundRetransmissionPeriod(fd)) {
+    return false;
+  }
+  SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbesWithoutUserTimeout);
+  SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+  return true;
+}
+
+common::duration TimeSinceAcknowledgement(int fd) {
+  const std::optional<tcp_info> info = InfoOf(fd);
+  if (!info) return common::duration(0);
+  return common::milliseconds(info->tcpi_last_ack_recv);
+}
+
+}  // namespace wisteriadale::net
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <libwebsockets.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,7 +19,9 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "net/lws_protocols.h"
+#include "net/peer_progress.h"
 #include "net/socket_bytes.h"
+#include "net/socket_options.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -30,13 +31,6 @@
 // Bytes that one readable event reads: a peer that sends faster than its bytes
 // are handled would keep the loop from everything else.
 constexpr size_t kMaxReadBytes = 8 * kReadBytes;
-// Limits after which unacknowledged bytes or unanswered keepalive probes end a
-// connection: shorter than the two seconds after which callers of a stream time
-// out.
-constexpr int kUserTimeoutMs = 1900;
-constexpr int kProbeIdleSeconds = 1;
-constexpr int kProbePeriodSeconds = 1;
-constexpr int kProbes = 2;
 // How long a closed connection is still read (lingering close): unread bytes
 // from the peer would turn the close into a reset that destroys the response.
 constexpr common::duration kLingerLimit = std::chrono::milliseconds(1000);
@@ -46,25 +40,6 @@
 constexpr common::duration kDrainLimit = std::chrono::seconds(60);
 constexpr uint64_t kMinDrainBytes = 60'000;
 
-void SetOption(int fd, int level, int name, int value) {
-  setsockopt(fd, level, name, &value, sizeof(value));
-}
-
-/// Selects whether closing a socket resets its connection.
-void SetReset(int fd, bool reset) {
-  const linger option{reset ? 1 : 0, 0};
-  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-}
-
-void TuneSocket(int fd) {
-  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
-  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbePeriodSeconds);
-  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
-}
-
 bool ToAddress(const endpoint& from, sockaddr_in* to) {
   std::memset(to, 0, sizeof(*to));
   to->sin_family = AF_INET;
@@ -81,7 +56,7 @@
   sockaddr_in address{};
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
                           IPPROTO_TCP);
-  if (fd >= 0) SetOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (fd >= 0) SetSocketOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
   if (fd >= 0 && ToAddress(at, &address) &&
       bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
           0 &&
@@ -127,6 +102,7 @@
 constexpr std::string_view kEndedByPeer = "closed by the peer";
 constexpr std::string_view kEndedByReset = "reset";
 constexpr std::string_view kEndedByTimeout = "timed out";
+constexpr std::string_view kStalled = "stalled";
 constexpr std::string_view kAborted = "aborted";
 constexpr std::string_view kDrainExpired = "drain limit";
 constexpr std::string_view kEndedByStop = "stop";
@@ -157,7 +133,11 @@
   bool Register() {
     wsi_ = Adopt(loop_, fd_, shared_from_this());
     if (wsi_ == nullptr) return false;
-    if (connecting_) lws_callback_on_writable(wsi_);
+    if (connecting_) {
+      lws_callback_on_writable(wsi_);
+    } else {
+      watched_ = WatchAcknowledgements(fd_);
+    }
     return true;
   }
 
@@ -207,6 +187,9 @@
   }
 
   void SetRequestId(std::string_view id) { request_id_ = id; }
+  void SetStallTimeout(common::duration limit) {
+    progress_.SetStallTimeout(limit);
+  }
 
   void SetReading(bool reading) {
     if (wsi_ == nullptr || reading == reading_) return;
@@ -237,14 +220,14 @@
     if (wsi_ == nullptr || ended_) return;
     ReportUndelivered(kAborted);
     ended_ = true;
-    SetReset(fd_, true);
+    SetResetOption(fd_, true);
     CloseAsync(wsi_);
   }
 
   void SetResetOnClose(bool reset) {
     if (wsi_ == nullptr || ended_) return;
     // The kernel resets the connection until the pending bytes are sent.
-    if (reset) SetReset(fd_, true);
+    if (reset) SetResetOption(fd_, true);
     reset_on_close_ = reset;
   }
 
@@ -351,12 +334,13 @@
       return false;
     }
     connecting_ = false;
+    watched_ = WatchAcknowledgements(fd_);
     if (handler_ != nullptr) handler_->OnConnected();
     return true;
   }
 
   void ShutDown() {
-    SetReset(fd_, false);
+    SetResetOption(fd_, false);
     shutdown(fd_, SHUT_WR);
     shut_down_ = true;
     CloseWhenDelivered();
@@ -425,6 +409,31 @@
   void OnHandedOver(ssize_t bytes) {
     handed_ += static_cast<uint64_t>(bytes);
     last_progress_ = clock_.Now();
+    if (!watched_ || watching_) return;
+    watching_ = true;
+    progress_.Begin(last_progress_, DeliveredBytes());
+    ScheduleWatch();
+  }
+
+  void ScheduleWatch() {
+    ScheduleFor(progress_.NextCheck(),
+                [](connection& self) { self.CheckPeer(); });
+  }
+
+  /// Ends the connection if its peer is gone or takes nothing.
+  void CheckPeer() {
+    watching_ = Owed().total() > 0;
+    if (!watching_) return;
+    const peer_state state = progress_.Judge(
+        {clock_.Now(), DeliveredBytes(), TimeSinceAcknowledgement(fd_)});
+    if (state == peer_state::kAlive) {
+      ScheduleWatch();
+      return;
+    }
+    SetResetOption(fd_, true);
+    CloseAsync(wsi_);
+    End(stream_end::kReset,
+        state == peer_state::kSilent ? kEndedByTimeout : kStalled);
   }
 
   void End(stream_end how, std::string_view why) {
@@ -449,6 +458,9 @@
   std::string peer_;
   std::string request_id_;
   std::string outgoing_;
+  bool watched_ = false;   ///< by CheckPeer instead of the kernel
+  bool watching_ = false;  ///< the next CheckPeer is scheduled
+  peer_progress progress_;
   uint64_t handed_ = 0;          ///< bytes that the kernel took so far
   uint64_t drained_before_ = 0;  ///< delivered as the drain limit was started
   size_t sent_ = 0;              ///< number of bytes of outgoing_ already sent
@@ -480,6 +492,9 @@
 void tcp_stream::Write(std::string_view data) { connection_->Write(data); }
 size_t tcp_stream::PendingBytes() const { return connection_->PendingBytes(); }
 owed_bytes tcp_stream::Owed() const { return connection_->Owed(); }
+void tcp_stream::SetStallTimeout(common::duration limit) {
+  connection_->SetStallTimeout(limit);
+}
 tcp_stream::observer tcp_stream::Observe() const {
   return observer(connection_);
 }
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -75,6 +75,9 @@
   /// @return the bytes that the peer has not acknowledged
   owed_bytes Owed() const;
   observer Observe() const;
+  /// @param limit on the time in which a peer that lacks bytes takes none,
+  /// where the kernel tells; the connection is then reset
+  void SetStallTimeout(common::duration limit);
   /// @param id of the request that bytes are sent for from now on, for logs
   void SetRequestId(std::string_view id);
   /// Stops reading; TCP flow control then stops the peer.
--- a/source/unit_tests/net/http1_server_slow_caller_test.cc
+++ b/source/unit_tests/net/http1_server_slow_caller_test.cc
@@ -96,3 +96,19 @@
   server->ReportGivenUp();
   LONGS_EQUAL(before + 1, given_up());
 }
+
+// A caller whose window stayed closed for 1.9 s was reset within its response.
+TEST(Http1ServerSlowCaller, ACallerThatHaltsForSecondsGetsTheWholeResponse) {
+  Request("");
+  RunFor(std::chrono::milliseconds(3500));
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  CHECK_FALSE(caller.Closed());
+}
+
+TEST(Http1ServerSlowCaller, ACallerThatHaltsAfterTheEndGetsTheWholeResponse) {
+  Request("Connection: close\r\n");
+  RunFor(std::chrono::milliseconds(3500));
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  CHECK(RunUntil([this] { return caller.Closed(); }));
+  CHECK_FALSE(caller.reset());
+}
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -199,13 +199,14 @@
   common::system_clock clock;
   std::optional<std::unique_ptr<net::event_loop>> loop =
       net::event_loop::Create({});
+  net::http1_server_limits limits;
   std::shared_ptr<net::http1_exchange> open;
   std::unique_ptr<net::http1_server> server;
   fakes::raw_socket caller;
 
   void StartResponse(const std::string& version) {
     server = net::http1_server::Create(
-        **loop, clock, {"127.0.0.1", 0}, {},
+        **loop, clock, {"127.0.0.1", 0}, limits,
         [this](const std::shared_ptr<net::http1_exchange>& exchange) {
           open = exchange;
         });
@@ -263,6 +264,7 @@
 }
 
 TEST(Http1ServerUntilClose, ACallerThatReadsNothingIsReset) {
+  limits.stall_timeout = std::chrono::milliseconds(1500);
   StartResponse("1.1");
   open->SendBody(std::string(size_t{12} << 20, 'x'));
   open->Finish();
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -82,6 +83,14 @@
 
   void Shutdown() const { shutdown(fd_, SHUT_WR); }
 
+  /// Drops whatever arrives from now on: nothing is acknowledged any more, as
+  /// by a peer that was cut off or has lost its power.
+  void DropArrivals() const {
+    sock_filter drop = {BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program = {1, &drop};
+    setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+  }
+
   /// Reads the bytes that have arrived.
   /// @return all bytes received since the connection opened
   const std::string& Read() {
--- a/source/unit_tests/net/tcp_stream_test.cc
+++ b/source/unit_tests/net/tcp_stream_test.cc
@@ -150,3 +150,76 @@
   CHECK(largest > 0);
   CHECK(largest <= kMaxTurnBytes);
 }
+
+// Slow peers have a limit of their own; that for silent ones stays.
+TEST_GROUP(TcpStreamSilence) {
+  static constexpr int kWindowBytes = 16 * 1024;
+  static constexpr common::duration kHalt = std::chrono::milliseconds(3500);
+  common::system_clock clock;
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  counting_handler handler;
+  std::unique_ptr<net::tcp_stream> stream;
+  std::unique_ptr<net::tcp_listener> listener;
+  fakes::raw_socket caller;
+
+  void setup() override {
+    listener = net::tcp_listener::Create(
+        **loop, {"127.0.0.1", 0},
+        [this](std::unique_ptr<net::tcp_stream> accepted) {
+          stream = std::move(accepted);
+          stream->SetHandler(handler);
+        });
+    CHECK(listener != nullptr);
+    CHECK(caller.Connect(listener->port(), kWindowBytes));
+    CHECK(fakes::RunUntil(**loop, std::chrono::seconds(5),
+                          [this] { return stream != nullptr; }));
+  }
+  /// @return time until the connection ends, at most six seconds
+  common::duration TimeToEnd() {
+    const common::time_point start = clock.Now();
+    fakes::RunUntil(**loop, std::chrono::seconds(6),
+                    [this] { return handler.ended; });
+    return clock.Now() - start;
+  }
+  void Halt() {
+    fakes::RunUntil(**loop, kHalt, [this] { return handler.ended; });
+    CHECK_FALSE(handler.ended);
+  }
+};
+
+TEST(TcpStreamSilence, ASilentPeerThatLacksBytesIsNoticedInTwoSeconds) {
+  caller.DropArrivals();
+  stream->Write("response");
+  const common::duration took = TimeToEnd();
+  CHECK(handler.ended);
+  CHECK(took >= std::chrono::milliseconds(1500));
+  CHECK(took < std::chrono::milliseconds(2300));
+}
+
+TEST(TcpStreamSilence, APeerThatFallsSilentBehindAClosedWindowIsNoticed) {
+  stream->Write(std::string(size_t{8} << 20, 'x'));
+  Halt();
+  caller.DropArrivals();
+  const common::duration took = TimeToEnd();
+  CHECK(handler.ended);
+  CHECK(took < std::chrono::milliseconds(2300));
+}
+
+TEST(TcpStreamSilence, ASilentPeerThatLacksNothingIsNoticedAsBefore) {
+  stream->Write("response");
+  CHECK(fakes::RunUntil(**loop, std::chrono::seconds(5),
+                        [this] { return caller.Read() == "response"; }));
+  caller.DropArrivals();
+  const common::duration took = TimeToEnd();
+  CHECK(handler.ended);
+  CHECK(took < std::chrono::milliseconds(2600));
+}
+
+TEST(TcpStreamSilence, APeerThatReadsNothingForSecondsIsKept) {
+  stream->Write(std::string(size_t{8} << 20, 'x'));
+  Halt();
+  CHECK(fakes::RunUntil(**loop, std::chrono::seconds(5), [this] {
+    return caller.Read().size() == size_t{8} << 20;
+  }));
+}
