Hold back pipelined requests of callers that do not read

The next request of a connection is not started, and what follows it is not read, while more than 256 KB of responses are unsent; it goes on once they have been handed to the kernel. For the same reason a connection with unsent bytes is not closed as idle: its caller may be reading the response.

Before, with the condition taken out: Http1ServerSlowCaller. RequestsWaitWhileTheirCallerReadsNothing and ACallerThatReadsForLongIsNotIdle failed. After: group Http1 45 of 45.

--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -20,6 +20,11 @@
 // Bytes of pipelined requests that are read while a request is in progress.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
 
+// Bytes of responses that a caller may leave unread before its next request is
+// started: one that reads nothing could otherwise make the process hold
+// responses without end.
+constexpr size_t kMaxUnreadResponseBytes = size_t{256} * 1024;
+
 void AppendNumber(uint64_t value, int base, std::string* to) {
   char text[24];
   const std::to_chars_result done =
@@ -69,11 +74,19 @@
     input_.append(data);
     const std::shared_ptr<connection> self = shared_from_this();
     ProcessInput();
-    if (stream_ && exchange_ && input_.size() > kMaxReadAheadBytes) {
+    if (stream_ && (exchange_ || HoldsBack()) &&
+        input_.size() > kMaxReadAheadBytes) {
       stream_->PauseReading();
     }
   }
 
+  void OnDrained() override {
+    if (exchange_) return;
+    const std::shared_ptr<connection> self = shared_from_this();
+    stream_->ResumeReading();
+    ProcessInput();
+  }
+
   void OnEnd(stream_end) override { Drop(); }
 
   /// @return time that the body so far takes at the lowest accepted rate
@@ -81,6 +94,10 @@
     return common::FromSeconds(static_cast<double>(body_.size()) /
                                kMinBodyBytesPerSecond);
   }
+  /// @return whether the next request waits until the caller has read more
+  bool HoldsBack() const {
+    return stream_->PendingBytes() > kMaxUnreadResponseBytes;
+  }
   bool busy() const { return exchange_ != nullptr || parser_ != nullptr; }
   /// @return whether a request is in progress or may be about to be read
   bool HasRequest(common::time_point now) const {
@@ -111,6 +128,8 @@
       if (timed_out) {
         Reject({408, "Request Timeout"});
       }
+    } else if (stream_->PendingBytes() > 0) {
+      last_activity_ = now;
     } else if (now - last_activity_ > server_->limits_.idle_timeout) {
       Drop();
     }
@@ -303,7 +322,7 @@
 }
 
 void http1_server::connection::ProcessInput() {
-  while (stream_ && !exchange_ && !input_.empty()) {
+  while (stream_ && !exchange_ && !input_.empty() && !HoldsBack()) {
     if (!parser_) {
       parser_ = http1_parser::ForRequest(server_->limits_.message);
       request_start_ = server_->clock_.Now();
@@ -357,6 +376,7 @@
     Drop();
     return;
   }
+  if (HoldsBack()) return;
   stream_->ResumeReading();
   // A pipelined request is started from the loop: requests that are answered
   // synchronously would otherwise recurse.
--- a/source/unit_tests/net/http1_server_slow_caller_test.cc
+++ b/source/unit_tests/net/http1_server_slow_caller_test.cc
@@ -1,9 +1,12 @@
-#include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 #include "common/metrics.h"
 #include "net/http1_server.h"
 #include "unit_tests/net/loopback.h"
 
+// Last, as its macros replace operator new.
+#include <CppUTest/TestHarness.h>
+
 using namespace wisteriadale;  // NOLINT(google-build-using-namespace)
 
 TEST_GROUP(Http1ServerSlowCaller) {
@@ -112,3 +115,35 @@
   CHECK(RunUntil([this] { return caller.Closed(); }));
   CHECK_FALSE(caller.reset());
 }
+
+// The process held the responses to all requests of a caller that read none.
+TEST(Http1ServerSlowCaller, RequestsWaitWhileTheirCallerReadsNothing) {
+  constexpr int kRequests = 12;
+  constexpr size_t kMaxKernelBytes = size_t{4} << 20;
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests.append("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  LONGS_EQUAL(requests.size(), caller.SendSome(requests));
+  RunFor(std::chrono::milliseconds(300));
+  CHECK(server->Undelivered().bytes > 0);
+  CHECK(server->Undelivered().bytes <= kMaxKernelBytes + 2 * kBodyBytes);
+  CHECK(RunUntil([this] {
+    const std::string& all = caller.Read();
+    return std::count(all.begin(), all.end(), 'x') == kRequests * kBodyBytes;
+  }));
+  CHECK_FALSE(caller.Closed());
+}
+
+TEST(Http1ServerSlowCaller, ACallerThatReadsForLongIsNotIdle) {
+  constexpr common::duration kIdleTimeout = std::chrono::milliseconds(300);
+  net::http1_server_limits limits;
+  limits.idle_timeout = kIdleTimeout;
+  server->SetLimits(limits);
+  Request("");
+  RunFor(3 * kIdleTimeout);
+  LONGS_EQUAL(1, server->ActiveRequests());
+  CHECK(RunUntil([this] { return HasWholeResponse(); }));
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(RunUntil([this] { return caller.Read().size() > 2 * kBodyBytes; }));
+}
--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -81,6 +81,14 @@
     send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
   }
 
+  /// Sends what the connection takes without waiting.
+  /// @return number of bytes sent
+  size_t SendSome(std::string_view data) const {
+    const ssize_t sent =
+        send(fd_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent < 0 ? 0 : static_cast<size_t>(sent);
+  }
+
   void Shutdown() const { shutdown(fd_, SHUT_WR); }
 
   /// Drops whatever arrives from now on: nothing is acknowledged any more, as
