--- a/source/unit_tests/net/loopback.h
+++ b/source/unit_tests/net/loopback.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -80,8 +81,24 @@
     send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
   }
 
+  /// Sends what the connection takes without waiting.
+  /// @return number of bytes sent
+  size_t SendSome(std::string_view data) const {
+    const ssize_t sent =
+        send(fd_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent < 0 ? 0 : static_cast<size_t>(sent);
+  }
+
   void Shutdown() const { shutdown(fd_, SHUT_WR); }
 
+  /// Drops whatever arrives from now on: nothing is acknowledged any more, as
+  /// by a peer that was cut off or has lost its power.
+  void DropArrivals() const {
+    sock_filter drop = {BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program = {1, &drop};
+    setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+  }
+
   /// Reads the bytes that have arrived.
   /// @return all bytes received since the connection opened
   const std::string& Read() {
