Keep descriptors for targets, the store, gateways and operators

Callers saw: while idle callers hold all descriptors of a gateway, requests on connections that were open before get 503, as no target can be dialled; operators get no answer from /readyz, /healthz and /metrics.

Cause: connections of callers were accepted as long as the process had a descriptor, and the limit of the settings (4,096) did not follow the machine's. A listener that had not even its spare descriptor was woken by the backlog without end.

Why it works: core::ShareDescriptors gives callers and operators all but a quarter of /net/max_connections (now from the deploy file's limits.max-fds) less /net/reserved_descriptors, or of the system's limit if that is lower. At its limit http1_server closes the connection that has been idle for longest, and for a second at least, first those without any request so far; if there is none, the new one. At most 16 connections are accepted in a turn, as the descriptors of closed ones are freed in the next. A listener without a spare descriptor waits for 100 ms.

Not covered: a limit that is lowered while the process runs; the listener of libwebsockets for gateways' links, which leaves accepting to libwebsockets.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -42,9 +42,10 @@
   kGatewayLinked,
   kGatewayLost,
   kOwnerChanged,
-  kSpeedChanged,  ///< this process became short of CPU time, or recovered
-  kListenFailed,  ///< an address to listen on is taken
-  kProcessUsage,  ///< memory, descriptors and connections of this process
+  kSpeedChanged,        ///< this process became short of CPU time, or recovered
+  kConnectionsLimited,  ///< how many connections are accepted
+  kListenFailed,        ///< an address to listen on is taken
+  kProcessUsage,        ///< memory, descriptors and connections of this process
   kLoopStalled,   ///< the event loop did not run its timers for a long time
   kRouted,        ///< a request was admitted to a service
   kRefused,       ///< a request was not admitted
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -1,10 +1,13 @@
 #include "gateway/gateway_process.h"
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/metrics.h"
+#include "core/overload/connection_limits.h"
 #include "platform/http_row_store.h"
 #include "platform/platform_codec.h"
 #include "settings/common_settings.h"
@@ -75,6 +78,16 @@
       static_cast<uint64_t>(settings.Integer(settings::kRandomSeed));
   process->random_ = std::make_unique<common::seeded_random>(
       seed == 0 ? common::SystemSeed() : seed);
+  const int64_t descriptors = settings.Integer(settings::kMaxConnections) -
+                              settings.Integer(settings::kReservedDescriptors);
+  if (descriptors < int64_t{core::kMinConnectionDescriptors}) {
+    common::SetLastError(common::result_code::kBadSettings,
+                         std::string(settings::kReservedDescriptors.pointer) +
+                             " leaves too little of " +
+                             std::string(settings::kMaxConnections.pointer) +
+                             ": " + std::to_string(descriptors));
+    return std::nullopt;
+  }
   net::event_loop::options options;
   options.max_connections =
       static_cast<int>(settings.Integer(settings::kMaxConnections));
@@ -91,6 +104,7 @@
   if (!process->CreateFleet(settings)) return std::nullopt;
   process->ConnectComponents();
   if (!process->CreateServers(settings)) return std::nullopt;
+  process->LimitConnections(descriptors);
   return process;
 }
 
@@ -381,6 +395,21 @@
   return true;
 }
 
+void gateway_process::LimitConnections(int64_t descriptors) {
+  // The system's limit may be lower than the one of the settings.
+  const int64_t usable = std::min(
+      descriptors, common::ReadProcessUsage().descriptor_limit.value_or(
+                       std::numeric_limits<int64_t>::max()));
+  const core::connection_limits limits =
+      core::ShareDescriptors(static_cast<size_t>(usable));
+  caller_server_->SetMaxConnections(limits.callers);
+  operator_server_->SetMaxConnections(limits.operators);
+  common::LogEvent(log_event::kConnectionsLimited, "",
+                   {{"descriptors", usable},
+                    {"callers", static_cast<int64_t>(limits.callers)},
+                    {"operators", static_cast<int64_t>(limits.operators)}});
+}
+
 void gateway_process::Run(const settings_reader& read_again) {
   loop_->SetStopSignalHandler([this] { Stop(); });
   loop_->StartWatchdog();
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -64,6 +64,9 @@
   /// Starts to listen for callers, operators and links of other gateways.
   /// @return success; else LastError is set
   bool CreateServers(const settings::settings_document& settings);
+  /// Limits the connections that are accepted.
+  /// @param descriptors that the settings allow all connections together
+  void LimitConnections(int64_t descriptors);
   void ConnectComponents();
   /// Creates what keeps requests within the limits of targets.
   void CreateLimits();
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -15,6 +15,8 @@
 constexpr common::duration kTimeoutCheckPeriod = std::chrono::milliseconds(250);
 // A connection that was just accepted is not idle: its request is on the way.
 constexpr common::duration kFirstRequestTime = std::chrono::milliseconds(300);
+// Idle time from which a connection may be closed to admit another.
+constexpr common::duration kMinIdleTime = std::chrono::seconds(1);
 // A body of a byte now and then would keep its connection open for hours.
 constexpr double kMinBodyBytesPerSecond = 1000;
 // Bytes of pipelined requests that are read while a request is in progress.
@@ -88,6 +90,21 @@
     return busy() || is_new || (stream_ && stream_->HasUnreadData());
   }
 
+  /// @return whether the connection may be closed to admit another
+  bool Replaceable(common::time_point now) const {
+    return stream_ && !busy() && now - last_activity_ > kMinIdleTime &&
+           stream_->PendingBytes() == 0 && !stream_->HasUnreadData();
+  }
+  /// @return sorts connections by what their callers would miss
+  std::pair<bool, common::time_point> Worth() const {
+    return {requests_ > 0, last_activity_};
+  }
+  /// Closes an idle connection, to free its descriptor.
+  void Replace() {
+    stream_->CloseNow();
+    Drop();
+  }
+
   /// Closes the connection if the caller exceeds the header or idle timeout.
   void CheckTimeouts(common::time_point now) {
     if (exchange_ != nullptr) return;
@@ -374,11 +391,29 @@
 }
 
 void http1_server::Accept(std::unique_ptr<tcp_stream> stream) {
+  if (connections_.size() >= max_connections_ && !CloseLongestIdle()) {
+    common::Metrics().Count("wisteria_connections_rejected_total");
+    stream->CloseNow();
+    return;
+  }
   const std::shared_ptr<connection> accepted =
       std::make_shared<connection>(*this, std::move(stream));
   connections_.emplace(accepted.get(), accepted);
 }
 
+bool http1_server::CloseLongestIdle() {
+  const common::time_point now = clock_.Now();
+  std::shared_ptr<connection> chosen;
+  for (const auto& [raw, open] : connections_) {
+    if (chosen && open->Worth() >= chosen->Worth()) continue;
+    if (open->Replaceable(now)) chosen = open;
+  }
+  if (!chosen) return false;
+  common::Metrics().Count("wisteria_connections_replaced_total");
+  chosen->Replace();
+  return true;
+}
+
 void http1_server::CheckConnections() {
   const common::time_point now = clock_.Now();
   std::vector<std::shared_ptr<connection>> open;
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -87,6 +88,9 @@
   http1_server& operator=(const http1_server&) = delete;
 
   void SetLimits(const http1_server_limits& limits) { limits_ = limits; }
+  /// At the limit, a new connection takes the place of the one that has been
+  /// idle for longest, or is closed if none has been idle for long.
+  void SetMaxConnections(size_t max) { max_connections_ = max; }
   /// From now on closes each connection after its current response.
   void DisableKeepAlive() { closing_ = true; }
   /// Accepts the connections of the backlog and closes the listener: later ones
@@ -113,6 +117,10 @@
         on_request_(std::move(on_request)) {}
   void Accept(std::unique_ptr<tcp_stream> stream);
   void CheckConnections();
+  /// Closes a connection that has been idle for some time: first those without
+  /// any request so far, of these the one that has been idle for longest.
+  /// @return whether there was one
+  bool CloseLongestIdle();
 
   event_loop& loop_;
   common::clock& clock_;
@@ -123,6 +131,7 @@
   common::timer_id check_timer_ = 0;
   uint16_t port_ = 0;
   bool closing_ = false;
+  size_t max_connections_ = std::numeric_limits<size_t>::max();
 };
 
 }  // namespace wisteriadale::net
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -25,6 +25,10 @@
 
 constexpr size_t kReadBytes = size_t{32} * 1024;
 constexpr int kBacklog = 512;
+// Descriptors of connections that are closed for new ones are freed in the
+// loop's next turn.
+constexpr int kAcceptsPerTurn = 16;
+constexpr common::duration kAcceptPause = std::chrono::milliseconds(100);
 // Limits after which unacknowledged bytes or unanswered keepalive probes end a
 // connection: shorter than the two seconds after which callers of a stream time
 // out.
@@ -215,6 +219,13 @@
     CloseAsync(wsi_);
   }
 
+  void CloseNow() {
+    handler_ = nullptr;
+    if (wsi_ == nullptr || ended_) return;
+    ended_ = true;
+    CloseAsync(wsi_);
+  }
+
   void SetResetOnClose(bool reset) {
     if (wsi_ == nullptr || ended_) return;
     // The kernel resets the connection until the pending bytes are sent.
@@ -340,6 +351,7 @@
 void tcp_stream::PauseReading() { connection_->SetReading(false); }
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
+void tcp_stream::CloseNow() { connection_->CloseNow(); }
 void tcp_stream::SetResetOnClose(bool reset) {
   connection_->SetResetOnClose(reset);
 }
@@ -409,13 +421,22 @@
 
   void Close() {
     // The kernel resets connections that are still in the backlog.
-    if (wsi_ != nullptr) OnReadable();
+    if (wsi_ != nullptr) AcceptPending(kBacklog);
     on_accept_ = nullptr;
     if (wsi_ != nullptr) CloseAsync(wsi_);
   }
 
   bool OnReadable() override {
-    while (on_accept_) {
+    AcceptPending(kAcceptsPerTurn);
+    return true;
+  }
+
+  bool OnWritable() override { return true; }
+  void OnClosed() override { wsi_ = nullptr; }
+
+ private:
+  void AcceptPending(int limit) {
+    for (int i = 0; i < limit && on_accept_; ++i) {
       sockaddr_in from{};
       socklen_t received = sizeof(from);
       const int fd = accept4(fd_, reinterpret_cast<sockaddr*>(&from), &received,
@@ -424,28 +445,26 @@
         if (errno == EINTR || errno == ECONNABORTED) continue;
         if (errno == EMFILE || errno == ENFILE) {
           if (RejectNext()) continue;
-          return true;
+          return;
         }
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
           common::Log(common::log_channel::kNet, common::log_level::kWarning,
                       std::string("cannot accept: ") + std::strerror(errno));
         }
-        return true;
+        return;
       }
       OnAccepted(fd, from);
     }
-    return true;
   }
 
-  bool OnWritable() override { return true; }
-  void OnClosed() override { wsi_ = nullptr; }
-
- private:
   /// Accepts and closes the next connection when no descriptor is left for it:
   /// a connection that stays in the backlog would wake the loop endlessly.
   /// @return whether there was one
   bool RejectNext() {
-    if (spare_fd_ < 0) return false;
+    if (spare_fd_ < 0) {
+      PauseAccepting();
+      return false;
+    }
     ::close(spare_fd_);
     const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
     if (fd >= 0) {
@@ -456,6 +475,19 @@
     return fd >= 0;
   }
 
+  /// Without a descriptor, connections of the backlog can't even be rejected.
+  void PauseAccepting() {
+    if (wsi_ == nullptr) return;
+    lws_rx_flow_control(wsi_, 0);
+    const std::weak_ptr<socket> self = weak_from_this();
+    loop_.Schedule(kAcceptPause, [self] {
+      const std::shared_ptr<socket> kept = self.lock();
+      if (!kept || kept->wsi_ == nullptr) return;
+      if (kept->spare_fd_ < 0) kept->spare_fd_ = OpenSpare();
+      lws_rx_flow_control(kept->wsi_, 1);
+    });
+  }
+
   static int OpenSpare() { return open("/dev/null", O_RDONLY | O_CLOEXEC); }
 
   void OnAccepted(int fd, const sockaddr_in& from) {
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -52,6 +52,9 @@
   void ResumeReading();
   /// Resets the connection at once; pending bytes are discarded.
   void Abort();
+  /// Closes a connection that has nothing pending, and frees its descriptor
+  /// without waiting for the peer.
+  void CloseNow();
   /// While set, the connection is reset rather than closed, also if this object
   /// is destroyed or the process dies: for data whose end is the end of the
   /// connection, so that the peer can't take a part of it for the whole.
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -101,6 +101,14 @@
     64,
     1000000,
     "Maximum number of open descriptors of the process."};
+const setting kReservedDescriptors = {
+    "/net/reserved_descriptors",
+    setting_type::kInteger,
+    "200",
+    0,
+    1000000,
+    "Part of /net/max_connections that is for files, not for connections; at "
+    "least 32 must be left."};
 
 const setting kCapacityCores = {
     "/capacity/cores",
@@ -134,6 +142,7 @@
                                     &kRepeatWindowS,
                                     &kStopGraceS,
                                     &kMaxConnections,
+                                    &kReservedDescriptors,
                                     &kCapacityCores,
                                     &kCapacityLinkMbps,
                                     &kDialTimeoutMs,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -18,6 +18,7 @@
 extern const setting kRepeatWindowS;
 extern const setting kStopGraceS;
 extern const setting kMaxConnections;
+extern const setting kReservedDescriptors;
 extern const setting kCapacityCores;
 extern const setting kCapacityLinkMbps;
 
--- a/source/unit_tests/platform/deploy_template_test.cc
+++ b/source/unit_tests/platform/deploy_template_test.cc
@@ -31,6 +31,7 @@
     {"bounds.budget-slack", "58"},
     {"bounds.budget-window-s", "10"},
     {"limits.cpu-share", "0.19"},
+    {"limits.max-fds", "4100"},
     {"limits.link-mbps", "1000.0"}};
 
 std::string ReadTemplate() {
@@ -67,5 +68,6 @@
   CHECK(parsed->Integer(settings::kTargetsLeaveMs) == 3000);
   CHECK(parsed->Integer(settings::kTargetsHeartbeatMs) == 1500);
   CHECK(parsed->Integer(settings::kRoutesApplyMs) == 2000);
+  LONGS_EQUAL(4100, parsed->Integer(settings::kMaxConnections));
   DOUBLES_EQUAL(58, parsed->Number(settings::kRepeatSlack), 0);
 }
