HTTP parser: reject a quoted string that does not end in its line

A chunk extension with an open quote ("0;a=\"") made the parser wait for more although its line and the trailers were complete; what followed was read from another state, so that the result depended on the arrivals, and before the bounds all of it was kept. A complete unit that it does not take is malformed now.

--- a/source/net/http1_parser.cc
+++ b/source/net/http1_parser.cc
@@ -155,6 +155,15 @@
     return error;
   }
 
+  /// Passes headers, or a chunk header with what belongs to it.
+  http1_error PutUnit(std::string_view unit) {
+    size_t parsed = 0;
+    const http1_error error = Put(unit, &parsed);
+    if (error != http1_error::kNone) return error;
+    // The library waits for more if a quoted string does not end in its line.
+    return parsed == unit.size() ? http1_error::kNone : http1_error::kMalformed;
+  }
+
   http1_error ParseHead(std::string_view rest, size_t* parsed) {
     // Other protocols are told apart by their first bytes.
     constexpr std::string_view kProtocol = "HTTP/1.";
@@ -185,9 +194,8 @@
       } else if (line.empty()) {
         *parsed = lines_.next();
         lines_.Reset();
-        size_t header_bytes = 0;
-        return Put(input.substr(start_line_bytes_, *parsed - start_line_bytes_),
-                   &header_bytes);
+        return PutUnit(
+            input.substr(start_line_bytes_, *parsed - start_line_bytes_));
       } else if (line[0] == ' ' || line[0] == '\t') {
         return http1_error::kMalformed;
       }
@@ -230,7 +238,7 @@
     is_first_chunk_ = false;
     const std::string_view unit = input.substr(0, *parsed);
     announced_bytes_ = ParseNumber(unit.substr(begin), 16);
-    const http1_error error = Put(unit, parsed);
+    const http1_error error = PutUnit(unit);
     // Short chunks may have more framing than data, without limit.
     const uint64_t granted =
         kMaxShortChunkHeader +
