Report what a stop gives up once

The connections that a stop gives up were logged and counted a second time as the loop closed them, so that wisteria_bytes_undelivered_total was twice what 'stopped' says. A connection reports what it owes once.

Before: scenario gateway_stop_stalled_caller failed at 'bytes_undelivered is logged once'. After: passed; TcpStream 10 of 10.

--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -258,9 +258,9 @@
   }
 
   /// Logs and counts what the peer will not get, as the connection ends.
-  void ReportUndelivered(std::string_view why) const {
+  void ReportUndelivered(std::string_view why) {
     const owed_bytes owed = Owed();
-    if (owed.total() == 0) return;
+    if (owed.total() == 0 || std::exchange(reported_, true)) return;
     common::Metrics().Count("wisteria_connections_undelivered_total",
                             {{"why", why}});
     common::Metrics().Count("wisteria_bytes_undelivered_total", {{"why", why}},
@@ -455,6 +455,7 @@
   bool shut_down_ = false;
   bool reset_on_close_ = false;
   bool ended_ = false;
+  bool reported_ = false;  ///< what it owed as it ended
   std::string peer_;
   std::string request_id_;
   std::string outgoing_;
@@ -477,7 +478,7 @@
 }
 
 void tcp_stream::observer::ReportGivenUp() const {
-  const std::shared_ptr<const connection> kept = connection_.lock();
+  const std::shared_ptr<connection> kept = connection_.lock();
   if (kept) kept->ReportUndelivered(kEndedByStop);
 }
 
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -46,16 +46,17 @@
   /// Observes a connection, also after its stream was destroyed.
   class observer {
    public:
-    explicit observer(std::weak_ptr<const connection> observed)
+    explicit observer(std::weak_ptr<connection> observed)
         : connection_(std::move(observed)) {}
     /// @return the bytes that the peer has not acknowledged; none if the
     /// connection has ended
     owed_bytes Owed() const;
-    /// Logs and counts what is owed, as the process ends.
+    /// Logs and counts what is owed, as the process ends; the end of the
+    /// connection is then not reported again.
     void ReportGivenUp() const;
 
    private:
-    std::weak_ptr<const connection> connection_;
+    std::weak_ptr<connection> connection_;
   };
 
   /// Dials. OnConnected or OnEnd follows; the caller sets the time limit.
