--- a/source/unit_tests/net/channel_test.cc
+++ b/source/unit_tests/net/channel_test.cc
@@ -111,6 +111,39 @@
 
 }  // namespace
 
+namespace {
+
+/// Sends the handshake of a channel.
+void SendHandshake(const fakes::raw_socket& peer) {
+  peer.Send(
+      "GET /peer HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n"
+      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+      "Sec-WebSocket-Protocol: wisteria-peer\r\n\r\n");
+}
+
+}  // namespace
+
+TEST(Channel, PeerThatReadsSlowlyGetsEverything) {
+  constexpr int kWindowBytes = 16 * 1024;
+  constexpr size_t kMessageBytes = size_t{1} << 20;
+  constexpr int kMessages = 8;
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  channel_server server(*loop);
+  fakes::raw_socket peer;
+  CHECK(peer.Connect(server.server->port(), kWindowBytes));
+  SendHandshake(peer);
+  CHECK(fakes::RunUntil(*loop, kLimit,
+                        [&] { return server.accepted != nullptr; }));
+  for (int i = 0; i < kMessages; ++i) {
+    server.accepted->Send(std::string(kMessageBytes, 'x'));
+  }
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] {
+    return peer.Read().size() > kMessages * kMessageBytes;
+  }));
+  LONGS_EQUAL(0, server.accepted->PendingBytes());
+}
+
 // A peer that closes its side while unsent bytes were queued kept
 // libwebsockets in one call for ever: the process stopped responding.
 TEST(Channel, PeerThatClosesBeforeReadingEverythingEndsTheChannel) {
@@ -118,11 +151,7 @@
   channel_server server(*loop);
   fakes::raw_socket peer;
   CHECK(peer.Connect(server.server->port()));
-  peer.Send(
-      "GET /peer HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\n"
-      "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-      "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
-      "Sec-WebSocket-Protocol: wisteria-peer\r\n\r\n");
+  SendHandshake(peer);
   CHECK(fakes::RunUntil(*loop, kLimit,
                         [&] { return server.accepted != nullptr; }));
   bool closed = false;
