Count open descriptors without listing them where the kernel tells

A gateway read its directory of descriptors each second: 2.2 ms of processor time with 2,800 open, against 0.005 ms for the size of that directory, which later kernels set to the number of entries (measured from Python on this machine; the size was 2,805). Where it is 0, the entries are counted as before.

The tests of ProcessUsage pass.

--- a/source/common/process_usage.cc
+++ b/source/common/process_usage.cc
@@ -1,6 +1,7 @@
 #include "common/process_usage.h"
 
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -28,6 +29,11 @@
 }
 
 std::optional<int64_t> CountDescriptors(const std::string& directory) {
+  // Later kernels tell the number of entries as the size of the directory.
+  struct stat about {};
+  if (stat((directory + "/fd").c_str(), &about) == 0 && about.st_size > 0) {
+    return about.st_size;
+  }
   std::error_code error;
   std::filesystem::directory_iterator entry(directory + "/fd", error);
   // The iterator's own descriptor is among the entries.
