HTTP client over libwebsockets: bound the body of a response

The older client (routers, agents, tools) kept a body without limit until the call's timeout of 10 s; the newer one has had a limit of 64 MB. Not seen by callers; found while looking for the cause of gateways that ran out of memory elsewhere. Now a call has the same limit and fails beyond it, with a message_too_large line. Bodies that a handler takes piece by piece have none, as they are not kept.

ABodyOverTheLimitOfItsCallFails, over a length, chunks and the end of the connection, fails without the fix ("timeout").

--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -8,6 +8,7 @@
 
 #include "common/metrics.h"
 #include "net/lws_protocols.h"
+#include "net/message_too_large.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -123,10 +124,18 @@
   }
 
   void OnBody(std::string_view data) {
+    if (ended_) return;
     last_progress_us_ = lws_now_usecs();
     received_ += data.size();
     if (on_chunk_) {
       on_chunk_(data);
+    } else if (received_ > call_.max_body_bytes) {
+      ReportTooLarge("response",
+                     {message_part::kBody, received_, call_.max_body_bytes}, "",
+                     FormatEndpoint(call_.to));
+      result_.body.clear();
+      result_.body.shrink_to_fit();
+      End("the body of the response is too large");
     } else {
       result_.body.append(data);
     }
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -21,6 +21,8 @@
   std::string body;
   /// Over TLS, with the certificate of the loop's client side.
   bool tls = false;
+  /// Limit of a body that no chunk handler receives; the call fails beyond it.
+  uint64_t max_body_bytes = uint64_t{64} << 20;
   /// Time limit of the whole call.
   common::duration timeout = std::chrono::seconds(10);
   /// Time limit until the response headers arrive; 0: only `timeout` applies.
--- a/source/unit_tests/net/http_client_test.cc
+++ b/source/unit_tests/net/http_client_test.cc
@@ -11,8 +11,9 @@
   std::unique_ptr<net::event_loop> loop = *net::event_loop::Create({});
   fakes::scripted_server server{*loop};
 
-  net::http_result Call() {
+  net::http_result Call(uint64_t max_body_bytes = uint64_t{64} << 20) {
     net::http_call call;
+    call.max_body_bytes = max_body_bytes;
     call.to = server.listen_address();
     call.path = "/";
     call.timeout = std::chrono::milliseconds(500);
@@ -64,3 +65,22 @@
   }
   CHECK_EQUAL("", wrong);
 }
+
+// The body of a response was kept without limit until the call's timeout.
+TEST(HttpClient, ABodyOverTheLimitOfItsCallFails) {
+  using end = fakes::scripted_server::after_response;
+  for (const std::string& framing :
+       {std::string("Content-Length: 100000000\r\n\r\n"), std::string("\r\n"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n5f5e100\r\n")}) {
+    server.AddResponse(
+        "HTTP/1.1 200 OK\r\n" + framing + std::string(size_t{4} << 20, 'x'),
+        end::kKeep);
+    const net::http_result result = Call(100000);
+    CHECK_FALSE(result.complete);
+    CHECK_EQUAL("the body of the response is too large", result.failure);
+    CHECK(result.body.empty());
+  }
+  server.AddResponse("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                     end::kKeep);
+  CHECK(Call(4).complete);
+}
