--- a/scenarios/gateway_endless_messages.lua
+++ b/scenarios/gateway_endless_messages.lua
@@ -74,6 +74,30 @@
 target_sends("target, body", {framing = "close", endless = "x"})
 fleet:set_break{id = "engine-broken"}
 
+-- The same from a target that runs pieces of stages: the call is lost, and the
+-- pieces run at another target.
+local stage_target = fleet.broken[3]
+fleet:set_break{id = stage_target.id, framing = "chunks", begin = "5;a=",
+                endless = "x"}
+fleet:register_target(stage_target, {service = "first"})
+local function stage_call_lost()
+  for _, line in ipairs(fleet:log_lines(gateway)) do
+    if line.event == "call_ended" and line.target == stage_target.id then
+      return line["end"] == "lost"
+    end
+  end
+end
+wait_until(function()
+  local answer = fleet:request{
+    method = "POST", path = "/drafts/1", body = "x",
+    headers = {Accept = "text/event-stream", ["X-Wisteriadale-Pieces"] = "4,1",
+               ["X-Wisteriadale-Piece-Key"] = "key-1"}}
+  check("stage")
+  expect_equal(200, answer.status, "stage")
+  return stage_call_lost()
+end, 10000, "a lost call to the stage's target")
+fleet:remove_target(stage_target)
+
 local chunked = "POST /orders/1 HTTP/1.1\r\nHost: shop.example\r\n" ..
                     "X-Wisteriadale-Key: unknown\r\n" ..
                     "Transfer-Encoding: chunked\r\n\r\n"
