Count lost calls for pieces against their requests

What callers saw: a request whose piece crashes the workers of its stage crashed up to four of them with each try, and no gateway ever refused it; sound requests whose pieces shared the calls were lost with it.

Cause: the owner of the queue sent the pieces of a lost call again and told nobody. It did not know the requests either, but for their ids, which change with each try.

Fix: a job carries the digest of its request to the queue's owner (a new field of the message; an older gateway leaves it empty, and nothing is counted then). A call ends in stage_dispatcher::OnCallEnd. One whose connection ended counts once for each of its requests, one without a response in its time is watched. Requests of such a call, and suspects that come again, share no call with others, so that the crashing one is found and sound ones are not lost with it again; the whole answer to a request clears it. At the third crash the owner fails the jobs that it holds, and the request is refused by all gateways, before its stages and before they restart.

--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -63,6 +63,7 @@
   std::string data_centre;  ///< preferred data centre; empty: any
   /// Input bytes to transfer if it runs in another data centre.
   uint64_t remote_input_bytes = 0;
+  std::string digest;  ///< of the request; empty: not known
 };
 
 /// Outcome of a stage.
--- a/source/core/quarantine/crash_suspects.cc
+++ b/source/core/quarantine/crash_suspects.cc
@@ -39,6 +39,11 @@
   return refusal;
 }
 
+bool crash_suspects::IsSuspect(std::string_view digest) const {
+  const auto found = entries_.find(digest);
+  return found != entries_.end() && found->second.until > clock_.Now();
+}
+
 common::duration crash_suspects::RemainingRefusal(
     std::string_view digest) const {
   const auto found = entries_.find(digest);
--- a/source/core/quarantine/crash_suspects.h
+++ b/source/core/quarantine/crash_suspects.h
@@ -65,6 +65,9 @@
 
   /// @return whether no suspect is tracked
   bool empty() const { return entries_.empty(); }
+  /// @return whether a target was lost lately while it ran this, and none has
+  /// answered it since
+  bool IsSuspect(std::string_view digest) const;
   /// @return how long a suspect is still refused; 0: it is not
   common::duration RemainingRefusal(std::string_view digest) const;
   /// A target was lost while it ran a suspect.
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -300,7 +300,7 @@
     batch->pieces.push_back({from->job.request_id, from->job.stage,
                              from->pending_pieces[i], from->job.key,
                              from->job.inputs, from->job.result_bytes,
-                             from->job.deadline});
+                             from->job.deadline, from->job.digest});
   }
   from->pending_pieces.erase(
       from->pending_pieces.begin(),
@@ -318,6 +318,7 @@
       const std::string& preferred = each->job.data_centre;
       const bool matches = preferred.empty() || preferred == data_centre;
       if (each->pending_pieces.empty() || matches != match) continue;
+      if (each->job.isolated) continue;
       if (WaitsForDataCentre(*each, data_centre, now)) continue;
       AddPieces(each.get(), may_split, batch, &capacity);
     }
@@ -351,7 +352,12 @@
       batch.target = BestFreeTarget(targets, "", now);
     }
     if (!batch.target) continue;
-    Fill(&batch, now);
+    if (each->job.isolated) {
+      uint64_t capacity = memory_.Left(batch.target->entry.id);
+      AddPieces(each.get(), true, &batch, &capacity);
+    } else {
+      Fill(&batch, now);
+    }
     if (!batch.pieces.empty()) break;
   }
   if (batch.pieces.empty()) return std::nullopt;
@@ -376,6 +382,30 @@
   return smoothed_call_time_ / (usable * spec_.slots);
 }
 
+void piece_queue::Isolate(const piece_batch& batch) {
+  for (const piece_ref& ref : batch.pieces) {
+    queued_job* queued = FindJob(ref.request_id, ref.stage);
+    if (queued != nullptr) queued->job.isolated = true;
+  }
+}
+
+std::vector<stage_job_outcome> piece_queue::Fail(std::string_view digest) {
+  std::vector<stage_job_outcome> ended;
+  for (const std::unique_ptr<queued_job>& each : jobs_) {
+    if (each->job.digest != digest) continue;
+    ended.push_back({each->job.request_id,
+                     each->job.origin,
+                     each->job.stage,
+                     false,
+                     piece_outcome::kError,
+                     {}});
+  }
+  for (stage_job_outcome& each : ended) {
+    each.handles = Remove(each.request_id, each.stage);
+  }
+  return ended;
+}
+
 std::vector<stage_job_outcome> piece_queue::OnCallEnd(
     const piece_batch& batch, std::span<const piece_result> results,
     common::duration took, common::time_point now) {
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -40,6 +40,9 @@
   std::string data_centre;  ///< preferred data centre; empty: any
   /// Input bytes to transfer if it runs in another data centre.
   uint64_t remote_input_bytes = 0;
+  std::string digest;  ///< of the request; empty: not known
+  /// It may crash targets: its pieces share no call with those of others.
+  bool isolated = false;
 };
 
 /// Announces a job that will be queued once the stages it depends on complete.
@@ -80,6 +83,7 @@
   std::vector<std::string> inputs;
   uint64_t result_bytes = 0;
   common::time_point deadline;
+  std::string digest;
 };
 
 /// The pieces of one call to a target.
@@ -141,6 +145,13 @@
   /// each piece is used.
   /// @param took time since the call started
   void OnOverdue(const piece_batch& batch, common::duration took);
+  /// Keeps the jobs of a call that was lost from sharing another: one of them
+  /// may have crashed its target, and the others are not to be lost with it
+  /// again.
+  void Isolate(const piece_batch& batch);
+  /// Removes the jobs of a request that is refused.
+  /// @return those jobs, as failed
+  std::vector<stage_job_outcome> Fail(std::string_view digest);
   /// Handles the end of a call.
   /// @param results one for each piece of the batch; missing ones count as lost
   /// @param took    duration of the call
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -54,7 +54,7 @@
   /// @return whether the key is valid or not needed; else the caller got a 401
   bool FindOrganisation();
   /// @return a digest that stays the same when a caller retries the request
-  std::string Digest() const;
+  const std::string& Digest() const;
   /// @return how much longer the request is quarantined because it crashes
   /// targets; 0: not quarantined
   common::duration RemainingQuarantine() const;
@@ -176,6 +176,7 @@
   const core::route* route_ = nullptr;
   const core::organisation_spec* organisation_ = nullptr;
   std::string request_id_;
+  mutable std::string digest_;  ///< empty: not computed yet
   std::string service_;
   common::time_point deadline_{};  ///< the earlier of caller's and route's
   /// When the response must have started: callers abandon a stream without a
--- a/source/gateway/forward_request_quarantine.cc
+++ b/source/gateway/forward_request_quarantine.cc
@@ -22,13 +22,15 @@
 
 }  // namespace
 
-std::string forward_request::Digest() const {
+const std::string& forward_request::Digest() const {
+  if (!digest_.empty()) return digest_;
   // The request id is left out: callers assign a new one when they retry.
   const net::message_head& head = exchange_->head();
   std::string content =
       head.method + ' ' + head.target + '\n' + organisation_name() + '\n';
   content.append(exchange_->body());
-  return common::Sha256Hex(content);
+  digest_ = common::Sha256Hex(content);
+  return digest_;
 }
 
 std::span<const core::prompt_part> forward_request::SharedParts() const {
@@ -128,7 +130,7 @@
 
 void forward_request::ClearSuspects() {
   if (!deps_.suspects.empty() || !deps_.crash_watch.empty()) {
-    const std::string digest = Digest();
+    const std::string& digest = Digest();
     deps_.suspects.OnAnswered(digest);
     deps_.crash_watch.OnAnswered(digest);
   }
--- a/source/gateway/forward_request_stages.cc
+++ b/source/gateway/forward_request_stages.cc
@@ -146,6 +146,7 @@
   job.result_bytes = plan_->result_bytes(stage);
   job.priority = priority_;
   job.late = late_;
+  job.digest = Digest();
   SetPreferredDataCentre(&job);
   const core::stage_time_limits limits = core::StageTimeLimits(
       *route_table_, route_->stages, stage, deps_.latency_estimator,
@@ -216,6 +217,7 @@
        {"estimate_ms", common::ToMillis(stage_starts_[outcome.stage].estimate)},
        {"took_ms", common::ToMillis(deps_.clock.Now() -
                                     stage_starts_[outcome.stage].at)}});
+  if (RejectQuarantined()) return;
   if (!outcome.late && MayRestartStages()) {
     RestartStages();
     return;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -251,7 +251,7 @@
       std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   dispatcher_ = std::make_unique<stage_dispatcher>(
       *loop_, clock_, *client_, *codec_, routes_, targets_, *retry_budget_,
-      *statements_, *limits_, *slots_,
+      *statements_, *limits_, *slots_, *suspects_, *crash_watch_,
       [this](const core::stage_job_outcome& outcome) {
         stage_router_->ReportOutcome(outcome);
       },
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -91,6 +91,7 @@
     not_run_ = owner_.codec_.IndicatesNotRun(
         head.status, head.Find(owner_.codec_.headers().not_run) != nullptr);
     if (owner_.codec_.IndicatesMisdirected(head.status)) return;
+    owner_.crash_watch_.OnTargetAnswered(batch_.target->entry.id, started_);
     owner_.statements_.OnResponse(batch_.target->entry,
                                   StatementOf(head, owner_.codec_),
                                   batch_.pieces.front().request_id);
@@ -116,7 +117,8 @@
     End(UniformResults(count, core::piece_outcome::kLost));
   }
 
-  void OnFailure(net::call_failure) override {
+  void OnFailure(net::call_failure failure) override {
+    failure_ = failure;
     End(UniformResults(batch_.pieces.size(), core::piece_outcome::kLost));
   }
 
@@ -132,7 +134,7 @@
   }
 
   void End(const std::vector<core::piece_result>& results) {
-    owner_.OnCallEnd(this, results);
+    owner_.OnCallEnd(this, results, failure_);
   }
 
   stage_dispatcher& owner_;
@@ -143,6 +145,7 @@
   int status_ = 0;
   bool not_run_ = false;
   bool overdue_ = false;
+  std::optional<net::call_failure> failure_;
   std::string body_;
 };
 
@@ -190,7 +193,9 @@
     const core::deployment_codec& codec, const core::route_holder& routes,
     core::target_directory& targets, core::gateway_retry_budget& retry_budget,
     core::target_statements& statements, core::target_limits& limits,
-    core::target_slots& slots, outcome_handler on_outcome, load_handler on_load)
+    core::target_slots& slots, core::crash_suspects& suspects,
+    core::crash_watch& crash_watch, outcome_handler on_outcome,
+    load_handler on_load)
     : loop_(loop),
       clock_(clock),
       client_(client),
@@ -201,6 +206,8 @@
       statements_(statements),
       limits_(limits),
       slots_(slots),
+      suspects_(suspects),
+      crash_watch_(crash_watch),
       on_outcome_(std::move(on_outcome)),
       on_load_(std::move(on_load)) {
   ReportLoads();
@@ -248,8 +255,25 @@
                  {}});
     return;
   }
+  if (!job.digest.empty() &&
+      suspects_.RemainingRefusal(job.digest).count() > 0) {
+    common::LogEvent(log_event::kStageEnded, job.request_id,
+                     {{"service", job.service},
+                      {"made", false},
+                      {"outcome", "it crashes targets"},
+                      {"pieces", int64_t{job.pieces}}});
+    on_outcome_({job.request_id,
+                 job.origin,
+                 job.stage,
+                 false,
+                 core::piece_outcome::kError,
+                 {}});
+    return;
+  }
   retry_budget_.OnRequest(job.service);
-  queue->Add(job, clock_.Now());
+  core::stage_job queued = job;
+  queued.isolated = !job.digest.empty() && suspects_.IsSuspect(job.digest);
+  queue->Add(queued, clock_.Now());
   Dispatch(job.service, queue);
 }
 
@@ -422,8 +446,9 @@
   raw->Start();
 }
 
-void stage_dispatcher::OnCallEnd(
-    stage_call* ended, const std::vector<core::piece_result>& results) {
+void stage_dispatcher::OnCallEnd(stage_call* ended,
+                                 const std::vector<core::piece_result>& results,
+                                 std::optional<net::call_failure> failure) {
   const auto found = calls_.find(ended);
   const std::unique_ptr<stage_call> call = std::move(found->second);
   calls_.erase(found);
@@ -441,16 +466,52 @@
          {"target", batch.target->entry.id},
          {"pieces", static_cast<int64_t>(batch.pieces.size())},
          {"end", core::ToString(outcome)},
+         {"failure", failure ? net::ToString(*failure) : std::string_view()},
          {"expected_ms", common::ToMillis(batch.expected)},
          {"took_ms", common::ToMillis(now - call->started())},
          {"failures_in_row", int64_t{batch.target->consecutive_failures}}});
   }
+  // Before this loss counts among those of the service's targets.
+  const bool may_have_crashed =
+      failure && RecordSuspectedCrash(batch, *failure);
+  if (may_have_crashed) queue->Isolate(batch);
   const std::vector<core::stage_job_outcome> outcomes =
-      queue->OnCallEnd(call->batch(), results, now - call->started(), now);
+      queue->OnCallEnd(batch, results, now - call->started(), now);
   ReportOutcomes(call->service(), outcomes);
+  if (may_have_crashed) FailRefused(call->service(), batch, queue);
   Dispatch(call->service(), queue);
 }
 
+bool stage_dispatcher::RecordSuspectedCrash(const core::piece_batch& batch,
+                                            net::call_failure failure) {
+  const bool lost = net::IndicatesLostServer(failure);
+  if (!lost && failure != net::call_failure::kTimedOut) return false;
+  std::set<std::string_view> told;
+  for (const core::piece_ref& piece : batch.pieces) {
+    if (piece.digest.empty() || !told.insert(piece.digest).second) continue;
+    const core::crash_suspicion suspicion{
+        piece.request_id, piece.digest, {}, 0};
+    if (lost) {
+      crash_watch_.OnLost(batch.target->entry, suspicion);
+    } else {
+      crash_watch_.OnDropped(*batch.target, suspicion);
+    }
+  }
+  return true;
+}
+
+void stage_dispatcher::FailRefused(const std::string& service,
+                                   const core::piece_batch& batch,
+                                   core::piece_queue* queue) {
+  for (const core::piece_ref& piece : batch.pieces) {
+    if (piece.digest.empty() ||
+        suspects_.RemainingRefusal(piece.digest).count() == 0) {
+      continue;
+    }
+    ReportOutcomes(service, queue->Fail(piece.digest));
+  }
+}
+
 void stage_dispatcher::ReportOutcomes(
     const std::string& service,
     const std::vector<core::stage_job_outcome>& outcomes) {
--- a/source/gateway/stage_dispatcher.h
+++ b/source/gateway/stage_dispatcher.h
@@ -16,6 +16,7 @@
 #include "core/limits/target_limits.h"
 #include "core/limits/target_slots.h"
 #include "core/ports/deployment_codec.h"
+#include "core/quarantine/crash_watch.h"
 #include "core/routes/route_table.h"
 #include "core/stages/piece_queue.h"
 #include "net/event_loop.h"
@@ -33,15 +34,14 @@
   using load_handler = std::function<void(const std::string& service,
                                           const core::service_load&)>;
 
-  stage_dispatcher(net::event_loop& loop, common::clock& clock,
-                   net::http1_client& client,
-                   const core::deployment_codec& codec,
-                   const core::route_holder& routes,
-                   core::target_directory& targets,
-                   core::gateway_retry_budget& retry_budget,
-                   core::target_statements& statements,
-                   core::target_limits& limits, core::target_slots& slots,
-                   outcome_handler on_outcome, load_handler on_load);
+  stage_dispatcher(
+      net::event_loop& loop, common::clock& clock, net::http1_client& client,
+      const core::deployment_codec& codec, const core::route_holder& routes,
+      core::target_directory& targets, core::gateway_retry_budget& retry_budget,
+      core::target_statements& statements, core::target_limits& limits,
+      core::target_slots& slots, core::crash_suspects& suspects,
+      core::crash_watch& crash_watch, outcome_handler on_outcome,
+      load_handler on_load);
   ~stage_dispatcher();
   stage_dispatcher(const stage_dispatcher&) = delete;
   stage_dispatcher& operator=(const stage_dispatcher&) = delete;
@@ -80,8 +80,19 @@
   /// slots of the others.
   core::target_directory::pool SendableTargets(const std::string& service);
   void StartCall(const std::string& service, core::piece_batch batch);
+  /// Ends a call: the only place where calls for pieces end.
+  /// @param failure why there is no complete response, if there is none
   void OnCallEnd(stage_call* ended,
-                 const std::vector<core::piece_result>& results);
+                 const std::vector<core::piece_result>& results,
+                 std::optional<net::call_failure> failure);
+  /// Counts a call without a response that one of its requests may have caused
+  /// by crashing the target.
+  /// @return whether the target may have crashed
+  bool RecordSuspectedCrash(const core::piece_batch& batch,
+                            net::call_failure failure);
+  /// Fails the jobs of the batch's requests that are refused by now.
+  void FailRefused(const std::string& service, const core::piece_batch& batch,
+                   core::piece_queue* queue);
   /// Releases results that nobody needs, and passes the outcomes on.
   void ReportOutcomes(const std::string& service,
                       const std::vector<core::stage_job_outcome>& outcomes);
@@ -100,6 +111,8 @@
   core::target_statements& statements_;
   core::target_limits& limits_;
   core::target_slots& slots_;
+  core::crash_suspects& suspects_;
+  core::crash_watch& crash_watch_;
   outcome_handler on_outcome_;
   load_handler on_load_;
   std::map<std::string, std::unique_ptr<core::piece_queue>> queues_;
--- a/source/gateway/stage_router.cc
+++ b/source/gateway/stage_router.cc
@@ -27,6 +27,7 @@
   message.data_centre = job.data_centre;
   message.late = job.late;
   message.remote_input_bytes = job.remote_input_bytes;
+  message.digest = job.digest;
   message.to_objective = MillisUntil(job.objective, now);
   message.to_deadline = MillisUntil(job.deadline, now);
   return message;
@@ -49,6 +50,7 @@
   job.data_centre = message.data_centre;
   job.late = message.late;
   job.remote_input_bytes = message.remote_input_bytes;
+  job.digest = message.digest;
   job.objective = now + message.to_objective;
   job.deadline = now + message.to_deadline;
   return job;
--- a/source/unit_tests/core/stages/piece_queue_test.cc
+++ b/source/unit_tests/core/stages/piece_queue_test.cc
@@ -244,6 +244,47 @@
   CHECK_EQUAL("h/0", outcomes[0].handles[0]);
 }
 
+// Requests that shared a call with one that crashes targets were sent with it
+// again, until their jobs had failed too often.
+TEST(PieceQueue, AfterALostCallItsRequestsShareNoCall) {
+  targets.push_back(Target("t2", "a"));
+  for (const char* id : {"r1", "bad", "r2"}) queue.Add(Job(id, 1), kStart);
+  const core::piece_batch lost = Next();
+  CHECK_EQUAL(3, lost.pieces.size());
+  queue.Isolate(lost);
+  queue.OnCallEnd(lost, AllWith(lost, core::piece_outcome::kLost),
+                  milliseconds(10), kStart);
+  queue.Add(Job("r3", 1), kStart);
+  queue.Add(Job("r4", 1), kStart);
+  std::map<std::string, size_t> calls;
+  for (int i = 1; i <= 4; ++i) {
+    const core::piece_batch batch = Next(kStart + i * milliseconds(200));
+    CHECK(batch.pieces.size() == 1 || batch.pieces[0].request_id == "r3");
+    for (const core::piece_ref& each : batch.pieces) {
+      calls[each.request_id] += 1;
+    }
+    queue.OnCallEnd(batch, Completed(batch, std::to_string(i)),
+                    milliseconds(110), kStart + i * milliseconds(200));
+  }
+  CHECK_EQUAL(5, calls.size());
+  CHECK_EQUAL(0, queue.jobs());
+}
+
+TEST(PieceQueue, JobsOfARefusedRequestFailAndReturnTheirResults) {
+  core::stage_job job = Job("r1", 5);
+  job.digest = "bad";
+  queue.Add(job, kStart);
+  queue.Add(Job("r2", 1), kStart);
+  const core::piece_batch batch = Next();
+  CHECK_EQUAL("bad", batch.pieces[0].digest);
+  queue.OnCallEnd(batch, Completed(batch, "h"), milliseconds(110), kStart);
+  const std::vector<core::stage_job_outcome> failed = queue.Fail("bad");
+  CHECK_EQUAL(1, failed.size());
+  CHECK_FALSE(failed[0].completed);
+  CHECK_EQUAL(4, failed[0].handles.size());
+  CHECK_EQUAL(1, queue.jobs());
+}
+
 TEST(PieceQueue, CancelReturnsTheResultsOfAJob) {
   queue.Add(Job("r1", 2), kStart);
   const core::piece_batch batch = Next();
--- a/source/unit_tests/platform_standin/main.cc
+++ b/source/unit_tests/platform_standin/main.cc
@@ -104,6 +104,7 @@
     behaviour.padding = body.value("padding", behaviour.padding);
     behaviour.crashing_part =
         body.value("crashing_part", behaviour.crashing_part);
+    behaviour.crashing_key = body.value("crashing_key", behaviour.crashing_key);
     behaviour.limits = body.value("limits", behaviour.limits);
     behaviour.headers = body.value("headers", behaviour.headers);
     for (const std::unique_ptr<simulated_target>& each : targets_) {
--- a/source/unit_tests/platform_standin/simulated_target.cc
+++ b/source/unit_tests/platform_standin/simulated_target.cc
@@ -94,6 +94,13 @@
     return;
   }
   const json request = json::parse(exchange->body(), nullptr, false);
+  for (const json& item : request["items"]) {
+    if (!behaviour_.crashing_key.empty() &&
+        item.value("key", "") == behaviour_.crashing_key) {
+      exchange->Abort();
+      return;
+    }
+  }
   json items = json::array();
   for (size_t i = 0; i < request["items"].size(); ++i) {
     items.push_back(
--- a/source/unit_tests/platform_standin/simulated_target.h
+++ b/source/unit_tests/platform_standin/simulated_target.h
@@ -31,6 +31,8 @@
   /// Part of a prompt on which the target loses its connection when it begins
   /// to write; empty: none.
   std::string crashing_part;
+  /// A piece with this key crashes the target.
+  std::string crashing_key;
   /// Values of the headers in which its responses name a request limit.
   std::vector<std::string> limits;
   /// Further headers of its responses: names and values, in turn.
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -50,6 +50,7 @@
     to.data_centre = from.data_centre;
     to.late = from.late;
     to.place_bytes = static_cast<int64_t>(from.remote_input_bytes);
+    to.digest = from.digest;
     frame->__set_order_part(to);
   }
   void operator()(const core::stage_outcome_message& from) const {
@@ -214,6 +215,7 @@
   to.data_centre = from.data_centre;
   to.late = from.late;
   to.remote_input_bytes = static_cast<uint64_t>(from.place_bytes);
+  to.digest = from.digest;
   return to;
 }
 
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -31,6 +31,7 @@
   12: string data_centre
   13: bool late
   14: i64 place_bytes
+  15: string digest
 }
 
 struct stage_end {
