Forget targets of stages that are gone

Fix: what is known of a target's memory is dropped a minute after its latest call, once no result or call of it is left.

Test: ResultMemory.TargetsThatAreGoneAreForgotten fails with the new condition taken out.

--- a/source/core/stages/result_memory.cc
+++ b/source/core/stages/result_memory.cc
@@ -17,6 +17,9 @@
 // A queue without a call for so long may have had another owner meanwhile:
 // calls take a few hundred milliseconds.
 constexpr common::duration kIdleTime = std::chrono::seconds(1);
+// What is known of a target is kept for this long after its latest call: each
+// start of a target has a new id.
+constexpr common::duration kTargetRetention = std::chrono::minutes(1);
 
 }  // namespace
 
@@ -55,7 +58,9 @@
   // Another owner may have had the queue while this one was idle.
   if (!last_call_ || now - *last_call_ > kIdleTime) owner_since_ = now;
   last_call_ = now;
-  targets_[target].reserved += bytes;
+  target_memory& memory = targets_[target];
+  memory.reserved += bytes;
+  memory.last_call = now;
 }
 
 void result_memory::OnCallLost(const std::string& target, uint64_t bytes) {
@@ -104,6 +109,10 @@
     Return(entry->second.target, entry->second.bytes);
     entry = results_.erase(entry);
   }
+  std::erase_if(targets_, [now](const auto& each) {
+    const target_memory& memory = each.second;
+    return memory.reserved == 0 && now - memory.last_call > kTargetRetention;
+  });
 }
 
 void result_memory::Return(const std::string& target, uint64_t bytes) {
--- a/source/core/stages/result_memory.h
+++ b/source/core/stages/result_memory.h
@@ -51,10 +51,13 @@
   /// @return results that the target's memory has room for in a second, by the
   /// time that results occupied it lately; infinite if none was observed
   double ResultsPerSecond(const std::string& target) const;
-  /// Forgets results that have expired at their targets.
+  /// Forgets results that have expired at their targets, and targets that have
+  /// long been without a call.
   void DropExpired(common::time_point now);
   /// @return results that are tracked
   size_t size() const { return results_.size(); }
+  /// @return targets that are tracked
+  size_t targets() const { return targets_.size(); }
 
  private:
   /// A result that occupies memory of its target.
@@ -69,6 +72,7 @@
     uint64_t reserved = 0;  ///< bytes of results and of pieces in calls
     /// Part of its memory that is used: sizes of results are approximate.
     double trusted_share = 1.0;
+    common::time_point last_call{};
   };
 
   void Return(const std::string& target, uint64_t bytes);
--- a/source/unit_tests/core/stages/result_memory_test.cc
+++ b/source/unit_tests/core/stages/result_memory_test.cc
@@ -75,6 +75,24 @@
   CHECK_EQUAL(kCapacityBytes, memory.Left("t"));
 }
 
+// An entry stayed for each start of a target, which has a new id.
+TEST(ResultMemory, TargetsThatAreGoneAreForgotten) {
+  for (int i = 0; i < 10000; ++i) {
+    const std::string target = "t" + std::to_string(i);
+    const std::vector<std::string> handle = {target};
+    memory.OnCallStart(target, kResultBytes, now);
+    memory.OnCallEnd(target, {kResultBytes, i % 2 == 0}, now);
+    memory.Add(target, target, kResultBytes, now, now);
+    memory.Free(handle, now);
+    now += seconds(1);
+    memory.DropExpired(now);
+    CHECK(memory.targets() < 100);
+  }
+  now += seconds(100);
+  memory.DropExpired(now);
+  CHECK_EQUAL(0, memory.targets());
+}
+
 TEST(ResultMemory, RoomForResultsFollowsTheTimeForWhichTheyAreNeeded) {
   CHECK(memory.ResultsPerSecond("t") > 1e9);
   for (int i = 0; i < 300; ++i) {
