Test that a stage's job survives its way between gateways

The generated code of the message was extended by hand for the request's digest, and no test compared its fields. Without the digest the owner of a queue counts no lost call, and nobody is told.

GatewayCodec.StageJobSurvivesRoundTrip fails with the digest left out of the encoding.

--- a/source/unit_tests/wire/gateway_codec_test.cc
+++ b/source/unit_tests/wire/gateway_codec_test.cc
@@ -14,6 +14,46 @@
   CHECK(std::get<core::crash_report>(*decoded) == sent);
 }
 
+// Without the digest a queue's owner counts no lost call against the request.
+TEST(GatewayCodec, StageJobSurvivesRoundTrip) {
+  core::stage_job_message sent;
+  sent.request_id = "r1";
+  sent.service = "s";
+  sent.organisation = "o";
+  sent.stage = 2;
+  sent.pieces = 3;
+  sent.key = "k";
+  sent.inputs = {"h1", "h2"};
+  sent.result_bytes = 1ULL << 33;
+  sent.priority = 1;
+  sent.late = true;
+  sent.to_objective = common::milliseconds(700);
+  sent.to_deadline = common::milliseconds(-5);
+  sent.data_centre = "a";
+  sent.remote_input_bytes = 1ULL << 34;
+  sent.digest = std::string(64, 'd');
+  const std::optional<core::gateway_message> decoded =
+      wire::DecodeGatewayMessage(wire::EncodeGatewayMessage(sent));
+  CHECK(decoded.has_value());
+  const core::stage_job_message& received =
+      std::get<core::stage_job_message>(*decoded);
+  CHECK_EQUAL(sent.request_id, received.request_id);
+  CHECK_EQUAL(sent.service, received.service);
+  CHECK_EQUAL(sent.organisation, received.organisation);
+  CHECK_EQUAL(sent.stage, received.stage);
+  CHECK_EQUAL(sent.pieces, received.pieces);
+  CHECK_EQUAL(sent.key, received.key);
+  CHECK(sent.inputs == received.inputs);
+  CHECK_EQUAL(sent.result_bytes, received.result_bytes);
+  CHECK_EQUAL(sent.priority, received.priority);
+  CHECK_EQUAL(sent.late, received.late);
+  CHECK(sent.to_objective == received.to_objective);
+  CHECK(sent.to_deadline == received.to_deadline);
+  CHECK_EQUAL(sent.data_centre, received.data_centre);
+  CHECK_EQUAL(sent.remote_input_bytes, received.remote_input_bytes);
+  CHECK_EQUAL(sent.digest, received.digest);
+}
+
 TEST(GatewayCodec, RoutesAnnouncementAndRequestSurviveRoundTrip) {
   const std::optional<core::gateway_message> announced =
       wire::DecodeGatewayMessage(
