--- a/scenarios/lib/soak_gateways.lua
+++ b/scenarios/lib/soak_gateways.lua
@@ -116,7 +116,7 @@
 local function check_memory(soak, gateway)
   local resident_kb = gateway.process:resident_kb()
   gateway.peak_kb = math.max(gateway.peak_kb, resident_kb)
-  if resident_kb > kLimitKb and not gateway.life.expected then
+  if resident_kb > kLimitKb and not gateway.life.killed then
     soak:fail("FAULT", string.format("memory %d KB over the limit of %d KB, %s",
                                      resident_kb, kLimitKb,
                                      soak:faults_now()), gateway)
