--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -11,19 +11,26 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 
+#include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "net/listen_retry.h"
 #include "net/lws_protocols.h"
+#include "net/socket_bytes.h"
 
 namespace wisteriadale::net {
 namespace {
 
 constexpr size_t kReadBytes = size_t{32} * 1024;
 constexpr int kBacklog = 512;
+// Bytes that one readable event reads: a peer that sends faster than its bytes
+// are handled would keep the loop from everything else.
+constexpr size_t kMaxReadBytes = 8 * kReadBytes;
 // Limits after which unacknowledged bytes or unanswered keepalive probes end a
 // connection: shorter than the two seconds after which callers of a stream time
 // out.
@@ -68,8 +75,9 @@
   return what + " " + FormatEndpoint(where) + ": " + std::strerror(errno);
 }
 
-/// @return a listening socket, or -1 with LastError set to kCannotListen
-int OpenListener(const endpoint& at) {
+/// @return a listening socket, or -1 with errno set and LastError set to
+/// kCannotListen
+int TryToListen(const endpoint& at) {
   sockaddr_in address{};
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
                           IPPROTO_TCP);
@@ -82,10 +90,22 @@
   }
   common::SetLastError(common::result_code::kCannotListen,
                        ErrorText("cannot listen on", at));
+  const int error = errno;
   if (fd >= 0) ::close(fd);
+  errno = error;
   return -1;
 }
 
+/// Waits for a limited time until the address is free.
+/// @return a listening socket, or -1 with LastError set to kCannotListen
+int OpenListener(const endpoint& at) {
+  listen_retry retry(at);
+  for (;;) {
+    const int fd = TryToListen(at);
+    if (fd >= 0 || !retry.Wait(errno)) return fd;
+  }
+}
+
 /// Receives the events that libwebsockets reports for one descriptor.
 class pollable {
  public:
@@ -115,6 +135,20 @@
   return wsi;
 }
 
+// Why a connection ended, in logs and metrics.
+constexpr std::string_view kEndedByPeer = "closed by the peer";
+constexpr std::string_view kEndedByReset = "reset";
+constexpr std::string_view kEndedByTimeout = "timed out";
+constexpr std::string_view kAborted = "aborted";
+constexpr std::string_view kDrainExpired = "drain limit";
+constexpr std::string_view kEndedByStop = "stop";
+
+std::string_view ReasonOf(int error) {
+  return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH
+             ? kEndedByTimeout
+             : kEndedByReset;
+}
+
 void CloseAsync(lws* wsi) {
   lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
 }
@@ -126,7 +160,11 @@
       public std::enable_shared_from_this<connection> {
  public:
   connection(event_loop& loop, int fd, bool connecting, std::string peer)
-      : loop_(loop), fd_(fd), connecting_(connecting), peer_(std::move(peer)) {}
+      : loop_(loop),
+        fd_(fd),
+        connecting_(connecting),
+        dialled_(connecting),
+        peer_(std::move(peer)) {}
 
   bool Register() {
     wsi_ = Adopt(loop_, fd_, shared_from_this());
@@ -138,6 +176,13 @@
   void SetHandler(tcp_handler* handler) { handler_ = handler; }
   size_t PendingBytes() const { return outgoing_.size() - sent_; }
   const std::string& peer() const { return peer_; }
+  owed_bytes Owed() const {
+    if (wsi_ == nullptr || connecting_) return {PendingBytes(), 0};
+    const size_t unacknowledged = UnacknowledgedBytes(fd_);
+    // The end of this side counts as a byte.
+    const size_t end = shut_down_ && unacknowledged > 0 ? 1 : 0;
+    return {PendingBytes(), unacknowledged - end};
+  }
   bool PeerClosed() const {
     if (wsi_ == nullptr || ended_) return true;
     char next = 0;
@@ -156,10 +201,16 @@
     if (wsi_ == nullptr || ended_) return;
     if (outgoing_.empty() && !connecting_) {
       const ssize_t written = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
-      if (written > 0) data.remove_prefix(static_cast<size_t>(written));
+      if (written > 0) {
+        data.remove_prefix(static_cast<size_t>(written));
+        OnProgress();
+      }
       // A failed write is reported as the end of the connection at the next
       // poll.
-      if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK) data = {};
+      if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+        error_ = errno;
+        data = {};
+      }
       if (data.empty()) return;
     }
     outgoing_.append(data);
@@ -196,6 +247,7 @@
   void Abort() {
     handler_ = nullptr;
     if (wsi_ == nullptr || ended_) return;
+    ReportUndelivered(kAborted);
     ended_ = true;
     SetReset(fd_, true);
     CloseAsync(wsi_);
@@ -208,24 +260,7 @@
     reset_on_close_ = reset;
   }
 
-  bool OnReadable() override {
-    static std::array<char, kReadBytes> buffer;
-    while (reading_ && !ended_) {
-      const ssize_t received = recv(fd_, buffer.data(), buffer.size(), 0);
-      if (received > 0) {
-        if (handler_ != nullptr) {
-          handler_->OnData({buffer.data(), static_cast<size_t>(received)});
-        }
-        if (static_cast<size_t>(received) < buffer.size()) break;
-        continue;
-      }
-      if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
-      if (received < 0 && errno == EINTR) continue;
-      End(received == 0 ? stream_end::kClosed : stream_end::kReset);
-      return false;
-    }
-    return true;
-  }
+  bool OnReadable() override { return ReadUpTo(kMaxReadBytes); }
 
   bool OnWritable() override {
     if (connecting_ && !FinishConnect()) return false;
@@ -235,35 +270,72 @@
       if (written < 0) {
         if (errno == EINTR) continue;
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
-          End(stream_end::kReset);
+          End(stream_end::kReset, ReasonOf(errno));
           return false;
         }
-        lws_callback_on_writable(wsi_);
-        return true;
+        break;
       }
       sent_ += static_cast<size_t>(written);
+      OnProgress();
     }
-    const bool drained = sent_ > 0;
-    outgoing_.clear();
-    sent_ = 0;
-    if (outgoing_.capacity() > kReadBytes) outgoing_.shrink_to_fit();
-    if (released_) ShutDown();
+    const bool drained = sent_ > 0 && PendingBytes() == 0;
+    DiscardSent();
+    if (drained && released_) ShutDown();
     if (drained && handler_ != nullptr) handler_->OnDrained();
+    if (PendingBytes() > 0) RequestWritable();
     return true;
   }
 
   void OnClosed() override {
+    if (!ended_) {
+      ReportUndelivered(close_reason_.empty() ? ReasonOfClose()
+                                              : close_reason_);
+    }
     wsi_ = nullptr;
-    End(stream_end::kReset);
+    // What arrived before a reset is reported.
+    if (!ended_ && error_ != 0) {
+      ReadUpTo(std::numeric_limits<size_t>::max());
+    }
+    End(stream_end::kReset, kEndedByStop);
   }
 
  private:
+  /// Reads what has arrived, up to about that many bytes.
+  /// @return false if the connection has ended
+  bool ReadUpTo(size_t max_bytes) {
+    static std::array<char, kReadBytes> buffer;
+    size_t total = 0;
+    while (reading_ && !ended_ && total < max_bytes) {
+      const ssize_t received = recv(fd_, buffer.data(), buffer.size(), 0);
+      if (received > 0) {
+        total += static_cast<size_t>(received);
+        if (handler_ != nullptr) {
+          handler_->OnData({buffer.data(), static_cast<size_t>(received)});
+        }
+        if (static_cast<size_t>(received) < buffer.size()) break;
+        continue;
+      }
+      if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+      if (received < 0 && errno == EINTR) continue;
+      // The kernel reports an error once; after that it says that the peer
+      // closed.
+      if (received < 0) error_ = errno;
+      if (error_ == 0) {
+        End(stream_end::kClosed, kEndedByPeer);
+      } else {
+        End(stream_end::kReset, ReasonOf(error_));
+      }
+      return false;
+    }
+    return true;
+  }
+
   bool FinishConnect() {
     int error = 0;
     socklen_t size = sizeof(error);
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-      End(stream_end::kReset);
+      End(stream_end::kReset, ReasonOf(error));
       return false;
     }
     connecting_ = false;
@@ -274,6 +346,7 @@
   void ShutDown() {
     SetReset(fd_, false);
     shutdown(fd_, SHUT_WR);
+    shut_down_ = true;
     CloseAfter(kLingerLimit);
   }
 
@@ -282,18 +355,60 @@
     loop_.Schedule(delay, [self] {
       const std::shared_ptr<connection> kept = self.lock();
       if (!kept || kept->wsi_ == nullptr) return;
-      if (kept->PendingBytes() > 0) {
-        common::Log(common::log_channel::kNet, common::log_level::kInfo,
-                    "closed a connection to " + kept->peer_ +
-                        " that reads too slowly, with " +
-                        std::to_string(kept->PendingBytes()) + " bytes unsent");
-      }
+      kept->close_reason_ = kDrainExpired;
       CloseAsync(kept->wsi_);
     });
   }
 
-  void End(stream_end how) {
+  /// Frees what was sent, once that is at least half: a peer that is always a
+  /// little behind would let it grow for as long as the connection lasts.
+  void DiscardSent() {
+    if (sent_ < PendingBytes()) return;
+    outgoing_.erase(0, std::exchange(sent_, 0));
+    if (outgoing_.capacity() > kReadBytes) outgoing_.shrink_to_fit();
+  }
+
+  /// Requests the next writable event from the loop: libwebsockets drops a
+  /// request that is made within that event's own callback.
+  void RequestWritable() {
+    const std::weak_ptr<connection> self = weak_from_this();
+    loop_.Schedule(common::duration(0), [self] {
+      const std::shared_ptr<connection> kept = self.lock();
+      if (kept && kept->wsi_ != nullptr) lws_callback_on_writable(kept->wsi_);
+    });
+  }
+
+  /// @return why the kernel or the loop closed the connection
+  std::string_view ReasonOfClose() {
+    socklen_t size = sizeof(error_);
+    if (error_ == 0) getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error_, &size);
+    return error_ == 0 ? kEndedByStop : ReasonOf(error_);
+  }
+
+  void OnProgress() { last_progress_ = clock_.Now(); }
+
+  /// Logs and counts what the peer will not get, as the connection ends.
+  void ReportUndelivered(std::string_view why) const {
+    const owed_bytes owed = Owed();
+    if (owed.total() == 0) return;
+    common::Metrics().Count("wisteria_connections_undelivered_total",
+                            {{"why", why}});
+    common::Metrics().Count("wisteria_bytes_undelivered_total", {{"why", why}},
+                            owed.total());
+    common::LogEvent(
+        common::log_event::kBytesUndelivered, "",
+        {{"peer", peer_},
+         {"direction", dialled_ ? "to a server" : "to a caller"},
+         {"why", why},
+         {"bytes_unsent", static_cast<int64_t>(owed.unsent)},
+         {"bytes_unacknowledged", static_cast<int64_t>(owed.unacknowledged)},
+         {"last_progress_ms",
+          common::ToMillis(clock_.Now() - last_progress_)}});
+  }
+
+  void End(stream_end how, std::string_view why) {
     if (ended_) return;
+    if (wsi_ != nullptr) ReportUndelivered(why);
     ended_ = true;
     tcp_handler* handler = std::exchange(handler_, nullptr);
     if (handler != nullptr) handler->OnEnd(how);
@@ -304,13 +419,20 @@
   lws* wsi_ = nullptr;
   tcp_handler* handler_ = nullptr;
   bool connecting_;
+  bool dialled_;
   bool reading_ = true;
   bool released_ = false;
+  bool shut_down_ = false;
   bool reset_on_close_ = false;
   bool ended_ = false;
   std::string peer_;
   std::string outgoing_;
   size_t sent_ = 0;  ///< number of bytes of outgoing_ already sent
+  int error_ = 0;    ///< of the socket
+  std::string_view close_reason_;  ///< set before this side closes
+  common::system_clock clock_;
+  /// When bytes were last handed to the kernel.
+  common::time_point last_progress_ = clock_.Now();
 };
 
 tcp_stream::tcp_stream(std::shared_ptr<connection> registered)
@@ -323,6 +445,7 @@
 }
 void tcp_stream::Write(std::string_view data) { connection_->Write(data); }
 size_t tcp_stream::PendingBytes() const { return connection_->PendingBytes(); }
+owed_bytes tcp_stream::Owed() const { return connection_->Owed(); }
 void tcp_stream::PauseReading() { connection_->SetReading(false); }
 void tcp_stream::ResumeReading() { connection_->SetReading(true); }
 void tcp_stream::Abort() { connection_->Abort(); }
