--- a/source/unit_tests/scenario/child_process.cc
+++ b/source/unit_tests/scenario/child_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 
 #include "common/last_error.h"
@@ -90,4 +91,24 @@
   return resident_pages * (sysconf(_SC_PAGESIZE) / kKilobyte);
 }
 
+bool child_process::HasOpenedSockets() const {
+  std::error_code error;
+  const std::filesystem::path process = "/proc/" + std::to_string(pid_);
+  const std::filesystem::path program =
+      std::filesystem::read_symlink(process / "exe", error);
+  // Before exec, the process has the sockets of the runner.
+  if (program == std::filesystem::read_symlink("/proc/self/exe", error)) {
+    return false;
+  }
+  for (const std::filesystem::directory_entry& file :
+       std::filesystem::directory_iterator(process / "fd", error)) {
+    const std::string target =
+        std::filesystem::read_symlink(file.path(), error).string();
+    if (target.starts_with("socket:") || target.starts_with("anon_inode:")) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace wisteriadale::scenario
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -103,6 +103,14 @@
   return 1;
 }
 
+// has_sockets(process) -> boolean
+int HasSockets(lua_State* state) {
+  const bool opened =
+      ObjectArgument(state, Scenario(state).children)->HasOpenedSockets();
+  lua_pushboolean(state, opened ? 1 : 0);
+  return 1;
+}
+
 // run(program, argument...) -> exit code; waits for a tool that prepares a
 // scenario
 int RunTool(lua_State* state) {
@@ -360,6 +368,7 @@
                                   {"signal", SignalChild},
                                   {"exit_code", ExitCode},
                                   {"resident_kb", ResidentKilobytes},
+                                  {"has_sockets", HasSockets},
                                   {"run", RunTool},
                                   {"free_port", FreePort},
                                   {"http_start", HttpStart},
