--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -16,11 +16,18 @@
 constexpr common::duration kTimeoutCheckPeriod = std::chrono::milliseconds(250);
 // A connection that was just accepted is not idle: its request is on the way.
 constexpr common::duration kFirstRequestTime = std::chrono::milliseconds(300);
+// Idle time from which a connection may be closed to admit another.
+constexpr common::duration kMinIdleTime = std::chrono::seconds(1);
 // A body of a byte now and then would keep its connection open for hours.
 constexpr double kMinBodyBytesPerSecond = 1000;
 // Bytes of pipelined requests that are read while a request is in progress.
 constexpr size_t kMaxReadAheadBytes = size_t{64} * 1024;
 
+// Bytes of responses that a caller may leave unread before its next request is
+// started: one that reads nothing could otherwise make the process hold
+// responses without end.
+constexpr size_t kMaxUnreadResponseBytes = size_t{256} * 1024;
+
 void AppendNumber(uint64_t value, int base, std::string* to) {
   char text[24];
   const std::to_chars_result done =
@@ -64,17 +71,26 @@
         accepted_at_(server.clock_.Now()),
         last_activity_(accepted_at_) {
     stream_->SetHandler(*this);
+    stream_->SetStallTimeout(server.limits_.stall_timeout);
   }
 
   void OnData(std::string_view data) override {
     input_.append(data);
     const std::shared_ptr<connection> self = shared_from_this();
     ProcessInput();
-    if (stream_ && exchange_ && input_.size() > kMaxReadAheadBytes) {
+    if (stream_ && (exchange_ || HoldsBack()) &&
+        input_.size() > kMaxReadAheadBytes) {
       stream_->PauseReading();
     }
   }
 
+  void OnDrained() override {
+    if (exchange_) return;
+    const std::shared_ptr<connection> self = shared_from_this();
+    stream_->ResumeReading();
+    ProcessInput();
+  }
+
   void OnEnd(stream_end) override { Drop(); }
 
   /// @return time that the body so far takes at the lowest accepted rate
@@ -82,6 +98,10 @@
     return common::FromSeconds(static_cast<double>(body_.size()) /
                                kMinBodyBytesPerSecond);
   }
+  /// @return whether the next request waits until the caller has read more
+  bool HoldsBack() const {
+    return stream_->PendingBytes() > kMaxUnreadResponseBytes;
+  }
   bool busy() const { return exchange_ != nullptr || parser_ != nullptr; }
   /// @return whether a request is in progress or may be about to be read
   bool HasRequest(common::time_point now) const {
@@ -98,6 +118,20 @@
   void ReportGivenUp() const {
     if (stream_) stream_->Observe().ReportGivenUp();
   }
+  /// @return whether the connection may be closed to admit another
+  bool Replaceable(common::time_point now) const {
+    return stream_ && !busy() && now - last_activity_ > kMinIdleTime &&
+           stream_->Owed().total() == 0 && !stream_->HasUnreadData();
+  }
+  /// @return sorts connections by what their callers would miss
+  std::pair<bool, common::time_point> Worth() const {
+    return {requests_ > 0, last_activity_};
+  }
+  /// Closes an idle connection, to free its descriptor.
+  void Replace() {
+    stream_->CloseNow();
+    Drop();
+  }
 
   /// Closes the connection if the caller exceeds the header or idle timeout.
   void CheckTimeouts(common::time_point now) {
@@ -112,6 +146,8 @@
       if (timed_out) {
         Reject({408, "Request Timeout"});
       }
+    } else if (stream_->PendingBytes() > 0) {
+      last_activity_ = now;
     } else if (now - last_activity_ > server_->limits_.idle_timeout) {
       Drop();
     }
@@ -304,7 +340,7 @@
 }
 
 void http1_server::connection::ProcessInput() {
-  while (stream_ && !exchange_ && !input_.empty()) {
+  while (stream_ && !exchange_ && !input_.empty() && !HoldsBack()) {
     if (!parser_) {
       parser_ = http1_parser::ForRequest(server_->limits_.message);
       request_start_ = server_->clock_.Now();
@@ -361,6 +397,7 @@
     Drop();
     return;
   }
+  if (HoldsBack()) return;
   stream_->ResumeReading();
   // A pipelined request is started from the loop: requests that are answered
   // synchronously would otherwise recurse.
@@ -394,11 +431,29 @@
 }
 
 void http1_server::Accept(std::unique_ptr<tcp_stream> stream) {
+  if (connections_.size() >= max_connections_ && !CloseLongestIdle()) {
+    common::Metrics().Count("wisteria_connections_rejected_total");
+    stream->CloseNow();
+    return;
+  }
   const std::shared_ptr<connection> accepted =
       std::make_shared<connection>(*this, std::move(stream));
   connections_.emplace(accepted.get(), accepted);
 }
 
+bool http1_server::CloseLongestIdle() {
+  const common::time_point now = clock_.Now();
+  std::shared_ptr<connection> chosen;
+  for (const auto& [raw, open] : connections_) {
+    if (chosen && open->Worth() >= chosen->Worth()) continue;
+    if (open->Replaceable(now)) chosen = open;
+  }
+  if (!chosen) return false;
+  common::Metrics().Count("wisteria_connections_replaced_total");
+  chosen->Replace();
+  return true;
+}
+
 void http1_server::CheckConnections() {
   const common::time_point now = clock_.Now();
   std::vector<std::shared_ptr<connection>> open;
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -11,6 +12,7 @@
 
 #include "common/clock.h"
 #include "net/http1_parser.h"
+#include "net/peer_progress.h"
 #include "net/tcp_stream.h"
 
 namespace wisteriadale::net {
@@ -73,6 +75,8 @@
   common::duration header_timeout = std::chrono::seconds(10);
   /// How long an open connection may be without a request.
   common::duration idle_timeout = std::chrono::seconds(60);
+  /// How long a caller may take nothing of a response.
+  common::duration stall_timeout = kStallTimeout;
 };
 
 /// What a server has not delivered to its callers.
@@ -97,6 +101,9 @@
   http1_server& operator=(const http1_server&) = delete;
 
   void SetLimits(const http1_server_limits& limits) { limits_ = limits; }
+  /// At the limit, a new connection takes the place of the one that has been
+  /// idle for longest, or is closed if none has been idle for long.
+  void SetMaxConnections(size_t max) { max_connections_ = max; }
   /// From now on closes each connection after its current response.
   void DisableKeepAlive() { closing_ = true; }
   /// Accepts the connections of the backlog and closes the listener: later ones
@@ -131,6 +138,10 @@
   void CheckConnections();
   /// Keeps count of what a connection that is closed has still to deliver.
   void AddClosing(const tcp_stream& stream);
+  /// Closes a connection that has been idle for some time: first those without
+  /// any request so far, of these the one that has been idle for longest.
+  /// @return whether there was one
+  bool CloseLongestIdle();
 
   event_loop& loop_;
   common::clock& clock_;
@@ -143,6 +154,7 @@
   common::timer_id check_timer_ = 0;
   uint16_t port_ = 0;
   bool closing_ = false;
+  size_t max_connections_ = std::numeric_limits<size_t>::max();
 };
 
 }  // namespace wisteriadale::net
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -75,6 +75,9 @@
   /// @return the bytes that the peer has not acknowledged
   owed_bytes Owed() const;
   observer Observe() const;
+  /// @param limit on the time in which a peer that lacks bytes takes none,
+  /// where the kernel tells; the connection is then reset
+  void SetStallTimeout(common::duration limit);
   /// @param id of the request that bytes are sent for from now on, for logs
   void SetRequestId(std::string_view id);
   /// Stops reading; TCP flow control then stops the peer.
@@ -82,6 +85,9 @@
   void ResumeReading();
   /// Resets the connection at once; pending bytes are discarded.
   void Abort();
+  /// Closes a connection that has nothing pending, and frees its descriptor
+  /// without waiting for the peer.
+  void CloseNow();
   /// While set, the connection is reset rather than closed, also if this object
   /// is destroyed or the process dies: for data whose end is the end of the
   /// connection, so that the peer can't take a part of it for the whole.
