Tell a lost probe, and a kernel that probes seldom, from a silent peer

A halted caller was reset when one probe of its closed window, or the answer to it, was lost: the next came a second later, and 1.9 s without an acknowledgement counted as silence.

Silence now needs something that the peer had to acknowledge: segments in flight, or two probes that stay unanswered. TCP_USER_TIMEOUT is taken back wherever TCP_INFO tells plausible figures; connections where it does not are counted in wisteria_connections_unwatched_total and stay as they were.

PeerProgress.AClosedWindowIsNotSilenceWhileProbesAreAnswered and ProbesThatStayUnansweredAreSilence fail without it.

--- a/source/net/socket_options.cc
+++ b/source/net/socket_options.cc
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-#include "net/peer_progress.h"
+#include "common/metrics.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -35,17 +35,11 @@
   return info;
 }
 
-bool BoundRetransmissionPeriod(int fd) {
-  int value = kRetransmissionLimitMs;
-  socklen_t size = sizeof(value);
-  if (setsockopt(fd, IPPROTO_TCP, kRetransmissionLimitOption, &value, size) !=
-      0) {
-    return false;
-  }
-  value = 0;
-  return getsockopt(fd, IPPROTO_TCP, kRetransmissionLimitOption, &value,
-                    &size) == 0 &&
-         value == kRetransmissionLimitMs;
+/// @return whether the figures are those of a connection: an implementation
+/// that knows the option may still leave them at zero
+bool IsPlausible(const tcp_info& info) {
+  return info.tcpi_state == TCP_ESTABLISHED && info.tcpi_rto > 0 &&
+         info.tcpi_snd_mss > 0;
 }
 
 }  // namespace
@@ -70,18 +64,28 @@
 
 bool WatchAcknowledgements(int fd) {
   const std::optional<tcp_info> info = InfoOf(fd);
-  if (!info || info->tcpi_state == 0 || !BoundRetransmissionPeriod(fd)) {
+  if (!info || !IsPlausible(*info)) {
+    common::Metrics().Count("wisteria_connections_unwatched_total");
     return false;
   }
+  // Kernels before 6.15 lack this one and probe ever less often.
+  SetSocketOption(fd, IPPROTO_TCP, kRetransmissionLimitOption,
+                  kRetransmissionLimitMs);
   SetSocketOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbesWithoutUserTimeout);
   SetSocketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
   return true;
 }
 
-common::duration TimeSinceAcknowledgement(int fd) {
+peer_sample SampleOf(int fd, common::time_point now, uint64_t delivered) {
+  peer_sample sample;
+  sample.now = now;
+  sample.delivered = delivered;
   const std::optional<tcp_info> info = InfoOf(fd);
-  if (!info) return common::duration(0);
-  return common::milliseconds(info->tcpi_last_ack_recv);
+  if (!info) return sample;
+  sample.since_acknowledgement = common::milliseconds(info->tcpi_last_ack_recv);
+  sample.unacknowledged_segments = info->tcpi_unacked;
+  sample.unanswered_probes = info->tcpi_probes;
+  return sample;
 }
 
 }  // namespace wisteriadale::net
--- a/source/net/socket_options.h
+++ b/source/net/socket_options.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
+
 #include "common/clock.h"
+#include "net/peer_progress.h"
 
 namespace wisteriadale::net {
 
@@ -14,14 +17,16 @@
 void TuneSocket(int fd);
 
 /// Prepares a connected socket for peer_progress: a peer with a closed window
-/// is probed each second, and the kernel does not end its connection for that.
-/// On a kernel without one of the options everything stays as TuneSocket set
-/// it.
-/// @return whether TimeSinceAcknowledgement is to be watched from now on
+/// is probed each second where the kernel can do so, else ever less often, and
+/// the kernel does not end its connection for that. Where the kernel does not
+/// tell of acknowledgements, everything stays as TuneSocket set it.
+/// @return whether SampleOf is to be watched from now on
 bool WatchAcknowledgements(int fd);
 
-/// @return time since the peer last acknowledged anything; zero if the kernel
-/// does not tell
-common::duration TimeSinceAcknowledgement(int fd);
+/// @param now       the time of the sample
+/// @param delivered bytes that the peer has acknowledged so far
+/// @return what the kernel tells of the peer; without any silence if it tells
+/// nothing
+peer_sample SampleOf(int fd, common::time_point now, uint64_t delivered);
 
 }  // namespace wisteriadale::net
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -449,8 +449,8 @@
   void CheckPeer() {
     watching_ = Owed().total() > 0;
     if (!watching_) return;
-    const peer_state state = progress_.Judge(
-        {clock_.Now(), DeliveredBytes(), TimeSinceAcknowledgement(fd_)});
+    const peer_state state =
+        progress_.Judge(SampleOf(fd_, clock_.Now(), DeliveredBytes()));
     if (state == peer_state::kAlive) {
       ScheduleWatch();
       return;
