Check slow peers from one timer for all connections

Each write to a caller or target armed a timer of its own for the check of the peer, and each closed connection one of 60 s.

Checks now share one timer of 250 ms; only a peer that is nearly silent gets one of its own. The drain limit begins when a closed connection has bytes left after the linger time.

--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -239,6 +239,17 @@
   return id;
 }
 
+void event_loop::ScheduleCoarse(std::function<void()> action) {
+  coarse_actions_.push_back(std::move(action));
+  if (coarse_actions_.size() > 1) return;
+  Schedule(kCoarsePeriod, [this] {
+    // An action may schedule itself again.
+    std::vector<std::function<void()>> due;
+    due.swap(coarse_actions_);
+    for (const std::function<void()>& each : due) each();
+  });
+}
+
 void event_loop::StartWatchdog(int max_cpu_seconds) {
   max_seconds_in_turn = max_cpu_seconds;
   struct sigaction handler {};
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "common/clock.h"
 
@@ -42,6 +43,9 @@
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
+  static constexpr common::duration kCoarsePeriod =
+      std::chrono::milliseconds(250);
+
   /// Runs until Stop is called during the run. May be called again afterwards.
   void Run();
   void Stop();
@@ -63,6 +67,9 @@
   common::timer_id Schedule(common::duration delay,
                             std::function<void()> action) override;
   void Cancel(common::timer_id id) override;
+  /// Runs an action within kCoarsePeriod. All such actions share one timer, so
+  /// that many of them do not wake the process many times.
+  void ScheduleCoarse(std::function<void()> action);
 
   lws_context* context() const { return context_; }
   /// @return the vhost that outgoing connections belong to
@@ -87,6 +94,7 @@
   bool client_tls_ = false;
   common::duration dial_timeout_{};
   bool stopping_ = false;
+  std::vector<std::function<void()>> coarse_actions_;
   int handled_stops_ = 0;
   int handled_reloads_ = 0;
   common::timer_id next_timer_ = 1;
--- a/source/net/peer_progress.cc
+++ b/source/net/peer_progress.cc
@@ -5,7 +5,6 @@
 namespace wisteriadale::net {
 namespace {
 
-constexpr common::duration kMaxCheckPeriod = std::chrono::milliseconds(250);
 constexpr common::duration kMinCheckPeriod = std::chrono::milliseconds(10);
 // A single probe, or its answer, may be lost on the way.
 constexpr uint32_t kProbesToBeSilent = 2;
@@ -41,8 +40,10 @@
   const bool overdue = AcknowledgementOverdue(sample);
   if (silence >= kSilenceTimeout && overdue) return peer_state::kSilent;
   if (sample.now - progressed_ >= stall_timeout_) return peer_state::kStalled;
-  next_check_ =
-      std::clamp(kSilenceTimeout - silence, kMinCheckPeriod, kMaxCheckPeriod);
+  next_check_ = silence >= kSilenceTimeout
+                    ? kProbeAnswerTime
+                    : std::clamp(kSilenceTimeout - silence, kMinCheckPeriod,
+                                 kMaxCheckPeriod);
   return peer_state::kAlive;
 }
 
--- a/source/net/peer_progress.h
+++ b/source/net/peer_progress.h
@@ -14,6 +14,9 @@
 /// How long a peer that acknowledges probes may take none of the bytes.
 constexpr common::duration kStallTimeout = std::chrono::seconds(30);
 
+/// Longest time between two samples.
+constexpr common::duration kMaxCheckPeriod = std::chrono::milliseconds(250);
+
 enum class peer_state {
   kAlive,    ///< takes bytes, however slowly, or has stopped for a while
   kSilent,   ///< acknowledges nothing: gone, frozen or cut off
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -229,8 +229,11 @@
     }
     released_ = true;
     SetReading(true);
-    LimitDrain();
-    if (PendingBytes() == 0) ShutDown();
+    if (PendingBytes() == 0) {
+      ShutDown();
+    } else {
+      LimitDrain();
+    }
   }
 
   void Abort() {
@@ -376,6 +379,7 @@
   void CloseWhenDelivered() {
     ScheduleFor(kLingerLimit, [](connection& self) {
       if (self.Owed().total() > 0) {
+        if (!self.drain_limited_) self.LimitDrain();
         self.CloseWhenDelivered();
       } else {
         CloseAsync(self.wsi_);
@@ -385,6 +389,7 @@
 
   /// Ends a closed connection whose peer takes too few of the pending bytes.
   void LimitDrain() {
+    drain_limited_ = true;
     drained_before_ = DeliveredBytes();
     ScheduleFor(kDrainLimit, [](connection& self) {
       if (self.DeliveredBytes() - self.drained_before_ >= kMinDrainBytes) {
@@ -441,8 +446,16 @@
   }
 
   void ScheduleWatch() {
-    ScheduleFor(progress_.NextCheck(),
-                [](connection& self) { self.CheckPeer(); });
+    if (progress_.NextCheck() < kMaxCheckPeriod) {
+      ScheduleFor(progress_.NextCheck(),
+                  [](connection& self) { self.CheckPeer(); });
+      return;
+    }
+    const std::weak_ptr<connection> self = weak_from_this();
+    loop_.ScheduleCoarse([self] {
+      const std::shared_ptr<connection> kept = self.lock();
+      if (kept && kept->wsi_ != nullptr) kept->CheckPeer();
+    });
   }
 
   /// Ends the connection if its peer is gone or takes nothing.
@@ -478,6 +491,7 @@
   bool reading_ = true;
   bool released_ = false;
   bool shut_down_ = false;
+  bool drain_limited_ = false;
   bool reset_on_close_ = false;
   bool ended_ = false;
   bool reported_ = false;  ///< what it owed as it ended
