Stop only when links have sent their messages and read requests are started

Found by the independent review, by reading: the stop did not ask for unsent messages to other gateways, so that the outcome of a stage that had run could be lost with the process; and a pipelined request that was read but not started yet did not count, so that its connection was closed as idle. Both are asked for now, within the grace as before. gateway_stages requires that it sees a gauge at all.

--- a/scenarios/gateway_stages.lua
+++ b/scenarios/gateway_stages.lua
@@ -63,13 +63,15 @@
 
 -- The queues keep nothing of requests that have ended.
 wait_until(function()
+  local gauges = 0
   for _, gateway in ipairs(fleet.all) do
     local text = http{port = gateway.operators, path = "/metrics"}.body
     for value in text:gmatch("wisteria_stage_jobs{[^}]*} (%d+)") do
       if value ~= "0" then return false end
+      gauges = gauges + 1
     end
   end
-  return true
+  return gauges > 0
 end, 1000, "no job is kept")
 
 -- After a route's timeout is shortened, first requests are not mistaken for
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -628,9 +628,10 @@
     caller_server_->StopAccepting();
     caller_server_->CloseIdle();
   }
-  const bool idle =
-      forwarder_->active() == 0 && caller_server_->ActiveRequests() == 0 &&
-      caller_server_->Undelivered().bytes == 0 && !dispatcher_->busy();
+  const bool idle = forwarder_->active() == 0 &&
+                    caller_server_->ActiveRequests() == 0 &&
+                    caller_server_->Undelivered().bytes == 0 &&
+                    !dispatcher_->busy() && links_->PendingBytes() == 0;
   const bool timed_out = elapsed >= stop_timeout_;
   if (timed_out) terminated_requests_ = forwarder_->TerminateAll();
   if ((elapsed >= kMinStopTime && idle) || timed_out) {
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -107,7 +107,9 @@
   bool HasRequest(common::time_point now) const {
     const bool is_new =
         requests_ == 0 && now - accepted_at_ < kFirstRequestTime;
-    return busy() || is_new || (stream_ && stream_->HasUnreadData());
+    // A pipelined request is started from the loop.
+    return busy() || is_new || !input_.empty() ||
+           (stream_ && stream_->HasUnreadData());
   }
 
   /// @return whether this process has something to do for the caller
@@ -121,7 +123,8 @@
   /// @return whether the connection may be closed to admit another
   bool Replaceable(common::time_point now) const {
     return stream_ && !busy() && now - last_activity_ > kMinIdleTime &&
-           stream_->Owed().total() == 0 && !stream_->HasUnreadData();
+           stream_->Owed().total() == 0 && input_.empty() &&
+           !stream_->HasUnreadData();
   }
   /// @return sorts connections by what their callers would miss
   std::pair<bool, common::time_point> Worth() const {
