--- a/source/net/socket_options.cc
+++ b/source/net/socket_options.cc
@@ -1,9 +1,11 @@
 #include "net/socket_options.h"
 
-#include <netinet/in.h>
+#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+#include <cstring>
 #include <optional>
 
 #include "common/metrics.h"
@@ -44,6 +46,17 @@
 
 }  // namespace
 
+bool ToSocketAddress(const endpoint& from, sockaddr_in* to) {
+  std::memset(to, 0, sizeof(*to));
+  to->sin_family = AF_INET;
+  to->sin_port = htons(from.port);
+  return inet_pton(AF_INET, from.address.c_str(), &to->sin_addr) == 1;
+}
+
+std::string SocketErrorText(const std::string& what, const endpoint& where) {
+  return what + " " + FormatEndpoint(where) + ": " + std::strerror(errno);
+}
+
 void SetSocketOption(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof(value));
 }
--- a/source/net/socket_options.h
+++ b/source/net/socket_options.h
@@ -1,14 +1,24 @@
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstdint>
+#include <string>
 
 #include "common/clock.h"
+#include "net/endpoint.h"
 #include "net/peer_progress.h"
 
 namespace wisteriadale::net {
 
 void SetSocketOption(int fd, int level, int name, int value);
 
+/// @return false if the address is not IPv4
+bool ToSocketAddress(const endpoint& from, sockaddr_in* to);
+
+/// @return what failed for an address, and errno as text
+std::string SocketErrorText(const std::string& what, const endpoint& where);
+
 /// Selects whether closing a socket resets its connection.
 void SetResetOption(int fd, bool reset);
 
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -18,9 +18,8 @@
 #include "common/last_error.h"
 #include "common/log.h"
 #include "common/metrics.h"
-#include "net/listen_retry.h"
-#include "net/lws_protocols.h"
 #include "net/peer_progress.h"
+#include "net/pollable.h"
 #include "net/socket_bytes.h"
 #include "net/socket_options.h"
 
@@ -28,94 +27,18 @@
 namespace {
 
 constexpr size_t kReadBytes = size_t{32} * 1024;
-constexpr int kBacklog = 512;
 // Bytes that one readable event reads: a peer that sends faster than its bytes
 // are handled would keep the loop from everything else.
 constexpr size_t kMaxReadBytes = 8 * kReadBytes;
-// Descriptors of connections that are closed for new ones are freed in the
-// loop's next turn.
-constexpr int kAcceptsPerTurn = 16;
-constexpr common::duration kAcceptPause = std::chrono::milliseconds(100);
 // How long a closed connection is still read (lingering close): unread bytes
 // from the peer would turn the close into a reset that destroys the response.
 constexpr common::duration kLingerLimit = std::chrono::milliseconds(1000);
 // A closed connection that delivers fewer than kMinDrainBytes of its pending
-// bytes within this time is ended. If the peer reads nothing, the kernel ends
-// it after kUserTimeoutMs.
+// bytes within this time is ended. One that takes nothing ends at the stall
+// limit.
 constexpr common::duration kDrainLimit = std::chrono::seconds(60);
 constexpr uint64_t kMinDrainBytes = 60'000;
 
-bool ToAddress(const endpoint& from, sockaddr_in* to) {
-  std::memset(to, 0, sizeof(*to));
-  to->sin_family = AF_INET;
-  to->sin_port = htons(from.port);
-  return inet_pton(AF_INET, from.address.c_str(), &to->sin_addr) == 1;
-}
-
-std::string ErrorText(const std::string& what, const endpoint& where) {
-  return what + " " + FormatEndpoint(where) + ": " + std::strerror(errno);
-}
-
-/// @return a listening socket, or -1 with errno set and LastError set to
-/// kCannotListen
-int TryToListen(const endpoint& at) {
-  sockaddr_in address{};
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-                          IPPROTO_TCP);
-  if (fd >= 0) SetSocketOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
-  if (fd >= 0 && ToAddress(at, &address) &&
-      bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) ==
-          0 &&
-      listen(fd, kBacklog) == 0) {
-    return fd;
-  }
-  common::SetLastError(common::result_code::kCannotListen,
-                       ErrorText("cannot listen on", at));
-  const int error = errno;
-  if (fd >= 0) ::close(fd);
-  errno = error;
-  return -1;
-}
-
-/// Waits for a limited time until the address is free.
-/// @return a listening socket, or -1 with LastError set to kCannotListen
-int OpenListener(const endpoint& at) {
-  listen_retry retry(at);
-  for (;;) {
-    const int fd = TryToListen(at);
-    if (fd >= 0 || !retry.Wait(errno)) return fd;
-  }
-}
-
-/// Receives the events that libwebsockets reports for one descriptor.
-class pollable {
- public:
-  virtual ~pollable() = default;
-  /// @return false to close the descriptor
-  virtual bool OnReadable() = 0;
-  virtual bool OnWritable() = 0;
-  virtual void OnClosed() = 0;
-};
-
-// Keeps each descriptor's object alive while libwebsockets refers to it.
-std::unordered_map<pollable*, std::shared_ptr<pollable>>& LivePollables() {
-  static std::unordered_map<pollable*, std::shared_ptr<pollable>> live;
-  return live;
-}
-
-/// Registers a descriptor with the loop.
-lws* Adopt(event_loop& loop, int fd, const std::shared_ptr<pollable>& object) {
-  lws_sock_file_fd_type descriptor;
-  descriptor.filefd = fd;
-  lws* wsi =
-      lws_adopt_descriptor_vhost(loop.client_vhost(), LWS_ADOPT_RAW_FILE_DESC,
-                                 descriptor, kSocketProtocol, nullptr);
-  if (wsi == nullptr) return nullptr;
-  lws_set_opaque_user_data(wsi, object.get());
-  LivePollables().emplace(object.get(), object);
-  return wsi;
-}
-
 // Why a connection ended, in logs and metrics.
 constexpr std::string_view kEndedByPeer = "closed by the peer";
 constexpr std::string_view kEndedByReset = "reset";
@@ -131,10 +54,6 @@
              : kEndedByReset;
 }
 
-void CloseAsync(lws* wsi) {
-  lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-}
-
 }  // namespace
 
 class tcp_stream::connection final
@@ -149,7 +68,7 @@
         peer_(std::move(peer)) {}
 
   bool Register() {
-    wsi_ = Adopt(loop_, fd_, shared_from_this());
+    wsi_ = AdoptDescriptor(loop_, fd_, shared_from_this());
     if (wsi_ == nullptr) return false;
     if (connecting_) {
       lws_callback_on_writable(wsi_);
@@ -552,11 +471,25 @@
 bool tcp_stream::HasUnreadData() const { return connection_->HasUnreadData(); }
 const std::string& tcp_stream::peer() const { return connection_->peer(); }
 
+std::unique_ptr<tcp_stream> tcp_stream::Adopt(event_loop& loop, int fd,
+                                              std::string peer) {
+  TuneSocket(fd);
+  const std::shared_ptr<connection> created =
+      std::make_shared<connection>(loop, fd, false, std::move(peer));
+  if (!created->Register()) {
+    common::Log(common::log_channel::kNet, common::log_level::kWarning,
+                "cannot register the socket with the event loop");
+    ::close(fd);
+    return nullptr;
+  }
+  return std::make_unique<tcp_stream>(created);
+}
+
 std::unique_ptr<tcp_stream> tcp_stream::Dial(event_loop& loop,
                                              const endpoint& to,
                                              tcp_handler& handler) {
   sockaddr_in address{};
-  if (!ToAddress(to, &address)) {
+  if (!ToSocketAddress(to, &address)) {
     common::SetLastError(common::result_code::kTargetLost,
                          to.address + " is not an IPv4 address");
     return nullptr;
@@ -565,7 +498,7 @@
                           IPPROTO_TCP);
   if (fd < 0) {
     common::SetLastError(common::result_code::kTargetLost,
-                         ErrorText("cannot create a socket for", to));
+                         SocketErrorText("cannot create a socket for", to));
     return nullptr;
   }
   TuneSocket(fd);
@@ -573,7 +506,7 @@
       connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (started != 0 && errno != EINPROGRESS) {
     common::SetLastError(common::result_code::kTargetLost,
-                         ErrorText("cannot dial", to));
+                         SocketErrorText("cannot dial", to));
     ::close(fd);
     return nullptr;
   }
@@ -589,167 +522,4 @@
   return std::make_unique<tcp_stream>(created);
 }
 
-bool CanListen(const endpoint& at) {
-  const int fd = OpenListener(at);
-  if (fd < 0) return false;
-  ::close(fd);
-  return true;
-}
-
-class tcp_listener::socket final : public pollable,
-                                   public std::enable_shared_from_this<socket> {
- public:
-  socket(event_loop& loop, int fd, acceptor on_accept)
-      : loop_(loop), fd_(fd), on_accept_(std::move(on_accept)) {}
-  ~socket() override {
-    if (spare_fd_ >= 0) ::close(spare_fd_);
-  }
-  socket(const socket&) = delete;
-  socket& operator=(const socket&) = delete;
-
-  bool Register() {
-    wsi_ = Adopt(loop_, fd_, shared_from_this());
-    return wsi_ != nullptr;
-  }
-
-  void Close() {
-    // The kernel resets connections that are still in the backlog.
-    if (wsi_ != nullptr) AcceptPending(kBacklog);
-    on_accept_ = nullptr;
-    if (wsi_ != nullptr) CloseAsync(wsi_);
-  }
-
-  bool OnReadable() override {
-    AcceptPending(kAcceptsPerTurn);
-    return true;
-  }
-
-  bool OnWritable() override { return true; }
-  void OnClosed() override { wsi_ = nullptr; }
-
- private:
-  void AcceptPending(int limit) {
-    for (int i = 0; i < limit && on_accept_; ++i) {
-      sockaddr_in from{};
-      socklen_t received = sizeof(from);
-      const int fd = accept4(fd_, reinterpret_cast<sockaddr*>(&from), &received,
-                             SOCK_NONBLOCK | SOCK_CLOEXEC);
-      if (fd < 0) {
-        if (errno == EINTR || errno == ECONNABORTED) continue;
-        if (errno == EMFILE || errno == ENFILE) {
-          if (RejectNext()) continue;
-          return;
-        }
-        if (errno != EAGAIN && errno != EWOULDBLOCK) {
-          common::Log(common::log_channel::kNet, common::log_level::kWarning,
-                      std::string("cannot accept: ") + std::strerror(errno));
-        }
-        return;
-      }
-      OnAccepted(fd, from);
-    }
-  }
-
-  /// Accepts and closes the next connection when no descriptor is left for it:
-  /// a connection that stays in the backlog would wake the loop endlessly.
-  /// @return whether there was one
-  bool RejectNext() {
-    if (spare_fd_ < 0) {
-      PauseAccepting();
-      return false;
-    }
-    ::close(spare_fd_);
-    const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd >= 0) {
-      ::close(fd);
-      common::Metrics().Count("wisteria_connections_rejected_total");
-    }
-    spare_fd_ = OpenSpare();
-    return fd >= 0;
-  }
-
-  /// Without a descriptor, connections of the backlog can't even be rejected.
-  void PauseAccepting() {
-    if (wsi_ == nullptr) return;
-    lws_rx_flow_control(wsi_, 0);
-    const std::weak_ptr<socket> self = weak_from_this();
-    loop_.Schedule(kAcceptPause, [self] {
-      const std::shared_ptr<socket> kept = self.lock();
-      if (!kept || kept->wsi_ == nullptr) return;
-      if (kept->spare_fd_ < 0) kept->spare_fd_ = OpenSpare();
-      lws_rx_flow_control(kept->wsi_, 1);
-    });
-  }
-
-  static int OpenSpare() { return open("/dev/null", O_RDONLY | O_CLOEXEC); }
-
-  void OnAccepted(int fd, const sockaddr_in& from) {
-    TuneSocket(fd);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
-    const std::shared_ptr<tcp_stream::connection> created =
-        std::make_shared<tcp_stream::connection>(loop_, fd, false, text.data());
-    if (!created->Register()) {
-      common::Log(common::log_channel::kNet, common::log_level::kWarning,
-                  "cannot register the socket with the event loop");
-      ::close(fd);
-      return;
-    }
-    on_accept_(std::make_unique<tcp_stream>(created));
-  }
-
-  event_loop& loop_;
-  int fd_;
-  int spare_fd_ = OpenSpare();  ///< closed to free a descriptor in RejectNext
-  lws* wsi_ = nullptr;
-  acceptor on_accept_;
-};
-
-tcp_listener::~tcp_listener() {
-  if (socket_) socket_->Close();
-}
-
-std::unique_ptr<tcp_listener> tcp_listener::Create(event_loop& loop,
-                                                   const endpoint& at,
-                                                   acceptor on_accept) {
-  const int fd = OpenListener(at);
-  if (fd < 0) return nullptr;
-  sockaddr_in bound{};
-  socklen_t size = sizeof(bound);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
-  std::unique_ptr<tcp_listener> listener(new tcp_listener());
-  listener->port_ = ntohs(bound.sin_port);
-  listener->socket_ = std::make_shared<socket>(loop, fd, std::move(on_accept));
-  if (!listener->socket_->Register()) {
-    common::SetLastError(common::result_code::kCannotListen,
-                         "cannot register the socket with the event loop");
-    ::close(fd);
-    return nullptr;
-  }
-  return listener;
-}
-
-int SocketCallback(lws* wsi, lws_callback_reasons reason, void*, void*,
-                   size_t) {
-  pollable* object = static_cast<pollable*>(lws_get_opaque_user_data(wsi));
-  if (object == nullptr) return 0;
-  switch (reason) {
-    case LWS_CALLBACK_RAW_RX_FILE:
-      return object->OnReadable() ? 0 : -1;
-    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
-      return object->OnWritable() ? 0 : -1;
-    case LWS_CALLBACK_RAW_CLOSE_FILE: {
-      lws_set_opaque_user_data(wsi, nullptr);
-      const auto found = LivePollables().find(object);
-      if (found == LivePollables().end()) return 0;
-      const std::shared_ptr<pollable> kept = std::move(found->second);
-      LivePollables().erase(found);
-      kept->OnClosed();
-      return 0;
-    }
-    default:
-      return 0;
-  }
-}
-
 }  // namespace wisteriadale::net
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -63,6 +63,12 @@
   /// @return the connection, or nothing with LastError set
   static std::unique_ptr<tcp_stream> Dial(event_loop& loop, const endpoint& to,
                                           tcp_handler& handler);
+  /// Takes over an accepted connection.
+  /// @param fd   closed in case of failure
+  /// @param peer address of the other end
+  /// @return the connection, or nothing if the loop cannot take it
+  static std::unique_ptr<tcp_stream> Adopt(event_loop& loop, int fd,
+                                           std::string peer);
   ~tcp_stream();
   tcp_stream(const tcp_stream&) = delete;
   tcp_stream& operator=(const tcp_stream&) = delete;
