Bound the bodies of operators' requests

64 connections of operators could hold 4 MB each, though none of their requests has a body (independent review, by reading). A longer one gets 413.

--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -53,6 +53,8 @@
 // with a single loss, from each gateway, would fill its link; without them it
 // allows one more loss.
 constexpr uint32_t kMinPassedCrashes = 2;
+// No request of an operator has a body.
+constexpr uint64_t kMaxOperatorBodyBytes = 1024;
 constexpr common::duration kUsageCheckPeriod = std::chrono::seconds(1);
 constexpr common::duration kStopCheckPeriod = std::chrono::milliseconds(100);
 // Time for the last responses to leave before the event loop stops.
@@ -357,8 +359,10 @@
         forwarder_->Handle(exchange);
       });
   if (!caller_server_) return false;
+  net::http1_server_limits operator_limits;
+  operator_limits.message.max_body_bytes = kMaxOperatorBodyBytes;
   operator_server_ = net::http1_server::Create(
-      *loop_, clock_, *operators, net::http1_server_limits(),
+      *loop_, clock_, *operators, operator_limits,
       [this](const std::shared_ptr<net::http1_exchange>& exchange) {
         HandleOperatorRequest(exchange);
       });
