Evacuate a data centre

Change: core/fleet/evacuations keeps the latest statement of the store for each data centre; the directory moves its targets out of the pools that all choices are made from. Gateways pass changes on and tell those that join; a full read is a complete list, so that a kill of all or a lost history forgets nothing. Taken back, the targets get a growing share for 5 s. If all targets of a service are out, callers get 503 before anything runs. The two rejections in stage_dispatcher::Enqueue are one.

--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -38,6 +38,8 @@
   kLimitSlot,          ///< the owner of a target's slots granted or denied one
   kSlotWait,           ///< a request waits for a slot, or does not
   kLimitNamed,         ///< a response named the request limit of its target
+  kEvacuationChanged,  ///< a data centre was evacuated, or taken back
+  kTargetCold,         ///< a target takes only some requests after its start
   kStoreReaderChosen,  ///< another gateway reads the store for a data centre
   kGatewayLinked,
   kGatewayLost,
--- a/source/core/fleet/fleet_sync.cc
+++ b/source/core/fleet/fleet_sync.cc
@@ -56,8 +56,8 @@
 // Stands for the content of an entry that was refused.
 constexpr uint64_t kRefusedContent = 0;
 
-/// @return a digest of what an entry says, without the time that the target
-/// stays slow, which changes with each heartbeat
+/// @return a digest of what an entry says; of the time that the target stays
+/// cold, which changes with each heartbeat, only whether there is any
 uint64_t ContentDigest(const target_entry& entry) {
   std::string text;
   for (const std::string* each :
@@ -67,6 +67,7 @@
   text.append(std::to_string(entry.slots)).push_back('\n');
   text.append(std::to_string(entry.started_ms)).push_back('\n');
   text.append(entry.draining ? "draining" : "ready");
+  text.append(entry.warm_up_remaining.count() > 0 ? "\ncold" : "");
   return common::Hash64(text);
 }
 
@@ -200,6 +201,7 @@
   RecordSuccess();
   routes_current_at_ = clock_.Now();
   route_failures_ = 0;
+  ApplyEvacuations(result.rows, full, at);
   for (const stored_row& row : result.rows) {
     if (row.key == codec_.locations().routes_key && !row.removed) {
       ApplyRoutes(row.value, "store", at.era);
@@ -221,6 +223,25 @@
   FollowRoutes();
 }
 
+void fleet_sync::ApplyEvacuations(std::span<const stored_row> rows, bool full,
+                                  const store_point& at) {
+  if (evacuations_ == nullptr) return;
+  const std::string_view prefix = codec_.locations().evacuation_prefix;
+  std::vector<evacuation> statements;
+  for (const stored_row& row : rows) {
+    const std::string_view key = row.key;
+    if (prefix.empty() || !key.starts_with(prefix)) continue;
+    statements.push_back({std::string(key.substr(prefix.size())),
+                          !row.removed,
+                          {at.era, row.version}});
+  }
+  if (full) {
+    evacuations_->ApplyAll(statements, at);
+  } else {
+    for (const evacuation& each : statements) evacuations_->Apply(each);
+  }
+}
+
 void fleet_sync::ApplyRoutes(std::string_view text, std::string_view source,
                              uint64_t era) {
   if (text == routes_text_) {
--- a/source/core/fleet/fleet_sync.h
+++ b/source/core/fleet/fleet_sync.h
@@ -13,6 +13,7 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "core/fleet/evacuations.h"
 #include "core/fleet/store_read.h"
 #include "core/fleet/target_directory.h"
 #include "core/ports/deployment_codec.h"
@@ -73,6 +74,10 @@
   fleet_sync(const fleet_sync&) = delete;
   fleet_sync& operator=(const fleet_sync&) = delete;
 
+  /// @param known receives what the store says of evacuated data centres; may
+  /// be null, and has to outlive this object
+  void SetEvacuations(evacuations* known) { evacuations_ = known; }
+
   /// Starts with a full read of routes and targets.
   void Start();
 
@@ -136,6 +141,10 @@
   /// Reads changes of routes, or waits while another gateway follows them.
   void FollowRoutes();
   void OnRoutesRead(const row_store_result& result, bool full);
+  /// Applies what rows of the routes' table say of evacuated data centres.
+  /// @param full whether the rows are the whole table rather than changes
+  void ApplyEvacuations(std::span<const stored_row> rows, bool full,
+                        const store_point& at);
   /// Reads all routes after their changes turned out not to be available, but
   /// not without a pause since the last time.
   void ReadRoutesAgain();
@@ -200,6 +209,7 @@
   target_directory& targets_;
   common::clock& clock_;
   common::timer_service& timers_;
+  evacuations* evacuations_ = nullptr;
   std::function<void()> routes_handler_;
   std::function<void(const store_read&, common::time_point)> read_handler_;
   std::string routes_text_;
--- a/source/core/fleet/gateway_messages.h
+++ b/source/core/fleet/gateway_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "core/fleet/evacuations.h"
 #include "core/fleet/store_read.h"
 #include "core/fleet/target_directory.h"
 #include "core/limits/limit_messages.h"
@@ -127,17 +128,22 @@
   common::duration read_at{0};
 };
 
+/// What the sender knows of evacuated data centres; sent on each change that it
+/// reads from the store, and on new links.
+struct evacuations_message {
+  std::vector<evacuation> statements;
+};
+
 /// A message of a type that this version does not know. Ignored, so that
 /// gateways of several versions can be linked.
 struct unknown_gateway_message {};
 
-using gateway_message =
-    std::variant<gateway_hello, gateway_ping, stage_job_message,
-                 stage_outcome_message, stage_cancellation_message,
-                 stage_release_message, routes_message, leaving_targets_message,
-                 upcoming_stage_message, service_load_message,
-                 gateway_shutdown_notice, crash_report, gateway_slow_state,
-                 routes_request, limit_report, slot_request, slot_reply,
-                 gateway_view, store_read_message, unknown_gateway_message>;
+using gateway_message = std::variant<
+    gateway_hello, gateway_ping, stage_job_message, stage_outcome_message,
+    stage_cancellation_message, stage_release_message, routes_message,
+    leaving_targets_message, upcoming_stage_message, service_load_message,
+    gateway_shutdown_notice, crash_report, gateway_slow_state, routes_request,
+    limit_report, slot_request, slot_reply, gateway_view, store_read_message,
+    evacuations_message, unknown_gateway_message>;
 
 }  // namespace wisteriadale::core
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -39,7 +39,11 @@
                            target->entry.address != entry.address ||
                            target->entry.started_ms != entry.started_ms;
     if (!restarted) {
+      const bool moved = target->entry.data_centre != entry.data_centre;
+      if (moved) RemoveFromPool(target);
       target->entry = entry;
+      if (moved) AddToPool(target);
+      if (entry_handler_) entry_handler_(*target);
       return true;
     }
     // The target was restarted: nothing learnt about the earlier start applies.
@@ -55,9 +59,15 @@
   by_id_[entry.id] = target;
   by_address_[entry.address] = target;
   AddToPool(target);
+  if (entry_handler_) entry_handler_(*target);
   return true;
 }
 
+void target_directory::ForEach(
+    const std::function<void(const fleet_target&)>& action) const {
+  for (const auto& [id, target] : by_id_) action(*target);
+}
+
 void target_directory::RemoveMissing(const std::set<std::string_view>& listed) {
   std::vector<std::string> missing;
   for (const auto& [id, target] : by_id_) {
@@ -138,7 +148,7 @@
   by_id_.erase(target->entry.id);
   const auto at = by_address_.find(target->entry.address);
   if (at != by_address_.end() && at->second == target) by_address_.erase(at);
-  std::erase(pools_[target->entry.service], target);
+  RemoveFromPool(target);
   if (leaving_handler_) leaving_handler_(*target, reason);
 }
 
@@ -156,8 +166,41 @@
   departure_order_.pop_front();
 }
 
+size_t target_directory::SetEvacuated(const std::string& data_centre,
+                                      bool evacuated, common::time_point now) {
+  if (evacuated) {
+    evacuated_data_centres_.insert(data_centre);
+  } else {
+    evacuated_data_centres_.erase(data_centre);
+  }
+  size_t count = 0;
+  for (const auto& [id, target] : by_id_) {
+    if (target->entry.data_centre != data_centre) continue;
+    ++count;
+    RemoveFromPool(target);
+    AddToPool(target);
+    if (!evacuated) target->returned_at = now;
+  }
+  return count;
+}
+
+bool target_directory::AllEvacuated(std::string_view service) const {
+  const auto found = evacuated_pools_.find(service);
+  return found != evacuated_pools_.end() && !found->second.empty() &&
+         Pool(service).empty();
+}
+
+void target_directory::RemoveFromPool(
+    const std::shared_ptr<fleet_target>& target) {
+  std::erase(pools_[target->entry.service], target);
+  std::erase(evacuated_pools_[target->entry.service], target);
+}
+
 void target_directory::AddToPool(const std::shared_ptr<fleet_target>& target) {
-  pool& members = pools_[target->entry.service];
+  target->evacuated =
+      evacuated_data_centres_.contains(target->entry.data_centre);
+  pool& members = target->evacuated ? evacuated_pools_[target->entry.service]
+                                    : pools_[target->entry.service];
   const auto position =
       std::lower_bound(members.begin(), members.end(), target,
                        [](const std::shared_ptr<fleet_target>& left,
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -65,10 +65,14 @@
   /// Smoothed ratio of actual to estimated call time; 1 is as estimated.
   double slowness = 1.0;
   common::time_point slowness_updated{};
+  /// Its data centre is evacuated: it gets no new work until that is over.
+  bool evacuated = false;
+  /// When the latest evacuation of its data centre was taken back.
+  common::time_point returned_at{};
 
   /// @return whether the target may get new work
   bool Usable(common::time_point now) const {
-    return !leaving && ejected_until <= now;
+    return !leaving && !evacuated && ejected_until <= now;
   }
 };
 
@@ -108,10 +112,20 @@
   bool MarkLeaving(const target_start& leaving,
                    leaving_reason reason = leaving_reason::kReportedByPeer);
 
+  /// Evacuates a data centre, or takes that back: its targets leave the pools
+  /// of their services until then, and finish what they run.
+  /// @return number of its targets
+  size_t SetEvacuated(const std::string& data_centre, bool evacuated,
+                      common::time_point now);
+  /// @return whether a service has targets, and all are in evacuated data
+  /// centres
+  bool AllEvacuated(std::string_view service) const;
+
   /// @return the latest departures
   departed_targets RecentDepartures(size_t limit) const;
 
-  /// @return the targets of a service that are not leaving, sorted by id
+  /// @return the targets of a service that are neither leaving nor in an
+  /// evacuated data centre, sorted by id
   const pool& Pool(std::string_view service) const;
   /// @return the target at an address, or null
   std::shared_ptr<fleet_target> AtAddress(std::string_view address) const;
@@ -120,6 +134,13 @@
   /// @return whether more than half of a service's targets are ejected
   bool MostEjected(std::string_view service, common::time_point now) const;
 
+  /// @param action called for each target, in no particular sequence
+  void ForEach(const std::function<void(const fleet_target&)>& action) const;
+  /// @param handler called after the entry of a target that gets work was read
+  void SetEntryHandler(std::function<void(const fleet_target&)> handler) {
+    entry_handler_ = std::move(handler);
+  }
+
   using leaving_handler =
       std::function<void(const fleet_target&, leaving_reason)>;
   /// @param action called for each target that starts to leave
@@ -136,9 +157,13 @@
   /// @return the target, unless it has started again since; or null
   std::shared_ptr<fleet_target> FindStart(const target_start& start) const;
   void AddToPool(const std::shared_ptr<fleet_target>& target);
+  void RemoveFromPool(const std::shared_ptr<fleet_target>& target);
 
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_id_;
   std::map<std::string, pool, std::less<>> pools_;
+  /// Targets in evacuated data centres, by service.
+  std::map<std::string, pool, std::less<>> evacuated_pools_;
+  std::set<std::string, std::less<>> evacuated_data_centres_;
   std::unordered_map<std::string, std::shared_ptr<fleet_target>> by_address_;
   /// The last known entry of a target that left.
   struct departure {
@@ -158,6 +183,7 @@
   std::deque<std::pair<std::string, uint64_t>> departure_order_;
   uint64_t departure_count_ = 0;
   leaving_handler leaving_handler_;
+  std::function<void(const fleet_target&)> entry_handler_;
 };
 
 }  // namespace wisteriadale::core
--- a/source/core/forwarding/target_selector.cc
+++ b/source/core/forwarding/target_selector.cc
@@ -110,6 +110,15 @@
   return cost;
 }
 
+bool target_selector::IsHeldBack(const fleet_target& target,
+                                 common::time_point now) {
+  if (target.returned_at == common::time_point{}) return false;
+  const common::duration since = now - target.returned_at;
+  if (since >= options_.return_ramp) return false;
+  return random_.Uniform() * static_cast<double>(options_.return_ramp.count()) >
+         static_cast<double>(since.count());
+}
+
 target_choice target_selector::Choose(const selection_context& context) {
   const common::time_point now = clock_.Now();
   const target_directory::pool& pool = targets_.Pool(context.service);
@@ -138,9 +147,10 @@
       first_return = std::min(first_return, back_off_left);
       continue;
     }
-    // Ejected and overloaded targets are only used if there is no other.
-    const bool avoided =
-        each->ejected_until > now || each->overloaded_until > now;
+    // Ejected, overloaded and returning targets are only used if there is no
+    // other.
+    const bool avoided = each->ejected_until > now ||
+                         each->overloaded_until > now || IsHeldBack(*each, now);
     candidate next{each,
                    Cost(*each, context, each == affinity_target) +
                        random_.Uniform() * kJitterMs,
--- a/source/core/forwarding/target_selector.h
+++ b/source/core/forwarding/target_selector.h
@@ -81,6 +81,9 @@
   double per_megabyte_ms = 12;
   /// Fixed cost of a target in another data centre.
   double remote_ms = 1;
+  /// How long the targets of a data centre whose evacuation was taken back get
+  /// a growing share of what they would get.
+  common::duration return_ramp = std::chrono::seconds(5);
 };
 
 /// Chooses the target with the lowest estimated time to the first event: its
@@ -108,6 +111,9 @@
   prompt_cache_hints& hints() { return hints_; }
 
  private:
+  /// @return whether a target whose data centre is used again shortly is left
+  /// out of a choice, so that work returns to it gradually
+  bool IsHeldBack(const fleet_target& target, common::time_point now);
   /// @return estimated time to the first event, in milliseconds
   double Cost(const fleet_target& target, const selection_context& context,
               bool has_affinity) const;
--- a/source/core/ports/deployment_codec.h
+++ b/source/core/ports/deployment_codec.h
@@ -42,6 +42,8 @@
   std::string routes_key;
   std::string targets_table;
   std::string gateways_table;  ///< written by the gateways themselves
+  /// Keys of the routes' table that begin so name an evacuated data centre.
+  std::string evacuation_prefix;
 };
 
 /// Encodes and decodes the formats of the surrounding deployment.
--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -390,9 +390,20 @@
 }
 
 std::vector<stage_job_outcome> piece_queue::Fail(std::string_view digest) {
+  return FailIf(
+      [digest](const queued_job& each) { return each.job.digest == digest; });
+}
+
+std::vector<stage_job_outcome> piece_queue::FailPending() {
+  return FailIf(
+      [](const queued_job& each) { return !each.pending_pieces.empty(); });
+}
+
+std::vector<stage_job_outcome> piece_queue::FailIf(
+    const std::function<bool(const queued_job&)>& fails) {
   std::vector<stage_job_outcome> ended;
   for (const std::unique_ptr<queued_job>& each : jobs_) {
-    if (each->job.digest != digest) continue;
+    if (!fails(*each)) continue;
     ended.push_back({each->job.request_id,
                      each->job.origin,
                      each->job.stage,
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -152,6 +153,10 @@
   /// Removes the jobs of a request that is refused.
   /// @return those jobs, as failed
   std::vector<stage_job_outcome> Fail(std::string_view digest);
+  /// Removes the jobs with pieces that are in no call, as no target will take
+  /// them.
+  /// @return those jobs, as failed
+  std::vector<stage_job_outcome> FailPending();
   /// Handles the end of a call.
   /// @param results one for each piece of the batch; missing ones count as lost
   /// @param took    duration of the call
@@ -191,6 +196,8 @@
   };
   using job_list = std::vector<std::unique_ptr<queued_job>>;
 
+  std::vector<stage_job_outcome> FailIf(
+      const std::function<bool(const queued_job&)>& fails);
   bool IsFree(const fleet_target& target, common::time_point now) const;
   /// @return whether the queue drains sooner on the other targets than a call
   /// to this slow one takes
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -75,6 +75,10 @@
   /// @param decision on the request
   /// @return whether it was turned away; `this` is destroyed then
   bool RejectedByStop(const core::stop_decision& decision);
+  /// Rejects a request if all targets of a service that it needs are in
+  /// evacuated data centres.
+  /// @return whether it was
+  bool RejectedByEvacuation();
   /// Sets the deadline, the objective and the priority.
   void ComputeDeadlines();
   /// @return whether the header with the piece counts was valid; else the
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -135,6 +135,24 @@
   return true;
 }
 
+bool forward_request::RejectedByEvacuation() {
+  std::string_view service;
+  if (deps_.targets.AllEvacuated(service_)) service = service_;
+  for (size_t stage = 0; stage < route_->stages.size(); ++stage) {
+    const std::string& used = route_->stages[stage].service;
+    if (piece_counts_[stage] > 0 && deps_.targets.AllEvacuated(used)) {
+      service = used;
+    }
+  }
+  if (service.empty()) return false;
+  common::LogEvent(log_event::kRefused, request_id_,
+                   {{"route", route_->name},
+                    {"reason", "all targets are in evacuated data centres"},
+                    {"service", service}});
+  RespondNotRun("all targets of a service are in evacuated data centres");
+  return true;
+}
+
 void forward_request::RespondNoTarget() {
   if (relaying_) {
     exchange_->Abort();
--- a/source/gateway/forward_request_stages.cc
+++ b/source/gateway/forward_request_stages.cc
@@ -51,6 +51,7 @@
 }
 
 bool forward_request::AdmitStages() {
+  if (RejectedByEvacuation()) return false;
   const common::time_point now = deps_.clock.Now();
   core::stage_admission_context context;
   context.path = deps_.latency_estimator.Estimate(*route_table_, route_->stages,
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -232,6 +232,9 @@
   void operator()(const core::slot_reply& reply) const {
     process->slots_->OnReply(gateway, reply);
   }
+  void operator()(const core::evacuations_message& message) const {
+    process->evacuation_links_->OnMessage(gateway, message);
+  }
   void operator()(const core::unknown_gateway_message&) const {
     common::Metrics().Count("wisteria_messages_unknown_total");
   }
@@ -263,6 +266,10 @@
       core::crash_watch_options(), *suspects_, *part_suspects_, targets_,
       clock_);
   statements_ = std::make_unique<core::target_statements>(targets_, clock_);
+  evacuation_links_ = std::make_unique<evacuation_links>(
+      evacuations_, targets_, *links_, clock_,
+      [this] { return ReadsForDataCentre(); });
+  fleet_sync_->SetEvacuations(&evacuations_);
   CreateLimits();
   stage_router_ =
       std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
@@ -323,6 +330,8 @@
 
 void gateway_process::OnGatewayJoined(const std::string& gateway) {
   retry_budget_->SetGateways(links_->RecentGatewayCount());
+  // Before the routes, with which a gateway may begin to serve.
+  evacuation_links_->OnGatewayJoined(gateway);
   if (routes_.current()) {
     links_->Send(gateway, core::routes_message{routes_.edition(), ""});
   }
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -21,6 +21,7 @@
 #include "core/ports/row_store.h"
 #include "core/routes/route_table.h"
 #include "core/stages/stage_latency_estimator.h"
+#include "gateway/evacuation_links.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_links.h"
 #include "gateway/limit_links.h"
@@ -118,6 +119,7 @@
   std::unique_ptr<core::row_store> store_;
   core::route_holder routes_;
   core::target_directory targets_;
+  core::evacuations evacuations_;
   core::target_ejection ejection_{core::target_ejection_options()};
   std::unique_ptr<core::fleet_sync> fleet_sync_;
   std::unique_ptr<core::gateway_retry_budget> retry_budget_;
@@ -132,6 +134,7 @@
   std::unique_ptr<core::stage_admission> admission_;
   core::stop_admission stop_admission_{core::stop_admission_options(), clock_};
   std::unique_ptr<gateway_links> links_;
+  std::unique_ptr<evacuation_links> evacuation_links_;
   std::unique_ptr<core::target_statements> statements_;
   std::unique_ptr<core::target_limits> limits_;
   std::unique_ptr<limit_links> limit_links_;
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -238,36 +238,17 @@
 
 void stage_dispatcher::Enqueue(const core::stage_job& job) {
   core::piece_queue* queue = FindOrCreateQueue(job.service);
-  const bool too_large = job.pieces > core::kMaxPieces;
-  if (queue == nullptr || too_large) {
-    common::LogEvent(
-        log_event::kStageEnded, job.request_id,
-        {{"service", job.service},
-         {"made", false},
-         {"outcome",
-          too_large ? "too many pieces" : "the service does not run stages"},
-         {"pieces", int64_t{job.pieces}}});
-    on_outcome_({job.request_id,
-                 job.origin,
-                 job.stage,
-                 false,
-                 core::piece_outcome::kError,
-                 {}});
+  if (job.pieces > core::kMaxPieces) {
+    Reject(job, "too many pieces");
+    return;
+  }
+  if (queue == nullptr) {
+    Reject(job, "the service does not run stages");
     return;
   }
   if (!job.digest.empty() &&
       suspects_.RemainingRefusal(job.digest).count() > 0) {
-    common::LogEvent(log_event::kStageEnded, job.request_id,
-                     {{"service", job.service},
-                      {"made", false},
-                      {"outcome", "it crashes targets"},
-                      {"pieces", int64_t{job.pieces}}});
-    on_outcome_({job.request_id,
-                 job.origin,
-                 job.stage,
-                 false,
-                 core::piece_outcome::kError,
-                 {}});
+    Reject(job, "it crashes targets");
     return;
   }
   retry_budget_.OnRequest(job.service);
@@ -277,6 +258,21 @@
   Dispatch(job.service, queue);
 }
 
+void stage_dispatcher::Reject(const core::stage_job& job,
+                              std::string_view why) {
+  common::LogEvent(log_event::kStageEnded, job.request_id,
+                   {{"service", job.service},
+                    {"made", false},
+                    {"outcome", why},
+                    {"pieces", int64_t{job.pieces}}});
+  on_outcome_({job.request_id,
+               job.origin,
+               job.stage,
+               false,
+               core::piece_outcome::kError,
+               {}});
+}
+
 void stage_dispatcher::Announce(const core::upcoming_stage& upcoming) {
   core::piece_queue* queue = FindOrCreateQueue(upcoming.service);
   if (queue != nullptr) queue->Announce(upcoming);
@@ -338,6 +334,8 @@
     // Results expire by themselves; until then their memory is not free.
     const std::shared_ptr<core::fleet_target> target =
         targets_.AtAddress(location.second);
+    // Nor does anything go to a data centre that is evacuated.
+    if (target && target->evacuated) continue;
     if (target && statements_.BackOffLeft(target->entry).count() > 0) {
       pending_releases_.emplace(location, std::move(handles));
       continue;
@@ -400,6 +398,9 @@
                                 core::piece_queue* queue) {
   const common::time_point now = clock_.Now();
   ReportOutcomes(service, queue->TakeExpired(now));
+  if (targets_.AllEvacuated(service)) {
+    ReportOutcomes(service, queue->FailPending());
+  }
   while (true) {
     std::optional<core::piece_batch> batch =
         (limits_.empty() && statements_.empty()) || queue->queued_pieces() == 0
--- a/source/gateway/stage_dispatcher.h
+++ b/source/gateway/stage_dispatcher.h
@@ -68,6 +68,8 @@
 
   /// @return the queue, or null if the service is unknown or runs no pieces
   core::piece_queue* FindOrCreateQueue(const std::string& service);
+  /// Reports a job as failed that is not queued.
+  void Reject(const core::stage_job& job, std::string_view why);
   void DispatchAll();
   /// Queues the pieces of overdue calls again, within the retry budget.
   void RequeueOverdue();
--- a/source/platform/platform_codec.cc
+++ b/source/platform/platform_codec.cc
@@ -173,7 +173,7 @@
  private:
   core::header_names headers_ = HeaderNames();
   core::deployment_locations locations_ = {"op", "config", "servers",
-                                           "wisteria-gateways"};
+                                           "wisteria-gateways", "evacuate/"};
 };
 
 }  // namespace
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -183,6 +183,16 @@
     to.delay_ms = Milliseconds(from.delay);
     frame->__set_slot_reply_part(to);
   }
+  void operator()(const core::evacuations_message& from) const {
+    generated::evacuations to;
+    for (const core::evacuation& each : from.statements) {
+      to.data_centres.push_back(each.data_centre);
+      to.evacuated.push_back(each.evacuated);
+      to.eras.push_back(static_cast<int64_t>(each.at.era));
+      to.versions.push_back(static_cast<int64_t>(each.at.version));
+    }
+    frame->__set_evacuations_part(to);
+  }
 };
 
 core::routes_edition Edition(int64_t version, int64_t era) {
@@ -269,6 +279,23 @@
                           common::milliseconds(from.delay_ms)};
 }
 
+std::optional<core::gateway_message> FromWire(
+    const generated::evacuations& from) {
+  const size_t count = from.data_centres.size();
+  if (from.evacuated.size() != count || from.eras.size() != count ||
+      from.versions.size() != count) {
+    return std::nullopt;
+  }
+  core::evacuations_message to;
+  for (size_t i = 0; i < count; ++i) {
+    to.statements.push_back({from.data_centres[i],
+                             from.evacuated[i],
+                             {static_cast<uint64_t>(from.eras[i]),
+                              static_cast<uint64_t>(from.versions[i])}});
+  }
+  return to;
+}
+
 std::optional<core::gateway_message> FromWire(
     const generated::store_read& from) {
   const size_t count = from.keys.size();
@@ -348,6 +375,7 @@
     return core::gateway_view{static_cast<uint64_t>(frame.view_part.digest)};
   }
   if (frame.__isset.store_read_part) return FromWire(frame.store_read_part);
+  if (frame.__isset.evacuations_part) return FromWire(frame.evacuations_part);
   if (frame.__isset.limit_part) return FromWire(frame.limit_part);
   if (frame.__isset.slot_request_part) return FromWire(frame.slot_request_part);
   if (frame.__isset.slot_reply_part) return FromWire(frame.slot_reply_part);
--- a/source/wire/gateway_messages.thrift
+++ b/source/wire/gateway_messages.thrift
@@ -145,6 +145,14 @@
   11: i64 read_at_us
 }
 
+// The lists have one entry for each data centre.
+struct evacuations {
+  1: list<string> data_centres
+  2: list<bool> evacuated
+  3: list<i64> eras
+  4: list<i64> versions
+}
+
 struct gateway_frame {
   1: optional link_hello hello_part
   2: optional link_ping ping_part
@@ -165,4 +173,5 @@
   17: optional slot_reply slot_reply_part
   18: optional view view_part
   19: optional store_read store_read_part
+  20: optional evacuations evacuations_part
 }
