Keep the rate of cold targets over all gateways

Cause: cold-remaining-ms was decoded and the rate that a cold target bears ignored: each gateway sent a cold target its usual share.

Change: a cold target has a request limit (core/limits/cold_targets), whose slots one gateway hands out as for limits that targets name: kept through the loss of the owner, a cut and a restart of all. Relayed reads of the store tell when a target turns cold or warm. A cold time without end is cut.

--- a/source/core/limits/target_limits.cc
+++ b/source/core/limits/target_limits.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
 
 #include "common/event_log.h"
 #include "common/metrics.h"
@@ -23,13 +24,62 @@
 
 std::optional<double> target_limits::LimitOf(std::string_view target,
                                              int64_t started_ms) const {
-  if (limited_ == 0) return std::nullopt;
+  if (empty()) return std::nullopt;
+  std::optional<double> limit;
   const auto found = entries_.find(target);
-  if (found == entries_.end() || !found->second.limited ||
-      found->second.started_ms != started_ms) {
-    return std::nullopt;
+  if (found != entries_.end() && found->second.limited &&
+      found->second.started_ms == started_ms) {
+    limit = std::max(found->second.per_second, kMinPerSecond);
   }
-  return std::max(found->second.per_second, kMinPerSecond);
+  const auto cold = cold_.find(target);
+  if (cold != cold_.end() && cold->second.started_ms == started_ms) {
+    const double rate = std::max(cold->second.per_second, kMinPerSecond);
+    limit = limit ? std::min(*limit, rate) : rate;
+  }
+  return limit;
+}
+
+bool target_limits::IsNamed(std::string_view target) const {
+  const auto found = entries_.find(target);
+  return found != entries_.end() && found->second.limited;
+}
+
+void target_limits::SetCold(const target_entry& target, double per_second,
+                            common::time_point until) {
+  const auto found = cold_.find(target.id);
+  if (per_second <= 0) {
+    if (found != cold_.end()) EndCold(found);
+    return;
+  }
+  if (found == cold_.end() && cold_.size() >= kMaxEntries) return;
+  const bool begun = found == cold_.end();
+  cold_[target.id] = {target.started_ms, per_second, until};
+  if (!begun) return;
+  common::Metrics().Set("wisteria_cold_targets",
+                        static_cast<double>(cold_.size()));
+  common::LogEvent(log_event::kTargetCold, "",
+                   {{"target", target.id},
+                    {"service", target.service},
+                    {"per_second", per_second},
+                    {"for_ms", common::ToMillis(until - clock_.Now())}});
+  if (!IsNamed(target.id) && on_begun_) on_begun_(target.id);
+}
+
+size_t target_limits::EndColdUntil(common::time_point then) {
+  for (auto each = cold_.begin(); each != cold_.end();) {
+    each = each->second.until <= then ? EndCold(each) : std::next(each);
+  }
+  return cold_.size();
+}
+
+target_limits::cold_map::iterator target_limits::EndCold(
+    cold_map::iterator position) {
+  const std::string target = position->first;
+  const cold_map::iterator next = cold_.erase(position);
+  common::Metrics().Set("wisteria_cold_targets",
+                        static_cast<double>(cold_.size()));
+  if (!IsNamed(target) && on_ended_) on_ended_(target);
+  return next;
 }
 
 void target_limits::OnResponse(const target_entry& target,
@@ -109,8 +159,9 @@
   known = observed;
   common::Metrics().Set("wisteria_limited_targets",
                         static_cast<double>(limited_));
-  if (begun && on_begun_) on_begun_(target);
-  if (ended && on_ended_) on_ended_(target);
+  const bool is_cold = cold_.contains(target);
+  if (begun && !is_cold && on_begun_) on_begun_(target);
+  if (ended && !is_cold && on_ended_) on_ended_(target);
   return changed;
 }
 
@@ -121,10 +172,14 @@
   entries_.erase(position);
   common::Metrics().Set("wisteria_limited_targets",
                         static_cast<double>(limited_));
-  if (on_ended_) on_ended_(target);
+  if (!cold_.contains(target) && on_ended_) on_ended_(target);
 }
 
 void target_limits::Forget(std::string_view target, int64_t started_ms) {
+  const auto cold = cold_.find(target);
+  if (cold != cold_.end() && cold->second.started_ms <= started_ms) {
+    EndCold(cold);
+  }
   const auto found = entries_.find(target);
   if (found == entries_.end() || found->second.started_ms > started_ms) return;
   Erase(found);
--- a/source/core/limits/target_limits.h
+++ b/source/core/limits/target_limits.h
@@ -58,13 +58,20 @@
                   std::string_view request_id);
   /// Merges another gateway's report, unless newer observations are known.
   void Merge(const limit_report& report, std::string_view gateway);
+  /// Limits a target while it is cold, beside any limit that it names.
+  /// @param per_second requests that it takes from all gateways; 0: it is warm
+  void SetCold(const target_entry& target, double per_second,
+               common::time_point until);
+  /// Ends the limits of targets that are cold no longer than until then.
+  /// @return number of cold targets that are left
+  size_t EndColdUntil(common::time_point then);
   /// Forgets the limit of a start of a target that has left for good.
   void Forget(std::string_view target, int64_t started_ms);
   /// @return what is known, for a gateway that joins
   std::vector<limit_report> Reports() const;
 
   /// @return whether no target has a limit, which is the usual case
-  bool empty() const { return limited_ == 0; }
+  bool empty() const { return limited_ == 0 && cold_.empty(); }
   size_t limited() const { return limited_; }
   /// @return requests per second that the target takes from all gateways,
   /// within the bounds of what can be scheduled; nothing if it has no limit
@@ -79,6 +86,16 @@
     common::time_point observed_at{};
   };
 
+  /// A start of a target that is cold.
+  struct cold_start {
+    int64_t started_ms = 0;
+    double per_second = 0;
+    common::time_point until{};
+  };
+  using cold_map = std::map<std::string, cold_start, std::less<>>;
+
+  bool IsNamed(std::string_view target) const;
+  cold_map::iterator EndCold(cold_map::iterator position);
   /// @return whether what was observed differs from what was known
   bool Apply(const std::string& target, const entry& observed);
   void Erase(std::map<std::string, entry, std::less<>>::iterator position);
@@ -91,6 +108,7 @@
   common::clock& clock_;
   std::map<std::string, entry, std::less<>> entries_;
   size_t limited_ = 0;
+  cold_map cold_;  ///< by target
   std::function<void(const limit_report&)> on_report_;
   std::function<void(const std::string&)> on_begun_;
   std::function<void(const std::string&)> on_ended_;
--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -86,6 +86,10 @@
       0;  ///< to one target from all clients; 0: no limit
   std::optional<batch_spec> batches;
   std::optional<engine_spec> engine;
+  /// How long a target is cold after its start.
+  common::duration cold_time{0};
+  /// Requests that a cold target takes from all gateways; 0: any number.
+  double cold_per_second = 0;
 };
 
 /// Limits of what callers may send.
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -326,6 +326,8 @@
       [this](const std::string& target) { slots_->OnLimitBegun(target); });
   limits_->SetEndedHandler(
       [this](const std::string& target) { slots_->OnLimitEnded(target); });
+  cold_targets_ = std::make_unique<core::cold_targets>(
+      targets_, routes_, *limits_, clock_, *loop_);
 }
 
 void gateway_process::OnGatewayJoined(const std::string& gateway) {
@@ -511,6 +513,7 @@
   server_limits.header_timeout = limits.header_timeout;
   server_limits.idle_timeout = limits.idle_timeout;
   caller_server_->SetLimits(server_limits);
+  cold_targets_->OnRoutesChanged();
   links_->Broadcast(core::routes_message{routes_.edition(), ""});
 }
 
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -17,6 +17,7 @@
 #include "core/forwarding/first_event_estimator.h"
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/forwarding/target_selector.h"
+#include "core/limits/cold_targets.h"
 #include "core/ports/deployment_codec.h"
 #include "core/ports/row_store.h"
 #include "core/routes/route_table.h"
@@ -137,6 +138,7 @@
   std::unique_ptr<evacuation_links> evacuation_links_;
   std::unique_ptr<core::target_statements> statements_;
   std::unique_ptr<core::target_limits> limits_;
+  std::unique_ptr<core::cold_targets> cold_targets_;
   std::unique_ptr<limit_links> limit_links_;
   std::unique_ptr<core::target_slots> slots_;
   std::unique_ptr<core::routes_exchange> routes_exchange_;
--- a/source/platform/route_decoder.cc
+++ b/source/platform/route_decoder.cc
@@ -178,6 +178,14 @@
   core::service_spec service;
   service.name = TextField(from, "name");
   service.max_connections = CountFieldOr(from, "max-connections", 0);
+  if (from.contains("cold-start-s")) {
+    service.cold_time = Milliseconds(
+        NumberField(from, "cold-start-s", kMaxWarmUpMilliseconds / 1000.0) *
+        1000.0);
+  }
+  if (from.contains("cold-per-s")) {
+    service.cold_per_second = NumberField(from, "cold-per-s", kMaxCount);
+  }
   if (from.contains("pieces")) {
     const json& pieces = from.at("pieces");
     core::batch_spec spec;
--- a/source/unit_tests/core/limits/limit_cluster.h
+++ b/source/unit_tests/core/limits/limit_cluster.h
@@ -50,8 +50,18 @@
       ScheduleNotice(index, other);
       ScheduleNotice(other, index);
     }
+    if (cold_until) TellCold(nodes_[index].get());
     nodes_[index]->RunLoad();
   }
+  /// The target turns cold: it takes so many requests a second, as all gateways
+  /// read in its entry, also those that start later.
+  void SetCold(double per_second, common::duration length) {
+    cold_per_s = per_second;
+    cold_until = time.Now() + length;
+    for (const std::shared_ptr<node>& each : nodes_) {
+      if (each) TellCold(each.get());
+    }
+  }
   void Kill(size_t index) {
     nodes_[index]->process.Kill();
     killed_.push_back(std::exchange(nodes_[index], nullptr));
@@ -74,13 +84,15 @@
   /// Arrivals at the target from gateways that have known the limit for half a
   /// second.
   const std::vector<common::time_point>& arrivals() const { return arrivals_; }
-  /// @return the highest number of arrivals in a window of 4 s, from a time on
-  size_t BusiestWindow(common::time_point from) const {
+  /// @return the highest number of arrivals in a window, from a time on
+  size_t BusiestWindow(
+      common::time_point from,
+      common::duration window = std::chrono::seconds(4)) const {
     size_t first = 0;
     size_t busiest = 0;
     for (size_t last = 0; last < arrivals_.size(); ++last) {
       while (arrivals_[first] < from ||
-             arrivals_[first] <= arrivals_[last] - std::chrono::seconds(4)) {
+             arrivals_[first] <= arrivals_[last] - window) {
         if (first == last) break;
         ++first;
       }
@@ -96,6 +108,8 @@
   core::target_entry entry;
   double limit = 2;         ///< that the target names; below 0: none
   double demand_per_s = 5;  ///< of each gateway
+  double cold_per_s = 0;
+  std::optional<common::time_point> cold_until;
   /// The only gateway with demand; nothing: all have it.
   std::optional<size_t> only_demand;
 
@@ -251,6 +265,11 @@
     core::target_slots slots;
   };
 
+  void TellCold(node* to) {
+    to->limits.SetCold(entry, cold_per_s, *cold_until);
+    // What is sent from now on counts.
+    to->told_at = time.Now() - std::chrono::milliseconds(500);
+  }
   common::duration Latency() {
     return std::chrono::microseconds(300 + random.Below(20000));
   }
