--- a/scenarios/lib/helpers.lua
+++ b/scenarios/lib/helpers.lua
@@ -67,6 +67,8 @@
 function process:exit_code() return runner.exit_code(self.id) end
 function process:running() return runner.exit_code(self.id) == nil end
 function process:resident_kb() return runner.resident_kb(self.id) end
+--- Returns the highest resident memory so far.
+function process:peak_kb() return runner.peak_kb(self.id) end
 function process:has_sockets() return runner.has_sockets(self.id) end
 
 --- Waits until the process has ended and returns its exit code, or the negative
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -124,6 +124,14 @@
                                    0.1,
                                    1000000,
                                    "Bandwidth of this VM's link, in Mbit/s."};
+const setting kCapacityMemoryMb = {
+    "/capacity/memory_mb",
+    setting_type::kNumber,
+    "256",
+    64,
+    1000000,
+    "Memory that this VM gives the process, in MB; bounds the bytes that it "
+    "holds for callers and targets."};
 
 setting_table GatewaySettings() {
   static const std::array kTable = {&kName,
@@ -145,6 +153,7 @@
                                     &kReservedDescriptors,
                                     &kCapacityCores,
                                     &kCapacityLinkMbps,
+                                    &kCapacityMemoryMb,
                                     &kDialTimeoutMs,
                                     &kLogLevel,
                                     &kLogJson,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -21,6 +21,7 @@
 extern const setting kReservedDescriptors;
 extern const setting kCapacityCores;
 extern const setting kCapacityLinkMbps;
+extern const setting kCapacityMemoryMb;
 
 /// @return the settings of wisteria-gateway
 setting_table GatewaySettings();
--- a/source/unit_tests/scenario/child_process.cc
+++ b/source/unit_tests/scenario/child_process.cc
@@ -91,6 +91,16 @@
   return resident_pages * (sysconf(_SC_PAGESIZE) / kKilobyte);
 }
 
+int64_t child_process::PeakKilobytes() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string name;
+  int64_t kilobytes = 0;
+  while (status >> name) {
+    if (name == "VmHWM:" && status >> kilobytes) return kilobytes;
+  }
+  return 0;
+}
+
 bool child_process::HasOpenedSockets() const {
   std::error_code error;
   const std::filesystem::path process = "/proc/" + std::to_string(pid_);
--- a/source/unit_tests/scenario/child_process.h
+++ b/source/unit_tests/scenario/child_process.h
@@ -40,6 +40,9 @@
   std::optional<int> ExitCode();
   /// @return resident memory in kilobytes; 0 when it cannot be read
   int64_t ResidentKilobytes() const;
+  /// @return highest resident memory so far, in kilobytes; 0 when it cannot be
+  /// read
+  int64_t PeakKilobytes() const;
   /// @return whether the process has a socket or an event queue: its own code
   ///         runs, not the dynamic linker
   bool HasOpenedSockets() const;
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -103,6 +103,13 @@
   return 1;
 }
 
+// peak_kb(process) -> highest resident memory so far
+int PeakKilobytes(lua_State* state) {
+  lua_pushinteger(
+      state, ObjectArgument(state, Scenario(state).children)->PeakKilobytes());
+  return 1;
+}
+
 // has_sockets(process) -> boolean
 int HasSockets(lua_State* state) {
   const bool opened =
@@ -368,6 +375,7 @@
                                   {"signal", SignalChild},
                                   {"exit_code", ExitCode},
                                   {"resident_kb", ResidentKilobytes},
+                                  {"peak_kb", PeakKilobytes},
                                   {"has_sockets", HasSockets},
                                   {"run", RunTool},
                                   {"free_port", FreePort},
