Take neither odd statuses nor successes cut within an upload for answers

Cause: a faulty target's status 000, 099, 600 or 999 was passed on as a complete answer. A success without a length whose connection ended in good order while the request was still being sent counted as complete, though the target had given up.

A 2xx without a length that ends while its request is not acknowledged counts as truncated; a rejection in that place is passed on. The settings template's test knows the memory of the VM.

--- a/source/net/http1_client.cc
+++ b/source/net/http1_client.cc
@@ -119,6 +119,14 @@
     request_.clear();
     request_.shrink_to_fit();
   }
+  /// @return whether a success without a length ended while its request was
+  /// still sent: such a server may have given up, and a reset that follows is
+  /// seen too late
+  bool EndedWithinRequest() const {
+    const message_head& head = parser_->head();
+    return head.framing == body_framing::kUntilClose &&
+           head.status / 100 == 2 && stream_->OwedAtEnd().total() > 0;
+  }
   http1_error ParseInput();
   void ReportExceeded(const exceeded_limit& limit) const;
   void FinishMessage();
@@ -353,7 +361,7 @@
     call_->Fail(call_failure::kLost);
     return;
   }
-  if (how == stream_end::kClosed && !skipping_ &&
+  if (how == stream_end::kClosed && !skipping_ && !EndedWithinRequest() &&
       parser_->End() == http1_error::kNone) {
     keep_alive_ = false;
     call_->Complete();
--- a/source/net/http1_parser.cc
+++ b/source/net/http1_parser.cc
@@ -264,7 +264,8 @@
   }
 
   void on_response_impl(int code, string_view reason, int version,
-                        error_code&) override {
+                        error_code& ec) override {
+    if (!IsValidStatus(code)) ec = http::error::bad_status;
     head_.status = code;
     head_.reason = View(reason);
     head_.minor_version = version % 10;
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -102,6 +102,10 @@
 
   void OnEstablished() {
     result_.status = static_cast<int>(lws_http_client_http_response(wsi_));
+    if (!IsValidStatus(result_.status)) {
+      End("the status of the response is invalid");
+      return;
+    }
     std::array<char, 32> length{};
     if (lws_hdr_copy(wsi_, length.data(), static_cast<int>(length.size()),
                      WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0) {
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -6,6 +6,11 @@
 
 namespace wisteriadale::net {
 
+/// @return whether a response may have that status: others are malformed
+constexpr bool IsValidStatus(int status) {
+  return status >= 100 && status <= 599;
+}
+
 /// One header field. Names are lower case, except in message_head, which keeps
 /// them as received.
 struct http_header {
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -79,6 +79,7 @@
   }
 
   void SetHandler(tcp_handler* handler) { handler_ = handler; }
+  const owed_bytes& owed_at_end() const { return owed_at_end_; }
   size_t PendingBytes() const { return outgoing_.size() - sent_; }
   const std::string& peer() const { return peer_; }
   owed_bytes Owed() const {
@@ -395,7 +396,10 @@
 
   void End(stream_end how, std::string_view why) {
     if (ended_) return;
-    if (wsi_ != nullptr) ReportUndelivered(why);
+    if (wsi_ != nullptr) {
+      owed_at_end_ = Owed();
+      ReportUndelivered(why);
+    }
     ended_ = true;
     tcp_handler* handler = std::exchange(handler_, nullptr);
     if (handler != nullptr) handler->OnEnd(how);
@@ -414,6 +418,7 @@
   bool reset_on_close_ = false;
   bool ended_ = false;
   bool reported_ = false;  ///< what it owed as it ended
+  owed_bytes owed_at_end_;
   std::string peer_;
   std::string request_id_;
   std::string outgoing_;
@@ -455,7 +460,12 @@
 }
 void tcp_stream::Write(std::string_view data) { connection_->Write(data); }
 size_t tcp_stream::PendingBytes() const { return connection_->PendingBytes(); }
+owed_bytes tcp_stream::OwedAtEnd() const {
+  return connection_->owed_at_end();
+}
+
 owed_bytes tcp_stream::Owed() const { return connection_->Owed(); }
+
 void tcp_stream::SetStallTimeout(common::duration limit) {
   connection_->SetStallTimeout(limit);
 }
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -83,6 +83,8 @@
   /// Asks the kernel.
   /// @return the bytes that the peer has not acknowledged
   owed_bytes Owed() const;
+  /// @return what the peer had not acknowledged as the connection ended
+  owed_bytes OwedAtEnd() const;
   observer Observe() const;
   /// @param limit on the time in which a peer that lacks bytes takes none,
   /// where the kernel tells; the connection is then reset
--- a/source/unit_tests/net/http1_client_test.cc
+++ b/source/unit_tests/net/http1_client_test.cc
@@ -49,9 +49,13 @@
   net::http1_client client{*loop, clock, {}};
   uint64_t max_body_bytes = uint64_t{64} << 20;
 
+  std::string upload;
+
   recorded_response Call(const std::string& id, bool reuse = true) {
     recorded_response response;
     net::outgoing_request request;
+    request.method = upload.empty() ? "GET" : "POST";
+    request.body = upload;
     request.to = server.listen_address();
     request.echo_header = "X-Id";
     request.echo_value = id;
@@ -184,6 +188,36 @@
   CHECK(!response.complete);
 }
 
+// The server was seen to send a part and to give up while it was sent to.
+TEST(Http1Client, ASuccessWithoutLengthWithinAnUploadIsTruncated) {
+  upload.assign(size_t{16} << 20, 'u');
+  for (const auto how : {fakes::scripted_server::after_response::kClose,
+                         fakes::scripted_server::after_response::kReset}) {
+    server.AddResponse("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf of", how);
+    CHECK(!Call("1", false).complete);
+  }
+}
+
+TEST(Http1Client, ARejectionWithinAnUploadIsComplete) {
+  upload.assign(size_t{16} << 20, 'u');
+  server.AddResponse(
+      "HTTP/1.1 413 Too Large\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nbig");
+  const recorded_response response = Call("1", false);
+  CHECK(response.complete);
+  CHECK_EQUAL(413, response.status);
+}
+
+TEST(Http1Client, AStatusThatEndsNoResponseIsMalformed) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    server.AddResponse("HTTP/1.1 " + status +
+                       " Odd\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nbody");
+    const recorded_response response = Call("1", false);
+    CHECK(!response.complete);
+    CHECK(response.failure == net::call_failure::kMalformed);
+    CHECK_EQUAL(0, response.status);
+  }
+}
+
 TEST(Http1Client, BodyShorterThanItsLengthIsTruncated) {
   server.AddResponse(
       "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 99\r\n\r\nshort",
--- a/source/unit_tests/net/http_client_test.cc
+++ b/source/unit_tests/net/http_client_test.cc
@@ -30,6 +30,16 @@
   }
 };
 
+TEST(HttpClient, AStatusThatEndsNoResponseIsAFailure) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    server.AddResponse("HTTP/1.1 " + status +
+                       " Odd\r\nContent-Length: 4\r\n\r\nbody");
+    const net::http_result result = Call();
+    CHECK(!result.complete);
+    CHECK(!result.failure.empty());
+  }
+}
+
 // What breaks off is never reported as complete.
 TEST(HttpClient, AResponseThatBreaksOffIsNotComplete) {
   using end = fakes::scripted_server::after_response;
--- a/source/unit_tests/platform/deploy_template_test.cc
+++ b/source/unit_tests/platform/deploy_template_test.cc
@@ -32,7 +32,8 @@
     {"bounds.budget-window-s", "10"},
     {"limits.cpu-share", "0.19"},
     {"limits.max-fds", "4100"},
-    {"limits.link-mbps", "1000.0"}};
+    {"limits.link-mbps", "1000.0"},
+    {"limits.memory-mb", "260"}};
 
 std::string ReadTemplate() {
   std::ifstream file(std::string(WISTERIADALE_DEPLOY) +
