--- a/source/gateway/forward_headers.cc
+++ b/source/gateway/forward_headers.cc
@@ -80,4 +80,11 @@
   return colon == std::string_view::npos ? host : host.substr(0, colon);
 }
 
+bool IsEventStream(const net::message_head& head) {
+  const std::string* type = head.Find("Content-Type");
+  return type != nullptr &&
+         net::SameName(std::string_view(*type).substr(0, type->find(';')),
+                       "text/event-stream");
+}
+
 }  // namespace wisteriadale::gateway
--- a/source/gateway/forward_headers.h
+++ b/source/gateway/forward_headers.h
@@ -33,6 +33,10 @@
 core::target_statement StatementOf(const net::message_head& head,
                                    const core::deployment_codec& codec);
 
+/// @return whether the body is made of events; targets of streaming routes may
+/// also respond with a plain body
+bool IsEventStream(const net::message_head& head);
+
 /// @return the path of a request target, without its query
 std::string_view PathWithoutQuery(std::string_view target);
 
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -20,16 +20,8 @@
 // A response up to this size is buffered until it is complete, so that a
 // truncated one can be replaced by a retry at another target.
 constexpr size_t kMaxBufferedBytes = size_t{1} << 20;
-// A longer event, or response that is not forwarded, is not read to its end.
-constexpr size_t kMaxEventBytes = size_t{1} << 20;
+// A longer response that is not forwarded is not read to its end.
 constexpr size_t kMaxIgnoredBytes = size_t{64} * 1024;
-// Unread response bytes at which reading from the target is paused until the
-// caller catches up.
-constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
-// The same while the process holds too much for others.
-constexpr size_t kMinPendingBytes = size_t{16} * 1024;
-// Interval at which a paused response is checked.
-constexpr common::duration kPendingCheckPeriod = std::chrono::milliseconds(20);
 // No attempt is started with less remaining time: the target could not respond
 // within it.
 constexpr common::duration kMinAttemptTime = std::chrono::milliseconds(10);
@@ -41,15 +33,6 @@
 // Minimum Retry-After: routes are read within half a second of a start.
 constexpr common::duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
 
-/// @return whether the body is made of events; targets of streaming routes may
-/// also respond with a plain body
-bool IsEventStream(const net::message_head& head) {
-  const std::string* type = head.Find("Content-Type");
-  return type != nullptr &&
-         net::SameName(std::string_view(*type).substr(0, type->find(';')),
-                       "text/event-stream");
-}
-
 }  // namespace
 
 forward_request::forward_request(forwarder& owner,
@@ -363,21 +346,6 @@
   }
 }
 
-void forward_request::StartRelay(const net::message_head& head) {
-  relaying_ = true;
-  streaming_events_ = route_->kind == core::request_kind::kStreaming &&
-                      Succeeded() && IsEventStream(head);
-  const std::vector<net::http_header> headers = EndToEndHeaders(head);
-  relay_framing_ = head.framing;
-  // The length of a stream that may be resumed is not known.
-  if (relay_framing_ == net::body_framing::kLength && streaming_events_ &&
-      IsRetryable()) {
-    relay_framing_ = net::body_framing::kChunked;
-  }
-  exchange_->SendHead(head.status, head.reason, headers,
-                      {relay_framing_, head.content_length.value_or(0)});
-}
-
 void forward_request::OnBody(std::string_view data) {
   if (relaying_ && (!streaming_events_ || ContinuesStream())) {
     RelayBody(data);
@@ -413,40 +381,6 @@
   return Succeeded() && IsEventStream(response_head_);
 }
 
-void forward_request::RelayBody(std::string_view data) {
-  if (!streaming_events_) {
-    exchange_->SendBody(data);
-  } else {
-    const std::string complete_events = filter_.Feed(data);
-    if (!complete_events.empty()) exchange_->SendBody(complete_events);
-    if (filter_.rest().size() > kMaxEventBytes) {
-      FinishAttempt(attempt_outcome::kLost);
-      return;
-    }
-  }
-  ApplyBackpressure();
-}
-
-void forward_request::ApplyBackpressure() {
-  if (resume_timer_ != 0 || MayReadOn()) return;
-  if (call_) call_->Pause();
-  resume_timer_ = deps_.loop.Schedule(kPendingCheckPeriod, [this] {
-    resume_timer_ = 0;
-    if (!MayReadOn()) {
-      ApplyBackpressure();
-    } else if (call_) {
-      call_->Resume();
-    }
-  });
-}
-
-bool forward_request::MayReadOn() const {
-  const size_t pending = exchange_->PendingBytes();
-  if (pending >= kMaxPendingBytes) return false;
-  return pending + response_body_.size() < kMinPendingBytes ||
-         exchange_->MayBuffer();
-}
-
 void forward_request::OnComplete() {
   if (response_not_run_) {
     FinishAttempt(attempt_outcome::kNotRun);
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -375,12 +375,16 @@
           settings.Number(settings::kCapacityMemoryMb)),
       clock_);
   caller_server_->SetAccount(*memory_account_);
+  operator_pages_ = std::make_unique<operator_pages>(operator_sources{
+      *links_, *fleet_sync_, *crash_watch_, *memory_account_,
+      [this] { return Ready(); }, [this] { return ReadsForDataCentre(); },
+      [this] { return ReadUsage(); }});
   net::http1_server_limits operator_limits;
   operator_limits.message.max_body_bytes = kMaxOperatorBodyBytes;
   operator_server_ = net::http1_server::Create(
       *loop_, clock_, *operators, operator_limits,
       [this](const std::shared_ptr<net::http1_exchange>& exchange) {
-        HandleOperatorRequest(exchange);
+        operator_pages_->Handle(exchange);
       });
   if (!operator_server_) return false;
   net::http_server::options listen;
@@ -593,39 +597,6 @@
   loop_->Schedule(kUsageCheckPeriod, [this] { CheckUsage(); });
 }
 
-void gateway_process::HandleOperatorRequest(
-    const std::shared_ptr<net::http1_exchange>& exchange) {
-  const std::string& path = exchange->head().target;
-  if (path == "/readyz") {
-    exchange->Send(Ready() ? 200 : 503, Ready() ? "OK" : "Service Unavailable",
-                   {}, Ready() ? "ready\n" : "not ready\n");
-  } else if (path == "/metrics") {
-    const std::vector<net::http_header> headers = {
-        {"Content-Type", "text/plain; version=0.0.4"}};
-    common::Metrics().Set("wisteria_gateways_linked",
-                          static_cast<double>(links_->LinkedGatewayCount()));
-    common::Metrics().Set("wisteria_store_reader",
-                          ReadsForDataCentre() ? 1 : 0);
-    common::Metrics().Set(
-        "wisteria_targets_age_ms",
-        static_cast<double>(common::ToMillis(fleet_sync_->TargetsAge())));
-    common::SetUsageMetrics(ReadUsage());
-    common::Metrics().Set("wisteria_memory_held_bytes",
-                          static_cast<double>(memory_account_->held()));
-    common::Metrics().Set("wisteria_memory_budget_bytes",
-                          static_cast<double>(memory_account_->budget()));
-    common::Metrics().Set("wisteria_crash_watches",
-                          static_cast<double>(crash_watch_->size()));
-    common::Metrics().Set("wisteria_link_bytes_pending",
-                          static_cast<double>(links_->PendingBytes()));
-    exchange->Send(200, "OK", headers, common::Metrics().PrometheusText());
-  } else if (path == "/healthz") {
-    exchange->Send(200, "OK", {}, "ok\n");
-  } else {
-    exchange->Send(404, "Not Found", {}, "");
-  }
-}
-
 void gateway_process::Stop() {
   // A second signal does not cut the graceful stop short.
   if (stopping_) return;
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -27,6 +27,7 @@
 #include "gateway/forwarder.h"
 #include "gateway/gateway_links.h"
 #include "gateway/limit_links.h"
+#include "gateway/operator_pages.h"
 #include "gateway/stage_dispatcher.h"
 #include "gateway/stage_router.h"
 #include "net/event_loop.h"
@@ -93,8 +94,6 @@
   bool ReadsForDataCentre();
   void OnTargetLeaving(const core::fleet_target& target,
                        core::leaving_reason why);
-  void HandleOperatorRequest(
-      const std::shared_ptr<net::http1_exchange>& exchange);
   /// Writes the address at which other gateways reach this one to the store.
   void WriteOwnRow();
   /// Reads the addresses of the other gateways from the store, periodically,
@@ -148,6 +147,7 @@
   std::unique_ptr<forwarder> forwarder_;
   std::unique_ptr<core::memory_account> memory_account_;
   std::unique_ptr<net::http1_server> caller_server_;
+  std::unique_ptr<operator_pages> operator_pages_;
   std::unique_ptr<net::http1_server> operator_server_;
   std::unique_ptr<net::http_server> link_server_;
   std::string name_;
