A policy for what waits in a queue of stages, chosen by a setting

Cause: jobs of equal priority are served by their objectives until one cannot be met even if served next; in a wave all of them then complete a little too late.

Change: core/stages/queue_policy, an interface with the policy so far (last_moment, the default) and least_cost: as few jobs late as possible, the less urgent first, of equals the one that needs most and for which no other stage has run. /stages/queue_policy chooses. Throughput and load of a queue are in a file of their own.

--- a/source/core/stages/piece_queue.cc
+++ b/source/core/stages/piece_queue.cc
@@ -1,7 +1,6 @@
 #include "core/stages/piece_queue.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace wisteriadale::core {
 namespace {
@@ -15,7 +14,6 @@
 // Targets above this ratio count as slow. Calls that fetch large inputs take
 // up to 1.3 times their estimate.
 constexpr double kMaxNormalSlowness = 1.6;
-constexpr double kNoSlownessLimit = std::numeric_limits<double>::infinity();
 // A slow target is tried again after this time, which is a few calls of the
 // other targets.
 constexpr common::duration kSlowTargetRetryInterval =
@@ -34,9 +32,6 @@
 // Time constant of the rate of pieces in time: several calls, and well below
 // the few seconds that a burst lasts.
 constexpr common::duration kRateTimeConstant = std::chrono::seconds(1);
-// Share of the throughput that late jobs are assumed to get even when jobs in
-// time seem to take all of it: rates are accurate to a few percent.
-constexpr double kMinLateShare = 0.04;
 // Divisor of the moving average of call times: the newest call weighs 1/8.
 constexpr int kCallTimeSmoothing = 8;
 // Inputs of this many bytes are worth a wait for a target in their data centre:
@@ -89,8 +84,9 @@
   return kNames[static_cast<size_t>(outcome)];
 }
 
-piece_queue::piece_queue(const batch_spec& spec)
+piece_queue::piece_queue(const batch_spec& spec, const queue_policy& policy)
     : spec_(spec),
+      policy_(&policy),
       ejection_(EjectionOptions()),
       in_time_rate_(kRateTimeConstant) {
   memory_.SetSpec(spec);
@@ -260,13 +256,15 @@
 void piece_queue::Sort(common::time_point now) {
   if (sorted_ && now < sort_valid_until_) return;
   sorted_ = true;
-  sort_valid_until_ = common::time_point::max();
+  std::vector<waiting_job> waiting;
+  waiting.reserve(jobs_.size());
   for (const std::unique_ptr<queued_job>& each : jobs_) {
-    each->is_late = IsLate(*each, now);
-    if (each->is_late) continue;
-    sort_valid_until_ =
-        std::min(sort_valid_until_, each->job.objective - CallTime(1));
+    waiting.push_back({each->job.priority, each->job.objective,
+                       each->pending_pieces.size(), each->job.late,
+                       !each->job.inputs.empty()});
   }
+  sort_valid_until_ = policy_->MarkLate(waiting, Throughput(), now);
+  for (size_t i = 0; i < jobs_.size(); ++i) jobs_[i]->is_late = waiting[i].late;
   std::stable_sort(jobs_.begin(), jobs_.end(),
                    [](const std::unique_ptr<queued_job>& left,
                       const std::unique_ptr<queued_job>& right) {
@@ -559,50 +557,6 @@
   return ended;
 }
 
-double piece_queue::PiecesPerSecond(const target_directory::pool& targets,
-                                    double max_slowness,
-                                    common::time_point now) const {
-  const double full_seconds =
-      std::chrono::duration<double>(CallTime(spec_.max_pieces)).count();
-  double rate = 0;
-  for (const std::shared_ptr<fleet_target>& each : targets) {
-    if (!each->Usable(now) || each->slowness > max_slowness) continue;
-    const double by_time = static_cast<double>(spec_.slots) * spec_.max_pieces /
-                           (full_seconds * std::max(1.0, each->slowness));
-    rate += std::min(by_time, memory_.ResultsPerSecond(each->entry.id));
-  }
-  return rate;
-}
-
-double piece_queue::LateRate(double rate, common::time_point now) const {
-  return std::max(rate - in_time_rate_.PerSecond(now), rate * kMinLateShare);
-}
-
-service_load piece_queue::Load(const target_directory::pool& targets,
-                               common::time_point now) const {
-  service_load load;
-  load.pieces_per_s = PiecesPerSecond(targets, kNoSlownessLimit, now);
-  load.call_time = smoothed_call_time_;
-  load.late_pieces_per_s = LateRate(load.pieces_per_s, now);
-  const auto add = [&](uint32_t priority, size_t pieces) {
-    for (size_t level = PriorityLevel(priority); level < kPriorityLevels;
-         ++level) {
-      load.ahead[level] += static_cast<uint32_t>(pieces);
-    }
-  };
-  for (const std::unique_ptr<queued_job>& each : jobs_) {
-    if (IsLate(*each, now)) {
-      load.late_pieces += static_cast<uint32_t>(each->pending_pieces.size());
-    } else {
-      add(each->job.priority, each->pending_pieces.size());
-    }
-  }
-  for (const auto& [key, upcoming] : upcoming_stages_) {
-    if (upcoming.expires > now) add(upcoming.priority, upcoming.pieces);
-  }
-  return load;
-}
-
 piece_queue::queued_job* piece_queue::FindJob(std::string_view request_id,
                                               uint32_t stage) {
   for (const std::unique_ptr<queued_job>& each : jobs_) {
--- a/source/core/stages/piece_queue.h
+++ b/source/core/stages/piece_queue.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +17,7 @@
 #include "core/fleet/target_ejection.h"
 #include "core/routes/route_table.h"
 #include "core/stages/decayed_rate.h"
+#include "core/stages/queue_policy.h"
 #include "core/stages/result_memory.h"
 #include "core/stages/stage_latency_estimator.h"
 
@@ -114,7 +116,9 @@
 /// that exceeds the cost of a piece; it receives the pieces of all gateways.
 class piece_queue {
  public:
-  explicit piece_queue(const batch_spec& spec);
+  /// @param policy has to outlive the queue
+  explicit piece_queue(const batch_spec& spec,
+                       const queue_policy& policy = DefaultQueuePolicy());
 
   void SetSpec(const batch_spec& spec) {
     spec_ = spec;
@@ -223,6 +227,9 @@
   common::duration CallInterval(const target_directory::pool& targets,
                                 common::time_point now) const;
   bool IsLate(const queued_job& queued, common::time_point now) const;
+  queue_throughput Throughput() const;
+  static constexpr double kNoSlownessLimit =
+      std::numeric_limits<double>::infinity();
   /// @param max_slowness slower targets are not counted
   /// @return throughput of the targets with full batches, as far as their
   /// memory allows
@@ -269,6 +276,7 @@
   }
 
   batch_spec spec_;
+  const queue_policy* policy_;
   target_ejection ejection_;
   job_list jobs_;
   std::unordered_map<std::string, uint32_t> calls_by_target_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -105,6 +105,15 @@
       kTerminationMargin;
   if (!process->CreateFleet(settings)) return std::nullopt;
   process->ConnectComponents();
+  const std::string policy_name = settings.Text(settings::kStagesQueuePolicy);
+  const core::queue_policy* policy = core::FindQueuePolicy(policy_name);
+  if (policy == nullptr) {
+    common::SetLastError(common::result_code::kBadSettings,
+                         std::string(settings::kStagesQueuePolicy.pointer) +
+                             " is unknown: " + policy_name);
+    return std::nullopt;
+  }
+  process->dispatcher_->SetQueuePolicy(*policy);
   if (!process->CreateServers(settings)) return std::nullopt;
   process->LimitConnections(descriptors);
   return process;
--- a/source/gateway/stage_dispatcher.cc
+++ b/source/gateway/stage_dispatcher.cc
@@ -232,7 +232,8 @@
   }
   if (spec == nullptr || !spec->batches) return nullptr;
   return queues_
-      .emplace(service, std::make_unique<core::piece_queue>(*spec->batches))
+      .emplace(service, std::make_unique<core::piece_queue>(*spec->batches,
+                                                            *queue_policy_))
       .first->second.get();
 }
 
--- a/source/gateway/stage_dispatcher.h
+++ b/source/gateway/stage_dispatcher.h
@@ -46,6 +46,10 @@
   stage_dispatcher(const stage_dispatcher&) = delete;
   stage_dispatcher& operator=(const stage_dispatcher&) = delete;
 
+  /// @param policy of the queues that are made from now on
+  void SetQueuePolicy(const core::queue_policy& policy) {
+    queue_policy_ = &policy;
+  }
   /// Queues a job. The outcome may be reported before this returns.
   void Enqueue(const core::stage_job& job);
   /// Tells the queue of a job that will be submitted later.
@@ -115,6 +119,7 @@
   core::target_slots& slots_;
   core::crash_suspects& suspects_;
   core::crash_watch& crash_watch_;
+  const core::queue_policy* queue_policy_ = &core::DefaultQueuePolicy();
   outcome_handler on_outcome_;
   load_handler on_load_;
   std::map<std::string, std::unique_ptr<core::piece_queue>> queues_;
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -133,6 +133,16 @@
     "Memory that this VM gives the process, in MB; bounds the bytes that it "
     "holds for callers and targets."};
 
+const setting kStagesQueuePolicy = {
+    "/stages/queue_policy",
+    setting_type::kText,
+    "\"last_moment\"",
+    1,
+    32,
+    "Which work for stages is delayed or turned away when not all can be done "
+    "in time: last_moment (what can no longer be) or least_cost (as little as "
+    "possible, the least urgent first)."};
+
 setting_table GatewaySettings() {
   static const std::array kTable = {&kName,
                                     &kDataCentre,
@@ -154,6 +164,7 @@
                                     &kCapacityCores,
                                     &kCapacityLinkMbps,
                                     &kCapacityMemoryMb,
+                                    &kStagesQueuePolicy,
                                     &kDialTimeoutMs,
                                     &kLogLevel,
                                     &kLogJson,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -22,6 +22,7 @@
 extern const setting kCapacityCores;
 extern const setting kCapacityLinkMbps;
 extern const setting kCapacityMemoryMb;
+extern const setting kStagesQueuePolicy;
 
 /// @return the settings of wisteria-gateway
 setting_table GatewaySettings();
