--- a/source/core/stages/stage_latency_estimator.h
+++ b/source/core/stages/stage_latency_estimator.h
@@ -14,7 +14,7 @@
 
 /// Number of priority levels that a queue distinguishes. Lower priorities share
 /// the last level.
-inline constexpr size_t kPriorityLevels = 4;
+inline constexpr size_t kPriorityLevels = 16;
 
 /// Load of a queue, as reported by the gateway that owns it.
 struct service_load {
--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -8,6 +8,7 @@
 #include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/metrics.h"
+#include "core/admission/request_rank.h"
 #include "gateway/forward_headers.h"
 
 namespace wisteriadale::gateway {
@@ -153,10 +154,9 @@
   if (route_->patience.count() > 0) {
     start_by_ = std::min(start_by_, received + route_->patience);
   }
-  priority_ = route_->priority;
-  if (organisation_ != nullptr && organisation_->priority) {
-    priority_ = *organisation_->priority;
-  }
+  priority_ = core::RequestRank(
+      organisation_ == nullptr ? std::nullopt : organisation_->priority,
+      route_->priority);
 }
 
 void forward_request::ParsePromptHeaders() {
--- a/source/wire/gateway_codec.cc
+++ b/source/wire/gateway_codec.cc
@@ -1,5 +1,7 @@
 #include "wire/gateway_codec.h"
 
+#include <algorithm>
+
 #include "common/last_error.h"
 #include "wire/compact_frame.h"
 #include "wire/generated/gateway_messages_types.h"
@@ -245,8 +247,10 @@
   to.service = from.service_name;
   to.load.pieces_per_s = from.pieces_per_s;
   to.load.call_time = common::duration(from.call_time_us);
-  for (size_t i = 0; i < from.ahead.size() && i < to.load.ahead.size(); ++i) {
-    to.load.ahead[i] = static_cast<uint32_t>(from.ahead[i]);
+  // Gateways of other versions may tell fewer levels apart.
+  for (size_t i = 0; i < to.load.ahead.size() && !from.ahead.empty(); ++i) {
+    const size_t told = std::min(i, from.ahead.size() - 1);
+    to.load.ahead[i] = static_cast<uint32_t>(from.ahead[told]);
   }
   to.load.late_pieces = static_cast<uint32_t>(from.late_pieces);
   to.load.late_pieces_per_s = from.late_pieces_per_s;
