--- a/scenarios/gateway_fault_soak.lua
+++ b/scenarios/gateway_fault_soak.lua
@@ -73,7 +73,14 @@
 local faults = kNames and soak_faults.by_name(kNames) or
                    soak_faults.choose(random, random(2, 5))
 local names = {}
-for number, fault in ipairs(faults) do names[number] = fault[1] end
+soak.store_is_calm = true
+for number, fault in ipairs(faults) do
+  names[number] = fault[1]
+  local name = fault[1]
+  if name:match("^store") or name == "standin_pause" or name == "pause" then
+    soak.store_is_calm = false
+  end
+end
 local recent = {}
 --- Returns the last faults.
 function soak:faults_now()
--- a/scenarios/lib/soak_checks.lua
+++ b/scenarios/lib/soak_checks.lua
@@ -7,6 +7,8 @@
 
 local kContactMs = 3000
 local kUnreadSlackMs = 200
+local kEvacuateMs = 5000
+local kColdFactor, kColdSlack = 1.5, 5
 local kMaxLinesPerRule = 12
 local kRefusals = {[408] = true, [421] = true, [429] = true, [503] = true}
 local kEvents = "id: 1\ndata: part1\n\nid: 2\ndata: part2\n\n" ..
@@ -40,6 +42,24 @@
 
 function soak:add_request(request) self.requests[request.id] = request end
 
+--- Checks that no work comes to an evacuated data centre, while the store serves
+--- all, and that a cold target gets no more than it bears.
+function soak:check_room(target, id)
+  local now = now_ms()
+  if target.zone == "b" and self.evacuated_ms and self.store_is_calm and
+      now > self.evacuated_ms + kEvacuateMs then
+    self:fail("EVAC", id .. " at " .. target.id .. " after " ..
+                  now - self.evacuated_ms .. " ms")
+  end
+  if not target.cold_until or now > target.cold_until then return end
+  local arrivals = target.cold_arrivals
+  arrivals[#arrivals + 1] = now
+  while arrivals[1] <= now - 1000 do table.remove(arrivals, 1) end
+  if #arrivals > kColdFactor * target.cold_per_s + kColdSlack then
+    self:fail("FAILBACK", #arrivals .. " in a second at " .. target.id)
+  end
+end
+
 --- Records a run, and checks that a caller sent just this request.
 function soak:record_run(id, request, target)
   local run = self.runs[id]
@@ -47,6 +67,7 @@
     run = {count = 0, targets = {}}
     self.runs[id] = run
   end
+  self:check_room(target, id)
   run.count = run.count + 1
   run.target, run.at_ms = target, now_ms()
   local sent = self.requests[id]
--- a/scenarios/lib/soak_faults.lua
+++ b/scenarios/lib/soak_faults.lua
@@ -177,6 +177,26 @@
     soak:later(time_ms, function() soak.fleet:set_behaviour{how = ""} end)
   end}}
 
+-- Faults that seeds draw beside the others, and that can be named.
+soak_faults.more = {
+  {"evacuate", function(soak)
+    if soak.evacuated_ms then return end
+    soak.evacuated_ms = now_ms()
+    soak.fleet:control("rows", {table = "op", key = "evacuate/b", value = {}})
+    soak:later(soak.random(6500, 9000), function()
+      soak.evacuated_ms = nil
+      soak.fleet:control("rows", {table = "op", key = "evacuate/b"})
+    end)
+  end},
+  {"cold_return", function(soak)
+    for _, target in ipairs(soak.targets) do
+      if target.zone == "b" and target.acceptor then
+        target.returns_cold = true
+        target:crash(1500)
+      end
+    end
+  end}}
+
 for _, name in ipairs(soak_targets.odd_names) do
   soak_faults.all[#soak_faults.all + 1] = {"target_" .. name, function(soak)
     local target = pick_target(soak)
@@ -241,6 +261,9 @@
       chosen[#chosen + 1] = fault
     end
   end
+  if random(2) == 1 then
+    chosen[#chosen + 1] = soak_faults.more[random(#soak_faults.more)]
+  end
   return chosen
 end
 
@@ -248,8 +271,10 @@
 function soak_faults.by_name(names)
   local found = {}
   for name in names:gmatch("[^,]+") do
-    for _, fault in ipairs(soak_faults.all) do
-      if fault[1] == name then found[#found + 1] = fault end
+    for _, list in ipairs{soak_faults.all, soak_faults.more} do
+      for _, fault in ipairs(list) do
+        if fault[1] == name then found[#found + 1] = fault end
+      end
     end
   end
   return found
--- a/scenarios/lib/soak_gateways.lua
+++ b/scenarios/lib/soak_gateways.lua
@@ -2,6 +2,7 @@
 -- are started, signalled and watched from outside.
 
 local gateways = require("gateways")
+local soak_targets = require("soak_targets")
 
 local soak_gateways = {}
 
@@ -32,7 +33,9 @@
     route(document, "craft", "/crafts/", "streaming", 3000, "engine").stages =
         {{service = "press", after = {n = 0}, ["size-bytes"] = 8000}}
     route(document, "changing", "/changing/" .. version .. "/", "idempotent", 3000)
-    for _, each in ipairs(document.services) do each["max-connections"] = 290 end
+    for _, each in ipairs(document.services) do
+      each["max-connections"] = 290
+    end
     local press = {name = "press", ["health-path"] = "/healthz",
                    ["max-connections"] = 290}
     for _, each in ipairs(document.services) do
@@ -41,6 +44,10 @@
     table.insert(document.services, press)
     table.insert(document.services, {name = "bulk", ["health-path"] = "/healthz",
                                      ["max-connections"] = 290})
+    for _, each in ipairs(document.services) do
+      each["cold-start-s"] = soak_targets.cold_ms / 1000
+      each["cold-per-s"] = soak_targets.cold_per_s
+    end
     document.limits["max-body-bytes"] = 4194304
     document.limits["header-timeout-ms"] = 3000
     document.limits["idle-timeout-ms"] = 20000
--- a/scenarios/lib/soak_targets.lua
+++ b/scenarios/lib/soak_targets.lua
@@ -69,13 +69,20 @@
 soak_targets.odd_names[#soak_targets.odd_names + 1] = "early_answer"
 table.sort(soak_targets.odd_names)
 
+-- How long targets are cold, and what each bears meanwhile in a second.
+soak_targets.cold_ms = 2000
+soak_targets.cold_per_s = 2
+
 --- Starts a target. soak records its runs and is told of failures. Without a
 --- service it is not registered, and every call to it gets an odd response.
 function soak_targets.start(soak, id, service)
   local self = setmetatable({soak = soak, name = id, id = id,
                              service = service, port = free_port(),
-                             connections = {}, starts = 0, work_ms = 10},
+                             connections = {}, starts = 0, work_ms = 10,
+                             zone = "a", cold_per_s = soak_targets.cold_per_s},
                             target)
+  -- Every other target is in the data centre that faults evacuate.
+  if (tonumber(id:match("%d+$")) or 1) % 2 == 0 then self.zone = "b" end
   self.relay = relay(self.port)
   self:open()
   return self
@@ -92,7 +99,10 @@
   end
   self.soak.fleet:register_target(
       {id = self.id, service = self.service, port = self.relay.port},
-      {slots = 48, born = self.starts})
+      {slots = 48, born = self.starts, zone = self.zone,
+       ["cold-remaining-ms"] = self.returns_cold and soak_targets.cold_ms or 0})
+  self.cold_until = self.returns_cold and now_ms() + soak_targets.cold_ms or nil
+  self.returns_cold, self.cold_arrivals = false, {}
 end
 
 --- Ends all runs; the target returns later with another id.
