--- /dev/null
+++ b/source/net/http1_connection.cc
@@ -0,0 +1,169 @@
+#include "net/http1_connection.h"
+
+#include <charconv>
+#include <utility>
+
+#include "common/log.h"
+#include "common/metrics.h"
+#include "net/message_too_large.h"
+
+namespace wisteriadale::net {
+namespace {
+
+error_status StatusOf(http1_error error) {
+  switch (error) {
+    case http1_error::kHeadTooLarge:
+    case http1_error::kTrailerTooLarge:
+      return {431, "Request Header Fields Too Large"};
+    case http1_error::kBodyTooLarge:
+      return {413, "Content Too Large"};
+    default:
+      return {400, "Bad Request"};
+  }
+}
+
+}  // namespace
+
+void AppendNumber(uint64_t value, int base, std::string* to) {
+  char text[24];
+  const std::to_chars_result done =
+      std::to_chars(text, text + sizeof(text), value, base);
+  to->append(text, done.ptr);
+}
+
+bool HasNoBody(int status) {
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
+void http1_server::connection::UpdateHeld() {
+  if (server_ == nullptr || server_->account_ == nullptr || !stream_) return;
+  const common::time_point now = server_->clock_.Now();
+  const size_t pending = stream_->PendingBytes();
+  common::holding held;
+  held.bytes = input_.size() + kBodyCopies * body_.size() + pending +
+               (exchange_ ? exchange_->Held() : 0);
+  held.since = request_start_;
+  held.progress_at = taking_.Update(pending, now);
+  if (pending > 0) {
+    held.what = common::held_for::kResponse;
+  } else if (exchange_) {
+    held.what = common::held_for::kRequest;
+  } else {
+    held.progress_at = last_activity_;
+  }
+  server_->account_->Set(*this, held);
+}
+
+void http1_server::connection::GiveWay() {
+  if (!stream_) return;
+  const std::shared_ptr<connection> self = shared_from_this();
+  if (!exchange_ && stream_->PendingBytes() == 0) {
+    Reply("503 Service Unavailable\r\nRetry-After: 1");
+    return;
+  }
+  stream_->Abort();
+  Drop();
+}
+
+void http1_server::connection::Drop() {
+  const std::shared_ptr<connection> self = shared_from_this();
+  ForgetHeld();
+  if (server_ != nullptr && stream_) {
+    server_->closing_responses_.Add(*stream_, server_->clock_.Now());
+  }
+  stream_.reset();
+  parser_.reset();
+  const std::shared_ptr<exchange> open = std::move(exchange_);
+  if (server_ != nullptr) server_->connections_.erase(this);
+  if (open) open->OnDisconnect();
+}
+
+void http1_server::connection::Reject(const error_status& reply) {
+  common::Metrics().Count("wisteria_requests_malformed_total");
+  common::Log(common::log_channel::kRequest, common::log_level::kInfo,
+              "rejected an unreadable request with status " +
+                  std::to_string(reply.status) + " from " + stream_->peer());
+  Reply(std::to_string(reply.status).append(" ").append(reply.reason));
+}
+
+void http1_server::connection::Reply(std::string_view status_and_headers) {
+  std::string out = "HTTP/1.1 ";
+  out.append(status_and_headers)
+      .append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  stream_->Write(out);
+  Drop();
+}
+
+void http1_server::connection::ProcessInput() {
+  while (stream_ && !exchange_ && !input_.empty() && !HoldsBack()) {
+    if (!parser_) {
+      parser_ = http1_parser::ForRequest(server_->limits_.message);
+      request_start_ = server_->clock_.Now();
+      body_.clear();
+      continue_sent_ = false;
+    }
+    last_activity_ = server_->clock_.Now();
+    size_t consumed = 0;
+    const http1_error error = parser_->Parse(input_, &consumed, &body_);
+    input_.erase(0, consumed);
+    if (error != http1_error::kNone) {
+      if (parser_->exceeded()) {
+        ReportTooLarge("request", *parser_->exceeded(), "", stream_->peer());
+      }
+      Reject(StatusOf(error));
+      return;
+    }
+    if (!parser_->complete()) {
+      const std::string* expect =
+          parser_->head_complete() ? parser_->head().Find("Expect") : nullptr;
+      if (expect != nullptr && !continue_sent_) {
+        continue_sent_ = true;
+        stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    }
+    StartExchange();
+  }
+}
+
+void http1_server::connection::StartExchange() {
+  const message_head& head = parser_->head();
+  if (head.Count("Host") > 1 ||
+      (head.minor_version > 0 && head.Count("Host") == 0)) {
+    Reject({400, "Bad Request"});
+    return;
+  }
+  const bool keep_alive = head.keep_alive;
+  const std::shared_ptr<exchange> started =
+      std::make_shared<exchange>(weak_from_this(), stream_.get(), head,
+                                 std::move(body_), request_start_, keep_alive);
+  body_.clear();
+  parser_.reset();
+  exchange_ = started;
+  UpdateHeld();
+  stream_->SetRequestId("");
+  ++requests_;
+  server_->on_request_(started);
+}
+
+void http1_server::connection::OnResponseComplete(bool keep_alive) {
+  exchange_.reset();
+  UpdateHeld();
+  last_activity_ = server_->clock_.Now();
+  if (!keep_alive) {
+    Drop();
+    return;
+  }
+  if (HoldsBack()) return;
+  stream_->ResumeReading();
+  // A pipelined request is started from the loop: requests that are answered
+  // synchronously would otherwise recurse.
+  if (input_.empty()) return;
+  const std::weak_ptr<connection> self = weak_from_this();
+  server_->loop_.Schedule(common::duration(0), [self] {
+    const std::shared_ptr<connection> kept = self.lock();
+    if (kept && kept->server_ != nullptr) kept->ProcessInput();
+  });
+}
+
+}  // namespace wisteriadale::net
