--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -460,9 +460,7 @@
 }
 void tcp_stream::Write(std::string_view data) { connection_->Write(data); }
 size_t tcp_stream::PendingBytes() const { return connection_->PendingBytes(); }
-owed_bytes tcp_stream::OwedAtEnd() const {
-  return connection_->owed_at_end();
-}
+owed_bytes tcp_stream::OwedAtEnd() const { return connection_->owed_at_end(); }
 
 owed_bytes tcp_stream::Owed() const { return connection_->Owed(); }
 
