wisteriactl routes check: a document of routes before it is sent

Finds what refers to nothing or can never match, limits that contradict each other, and a version that would not come into force; lists what changes, keys not shown.

--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -104,7 +104,7 @@
 struct organisation_spec {
   std::string name;
   std::vector<std::string> keys;
-  std::optional<uint32_t> priority;  ///< overrides the route's
+  std::optional<uint32_t> priority;  ///< decides before the route's
 };
 
 /// The decoded contents of a route table.
--- a/source/ctl/commands.cc
+++ b/source/ctl/commands.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "ctl/check_routes.h"
 #include "ctl/document_diff.h"
 #include "ctl/table_output.h"
 
@@ -260,6 +261,20 @@
   return Post(call, "quarantine/lift", {{"digest", call.arguments[0]}});
 }
 
+exit_code CheckRoutesFile(const invocation& call) {
+  const std::optional<std::string> document = ReadFile(call.arguments[0]);
+  if (!document) return exit_code::kUsage;
+  std::optional<std::string> in_force = std::string();
+  if (call.arguments.size() > 1) in_force = ReadFile(call.arguments[1]);
+  if (!in_force) return exit_code::kUsage;
+  const routes_report report = CheckRoutesText(*document, *in_force);
+  const std::string text = call.format == output_format::kJson
+                               ? report.ToJson() + "\n"
+                               : report.ToText();
+  std::fputs(text.c_str(), stdout);
+  return report.ToExitCode();
+}
+
 constexpr std::array kCommands = {
     command{"status", "", 0, "", "state and readiness of a router", Status},
     command{"targets", "", 0, "", "targets with their state and load", Targets},
@@ -275,6 +290,9 @@
             "changes that a document would make", DiffConfiguration},
     command{"configuration", "history", 0, "", "accepted versions",
             ConfigurationHistory},
+    command{"routes", "check", 1, "FILE [FILE_IN_FORCE]",
+            "errors in a platform's document of routes, and what it changes",
+            CheckRoutesFile},
     command{"operations", "get", 2, "ORGANISATION KEY", "state of an operation",
             GetOperation},
     command{"operations", "in-doubt", 0, "", "operations with unknown outcome",
