--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -41,6 +41,8 @@
 
 /// @return whether a response with that status has no body
 bool HasNoBody(int status);
+/// Appends a number as text.
+/// @param base 10 or 16
 void AppendNumber(uint64_t value, int base, std::string* to);
 
 /// A connection from a caller.
