Let responses grow in turns that pass on

Change: the newest request has the turn, up to seven tenths of the budget, and loses it when it does not use it for 100 ms; while others wait, what stalls for half a second gives way from half of the budget on.

--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -19,6 +19,14 @@
 // Three bodies of the usual limit with their copies for targets.
 constexpr double kMinMegabytes = 24;
 
+// Part of the budget up to which responses grow in turn; a body of the usual
+// limit fits into the rest.
+constexpr double kTurnShare = 0.7;
+// A holder that has not asked for so long does not use its turn.
+constexpr common::duration kTurnPause = std::chrono::milliseconds(100);
+// So long after one was refused, others are taken to wait for room.
+constexpr common::duration kRefusalMemory = std::chrono::seconds(1);
+
 constexpr std::array<std::string_view, 3> kStepNames = {
     "stalled_request", "stalled_response", "newest_request"};
 
@@ -37,30 +45,45 @@
   const auto found = holders_.find(&holder);
   if (found != holders_.end()) held_ -= found->second.bytes;
   held_ += held.bytes;
-  if (oldest_ == &holder && held.what != common::held_for::kRequest) {
-    oldest_ = nullptr;
-  }
   if (held.bytes > 0) {
     holders_.insert_or_assign(&holder, held);
   } else if (found != holders_.end()) {
     holders_.erase(found);
   }
-  if (held.bytes == 0 && oldest_ == &holder) oldest_ = nullptr;
+  if (held.bytes == 0 && turn_.holder == &holder) turn_ = {};
 }
 
 bool memory_account::MayGrow(const common::byte_holder& holder) {
   if (held_ <= options_.budget / 2) return true;
-  if (oldest_ == nullptr) {
-    common::time_point since = common::time_point::max();
-    for (const auto& [each, held] : holders_) {
-      if (held.what != common::held_for::kRequest || held.since >= since) {
-        continue;
-      }
-      oldest_ = each;
-      since = held.since;
-    }
+  const common::time_point now = clock_.Now();
+  if (static_cast<double>(held_) >
+      kTurnShare * static_cast<double>(options_.budget)) {
+    refused_at_ = now;
+    return false;
+  }
+  const auto found = holders_.find(const_cast<common::byte_holder*>(&holder));
+  const common::time_point since =
+      found == holders_.end() ? now : found->second.since;
+  const bool takes_turn = turn_.holder == nullptr || turn_.holder == &holder ||
+                          since > turn_.since ||
+                          now - turn_.asked_at > kTurnPause;
+  if (takes_turn) {
+    turn_ = {&holder, since, now};
+    return true;
   }
-  return oldest_ == &holder;
+  refused_at_ = now;
+  return false;
+}
+
+bool memory_account::OthersWait(common::time_point now) const {
+  return refused_at_ != common::time_point{} &&
+         now - refused_at_ <= kRefusalMemory;
+}
+
+uint64_t memory_account::LimitOf(step at, common::time_point now) const {
+  const bool others_wait = OthersWait(now);
+  return others_wait && at != step::kNewestRequest ? options_.budget / 2
+                                                   : options_.budget;
 }
 
 memory_account::step memory_account::StepOf(const common::holding& held,
@@ -71,8 +94,9 @@
     return held.bytes >= options_.small_bytes ? step::kNewestRequest
                                               : step::kNone;
   }
-  if (held.what == common::held_for::kResponse &&
-      silent >= options_.response_stall) {
+  const common::duration stall =
+      OthersWait(now) ? options_.body_stall : options_.response_stall;
+  if (held.what == common::held_for::kResponse && silent >= stall) {
     return step::kStalledResponse;
   }
   return step::kNone;
@@ -101,11 +125,13 @@
 
 void memory_account::MakeRoom() {
   const common::time_point now = clock_.Now();
-  while (Exceeded()) {
+  while (held_ > options_.budget / 2) {
     step why = step::kNone;
     common::byte_holder* const next = Next(now, &why);
-    if (next == nullptr) {
-      common::Metrics().Count("wisteria_memory_without_room_total");
+    if (next == nullptr || held_ <= LimitOf(why, now)) {
+      if (Exceeded()) {
+        common::Metrics().Count("wisteria_memory_without_room_total");
+      }
       return;
     }
     const common::holding held = holders_.at(next);
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -12,7 +12,8 @@
   uint64_t budget = uint64_t{100} << 20;
   /// A request whose caller sends nothing for so long gives way first.
   common::duration body_stall = std::chrono::milliseconds(500);
-  /// A response of which its caller takes nothing for so long gives way next.
+  /// A response of which its caller takes nothing for so long gives way next;
+  /// after body_stall if others wait for room.
   common::duration response_stall = std::chrono::seconds(2);
   /// Holders of less than this give way only when they stall.
   uint64_t small_bytes = uint64_t{16} * 1024;
@@ -29,9 +30,13 @@
 /// requests whose callers have stopped sending, the longest silent first;
 /// responses whose callers have stopped reading; then the request that is being
 /// read since the shortest time, as it loses least. Requests in progress are
-/// kept: they may have run. Their responses are read on while less than
-/// half of the budget is used, and else in the sequence of their requests: the
-/// other half is for requests.
+/// kept: they may have run.
+///
+/// Responses are read on from targets while less than half of the budget is
+/// used. Beyond that they grow one after the other, up to a part of the budget,
+/// the newest request first, as long as it makes use of its turn: callers that
+/// do not read collect among the older ones. While others wait for room, what
+/// stalls gives way from half of the budget on.
 class memory_account final : public common::byte_account {
  public:
   memory_account(const memory_account_options& options,
@@ -50,6 +55,11 @@
   /// Step in the sequence in which holders give way; 0 is the first.
   enum class step { kStalledRequest, kStalledResponse, kNewestRequest, kNone };
 
+  /// @return whether a holder was refused room lately
+  bool OthersWait(common::time_point now) const;
+  /// @return how much may be held before a holder in that step gives way: what
+  /// stalls makes room for others that wait, too
+  uint64_t LimitOf(step at, common::time_point now) const;
   step StepOf(const common::holding& held, common::time_point now) const;
   /// @return the next holder to give way, or null
   common::byte_holder* Next(common::time_point now, step* why) const;
@@ -58,8 +68,14 @@
   const common::clock& clock_;
   std::unordered_map<common::byte_holder*, common::holding> holders_;
   uint64_t held_ = 0;
-  /// The request in progress that began first, as far as is known; may be null.
-  const common::byte_holder* oldest_ = nullptr;
+  /// The holder that may grow though there is no room.
+  struct turn {
+    const common::byte_holder* holder = nullptr;
+    common::time_point since{};
+    common::time_point asked_at{};
+  };
+  turn turn_;
+  common::time_point refused_at_{};  ///< latest refusal of MayGrow
 };
 
 }  // namespace wisteriadale::core
