Let requests in progress end though they fill the budget

Whole bodies in progress fill the budget by themselves; their responses may grow, one at a time, up to 1.25 times of it.

--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -19,9 +19,9 @@
 // Three bodies of the usual limit with their copies for targets.
 constexpr double kMinMegabytes = 24;
 
-// Part of the budget up to which responses grow in turn; a body of the usual
-// limit fits into the rest.
-constexpr double kTurnShare = 0.7;
+// Responses grow in turn up to so many times the budget: requests in progress,
+// which do not give way, may fill it by themselves, and end only so.
+constexpr double kTurnShare = 1.25;
 // A holder that has not asked for so long does not use its turn.
 constexpr common::duration kTurnPause = std::chrono::milliseconds(100);
 // So long after one was refused, others are taken to wait for room.
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -33,10 +33,10 @@
 /// kept: they may have run.
 ///
 /// Responses are read on from targets while less than half of the budget is
-/// used. Beyond that they grow one after the other, up to a part of the budget,
-/// the newest request first, as long as it makes use of its turn: callers that
-/// do not read collect among the older ones. While others wait for room, what
-/// stalls gives way from half of the budget on.
+/// used. Beyond that they grow one after the other, up to somewhat more than
+/// the budget, the newest request first, as long as it makes use of its turn:
+/// callers that do not read collect among the older ones. While others wait for
+/// room, what stalls gives way from half of the budget on.
 class memory_account final : public common::byte_account {
  public:
   memory_account(const memory_account_options& options,
