Let no response grow behind one that its caller does not take

Responses took turns before they ended, so that 117 parts of some 250 KB filled the room and none could end (gateway's log: 30.0 of 24 MB held, none of it unread, 11 answers). And the kernel takes the first 2 MB for a caller that reads nothing, so that such callers looked like any other and took each room that was made.

Change: a response keeps its turn until it ends or does not use it for 100 ms. Under pressure the connection also looks at what the kernel holds; a caller that took nothing for half a second gets no more read from its target.

Why it works: at most one response is in part beyond its first bytes, and room goes to callers that take what they get.

--- a/source/common/byte_account.h
+++ b/source/common/byte_account.h
@@ -17,8 +17,10 @@
 struct holding {
   held_for what = held_for::kIncoming;
   uint64_t bytes = 0;
-  time_point since{};        ///< when it began
-  time_point progress_at{};  ///< when the other end last sent or took bytes
+  time_point since{};  ///< when it began
+  /// When the caller last sent bytes of a request that is being read; else when
+  /// it last took bytes of responses, or now if it lacks none.
+  time_point progress_at{};
 };
 
 /// Holds bytes for a caller, and can give them up.
@@ -38,6 +40,9 @@
   /// Lets holders give way until the rest is within the budget, as far as any
   /// may.
   virtual void MakeRoom() = 0;
+  /// @return whether much of the budget is used, so that it is worth looking at
+  /// what each caller takes
+  virtual bool Pressed() const = 0;
   /// @return whether a holder may hold more, though there is no hurry: there is
   /// room, or it is the one that gets its turn first
   virtual bool MayGrow(const byte_holder& holder) = 0;
--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -54,21 +54,18 @@
 }
 
 bool memory_account::MayGrow(const common::byte_holder& holder) {
-  if (held_ <= options_.budget / 2) return true;
+  if (!Pressed()) return true;
   const common::time_point now = clock_.Now();
+  const auto found = holders_.find(const_cast<common::byte_holder*>(&holder));
+  if (found != holders_.end() && IsStalled(found->second, now)) return false;
   if (static_cast<double>(held_) >
       kTurnShare * static_cast<double>(options_.budget)) {
     refused_at_ = now;
     return false;
   }
-  const auto found = holders_.find(const_cast<common::byte_holder*>(&holder));
-  const common::time_point since =
-      found == holders_.end() ? now : found->second.since;
-  const bool takes_turn = turn_.holder == nullptr || turn_.holder == &holder ||
-                          since > turn_.since ||
-                          now - turn_.asked_at > kTurnPause;
-  if (takes_turn) {
-    turn_ = {&holder, since, now};
+  if (turn_.holder == nullptr || turn_.holder == &holder ||
+      now - turn_.asked_at > kTurnPause) {
+    turn_ = {&holder, now};
     return true;
   }
   refused_at_ = now;
@@ -125,7 +122,7 @@
 
 void memory_account::MakeRoom() {
   const common::time_point now = clock_.Now();
-  while (held_ > options_.budget / 2) {
+  while (Pressed()) {
     step why = step::kNone;
     common::byte_holder* const next = Next(now, &why);
     if (next == nullptr || held_ <= LimitOf(why, now)) {
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -34,9 +34,11 @@
 ///
 /// Responses are read on from targets while less than half of the budget is
 /// used. Beyond that they grow one after the other, up to somewhat more than
-/// the budget, the newest request first, as long as it makes use of its turn:
-/// callers that do not read collect among the older ones. While others wait for
-/// room, what stalls gives way from half of the budget on.
+/// the budget: each keeps its turn while it makes use of it, as parts of many
+/// would fill the room and none end. Those of callers that do not take what
+/// they were sent before do not grow: they would take each room that is made.
+/// While others wait for room, what stalls gives way from half of the budget
+/// on.
 class memory_account final : public common::byte_account {
  public:
   memory_account(const memory_account_options& options,
@@ -47,6 +49,8 @@
   void MakeRoom() override;
   bool MayGrow(const common::byte_holder& holder) override;
 
+  bool Pressed() const override { return held_ > options_.budget / 2; }
+
   bool Exceeded() const { return held_ > options_.budget; }
   uint64_t held() const { return held_; }
   uint64_t budget() const { return options_.budget; }
@@ -55,6 +59,10 @@
   /// Step in the sequence in which holders give way; 0 is the first.
   enum class step { kStalledRequest, kStalledResponse, kNewestRequest, kNone };
 
+  /// @return whether the caller has taken nothing for some time
+  bool IsStalled(const common::holding& held, common::time_point now) const {
+    return now - held.progress_at >= options_.body_stall;
+  }
   /// @return whether a holder was refused room lately
   bool OthersWait(common::time_point now) const;
   /// @return how much may be held before a holder in that step gives way: what
@@ -71,7 +79,6 @@
   /// The holder that may grow though there is no room.
   struct turn {
     const common::byte_holder* holder = nullptr;
-    common::time_point since{};
     common::time_point asked_at{};
   };
   turn turn_;
--- a/source/net/http1_connection.cc
+++ b/source/net/http1_connection.cc
@@ -44,6 +44,10 @@
                (exchange_ ? exchange_->Held() : 0);
   held.since = request_start_;
   held.progress_at = taking_.Update(pending, now);
+  // Asking the kernel takes time that is only worth it under pressure.
+  if (held.bytes > 0 && server_->account_->Pressed()) {
+    held.progress_at = acknowledging_.Update(stream_->Owed().total(), now);
+  }
   if (pending > 0) {
     held.what = common::held_for::kResponse;
   } else if (exchange_) {
--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -192,7 +192,8 @@
   common::time_point accepted_at_;
   common::time_point last_activity_;
   bool continue_sent_ = false;
-  taking_watch taking_;
+  taking_watch taking_;         ///< of what this process holds
+  taking_watch acknowledging_;  ///< of what the kernel holds, too
 };
 
 class http1_server::connection::exchange final : public http1_exchange {
