--- a/source/core/fleet/routes_exchange.h
+++ b/source/core/fleet/routes_exchange.h
@@ -40,13 +40,13 @@
  public:
   /// Asks a gateway for its routes.
   /// @return false if there is no link to it
-  using requester = std::function<bool(const std::string& gateway,
-                                       const routes_edition& edition)>;
+  using request_sender = std::function<bool(const std::string& gateway,
+                                            const routes_edition& edition)>;
 
   routes_exchange(const routes_exchange_options& options,
                   const route_holder& routes, const common::clock& clock,
                   common::timer_service& timers, common::random_source& random,
-                  requester request)
+                  request_sender request)
       : options_(options),
         routes_(routes),
         clock_(clock),
@@ -88,7 +88,7 @@
   const common::clock& clock_;
   common::timer_service& timers_;
   common::random_source& random_;
-  requester request_;
+  request_sender request_;
   std::map<std::string, holder> holders_;  ///< with newer routes, by name
   routes_edition refused_;
   common::timer_id timer_ = 0;
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -74,6 +74,9 @@
   void ConnectComponents();
   /// Creates what keeps requests within the limits of targets.
   void CreateLimits();
+  /// Passes a message of another gateway on to the component that handles it.
+  void OnMessage(const std::string& gateway,
+                 const core::gateway_message& message);
   /// Tells a gateway that joins what it cannot learn from the store.
   void OnGatewayJoined(const std::string& gateway);
   /// Applies the limits of new routes and announces their version to the other
