--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -43,10 +43,10 @@
 void memory_account::Set(common::byte_holder& holder,
                          const common::holding& held) {
   const auto found = holders_.find(&holder);
-  if (found != holders_.end()) held_ -= found->second.bytes;
+  if (found != holders_.end()) held_ -= found->second.held.bytes;
   held_ += held.bytes;
   if (held.bytes > 0) {
-    holders_.insert_or_assign(&holder, held);
+    holders_.insert_or_assign(&holder, entry{&holder, held});
   } else if (found != holders_.end()) {
     holders_.erase(found);
   }
@@ -56,8 +56,10 @@
 bool memory_account::MayGrow(const common::byte_holder& holder) {
   if (!Pressed()) return true;
   const common::time_point now = clock_.Now();
-  const auto found = holders_.find(const_cast<common::byte_holder*>(&holder));
-  if (found != holders_.end() && IsStalled(found->second, now)) return false;
+  const auto found = holders_.find(&holder);
+  if (found != holders_.end() && IsStalled(found->second.held, now)) {
+    return false;
+  }
   if (static_cast<double>(held_) >
       kTurnShare * static_cast<double>(options_.budget)) {
     refused_at_ = now;
@@ -104,7 +106,8 @@
   common::byte_holder* chosen = nullptr;
   *why = step::kNone;
   common::time_point chosen_time;
-  for (const auto& [holder, held] : holders_) {
+  for (const auto& [key, each] : holders_) {
+    const common::holding& held = each.held;
     const step at = StepOf(held, now);
     if (at == step::kNone || at > *why) continue;
     const bool newest = at == step::kNewestRequest;
@@ -113,7 +116,7 @@
     if (!earlier_step && (newest ? time <= chosen_time : time >= chosen_time)) {
       continue;
     }
-    chosen = holder;
+    chosen = each.holder;
     chosen_time = time;
     *why = at;
   }
@@ -131,7 +134,7 @@
       }
       return;
     }
-    const common::holding held = holders_.at(next);
+    const common::holding held = holders_.at(next).held;
     const std::string_view name = kStepNames.at(static_cast<size_t>(why));
     common::Metrics().Count("wisteria_memory_given_up_total", {{"why", name}});
     common::LogEvent(common::log_event::kMemoryGivenUp, "",
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -74,7 +74,12 @@
 
   memory_account_options options_;
   const common::clock& clock_;
-  std::unordered_map<common::byte_holder*, common::holding> holders_;
+  struct entry {
+    common::byte_holder* holder = nullptr;
+    common::holding held;
+  };
+
+  std::unordered_map<const common::byte_holder*, entry> holders_;
   uint64_t held_ = 0;
   /// The holder that may grow though there is no room.
   struct turn {
