Call the rank of a request a rank, also in the log

The log's field was named priority, which it no longer holds: an engineer would have taken 5 for a priority. No change of behaviour but for that name.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -68,7 +68,7 @@
                     {"service", service_},
                     {"version", static_cast<int64_t>(route_table_->version())},
                     {"organisation", organisation_name()},
-                    {"priority", int64_t{priority_}},
+                    {"rank", int64_t{rank_}},
                     {"deadline_ms", common::ToMillis(RemainingTime())}});
   timeout_timer_ = deps_.loop.Schedule(
       std::max(RemainingTime(), common::duration(0)), [this] {
@@ -142,7 +142,7 @@
   if (route_->patience.count() > 0) {
     start_by_ = std::min(start_by_, received + route_->patience);
   }
-  priority_ = core::RequestRank(
+  rank_ = core::RequestRank(
       organisation_ == nullptr ? std::nullopt : organisation_->priority,
       route_->priority);
 }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -191,7 +191,7 @@
   /// Time by which the latency objective is met. Counts from the first request
   /// of a caller that retries.
   common::time_point objective_{};
-  uint32_t priority_ = 0;
+  uint32_t rank_ = 0;  ///< in queues; see RequestRank
   std::vector<core::prompt_part> prompt_parts_;
   uint32_t prompt_tokens_ = 0;
 
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -110,7 +110,7 @@
       piece_counts_.size() == route_->stages.size()) {
     min_delay = std::max(min_delay, deps_.latency_estimator
                                         .Estimate(*route_table_, route_->stages,
-                                                  piece_counts_, priority_)
+                                                  piece_counts_, rank_)
                                         .in_time);
   }
   return deps_.admission.RetryAfter(min_delay, deadline_ - now);
--- a/source/gateway/forward_request_stages.cc
+++ b/source/gateway/forward_request_stages.cc
@@ -55,7 +55,7 @@
   const common::time_point now = deps_.clock.Now();
   core::stage_admission_context context;
   context.path = deps_.latency_estimator.Estimate(*route_table_, route_->stages,
-                                                  piece_counts_, priority_);
+                                                  piece_counts_, rank_);
   context.time_after_stages =
       deps_.first_events.Expected(service_, prompt_tokens_);
   context.to_objective = objective_ - now;
@@ -87,10 +87,10 @@
     const core::stage_spec& spec = route_->stages[stage];
     if (piece_counts_[stage] == 0 || late_) continue;
     deps_.latency_estimator.AddLocalPieces(spec.service, piece_counts_[stage],
-                                           priority_);
+                                           rank_);
     if (spec.depends_on.empty() && StageDelay(stage) <= kMinDelay) continue;
     deps_.stages.Announce({request_id_, spec.service, stage,
-                           piece_counts_[stage], priority_, objective_});
+                           piece_counts_[stage], rank_, objective_});
   }
 }
 
@@ -124,7 +124,7 @@
   for (uint32_t i = 0; i < remaining.size(); ++i) {
     const common::duration estimated =
         deps_.latency_estimator.EstimateCompletion(
-            *route_table_, route_->stages[i].service, priority_);
+            *route_table_, route_->stages[i].service, rank_);
     const common::duration elapsed =
         plan_->started(i) ? now - stage_starts_[i].at : common::duration(0);
     remaining[i] = std::max(estimated - elapsed, common::duration(0));
@@ -145,7 +145,7 @@
   job.inputs = plan_->InputsOf(stage);
   if (job.inputs.empty() && key != nullptr) job.key = *key;
   job.result_bytes = plan_->result_bytes(stage);
-  job.priority = priority_;
+  job.priority = rank_;
   job.late = late_;
   job.digest = Digest();
   SetPreferredDataCentre(&job);
@@ -157,7 +157,7 @@
   job.deadline = limits.deadline;
   stage_starts_[stage] = {deps_.clock.Now(),
                           deps_.latency_estimator.EstimateCompletion(
-                              *route_table_, job.service, priority_)};
+                              *route_table_, job.service, rank_)};
   deps_.stages.Submit(job, [this](const core::stage_outcome_message& outcome) {
     OnStageOutcome(outcome);
   });
@@ -198,7 +198,7 @@
     if (!late_) {
       const stage_start& start = stage_starts_[outcome.stage];
       deps_.latency_estimator.RecordOutcome(
-          route_->stages[outcome.stage].service, priority_, start.estimate,
+          route_->stages[outcome.stage].service, rank_, start.estimate,
           deps_.clock.Now() - start.at);
     }
     common::Metrics().Observe(
