Test that unread responses give way, also on closed connections

The account's part in net/held_responses had no test of its own: without closing_responses_.Add the second test fails. The 503 of a request that gives way has a name.

--- a/source/net/http1_connection.cc
+++ b/source/net/http1_connection.cc
@@ -10,6 +10,10 @@
 namespace wisteriadale::net {
 namespace {
 
+// The requests of others that hold the room end, or stall, within this time.
+constexpr std::string_view kNoRoom =
+    "503 Service Unavailable\r\nRetry-After: 1";
+
 error_status StatusOf(http1_error error) {
   switch (error) {
     case http1_error::kHeadTooLarge:
@@ -62,7 +66,7 @@
   if (!stream_) return;
   const std::shared_ptr<connection> self = shared_from_this();
   if (!exchange_ && stream_->PendingBytes() == 0) {
-    Reply("503 Service Unavailable\r\nRetry-After: 1");
+    Reply(kNoRoom);
     return;
   }
   stream_->Abort();
--- a/source/unit_tests/net/http1_server_slow_caller_test.cc
+++ b/source/unit_tests/net/http1_server_slow_caller_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "common/metrics.h"
+#include "core/overload/memory_account.h"
 #include "net/http1_server.h"
 #include "unit_tests/net/loopback.h"
 
@@ -38,6 +39,19 @@
   void RunFor(common::duration time) {
     fakes::RunUntil(**loop, time, [] { return false; });
   }
+  /// Expects that an unread response counts against a budget, and is reset.
+  void ExpectGivesWay(const std::string& headers) {
+    core::memory_account_options options;
+    options.budget = size_t{1} << 20;
+    options.response_stall = std::chrono::milliseconds(200);
+    core::memory_account account(options, clock);
+    server->SetAccount(account);
+    Request(headers);
+    CHECK(RunUntil([&] { return account.Exceeded(); }));
+    CHECK(RunUntil([&] { return account.held() == 0; }));
+    CHECK_EQUAL(0, server->Undelivered().bytes);
+    server.reset();
+  }
   bool HasWholeResponse() {
     const std::string& all = caller.Read();
     const size_t body = all.find("\r\n\r\n");
@@ -45,6 +59,13 @@
   }
 };
 
+// The caller asks for much and reads nothing.
+TEST(Http1ServerSlowCaller, AnUnreadResponseGivesWay) { ExpectGivesWay(""); }
+
+TEST(Http1ServerSlowCaller, AnUnreadResponseOfAClosedConnectionGivesWay) {
+  ExpectGivesWay("Connection: close\r\n");
+}
+
 // A planned stop ended the process with the end of responses still in it.
 TEST(Http1ServerSlowCaller, AResponseIsUndeliveredUntilTheCallerHasItAll) {
   Request("");
