--- a/scenarios/lib/crowds.lua
+++ b/scenarios/lib/crowds.lua
@@ -3,6 +3,8 @@
 -- afterwards, while the crowd's connections are still open.
 
 local gateways = require("gateways")
+local process_memory = require("process_memory")
+local usage_cap = require("usage_cap")
 
 local crowds = {}
 
@@ -21,12 +23,16 @@
 
 crowds.body_bytes = kBodyBytes
 
---- Starts a gateway with the small memory of these tests.
-function crowds.start()
+--- Starts a gateway with the small memory of these tests. Options:
+--- max_descriptors.
+function crowds.start(options)
+  local max_descriptors = options and options.max_descriptors or kMaxDescriptors
   local fleet = gateways.start{
     without_routes = true,
     settings = {["/capacity/memory_mb"] = kMemoryMb,
-                ["/net/max_connections"] = kMaxDescriptors}}
+                ["/net/max_connections"] = max_descriptors}}
+  fleet.max_descriptors = max_descriptors
+  fleet.memory = process_memory.of(fleet.all[1].process)
   fleet:configure(gateways.document(10, function(document)
     document.limits["max-body-bytes"] = kBodyBytes
     document.limits["header-timeout-ms"] = 10000
@@ -38,11 +44,11 @@
 end
 
 --- Returns the head of a request with a body; framing is its header.
-function crowds.head(framing, method)
+function crowds.head(framing, method, key)
   return table.concat({(method or "POST") .. " /stock/1 HTTP/1.1",
                        "Host: " .. gateways.host,
                        "X-Wisteriadale-Request-Id: " .. gateways.new_id(),
-                       "X-Wisteriadale-Key: " .. gateways.key,
+                       "X-Wisteriadale-Key: " .. (key or gateways.key),
                        framing}, "\r\n") .. "\r\n\r\n"
 end
 
@@ -52,21 +58,12 @@
   return chunk:rep(total // size)
 end
 
---- Opens the crowd's connections and sends to all of them in turn, a part of
---- part_bytes at a time, all but the last byte. bytes(number) returns what a
---- caller sends.
-function crowds.send(fleet, bytes, options)
-  options = options or {}
-  local part_bytes = options.part_bytes or kPartBytes
-  local callers = {}
-  local count = options.callers or kCallers
-  for number = 1, count do
-    local text = bytes(number)
-    callers[number] = {socket = connect(fleet.all[1].callers), text = text,
-                       ends = #text - (options.whole and 0 or 1), sent = 0}
-  end
-  local until_ms = now_ms() + kSendLimitMs
-  local left = count
+--- Sends to all callers in turn, a part at a time, until each has sent all that
+--- it is to send or its connection has failed. cap, if given, is that of the
+--- process meanwhile.
+local function send_in_turn(fleet, callers, part_bytes, cap, limit_ms)
+  local until_ms = now_ms() + (limit_ms or kSendLimitMs)
+  local left = #callers
   while left > 0 and now_ms() < until_ms do
     left = 0
     for _, caller in ipairs(callers) do
@@ -77,23 +74,63 @@
         caller.sent = caller.sent + (sent or 0)
         left = left + 1
       end
+      fleet.memory:sample()
+      if cap then cap:step(function() fleet.memory:sample_now() end) end
     end
     runner.pump(1)
   end
+  if cap then cap:lift() end
+end
+
+--- Opens the crowd's connections and sends to all of them in turn, a part of
+--- part_bytes at a time, all but the last byte. bytes(number) returns what a
+--- caller sends. Options: part_bytes, callers, whole (send the last byte, too),
+--- port, capped (the process has a fifth of a core meanwhile), send_limit_ms.
+function crowds.send(fleet, bytes, options)
+  options = options or {}
+  local callers = {}
+  for number = 1, options.callers or kCallers do
+    local text = bytes(number)
+    callers[number] = {socket = connect(options.port or fleet.all[1].callers),
+                       text = text, ends = #text - (options.whole and 0 or 1),
+                       sent = 0}
+  end
+  send_in_turn(fleet, callers, options.part_bytes or kPartBytes,
+               options.capped and usage_cap.of(fleet.memory.process),
+               options.send_limit_ms)
   return callers
 end
 
+--- Lets those callers whose connections have failed connect again and send the
+--- same again, for some rounds.
+function crowds.send_again(fleet, callers, rounds)
+  for _ = 1, rounds do
+    for _, caller in ipairs(callers) do
+      caller.socket:read_some(kPartBytes)
+      if caller.failed or caller.socket.closed then
+        caller.socket:close()
+        caller.socket = connect(fleet.all[1].callers)
+        caller.failed, caller.sent = false, 0
+      end
+    end
+    send_in_turn(fleet, callers, kPartBytes)
+  end
+end
+
+function crowds.close(callers)
+  for _, caller in ipairs(callers) do caller.socket:close() end
+end
+
 --- Expects that the gateway bore the crowd: to be called while the crowd's
 --- connections are open.
-function crowds.expect_borne(fleet, callers)
+function crowds.expect_served(fleet)
   local gateway = fleet.all[1]
-  runner.pump(1000)
+  fleet.memory:pump(1000)
   expect(gateway.process:running(), "the gateway runs")
-  local function peak_mb() return gateway.process:peak_kb() // 1024 end
-  expect(peak_mb() < kMemoryMb, "memory: " .. peak_mb() .. " MB")
+  fleet.memory:expect_within(kMemoryMb, "memory")
   local metrics = http{port = gateway.operators, path = "/metrics"}.body
   local open = tonumber(metrics:match("\nwisteria_open_descriptors (%d+)"))
-  expect(open < kMaxDescriptors, "descriptors: " .. open)
+  expect(open < fleet.max_descriptors, "descriptors: " .. open)
   local answer = fleet:send(gateways.bytes{path = "/stock/1"}, gateway,
                             kAnswerLimitMs)
   expect_equal(200, answer.status, "an ordinary caller")
@@ -104,11 +141,17 @@
                         kAnswerLimitMs)
     if answer.status ~= 503 then break end
     expect(answer.headers["retry-after"], "a time to come back")
-    runner.pump(math.ceil(1000 * tonumber(answer.headers["retry-after"])))
+    fleet.memory:pump(math.ceil(1000 * tonumber(answer.headers["retry-after"])))
   end
   expect_equal(200, answer.status, "a large request within the limits")
-  expect(peak_mb() < kMemoryMb, "memory at the end: " .. peak_mb() .. " MB")
-  for _, caller in ipairs(callers) do caller.socket:close() end
+  fleet.memory:sample()
+  fleet.memory:expect_within(kMemoryMb, "memory at the end")
+end
+
+--- Expects that the gateway bore the crowd, and ends the scenario.
+function crowds.expect_borne(fleet, callers)
+  crowds.expect_served(fleet)
+  crowds.close(callers)
   fleet:stop()
 end
 
--- a/scenarios/lib/helpers.lua
+++ b/scenarios/lib/helpers.lua
@@ -69,6 +69,8 @@
 function process:resident_kb() return runner.resident_kb(self.id) end
 --- Returns the highest resident memory so far.
 function process:peak_kb() return runner.peak_kb(self.id) end
+--- Returns the bytes received over TCP and not read yet, in kilobytes.
+function process:unread_kb() return runner.unread_kb(self.id) end
 function process:has_sockets() return runner.has_sockets(self.id) end
 
 --- Waits until the process has ended and returns its exit code, or the negative
--- a/source/unit_tests/scenario/child_process.cc
+++ b/source/unit_tests/scenario/child_process.cc
@@ -11,12 +11,14 @@
 #include <fstream>
 
 #include "common/last_error.h"
+#include "unit_tests/scenario/process_sockets.h"
 
 namespace wisteriadale::scenario {
 namespace {
 
 constexpr int kLogMode = 0644;
 constexpr int kExecFailed = 127;
+constexpr int64_t kKilobyte = 1024;
 
 /// Replaces the forked child by the command; exits with kExecFailed when that
 /// fails.
@@ -87,7 +89,6 @@
   int64_t total_pages = 0;
   int64_t resident_pages = 0;
   statm >> total_pages >> resident_pages;
-  constexpr int64_t kKilobyte = 1024;
   return resident_pages * (sysconf(_SC_PAGESIZE) / kKilobyte);
 }
 
@@ -101,6 +102,10 @@
   return 0;
 }
 
+int64_t child_process::UnreadKilobytes() const {
+  return UnreadBytes(pid_) / kKilobyte;
+}
+
 bool child_process::HasOpenedSockets() const {
   std::error_code error;
   const std::filesystem::path process = "/proc/" + std::to_string(pid_);
--- a/source/unit_tests/scenario/child_process.h
+++ b/source/unit_tests/scenario/child_process.h
@@ -43,6 +43,8 @@
   /// @return highest resident memory so far, in kilobytes; 0 when it cannot be
   /// read
   int64_t PeakKilobytes() const;
+  /// @return kilobytes that the process has received over TCP and not read yet
+  int64_t UnreadKilobytes() const;
   /// @return whether the process has a socket or an event queue: its own code
   ///         runs, not the dynamic linker
   bool HasOpenedSockets() const;
--- a/source/unit_tests/scenario/lua_bindings.cc
+++ b/source/unit_tests/scenario/lua_bindings.cc
@@ -110,6 +110,14 @@
   return 1;
 }
 
+// unread_kb(process) -> received and not read
+int UnreadKilobytes(lua_State* state) {
+  lua_pushinteger(
+      state,
+      ObjectArgument(state, Scenario(state).children)->UnreadKilobytes());
+  return 1;
+}
+
 // has_sockets(process) -> boolean
 int HasSockets(lua_State* state) {
   const bool opened =
@@ -376,6 +384,7 @@
                                   {"exit_code", ExitCode},
                                   {"resident_kb", ResidentKilobytes},
                                   {"peak_kb", PeakKilobytes},
+                                  {"unread_kb", UnreadKilobytes},
                                   {"has_sockets", HasSockets},
                                   {"run", RunTool},
                                   {"free_port", FreePort},
