Bound the bytes that sockets have received and nobody has read

What operators saw: a gateway over its memory though its resident memory is small. 300 callers with bodies over the limit, before a gateway with a fifth of a core and 96 MB: 24 MB resident and 188 MB unread; with tiny chunks 35 and 212.

Cause: the receive buffers of the system grow to megabytes for each connection, and their number had no part in any bound. Whatever is sent while the process does not run, or does not read a connection on, is its memory, too.

Now each connection, to callers and to targets, gets its buffer as it is opened, a part of what the others have left (core/overload/receive_room), and the backlog has small ones. It is set before the window is offered: a trial that made the buffers of open connections smaller let the kernel drop what was sent into the old window, at 0.1 MB/s, and gateway_crowd_unread failed.

--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -13,11 +13,13 @@
 constexpr double kBytesPerMegabyte = 1e6;
 // What a process needs for itself: code, routes, links, logs.
 constexpr double kOwnMegabytes = 48;
+// Less is not left to callers, however small the VM.
+constexpr double kMinBesideOwnMegabytes = 24;
 // Part of the rest that is held for callers. The other part is for the bytes
-// that the allocator has not reused yet, and for connections to targets.
+// that the allocator has not reused yet, and for those that sockets hold.
 constexpr double kHeldShare = 0.5;
 // Three bodies of the usual limit with their copies for targets.
-constexpr double kMinMegabytes = 24;
+constexpr uint64_t kMinBudget = 24'000'000;
 
 // Responses grow in turn up to so many times the budget: requests in progress,
 // which do not give way, may fill it by themselves, and end only so.
@@ -32,11 +34,18 @@
 
 }  // namespace
 
+uint64_t BytesBesideOwn(double memory_mb) {
+  const double megabytes =
+      std::max(kMinBesideOwnMegabytes, memory_mb - kOwnMegabytes);
+  return static_cast<uint64_t>(megabytes * kBytesPerMegabyte);
+}
+
 memory_account_options MakeMemoryAccountOptions(double memory_mb) {
   memory_account_options options;
-  const double megabytes =
-      std::max(kMinMegabytes, kHeldShare * (memory_mb - kOwnMegabytes));
-  options.budget = static_cast<uint64_t>(megabytes * kBytesPerMegabyte);
+  options.budget = std::max(
+      kMinBudget,
+      static_cast<uint64_t>(kHeldShare *
+                            static_cast<double>(BytesBesideOwn(memory_mb))));
   return options;
 }
 
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -19,6 +19,10 @@
   uint64_t small_bytes = uint64_t{16} * 1024;
 };
 
+/// @param memory_mb of the VM, in MB
+/// @return what a process has beside its code, routes, links and logs, in bytes
+uint64_t BytesBesideOwn(double memory_mb);
+
 /// @param memory_mb of the VM, in MB
 /// @return the options that leave the process enough for itself
 memory_account_options MakeMemoryAccountOptions(double memory_mb);
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -109,7 +109,8 @@
   }
   process->dispatcher_->SetQueuePolicy(*policy);
   if (!process->CreateServers(settings)) return std::nullopt;
-  process->LimitConnections(descriptors);
+  process->LimitConnections(descriptors,
+                            settings.Number(settings::kCapacityMemoryMb));
   return process;
 }
 
@@ -291,7 +292,7 @@
       clock_);
   caller_server_->SetAccount(*memory_account_);
   operator_pages_ = std::make_unique<operator_pages>(operator_sources{
-      *links_, *fleet_sync_, *crash_watch_, *memory_account_,
+      *links_, *fleet_sync_, *crash_watch_, *memory_account_, loop_->buffers(),
       [this] { return Ready(); }, [this] { return ReadsForDataCentre(); },
       [this] { return ReadUsage(); }});
   net::http1_server_limits operator_limits;
@@ -321,11 +322,16 @@
   return true;
 }
 
-void gateway_process::LimitConnections(int64_t descriptors) {
+void gateway_process::LimitConnections(int64_t descriptors, double memory_mb) {
+  const core::receive_room_options room =
+      core::MakeReceiveRoomOptions(memory_mb);
+  receive_room_ = std::make_unique<core::receive_room>(room);
+  loop_->buffers().SetPolicy(*receive_room_);
   // The system's limit may be lower than the one of the settings.
-  const int64_t usable = std::min(
-      descriptors, common::ReadProcessUsage().descriptor_limit.value_or(
-                       std::numeric_limits<int64_t>::max()));
+  const int64_t usable =
+      std::min({descriptors, static_cast<int64_t>(core::MaxSockets(room)),
+                common::ReadProcessUsage().descriptor_limit.value_or(
+                    std::numeric_limits<int64_t>::max())});
   const core::connection_limits limits =
       core::ShareDescriptors(static_cast<size_t>(usable));
   caller_server_->SetMaxConnections(limits.callers);
--- a/source/gateway/operator_pages.cc
+++ b/source/gateway/operator_pages.cc
@@ -19,6 +19,8 @@
   set("wisteria_crash_watches", sources_.crash_watch.size());
   set("wisteria_memory_held_bytes", sources_.memory.held());
   set("wisteria_memory_budget_bytes", sources_.memory.budget());
+  set("wisteria_receive_buffer_bytes", sources_.buffers.ReservedBytes());
+  set("wisteria_unread_bytes", sources_.buffers.UnreadBytes());
   common::SetUsageMetrics(sources_.usage());
 }
 
--- a/source/gateway/operator_pages.h
+++ b/source/gateway/operator_pages.h
@@ -9,6 +9,7 @@
 #include "core/quarantine/crash_watch.h"
 #include "gateway/gateway_links.h"
 #include "net/http1_server.h"
+#include "net/receive_buffers.h"
 
 namespace wisteriadale::gateway {
 
@@ -18,6 +19,7 @@
   const core::fleet_sync& fleet;
   const core::crash_watch& crash_watch;
   const core::memory_account& memory;
+  const net::receive_buffers& buffers;
   std::function<bool()> ready;
   std::function<bool()> reads_store;  ///< for its data centre
   std::function<common::process_usage()> usage;
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "net/receive_buffers.h"
 
 struct lws_context;
 struct lws_vhost;
@@ -72,6 +73,8 @@
   void ScheduleCoarse(std::function<void()> action);
 
   lws_context* context() const { return context_; }
+  /// @return the receive buffers of the connections of this loop
+  receive_buffers& buffers() { return buffers_; }
   /// @return the vhost that outgoing connections belong to
   lws_vhost* client_vhost() const { return client_vhost_; }
   bool client_tls() const { return client_tls_; }
@@ -90,6 +93,7 @@
   void HandleSignals();
 
   lws_context* context_ = nullptr;
+  receive_buffers buffers_;
   lws_vhost* client_vhost_ = nullptr;
   bool client_tls_ = false;
   common::duration dial_timeout_{};
--- a/source/net/tcp_listener.cc
+++ b/source/net/tcp_listener.cc
@@ -70,7 +70,7 @@
 class tcp_listener::socket final : public pollable,
                                    public std::enable_shared_from_this<socket> {
  public:
-  socket(event_loop& loop, int fd, acceptor on_accept)
+  socket(event_loop& loop, int fd, descriptor_acceptor on_accept)
       : loop_(loop), fd_(fd), on_accept_(std::move(on_accept)) {}
   ~socket() override {
     if (spare_fd_ >= 0) ::close(spare_fd_);
@@ -80,7 +80,9 @@
 
   bool Register() {
     wsi_ = AdoptDescriptor(loop_, fd_, shared_from_this());
-    return wsi_ != nullptr;
+    if (wsi_ == nullptr) return false;
+    loop_.buffers().AddListener(fd_);
+    return true;
   }
 
   void Close() {
@@ -96,7 +98,10 @@
   }
 
   bool OnWritable() override { return true; }
-  void OnClosed() override { wsi_ = nullptr; }
+  void OnClosed() override {
+    wsi_ = nullptr;
+    loop_.buffers().RemoveListener(fd_);
+  }
 
  private:
   void AcceptPending(int limit) {
@@ -157,16 +162,14 @@
   void OnAccepted(int fd, const sockaddr_in& from) {
     std::array<char, INET_ADDRSTRLEN> text{};
     inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
-    std::unique_ptr<tcp_stream> accepted =
-        tcp_stream::Adopt(loop_, fd, text.data());
-    if (accepted) on_accept_(std::move(accepted));
+    on_accept_(fd, text.data());
   }
 
   event_loop& loop_;
   int fd_;
   int spare_fd_ = OpenSpare();  ///< closed to free a descriptor in RejectNext
   lws* wsi_ = nullptr;
-  acceptor on_accept_;
+  descriptor_acceptor on_accept_;
 };
 
 tcp_listener::~tcp_listener() {
@@ -176,6 +179,17 @@
 std::unique_ptr<tcp_listener> tcp_listener::Create(event_loop& loop,
                                                    const endpoint& at,
                                                    acceptor on_accept) {
+  return CreateForDescriptors(
+      loop, at,
+      [&loop, accept = std::move(on_accept)](int fd, std::string peer) {
+        std::unique_ptr<tcp_stream> accepted =
+            tcp_stream::Adopt(loop, fd, std::move(peer));
+        if (accepted) accept(std::move(accepted));
+      });
+}
+
+std::unique_ptr<tcp_listener> tcp_listener::CreateForDescriptors(
+    event_loop& loop, const endpoint& at, descriptor_acceptor on_accept) {
   const int fd = OpenListener(at);
   if (fd < 0) return nullptr;
   sockaddr_in bound{};
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -230,6 +230,7 @@
                                               : close_reason_);
     }
     wsi_ = nullptr;
+    loop_.buffers().Remove(fd_);
     // What arrived before a reset is reported.
     if (!ended_ && error_ != 0) {
       ReadUpTo(std::numeric_limits<size_t>::max());
@@ -487,9 +488,11 @@
 std::unique_ptr<tcp_stream> tcp_stream::Adopt(event_loop& loop, int fd,
                                               std::string peer) {
   TuneSocket(fd);
+  loop.buffers().Add(fd);
   const std::shared_ptr<connection> created =
       std::make_shared<connection>(loop, fd, false, std::move(peer));
   if (!created->Register()) {
+    loop.buffers().Remove(fd);
     common::Log(common::log_channel::kNet, common::log_level::kWarning,
                 "cannot register the socket with the event loop");
     ::close(fd);
@@ -515,11 +518,14 @@
     return nullptr;
   }
   TuneSocket(fd);
+  // Before the window of the connection is offered.
+  loop.buffers().Add(fd);
   const int started =
       connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (started != 0 && errno != EINPROGRESS) {
     common::SetLastError(common::result_code::kTargetLost,
                          SocketErrorText("cannot dial", to));
+    loop.buffers().Remove(fd);
     ::close(fd);
     return nullptr;
   }
@@ -527,6 +533,7 @@
       std::make_shared<connection>(loop, fd, true, FormatEndpoint(to));
   created->SetHandler(&handler);
   if (!created->Register()) {
+    loop.buffers().Remove(fd);
     ::close(fd);
     common::SetLastError(common::result_code::kTargetLost,
                          "cannot register the socket with the event loop");
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -129,12 +129,17 @@
 class tcp_listener {
  public:
   using acceptor = std::function<void(std::unique_ptr<tcp_stream>)>;
+  /// Takes over a connected socket; gets the address of the other end, too.
+  using descriptor_acceptor = std::function<void(int, std::string)>;
 
   /// @param at port 0: any free port
   /// @return the listener, or nothing with LastError set to kCannotListen
   static std::unique_ptr<tcp_listener> Create(event_loop& loop,
                                               const endpoint& at,
                                               acceptor on_accept);
+  /// As Create, for connections that are not read as a tcp_stream.
+  static std::unique_ptr<tcp_listener> CreateForDescriptors(
+      event_loop& loop, const endpoint& at, descriptor_acceptor on_accept);
   ~tcp_listener();
   tcp_listener(const tcp_listener&) = delete;
   tcp_listener& operator=(const tcp_listener&) = delete;
