Refuse at its head what the head shows cannot be served

What callers saw: an unknown key, or a path without a route, was answered only after the whole body, of up to 4 MB, had been sent and held: 120 such callers cost 63 MB resident.

Cause: http1_server passes a request on when its body is complete. It now asks a check of the gateway as soon as the head is there (no routes yet, no route, no key), and such a request is answered at once, and its connection closed. A request whose body was not read can not be forwarded even if the check and the later lookup ever disagree.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -9,6 +9,7 @@
 #include "common/metrics.h"
 #include "core/admission/request_rank.h"
 #include "gateway/forward_headers.h"
+#include "gateway/request_lookup.h"
 
 namespace wisteriadale::gateway {
 namespace {
@@ -54,6 +55,10 @@
     return;
   }
   if (!FindRoute() || !FindOrganisation()) return;
+  if (exchange_->fault() != net::body_fault::kNone) {
+    RespondNotRun("its body was not read");
+    return;
+  }
   ParsePromptHeaders();
   if (RejectQuarantined()) return;
   ComputeDeadlines();
@@ -86,9 +91,7 @@
 
 bool forward_request::FindRoute() {
   const net::message_head& head = exchange_->head();
-  const std::string* host = head.Find("Host");
-  const std::string_view name = host == nullptr ? "" : HostWithoutPort(*host);
-  route_ = route_table_->Find(name, PathWithoutQuery(head.target));
+  route_ = gateway::FindRoute(*route_table_, head);
   if (route_ == nullptr) {
     Respond({404, "Not Found", "no route"}, common::duration(0));
     return false;
@@ -111,13 +114,9 @@
 }
 
 bool forward_request::FindOrganisation() {
-  if (route_->is_public || !route_table_->needs_keys()) return true;
-  const net::message_head& head = exchange_->head();
-  const std::string& name = deps_.codec.headers().key;
-  const std::string* key = head.Find(name);
-  if (key != nullptr && head.Count(name) == 1) {
-    organisation_ = route_table_->FindKey(*key);
-  }
+  if (!NeedsKey(*route_table_, *route_)) return true;
+  organisation_ = gateway::FindOrganisation(
+      *route_table_, deps_.codec.headers(), exchange_->head());
   if (organisation_ != nullptr) return true;
   Respond({401, "Unauthorized", "unknown key"}, common::duration(0));
   return false;
--- a/source/gateway/forwarder.cc
+++ b/source/gateway/forwarder.cc
@@ -1,12 +1,18 @@
 #include "gateway/forwarder.h"
 
 #include "gateway/forward_request.h"
+#include "gateway/request_lookup.h"
 
 namespace wisteriadale::gateway {
 
 forwarder::forwarder(forward_dependencies dependencies) : deps_(dependencies) {}
 forwarder::~forwarder() = default;
 
+bool forwarder::IsRefusedByHead(const net::message_head& head) const {
+  return gateway::IsRefusedByHead(deps_.routes.current().get(),
+                                  deps_.codec.headers(), head);
+}
+
 void forwarder::Handle(const std::shared_ptr<net::http1_exchange>& exchange) {
   std::unique_ptr<forward_request> request =
       std::make_unique<forward_request>(*this, deps_, exchange);
--- a/source/gateway/forwarder.h
+++ b/source/gateway/forwarder.h
@@ -68,6 +68,8 @@
   forwarder(const forwarder&) = delete;
   forwarder& operator=(const forwarder&) = delete;
 
+  /// @return whether a request is refused whatever its body is
+  bool IsRefusedByHead(const net::message_head& head) const;
   /// Starts forwarding a request.
   void Handle(const std::shared_ptr<net::http1_exchange>& exchange);
   /// @return requests in progress
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -291,6 +291,9 @@
           settings.Number(settings::kCapacityMemoryMb)),
       clock_);
   caller_server_->SetAccount(*memory_account_);
+  caller_server_->SetHeadCheck([this](const net::message_head& head) {
+    return forwarder_->IsRefusedByHead(head);
+  });
   operator_pages_ = std::make_unique<operator_pages>(operator_sources{
       *links_, *fleet_sync_, *crash_watch_, *memory_account_, loop_->buffers(),
       [this] { return Ready(); }, [this] { return ReadsForDataCentre(); },
--- a/source/net/http1_connection.cc
+++ b/source/net/http1_connection.cc
@@ -108,7 +108,7 @@
       parser_ = http1_parser::ForRequest(server_->limits_.message);
       request_start_ = server_->clock_.Now();
       body_.clear();
-      continue_sent_ = false;
+      head_examined_ = false;
     }
     last_activity_ = server_->clock_.Now();
     size_t consumed = 0;
@@ -122,29 +122,34 @@
       return;
     }
     if (!parser_->complete()) {
-      const std::string* expect =
-          parser_->head_complete() ? parser_->head().Find("Expect") : nullptr;
-      if (expect != nullptr && !continue_sent_) {
-        continue_sent_ = true;
-        stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      if (parser_->head_complete() && !std::exchange(head_examined_, true)) {
+        OnHead();
       }
       return;
     }
-    StartExchange();
+    StartExchange(body_fault::kNone);
   }
 }
 
-void http1_server::connection::StartExchange() {
+void http1_server::connection::OnHead() {
+  if (server_->head_check_ && server_->head_check_(parser_->head())) {
+    StartExchange(body_fault::kRefusedByHead);
+  } else if (parser_->head().Find("Expect") != nullptr) {
+    stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void http1_server::connection::StartExchange(body_fault fault) {
   const message_head& head = parser_->head();
   if (head.Count("Host") > 1 ||
       (head.minor_version > 0 && head.Count("Host") == 0)) {
     Reject({400, "Bad Request"});
     return;
   }
-  const bool keep_alive = head.keep_alive;
-  const std::shared_ptr<exchange> started =
-      std::make_shared<exchange>(weak_from_this(), stream_.get(), head,
-                                 std::move(body_), request_start_, keep_alive);
+  const bool keep_alive = head.keep_alive && fault == body_fault::kNone;
+  const std::shared_ptr<exchange> started = std::make_shared<exchange>(
+      weak_from_this(), stream_.get(), head, std::move(body_), fault,
+      request_start_, keep_alive);
   body_.clear();
   parser_.reset();
   exchange_ = started;
--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -178,7 +178,9 @@
   /// Closes the connection after a last response.
   void Reply(std::string_view status_and_headers);
   void ProcessInput();
-  void StartExchange();
+  /// Examines a request whose head has arrived, but not all of its body.
+  void OnHead();
+  void StartExchange(body_fault fault);
   void OnResponseComplete(bool keep_alive);
 
   http1_server* server_;
@@ -191,7 +193,7 @@
   common::time_point request_start_{};
   common::time_point accepted_at_;
   common::time_point last_activity_;
-  bool continue_sent_ = false;
+  bool head_examined_ = false;  ///< of the request that is being read
   taking_watch taking_;         ///< of what this process holds
   taking_watch acknowledging_;  ///< of what the kernel holds, too
 };
@@ -199,17 +201,19 @@
 class http1_server::connection::exchange final : public http1_exchange {
  public:
   exchange(std::weak_ptr<connection> owner, tcp_stream* stream,
-           message_head head, std::string body, common::time_point received,
-           bool keep_alive)
+           message_head head, std::string body, body_fault fault,
+           common::time_point received, bool keep_alive)
       : owner_(std::move(owner)),
         stream_(stream),
         head_(std::move(head)),
         body_(std::move(body)),
+        fault_(fault),
         request_start_(received),
         keep_alive_(keep_alive) {}
 
   const message_head& head() const override { return head_; }
   const std::string& body() const override { return body_; }
+  body_fault fault() const override { return fault_; }
   common::time_point received_at() const override { return request_start_; }
   bool head_sent() const override { return head_sent_; }
 
@@ -339,6 +343,7 @@
   tcp_stream* stream_;
   message_head head_;
   std::string body_;
+  body_fault fault_;
   common::time_point request_start_;
   bool keep_alive_;
   bool head_sent_ = false;
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -25,13 +25,22 @@
   uint64_t length = 0;  ///< in bytes, with body_framing::kLength
 };
 
-/// A request whose body is complete, and its response. Calls are ignored after
-/// the caller has disconnected.
+/// Why the body of a request was not read to its end.
+enum class body_fault {
+  kNone,           ///< it was
+  kRefusedByHead,  ///< the head check of the server refuses the request
+};
+
+/// A request, and its response. Calls are ignored after the caller has
+/// disconnected.
 class http1_exchange {
  public:
   virtual ~http1_exchange() = default;
   virtual const message_head& head() const = 0;
   virtual const std::string& body() const = 0;
+  /// @return why the body is not complete: the request must not run then, and
+  /// its response ends the connection
+  virtual body_fault fault() const = 0;
   /// @return when the first byte of the request arrived
   virtual common::time_point received_at() const = 0;
 
@@ -98,6 +107,8 @@
 class http1_server {
  public:
   using handler = std::function<void(std::shared_ptr<http1_exchange>)>;
+  /// @return whether a request with that head is refused whatever its body is
+  using head_check = std::function<bool(const message_head&)>;
 
   /// @return the server, or nothing with LastError set
   static std::unique_ptr<http1_server> Create(event_loop& loop,
@@ -119,6 +130,9 @@
     account_ = &account;
     closing_responses_.SetAccount(&account);
   }
+  /// Passes requests that the check refuses to the handler before their bodies
+  /// arrive.
+  void SetHeadCheck(head_check check) { head_check_ = std::move(check); }
   /// From now on closes each connection after its current response.
   void DisableKeepAlive() { closing_ = true; }
   /// Accepts the connections of the backlog and closes the listener: later ones
@@ -160,6 +174,7 @@
   common::clock& clock_;
   http1_server_limits limits_;
   handler on_request_;
+  head_check head_check_;  ///< may be empty
   std::unique_ptr<tcp_listener> listener_;
   std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
   common::byte_account* account_ = nullptr;  ///< may be null
