Take no bodies at the ports of links and agents

What operators saw: 300 callers at a gateway's port for links, with bodies of 1 MB that stop short of their end, cost it 160 MB; an agent with 650 of them has 491 MB.

Cause: these ports answer 404 and a few pages, but the server behind them collects any body up to its default of 1 MB first. They now allow 1 KB, beyond which it keeps nothing.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -19,6 +19,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
+// No request to an agent has a body.
+constexpr size_t kMaxBodyBytes = 1024;
 // How long a drained agent waits for the outcomes of operations to be recorded
 // when the table is unavailable.
 constexpr common::duration kRecordTimeout = std::chrono::seconds(10);
@@ -115,6 +117,7 @@
   net::http_server::options listen;
   listen.address = settings.Text(settings::kListenAddress);
   listen.port = static_cast<uint16_t>(settings.Integer(settings::kListenPort));
+  listen.max_body_bytes = kMaxBodyBytes;
   listen.tls = {settings.Text(settings::kTlsCertificateFile),
                 settings.Text(settings::kTlsKeyFile),
                 settings.Text(settings::kTlsCaFile)};
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -47,7 +47,7 @@
 // Mbit/s of network traffic per core of a gateway whose queues are busy. Limits
 // its capacity as queue owner.
 constexpr double kOwnerMbpsPerCore = 400;
-// No request of an operator has a body.
+// No request of an operator or of another gateway has a body.
 constexpr uint64_t kMaxOperatorBodyBytes = 1024;
 constexpr common::duration kUsageCheckPeriod = std::chrono::seconds(1);
 constexpr common::duration kStopCheckPeriod = std::chrono::milliseconds(100);
@@ -309,6 +309,7 @@
   net::http_server::options listen;
   listen.address = gateways->address;
   listen.port = gateways->port;
+  listen.max_body_bytes = kMaxOperatorBodyBytes;
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
           *loop_, listen,
