Serve routers, agents and links with the HTTP server of gateways

Cause: libwebsockets 4.1 loops for ever over a body that it has buffered behind an earlier request. net/http_server refused such requests when it could tell them, by the bytes read at the end of the response, and it can not when the head arrives in two reads.

Two checks held what is no longer so, and are replaced. A pipelined body was refused; now it has to be answered, in order, also when it arrives in parts (unit test, and bad_input). A response that is complete for its handler tells the handler nothing more when its caller does not read: the test now asks the server that it has given the response up, and one of a stream, which is not complete, expects the handler to be told.

--- a/scenarios/bad_input.lua
+++ b/scenarios/bad_input.lua
@@ -84,7 +84,8 @@
 local pipelined = connect(port)
 pipelined:send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n" ..
                post("Content-Length: 2\r\n", "{}"))
-pipelined:wait_closed()
+pipelined:wait_for('"complete":true', 5000)
+pipelined:close()
 expect_serving("malformed bytes")
 
 -- A frame between peers that cannot be decoded is counted, and closes no other
--- a/source/net/channel.cc
+++ b/source/net/channel.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "common/metrics.h"
-#include "net/http_server.h"
 #include "net/lws_protocols.h"
 #include "net/socket_bytes.h"
 #include "net/websocket_frame.h"
@@ -156,22 +155,6 @@
   kept->OnClosed();
 }
 
-void AcceptChannel(lws* wsi, lws_channel** slot) {
-  const http_server* server =
-      static_cast<http_server*>(lws_vhost_user(lws_get_vhost(wsi)));
-  char peer[64];
-  lws_get_peer_simple(wsi, peer, sizeof(peer));
-  const std::shared_ptr<lws_channel> accepted = std::make_shared<lws_channel>(
-      lws_get_context(wsi), wsi, frame_sender::kServer, peer);
-  *slot = accepted.get();
-  LiveChannels().emplace(accepted.get(), accepted);
-  if (server->on_channel()) {
-    server->on_channel()(accepted);
-  } else {
-    accepted->Close();
-  }
-}
-
 event_loop& LoopOf(lws* wsi) {
   return *static_cast<event_loop*>(lws_context_user(lws_get_context(wsi)));
 }
@@ -219,27 +202,6 @@
 
 }  // namespace
 
-int ChannelServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
-                          void* in, size_t length) {
-  lws_channel** slot = static_cast<lws_channel**>(user);
-  switch (reason) {
-    case LWS_CALLBACK_ESTABLISHED:
-      AcceptChannel(wsi, slot);
-      return 0;
-    case LWS_CALLBACK_RECEIVE:
-      return (*slot)->OnFragment({static_cast<const char*>(in), length},
-                                 IsMessageEnd(wsi));
-    case LWS_CALLBACK_SERVER_WRITEABLE:
-      return (*slot)->OnWritable();
-    case LWS_CALLBACK_CLOSED:
-      ReleaseChannel(*slot);
-      *slot = nullptr;
-      return 0;
-    default:
-      return 0;
-  }
-}
-
 int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
                           void* in, size_t length) {
   lws_channel* current = static_cast<lws_channel*>(user);
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -14,6 +14,7 @@
 #include "common/log.h"
 #include "common/process_signals.h"
 #include "net/lws_protocols.h"
+#include "net/stream_channel.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -95,15 +96,6 @@
   std::function<void()> action;
 };
 
-const lws_protocols* ServerProtocols() {
-  static const lws_protocols kProtocols[] = {
-      {"http", HttpServerCallback, sizeof(void*), 0, 0, nullptr, 0},
-      {kChannelProtocol, ChannelServerCallback, sizeof(void*),
-       kChannelReadBytes, 0, nullptr, 0},
-      {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
-  return kProtocols;
-}
-
 const lws_protocols* ClientProtocols() {
   static const lws_protocols kProtocols[] = {
       {kHttpClientProtocol, HttpClientCallback, 0, 0, 0, nullptr, 0},
@@ -177,6 +169,7 @@
   if (context_ == nullptr) return;
   // The objects that the handlers refer to are destroyed before the loop.
   DropChannelHandlers(context_);
+  DropAcceptedHandlers(*this);
   DropCallHandlers(context_);
   lws_context_destroy(context_);
 }
--- a/source/net/http1_connection.cc
+++ b/source/net/http1_connection.cc
@@ -44,7 +44,7 @@
   const common::time_point now = server_->clock_.Now();
   const size_t pending = stream_->PendingBytes();
   common::holding held;
-  held.bytes = input_.size() + kBodyCopies * body_.size() + pending +
+  held.bytes = input_.size() + server_->body_copies_ * body_.size() + pending +
                (exchange_ ? exchange_->Held() : 0);
   held.since = request_start_;
   held.progress_at = taking_.Update(pending, now);
@@ -66,6 +66,7 @@
   if (!stream_) return;
   const std::shared_ptr<connection> self = shared_from_this();
   if (!exchange_ && stream_->PendingBytes() == 0) {
+    if (PassedOn(body_fault::kNoRoom)) return;
     Reply(kNoRoom);
     return;
   }
@@ -86,6 +87,29 @@
   if (open) open->OnDisconnect();
 }
 
+bool http1_server::connection::PassedOn(body_fault fault) {
+  if (!server_->faults_handled_ || !parser_ || !parser_->head_complete()) {
+    return false;
+  }
+  StartExchange(fault);
+  return true;
+}
+
+void http1_server::connection::RejectOrPassOn(body_fault fault,
+                                              const error_status& reply) {
+  if (!PassedOn(fault)) Reject(reply);
+}
+
+void http1_server::connection::ResetLater() {
+  const std::weak_ptr<connection> self = weak_from_this();
+  server_->loop_.Schedule(common::duration(0), [self] {
+    const std::shared_ptr<connection> kept = self.lock();
+    if (!kept || !kept->stream_) return;
+    kept->stream_->Abort();
+    kept->Drop();
+  });
+}
+
 void http1_server::connection::Reject(const error_status& reply) {
   common::Metrics().Count("wisteria_requests_malformed_total");
   common::Log(common::log_channel::kRequest, common::log_level::kInfo,
@@ -118,7 +142,11 @@
       if (parser_->exceeded()) {
         ReportTooLarge("request", *parser_->exceeded(), "", stream_->peer());
       }
-      Reject(StatusOf(error));
+      if (error == http1_error::kBodyTooLarge) {
+        RejectOrPassOn(body_fault::kTooLarge, StatusOf(error));
+      } else {
+        Reject(StatusOf(error));
+      }
       return;
     }
     if (!parser_->complete()) {
@@ -146,10 +174,12 @@
     Reject({400, "Bad Request"});
     return;
   }
+  if (fault == body_fault::kNone && Upgraded()) return;
   const bool keep_alive = head.keep_alive && fault == body_fault::kNone;
   const std::shared_ptr<exchange> started = std::make_shared<exchange>(
-      weak_from_this(), stream_.get(), head, std::move(body_), fault,
-      request_start_, keep_alive);
+      weak_from_this(), stream_.get(), head,
+      fault == body_fault::kNone ? std::move(body_) : std::string(), fault,
+      request_start_, keep_alive, server_->body_copies_);
   body_.clear();
   parser_.reset();
   exchange_ = started;
@@ -159,6 +189,17 @@
   server_->on_request_(started);
 }
 
+bool http1_server::connection::Upgraded() {
+  const http1_server::upgrade_handler& handler = server_->on_upgrade_;
+  if (!handler || !handler(parser_->head(), &stream_, input_)) return false;
+  const std::shared_ptr<connection> self = shared_from_this();
+  ForgetHeld();
+  parser_.reset();
+  input_.clear();
+  server_->connections_.erase(this);
+  return true;
+}
+
 void http1_server::connection::OnResponseComplete(bool keep_alive) {
   exchange_.reset();
   UpdateHeld();
--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -30,9 +30,6 @@
 // responses without end.
 inline constexpr size_t kMaxUnreadResponseBytes = size_t{256} * 1024;
 
-// A body is held once more, on its way to a target.
-inline constexpr size_t kBodyCopies = 2;
-
 /// Response to a request that cannot be read.
 struct error_status {
   int status;
@@ -100,6 +97,15 @@
     return common::FromSeconds(static_cast<double>(body_.size()) /
                                kMinBodyBytesPerSecond);
   }
+  /// @return whether the request that is being read takes too long
+  bool TimedOut(common::time_point now) const {
+    const http1_server_limits& limits = server_->limits_;
+    const common::duration elapsed = now - request_start_;
+    if (!parser_->head_complete()) return elapsed > limits.header_timeout;
+    if (limits.body_timeout.count() > 0) return elapsed > limits.body_timeout;
+    return now - last_activity_ > limits.header_timeout ||
+           elapsed > limits.header_timeout + BodyTime();
+  }
   /// @return whether the next request waits until the caller has read more
   bool HoldsBack() const {
     return stream_->PendingBytes() > kMaxUnreadResponseBytes;
@@ -143,14 +149,8 @@
     UpdateHeld();
     if (exchange_ != nullptr) return;
     if (parser_ != nullptr) {
-      const common::duration limit = server_->limits_.header_timeout;
-      const common::duration elapsed = now - request_start_;
-      const bool timed_out =
-          parser_->head_complete()
-              ? now - last_activity_ > limit || elapsed > limit + BodyTime()
-              : elapsed > limit;
-      if (timed_out) {
-        Reject({408, "Request Timeout"});
+      if (TimedOut(now)) {
+        RejectOrPassOn(body_fault::kTimedOut, {408, "Request Timeout"});
       }
     } else if (stream_->PendingBytes() > 0) {
       last_activity_ = now;
@@ -167,7 +167,13 @@
   }
 
   void Drop();
+  /// Rejects the request that is being read; one whose head is known is passed
+  /// to the server's handler if that handles faults.
+  void RejectOrPassOn(body_fault fault, const error_status& reply);
   void Reject(const error_status& reply);
+  /// @return whether the server's handler responds to a request that is not
+  /// complete
+  bool PassedOn(body_fault fault);
 
  private:
   void ForgetHeld() {
@@ -181,6 +187,9 @@
   /// Examines a request whose head has arrived, but not all of its body.
   void OnHead();
   void StartExchange(body_fault fault);
+  /// @return whether the connection goes on with another protocol
+  bool Upgraded();
+  void ResetLater();
   void OnResponseComplete(bool keep_alive);
 
   http1_server* server_;
@@ -202,19 +211,24 @@
  public:
   exchange(std::weak_ptr<connection> owner, tcp_stream* stream,
            message_head head, std::string body, body_fault fault,
-           common::time_point received, bool keep_alive)
+           common::time_point received, bool keep_alive, size_t body_copies)
       : owner_(std::move(owner)),
         stream_(stream),
+        peer_(stream->peer()),
+        body_copies_(body_copies),
         head_(std::move(head)),
         body_(std::move(body)),
+        body_bytes_(body_.size()),
         fault_(fault),
         request_start_(received),
         keep_alive_(keep_alive) {}
 
   const message_head& head() const override { return head_; }
   const std::string& body() const override { return body_; }
+  std::string TakeBody() override { return std::exchange(body_, {}); }
   body_fault fault() const override { return fault_; }
   common::time_point received_at() const override { return request_start_; }
+  std::string_view peer() const override { return peer_; }
   bool head_sent() const override { return head_sent_; }
 
   void SendHead(int status, std::string_view reason,
@@ -298,6 +312,13 @@
     if (owner) owner->Drop();
   }
 
+  void Reset() override {
+    const std::shared_ptr<connection> owner = owner_.lock();
+    if (stream_ != nullptr && owner) owner->ResetLater();
+  }
+
+  void DisableKeepAlive() override { keep_alive_ = false; }
+
   size_t PendingBytes() const override {
     return stream_ == nullptr ? 0 : stream_->PendingBytes();
   }
@@ -313,7 +334,7 @@
   }
   /// @return bytes that are held for the request and its response, and that
   /// the connection does not know of
-  size_t Held() const { return kBodyCopies * body_.size() + buffered_; }
+  size_t Held() const { return body_copies_ * body_bytes_ + buffered_; }
 
   void SetRequestId(std::string_view id) override {
     if (stream_ != nullptr) stream_->SetRequestId(id);
@@ -341,8 +362,11 @@
  private:
   std::weak_ptr<connection> owner_;
   tcp_stream* stream_;
+  std::string peer_;
+  size_t body_copies_;
   message_head head_;
   std::string body_;
+  size_t body_bytes_;  ///< as received
   body_fault fault_;
   common::time_point request_start_;
   bool keep_alive_;
--- a/source/net/http1_parser.cc
+++ b/source/net/http1_parser.cc
@@ -119,7 +119,9 @@
                                   : http1_error::kNone;
   }
 
-  bool head_complete() const override { return base::is_header_done(); }
+  bool head_complete() const override {
+    return base::is_header_done() || head_rejected_;
+  }
   bool complete() const override { return base::is_done(); }
   const message_head& head() const override { return head_; }
   const std::optional<exceeded_limit>& exceeded() const override {
@@ -148,6 +150,8 @@
     if (!ec || ec == http::error::need_more) return http1_error::kNone;
     const http1_error error = ErrorOf(ec);
     if (error == http1_error::kBodyTooLarge) {
+      // The library stops behind the last header.
+      head_rejected_ = !base::is_header_done();
       exceeded_ = {message_part::kBody,
                    body_bytes_ + announced_bytes_.value_or(unit.size()),
                    limits_.max_body_bytes};
@@ -331,6 +335,7 @@
   message_head head_;
   std::string* body_ = nullptr;
   bool framing_error_ = false;
+  bool head_rejected_ = false;  ///< it announces a body over the limit
   line_scanner lines_;
   size_t start_line_bytes_ = 0;
   bool is_first_chunk_ = true;
--- a/source/net/http1_server.cc
+++ b/source/net/http1_server.cc
@@ -21,9 +21,11 @@
   std::unique_ptr<http1_server> server(
       new http1_server(loop, clock, limits, std::move(on_request)));
   http1_server* raw = server.get();
-  server->listener_ =
-      tcp_listener::Create(loop, at, [raw](std::unique_ptr<tcp_stream> stream) {
-        raw->Accept(std::move(stream));
+  server->listener_ = tcp_listener::CreateForDescriptors(
+      loop, at, [raw](int fd, std::string peer) {
+        std::unique_ptr<tcp_stream> stream =
+            tcp_stream::Adopt(raw->loop_, fd, std::move(peer), raw->tls_.get());
+        if (stream) raw->Accept(std::move(stream));
       });
   if (!server->listener_) return nullptr;
   server->port_ = server->listener_->port();
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -29,6 +29,9 @@
 enum class body_fault {
   kNone,           ///< it was
   kRefusedByHead,  ///< the head check of the server refuses the request
+  kTooLarge,       ///< it is over the limit, or announced to be
+  kTimedOut,       ///< it did not arrive in time
+  kNoRoom,         ///< the process holds too much for others
 };
 
 /// A request, and its response. Calls are ignored after the caller has
@@ -38,11 +41,15 @@
   virtual ~http1_exchange() = default;
   virtual const message_head& head() const = 0;
   virtual const std::string& body() const = 0;
+  /// @return the body, which is empty from then on
+  virtual std::string TakeBody() = 0;
   /// @return why the body is not complete: the request must not run then, and
   /// its response ends the connection
   virtual body_fault fault() const = 0;
   /// @return when the first byte of the request arrived
   virtual common::time_point received_at() const = 0;
+  /// @return address of the caller
+  virtual std::string_view peer() const = 0;
 
   /// Starts the response.
   /// @param headers without those for message framing or connection management
@@ -55,6 +62,11 @@
   virtual void Finish() = 0;
   /// Breaks the connection, so that the response cannot be taken for complete.
   virtual void Abort() = 0;
+  /// Resets the connection from the loop; what the caller has not taken yet is
+  /// discarded. The disconnect handler is called.
+  virtual void Reset() = 0;
+  /// Closes the connection after the response. To be called before it starts.
+  virtual void DisableKeepAlive() = 0;
   /// @return whether a response was started
   virtual bool head_sent() const = 0;
   /// @return number of response bytes not yet handed to the kernel
@@ -91,6 +103,9 @@
   /// From the first byte of a request to the end of its headers, and between
   /// two reads of its body.
   common::duration header_timeout = std::chrono::seconds(10);
+  /// From the first byte of a request to the end of its body; 0: as long as it
+  /// arrives steadily.
+  common::duration body_timeout{};
   /// How long an open connection may be without a request.
   common::duration idle_timeout = std::chrono::seconds(60);
   /// How long a caller may take nothing of a response.
@@ -109,6 +124,11 @@
   using handler = std::function<void(std::shared_ptr<http1_exchange>)>;
   /// @return whether a request with that head is refused whatever its body is
   using head_check = std::function<bool(const message_head&)>;
+  /// Takes over the connection of a request that asks for another protocol,
+  /// with the bytes behind the request.
+  /// @return whether it did
+  using upgrade_handler = std::function<bool(
+      const message_head&, std::unique_ptr<tcp_stream>*, std::string_view)>;
 
   /// @return the server, or nothing with LastError set
   static std::unique_ptr<http1_server> Create(event_loop& loop,
@@ -133,6 +153,18 @@
   /// Passes requests that the check refuses to the handler before their bodies
   /// arrive.
   void SetHeadCheck(head_check check) { head_check_ = std::move(check); }
+  /// Passes requests whose bodies are not complete to the handler as well,
+  /// which then responds. Otherwise the server itself does.
+  void SetFaultsHandled(bool handled) { faults_handled_ = handled; }
+  void SetUpgradeHandler(upgrade_handler handler) {
+    on_upgrade_ = std::move(handler);
+  }
+  /// @param copies of a body that the process holds while it is in progress
+  void SetBodyCopies(size_t copies) { body_copies_ = copies; }
+  /// From now on accepts TLS connections only.
+  void SetTls(std::unique_ptr<tls_server_context> tls) {
+    tls_ = std::move(tls);
+  }
   /// From now on closes each connection after its current response.
   void DisableKeepAlive() { closing_ = true; }
   /// Accepts the connections of the backlog and closes the listener: later ones
@@ -174,7 +206,12 @@
   common::clock& clock_;
   http1_server_limits limits_;
   handler on_request_;
-  head_check head_check_;  ///< may be empty
+  head_check head_check_;       ///< may be empty
+  upgrade_handler on_upgrade_;  ///< may be empty
+  bool faults_handled_ = false;
+  // A body is held once more, on its way to a target.
+  size_t body_copies_ = 2;
+  std::unique_ptr<tls_server_context> tls_;  ///< null: plain TCP
   std::unique_ptr<tcp_listener> listener_;
   std::unordered_map<connection*, std::shared_ptr<connection>> connections_;
   common::byte_account* account_ = nullptr;  ///< may be null
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -31,7 +31,13 @@
   bool body_timed_out = false;   ///< the body did not arrive in time
   bool length_missing = false;   ///< a body without a valid Content-Length
   bool header_too_long = false;  ///< a collected header was omitted
+  bool refused_by_head = false;  ///< its body was not waited for
+  bool no_room = false;          ///< the process holds too much for others
 
+  /// @return whether all of its body is there
+  bool HasWholeBody() const {
+    return !body_too_large && !body_timed_out && !refused_by_head && !no_room;
+  }
   /// @param name lower-case header name, one of those that are collected
   /// @return the header's value, or an empty view
   std::string_view Header(std::string_view name) const;
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -2,12 +2,15 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
 
+#include "common/byte_account.h"
 #include "net/channel.h"
 #include "net/event_loop.h"
+#include "net/http1_server.h"
 #include "net/http_message.h"
 
 namespace wisteriadale::net {
@@ -32,10 +35,10 @@
   /// Ends a stream without the final chunk, so that it cannot be taken for
   /// complete.
   virtual void Abort() = 0;
-  /// @return number of bytes written but not yet passed to libwebsockets
+  /// @return number of bytes written but not yet passed to the kernel
   virtual size_t PendingBytes() const = 0;
   /// @param action called once if the caller disconnects before the response is
-  /// complete
+  /// finished, or if it is aborted because the caller does not read it
   virtual void SetDisconnectHandler(std::function<void()> action) = 0;
 };
 
@@ -49,41 +52,57 @@
     std::string address = "127.0.0.1";
     uint16_t port = 0;  ///< 0: any free port
     size_t max_body_bytes = 1 << 20;
-    /// From the end of a request's headers to the end of its body.
+    /// From the start of a request to the end of its body.
     common::duration receive_timeout = std::chrono::seconds(10);
     /// How long a caller may read none of the pending bytes.
     common::duration send_stall_limit = std::chrono::seconds(10);
     /// Most pending bytes of a streamed response; more than that abort it.
     size_t max_pending_bytes = 4 << 20;
+    /// Connections, without channels; see http1_server::SetMaxConnections.
+    size_t max_connections = std::numeric_limits<size_t>::max();
+    /// Copies of a body that the process holds while its request is in
+    /// progress.
+    size_t body_copies = 2;
+    /// Counts what is held for callers; may be null. Has to outlive the server.
+    common::byte_account* account = nullptr;
+    /// @return whether a request is refused whatever its body is; may be empty
+    std::function<bool(const http_request&)> refused_by_head;
     tls_options tls;
   };
 
-  /// @param on_request handles each request, on the loop's thread
+  /// @param on_request handles each request, on the loop's thread; those whose
+  /// body is not whole must not run
   /// @param on_channel receives each accepted channel; empty refuses them
   /// @return the server, or nothing with LastError set
   static std::optional<std::unique_ptr<http_server>> Create(
       event_loop& loop, const options& chosen, http_handler on_request,
       channel_acceptor on_channel = {});
-  ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
-  uint16_t port() const { return port_; }
-  event_loop& loop() const { return *loop_; }
-  const options& limits() const { return limits_; }
-  const http_handler& on_request() const { return on_request_; }
-  const channel_acceptor& on_channel() const { return on_channel_; }
+  uint16_t port() const { return server_->port(); }
+  /// @return what callers have not acknowledged
+  undelivered_responses Undelivered() const { return server_->Undelivered(); }
 
  private:
-  http_server() = default;
+  http_server(event_loop& loop, options chosen, http_handler on_request,
+              channel_acceptor on_channel)
+      : loop_(loop),
+        limits_(std::move(chosen)),
+        on_request_(std::move(on_request)),
+        on_channel_(std::move(on_channel)) {}
 
-  lws_vhost* vhost_ = nullptr;
-  uint16_t port_ = 0;
-  event_loop* loop_ = nullptr;
+  void OnRequest(const std::shared_ptr<http1_exchange>& started) const;
+  bool IsRefusedByHead(const message_head& head) const;
+  bool Upgrade(const message_head& head, std::unique_ptr<tcp_stream>* stream,
+               std::string_view rest) const;
+
+  event_loop& loop_;
+  common::system_clock clock_;
   options limits_;
   http_handler on_request_;
   channel_acceptor on_channel_;
-  std::string vhost_name_;
+  std::unique_ptr<http1_server> server_;
 };
 
 }  // namespace wisteriadale::net
--- a/source/net/lws_protocols.h
+++ b/source/net/lws_protocols.h
@@ -6,18 +6,12 @@
 
 namespace wisteriadale::net {
 
-class http_server;
-
 inline constexpr char kChannelProtocol[] = "wisteria-peer";
 inline constexpr char kChannelClientProtocol[] = "wisteria-peer-client";
 inline constexpr char kHttpClientProtocol[] = "wisteria-http-client";
 /// Plain sockets that the loop polls.
 inline constexpr char kSocketProtocol[] = "wisteria-socket";
 
-int HttpServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
-                       void* in, size_t length);
-int ChannelServerCallback(lws* wsi, lws_callback_reasons reason, void* user,
-                          void* in, size_t length);
 int HttpClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
                        void* in, size_t length);
 int ChannelClientCallback(lws* wsi, lws_callback_reasons reason, void* user,
@@ -31,8 +25,6 @@
 /// @param user the channel, or the user data of another protocol
 void ChannelDestroyed(lws* wsi, void* user);
 
-/// @return the protocols of vhosts that listen, ended by an empty entry
-const lws_protocols* ServerProtocols();
 /// @return the protocols of outgoing connections, ended by an empty entry
 const lws_protocols* ClientProtocols();
 
--- a/source/net/socket_bytes.cc
+++ b/source/net/socket_bytes.cc
@@ -2,8 +2,6 @@
 
 #include <libwebsockets.h>
 #include <linux/sockios.h>
-#include <linux/tcp.h>
-#include <netinet/in.h>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
 #include <sys/ioctl.h>
@@ -29,20 +27,6 @@
 
 }  // namespace
 
-uint64_t BytesRead(int fd) {
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  int unread = 0;
-  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
-  if (ioctl(fd, FIONREAD, &unread) != 0) return 0;
-  return info.tcpi_bytes_received - static_cast<uint64_t>(unread);
-}
-
-bool PeerHasClosed(int fd) {
-  char byte = 0;
-  return recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 size_t UnacknowledgedBytes(int fd) {
   int bytes = 0;
   if (ioctl(fd, SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
--- a/source/net/socket_bytes.h
+++ b/source/net/socket_bytes.h
@@ -9,14 +9,6 @@
 
 namespace wisteriadale::net {
 
-/// @param fd a connected TCP socket
-/// @return number of bytes that this process has read from the socket so far
-uint64_t BytesRead(int fd);
-
-/// @param fd a connected TCP socket
-/// @return whether the peer has closed its side and all its bytes were read
-bool PeerHasClosed(int fd);
-
 /// @param fd a TCP socket
 /// @return number of bytes that the kernel holds because the peer has not
 /// acknowledged them; 0 if the kernel does not tell
--- /dev/null
+++ b/source/net/stream_channel.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+#include <string_view>
+
+#include "net/channel.h"
+#include "net/http1_parser.h"
+#include "net/tcp_stream.h"
+
+namespace wisteriadale::net {
+
+/// @return whether a request asks to continue as a channel
+bool IsChannelHandshake(const message_head& head);
+
+/// Answers the handshake of a channel, and continues its connection as one. It
+/// lives until it ends or is closed, whether or not the result is kept.
+/// @param stream of the handshake
+/// @param head   of the handshake
+std::shared_ptr<channel> AcceptChannel(event_loop& loop,
+                                       std::unique_ptr<tcp_stream> stream,
+                                       const message_head& head);
+
+/// Reads what followed a handshake. To be called once the channel has its
+/// handlers.
+/// @param accepted a result of AcceptChannel
+/// @param rest     bytes of the connection behind the handshake
+void StartChannel(channel& accepted, std::string_view rest);
+
+/// Drops the handlers of all accepted channels of a loop that is about to be
+/// destroyed, as the objects they refer to may already be destroyed.
+void DropAcceptedHandlers(const event_loop& loop);
+
+}  // namespace wisteriadale::net
--- a/source/net/tcp_listener.cc
+++ b/source/net/tcp_listener.cc
@@ -60,13 +60,6 @@
 
 }  // namespace
 
-bool CanListen(const endpoint& at) {
-  const int fd = OpenListener(at);
-  if (fd < 0) return false;
-  ::close(fd);
-  return true;
-}
-
 class tcp_listener::socket final : public pollable,
                                    public std::enable_shared_from_this<socket> {
  public:
--- a/source/net/tcp_stream.cc
+++ b/source/net/tcp_stream.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -78,6 +79,7 @@
     return true;
   }
 
+  void SetTls(std::unique_ptr<tls_session> tls) { tls_ = std::move(tls); }
   void SetHandler(tcp_handler* handler) { handler_ = handler; }
   const owed_bytes& owed_at_end() const { return owed_at_end_; }
   size_t PendingBytes() const { return outgoing_.size() - sent_; }
@@ -107,7 +109,7 @@
   void Write(std::string_view data) {
     if (wsi_ == nullptr || ended_) return;
     if (outgoing_.empty() && !connecting_) {
-      const ssize_t written = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+      const ssize_t written = WriteToSocket(data);
       if (written > 0) {
         data.remove_prefix(static_cast<size_t>(written));
         OnHandedOver(written);
@@ -133,6 +135,7 @@
     if (wsi_ == nullptr || reading == reading_) return;
     reading_ = reading;
     lws_rx_flow_control(wsi_, reading ? 1 : 0);
+    if (reading) ReadBufferedLater();
   }
 
   /// Called when the owner is destroyed: sends the pending bytes, then closes.
@@ -179,13 +182,17 @@
     reset_on_close_ = reset;
   }
 
-  bool OnReadable() override { return ReadUpTo(kMaxReadBytes); }
+  bool OnReadable() override {
+    if (!ReadUpTo(kMaxReadBytes)) return false;
+    ReadBufferedLater();
+    return true;
+  }
 
   bool OnWritable() override {
     if (connecting_ && !FinishConnect()) return false;
     while (sent_ < outgoing_.size()) {
-      const ssize_t written = send(fd_, outgoing_.data() + sent_,
-                                   outgoing_.size() - sent_, MSG_NOSIGNAL);
+      const ssize_t written =
+          WriteToSocket(std::string_view(outgoing_).substr(sent_));
       if (written < 0) {
         if (errno == EINTR) continue;
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
@@ -245,13 +252,15 @@
     static std::array<char, kReadBytes> buffer;
     size_t total = 0;
     while (reading_ && !ended_ && total < max_bytes) {
-      const ssize_t received = recv(fd_, buffer.data(), buffer.size(), 0);
+      const ssize_t received = tls_
+                                   ? tls_->Read(buffer.data(), buffer.size())
+                                   : recv(fd_, buffer.data(), buffer.size(), 0);
       if (received > 0) {
         total += static_cast<size_t>(received);
         if (handler_ != nullptr) {
           handler_->OnData({buffer.data(), static_cast<size_t>(received)});
         }
-        if (static_cast<size_t>(received) < buffer.size()) break;
+        if (!tls_ && static_cast<size_t>(received) < buffer.size()) break;
         continue;
       }
       if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
@@ -274,6 +283,21 @@
     return true;
   }
 
+  /// @return as send
+  ssize_t WriteToSocket(std::string_view data) {
+    return tls_ ? tls_->Write(data)
+                : send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+  }
+
+  /// Goes on reading what a TLS session has taken from the socket, of which the
+  /// loop does not know.
+  void ReadBufferedLater() {
+    if (!tls_ || !reading_ || ended_ || !tls_->HasBuffered()) return;
+    ScheduleFor(common::duration(0), [](connection& self) {
+      if (!self.OnReadable()) CloseAsync(self.wsi_);
+    });
+  }
+
   bool FinishConnect() {
     int error = 0;
     socklen_t size = sizeof(error);
@@ -290,6 +314,7 @@
 
   void ShutDown() {
     SetResetOption(fd_, false);
+    if (tls_) tls_->Finish();
     shutdown(fd_, SHUT_WR);
     shut_down_ = true;
     CloseWhenDelivered();
@@ -332,7 +357,10 @@
   }
 
   /// @return number of bytes that the peer has acknowledged
-  uint64_t DeliveredBytes() const { return handed_ - Owed().unacknowledged; }
+  uint64_t DeliveredBytes() const {
+    // With TLS, what is unacknowledged includes more than was handed over.
+    return handed_ - std::min<uint64_t>(handed_, Owed().unacknowledged);
+  }
 
   /// Frees what was sent, once that is at least half: a peer that is always a
   /// little behind would let it grow for as long as the connection lasts.
@@ -420,6 +448,7 @@
   bool ended_ = false;
   bool reported_ = false;  ///< what it owed as it ended
   owed_bytes owed_at_end_;
+  std::unique_ptr<tls_session> tls_;  ///< null: plain TCP
   std::string peer_;
   std::string request_id_;
   std::string outgoing_;
@@ -486,12 +515,16 @@
 const std::string& tcp_stream::peer() const { return connection_->peer(); }
 
 std::unique_ptr<tcp_stream> tcp_stream::Adopt(event_loop& loop, int fd,
-                                              std::string peer) {
+                                              std::string peer,
+                                              const tls_server_context* tls) {
   TuneSocket(fd);
   loop.buffers().Add(fd);
   const std::shared_ptr<connection> created =
       std::make_shared<connection>(loop, fd, false, std::move(peer));
-  if (!created->Register()) {
+  std::unique_ptr<tls_session> session = tls ? tls->Accept(fd) : nullptr;
+  const bool secured = tls == nullptr || session != nullptr;
+  created->SetTls(std::move(session));
+  if (!secured || !created->Register()) {
     loop.buffers().Remove(fd);
     common::Log(common::log_channel::kNet, common::log_level::kWarning,
                 "cannot register the socket with the event loop");
--- a/source/net/tcp_stream.h
+++ b/source/net/tcp_stream.h
@@ -8,6 +8,7 @@
 
 #include "net/endpoint.h"
 #include "net/event_loop.h"
+#include "net/tls_session.h"
 
 namespace wisteriadale::net {
 
@@ -68,9 +69,11 @@
   /// Takes over an accepted connection.
   /// @param fd   closed in case of failure
   /// @param peer address of the other end
+  /// @param tls  of a server, or null: plain TCP; has to outlive the connection
   /// @return the connection, or nothing if the loop cannot take it
-  static std::unique_ptr<tcp_stream> Adopt(event_loop& loop, int fd,
-                                           std::string peer);
+  static std::unique_ptr<tcp_stream> Adopt(
+      event_loop& loop, int fd, std::string peer,
+      const tls_server_context* tls = nullptr);
   ~tcp_stream();
   tcp_stream(const tcp_stream&) = delete;
   tcp_stream& operator=(const tcp_stream&) = delete;
@@ -119,12 +122,6 @@
   std::shared_ptr<connection> connection_;
 };
 
-/// Checks an address by listening on it briefly, for callers whose library does
-/// not report that it cannot listen. Waits for a limited time until it is free.
-/// @return whether the address and port can be listened on, else with
-/// LastError set to kCannotListen
-bool CanListen(const endpoint& at);
-
 /// Accepts TCP connections.
 class tcp_listener {
  public:
