Give routers and agents the bounds of gateways

Cause: the account of bytes, the receive buffers and the limits of connections were made for the gateway alone. core/overload/process_bounds has all three, from the settings that the three programs now share (/capacity/memory_mb, /net/max_connections, /net/reserved_descriptors), and each server is given them. A request that gives way gets 503, overloaded, with a time to come back, and has not run; operators' changes without their whole body are refused the same way. A router answers what its head decides without waiting for the body.

--- a/source/agent/agent_process.cc
+++ b/source/agent/agent_process.cc
@@ -3,6 +3,7 @@
 #include "common/last_error.h"
 #include "common/log.h"
 #include "common/metrics.h"
+#include "common/process_usage.h"
 #include "core/agent/attempt_message_visitor.h"
 #include "core/control_traffic.h"
 #include "core/policy/agent_policy.h"
@@ -27,6 +28,14 @@
 // Time to send the last messages, which tell routers that the agent leaves.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
+net::event_loop::options LoopOptions(
+    const settings::settings_document& settings) {
+  net::event_loop::options options;
+  options.max_connections =
+      static_cast<int>(settings.Integer(settings::kMaxConnections));
+  return options;
+}
+
 /// Passes a router's message to the attempt scheduler or to the agent's control
 /// part.
 struct router_message_visitor : core::attempt_message_visitor {
@@ -67,9 +76,12 @@
   process->random_ = std::make_unique<common::seeded_random>(
       seed == 0 ? common::SystemSeed() : seed);
   std::optional<std::unique_ptr<net::event_loop>> loop =
-      net::event_loop::Create({});
+      net::event_loop::Create(LoopOptions(settings));
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
+  process->bounds_ = std::make_unique<core::process_bounds>(
+      settings::ResourcesOf(settings), process->clock_);
+  process->loop_->buffers().SetPolicy(process->bounds_->receive());
   const std::string trace_file = settings.Text(settings::kTraceFile);
   if (!trace_file.empty()) {
     std::optional<std::unique_ptr<common::span_exporter>> spans =
@@ -121,6 +133,10 @@
   listen.tls = {settings.Text(settings::kTlsCertificateFile),
                 settings.Text(settings::kTlsKeyFile),
                 settings.Text(settings::kTlsCaFile)};
+  listen.max_connections = bounds_->connections().callers;
+  listen.account = &bounds_->account();
+  // No response depends on a body.
+  listen.refused_by_head = [](const net::http_request&) { return true; };
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
           *loop_, listen,
@@ -264,6 +280,9 @@
     responder->Send(stopping_ ? kStatusUnavailable : kStatusOk, "text/plain",
                     stopping_ ? "draining\n" : "ready\n");
   } else if (request.path == "/metrics") {
+    core::SetMemoryMetrics(bounds_->account());
+    loop_->buffers().SetMetrics();
+    common::SetUsageMetrics(common::ReadProcessUsage());
     responder->Send(kStatusOk, "text/plain; version=0.0.4",
                     common::Metrics().PrometheusText());
   } else {
--- a/source/agent/agent_process.h
+++ b/source/agent/agent_process.h
@@ -10,6 +10,7 @@
 #include "common/span_exporter.h"
 #include "core/agent/attempt_scheduler.h"
 #include "core/operations/operation_recorder.h"
+#include "core/overload/process_bounds.h"
 #include "net/http_server.h"
 #include "platform/http_platform.h"
 #include "settings/settings_document.h"
@@ -50,6 +51,7 @@
 
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
+  std::unique_ptr<core::process_bounds> bounds_;  ///< used by loop_
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<common::span_exporter> spans_;  ///< null without a trace file
   std::unique_ptr<http_target> target_;
--- a/source/common/process_usage.h
+++ b/source/common/process_usage.h
@@ -17,6 +17,13 @@
   int64_t connections = 0;
 };
 
+/// What a VM, the settings and the operating system give a process.
+struct process_resources {
+  double memory_mb = 0;                     ///< in MB
+  int64_t descriptors = 0;                  ///< for all connections together
+  std::optional<int64_t> descriptor_limit;  ///< of the operating system
+};
+
 /// Reads the usage of this process, without its connections.
 /// @param directory of the process in the proc file system
 process_usage ReadProcessUsage(const std::string& directory = "/proc/self");
--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -159,4 +159,11 @@
   }
 }
 
+void SetMemoryMetrics(const memory_account& account) {
+  common::Metrics().Set("wisteria_memory_held_bytes",
+                        static_cast<double>(account.held()));
+  common::Metrics().Set("wisteria_memory_budget_bytes",
+                        static_cast<double>(account.budget()));
+}
+
 }  // namespace wisteriadale::core
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -94,4 +94,7 @@
   common::time_point refused_at_{};  ///< latest refusal of MayGrow
 };
 
+/// Sets what an account holds as gauges.
+void SetMemoryMetrics(const memory_account& account);
+
 }  // namespace wisteriadale::core
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -1,13 +1,11 @@
 #include "gateway/gateway_process.h"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "common/event_log.h"
 #include "common/last_error.h"
 #include "common/metrics.h"
-#include "core/overload/connection_limits.h"
 #include "platform/http_row_store.h"
 #include "platform/platform_codec.h"
 #include "settings/common_settings.h"
@@ -74,14 +72,13 @@
       static_cast<uint64_t>(settings.Integer(settings::kRandomSeed));
   process->random_ = std::make_unique<common::seeded_random>(
       seed == 0 ? common::SystemSeed() : seed);
-  const int64_t descriptors = settings.Integer(settings::kMaxConnections) -
-                              settings.Integer(settings::kReservedDescriptors);
-  if (descriptors < int64_t{core::kMinConnectionDescriptors}) {
+  const common::process_resources resources = settings::ResourcesOf(settings);
+  if (resources.descriptors < int64_t{core::kMinConnectionDescriptors}) {
     common::SetLastError(common::result_code::kBadSettings,
                          std::string(settings::kReservedDescriptors.pointer) +
                              " leaves too little of " +
                              std::string(settings::kMaxConnections.pointer) +
-                             ": " + std::to_string(descriptors));
+                             ": " + std::to_string(resources.descriptors));
     return std::nullopt;
   }
   net::event_loop::options options;
@@ -93,6 +90,9 @@
       net::event_loop::Create(options);
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
+  process->bounds_ =
+      std::make_unique<core::process_bounds>(resources, process->clock_);
+  process->loop_->buffers().SetPolicy(process->bounds_->receive());
   process->name_ = settings.Text(settings::kName);
   process->stop_timeout_ =
       common::FromSeconds(settings.Number(settings::kStopGraceS)) -
@@ -109,8 +109,7 @@
   }
   process->dispatcher_->SetQueuePolicy(*policy);
   if (!process->CreateServers(settings)) return std::nullopt;
-  process->LimitConnections(descriptors,
-                            settings.Number(settings::kCapacityMemoryMb));
+  process->LimitConnections();
   return process;
 }
 
@@ -286,18 +285,14 @@
         forwarder_->Handle(exchange);
       });
   if (!caller_server_) return false;
-  memory_account_ = std::make_unique<core::memory_account>(
-      core::MakeMemoryAccountOptions(
-          settings.Number(settings::kCapacityMemoryMb)),
-      clock_);
-  caller_server_->SetAccount(*memory_account_);
+  caller_server_->SetAccount(bounds_->account());
   caller_server_->SetHeadCheck([this](const net::message_head& head) {
     return forwarder_->IsRefusedByHead(head);
   });
   operator_pages_ = std::make_unique<operator_pages>(operator_sources{
-      *links_, *fleet_sync_, *crash_watch_, *memory_account_, loop_->buffers(),
-      [this] { return Ready(); }, [this] { return ReadsForDataCentre(); },
-      [this] { return ReadUsage(); }});
+      *links_, *fleet_sync_, *crash_watch_, bounds_->account(),
+      loop_->buffers(), [this] { return Ready(); },
+      [this] { return ReadsForDataCentre(); }, [this] { return ReadUsage(); }});
   net::http1_server_limits operator_limits;
   operator_limits.message.max_body_bytes = kMaxOperatorBodyBytes;
   operator_server_ = net::http1_server::Create(
@@ -326,24 +321,15 @@
   return true;
 }
 
-void gateway_process::LimitConnections(int64_t descriptors, double memory_mb) {
-  const core::receive_room_options room =
-      core::MakeReceiveRoomOptions(memory_mb);
-  receive_room_ = std::make_unique<core::receive_room>(room);
-  loop_->buffers().SetPolicy(*receive_room_);
-  // The system's limit may be lower than the one of the settings.
-  const int64_t usable =
-      std::min({descriptors, static_cast<int64_t>(core::MaxSockets(room)),
-                common::ReadProcessUsage().descriptor_limit.value_or(
-                    std::numeric_limits<int64_t>::max())});
-  const core::connection_limits limits =
-      core::ShareDescriptors(static_cast<size_t>(usable));
+void gateway_process::LimitConnections() {
+  const core::connection_limits& limits = bounds_->connections();
   caller_server_->SetMaxConnections(limits.callers);
   operator_server_->SetMaxConnections(limits.operators);
-  common::LogEvent(log_event::kConnectionsLimited, "",
-                   {{"descriptors", usable},
-                    {"callers", static_cast<int64_t>(limits.callers)},
-                    {"operators", static_cast<int64_t>(limits.operators)}});
+  common::LogEvent(
+      log_event::kConnectionsLimited, "",
+      {{"descriptors", static_cast<int64_t>(bounds_->usable_connections())},
+       {"callers", static_cast<int64_t>(limits.callers)},
+       {"operators", static_cast<int64_t>(limits.operators)}});
 }
 
 void gateway_process::Run(const settings_reader& read_again) {
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -18,8 +18,7 @@
 #include "core/forwarding/gateway_retry_budget.h"
 #include "core/forwarding/target_selector.h"
 #include "core/limits/cold_targets.h"
-#include "core/overload/memory_account.h"
-#include "core/overload/receive_room.h"
+#include "core/overload/process_bounds.h"
 #include "core/ports/deployment_codec.h"
 #include "core/ports/row_store.h"
 #include "core/routes/route_table.h"
@@ -69,11 +68,8 @@
   /// Starts to listen for callers, operators and links of other gateways.
   /// @return success; else LastError is set
   bool CreateServers(const settings::settings_document& settings);
-  /// Limits the connections that are accepted, and what each may receive
-  /// unread.
-  /// @param descriptors that the settings allow all connections together
-  /// @param memory_mb   of the VM, in MB
-  void LimitConnections(int64_t descriptors, double memory_mb);
+  /// Limits the connections that are accepted.
+  void LimitConnections();
   void ConnectComponents();
   /// Creates what keeps requests within the limits of targets.
   void CreateLimits();
@@ -120,7 +116,7 @@
 
   common::system_clock clock_;
   std::unique_ptr<common::seeded_random> random_;
-  std::unique_ptr<core::receive_room> receive_room_;  ///< used by loop_
+  std::unique_ptr<core::process_bounds> bounds_;  ///< used by loop_
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<net::http1_client> client_;
   std::unique_ptr<core::deployment_codec> codec_;
@@ -152,7 +148,6 @@
   std::unique_ptr<stage_router> stage_router_;
   std::unique_ptr<stage_dispatcher> dispatcher_;
   std::unique_ptr<forwarder> forwarder_;
-  std::unique_ptr<core::memory_account> memory_account_;
   std::unique_ptr<net::http1_server> caller_server_;
   std::unique_ptr<operator_pages> operator_pages_;
   std::unique_ptr<net::http1_server> operator_server_;
--- a/source/gateway/operator_pages.cc
+++ b/source/gateway/operator_pages.cc
@@ -17,10 +17,8 @@
   set("wisteria_store_reader", sources_.reads_store() ? 1 : 0);
   set("wisteria_targets_age_ms", common::ToMillis(sources_.fleet.TargetsAge()));
   set("wisteria_crash_watches", sources_.crash_watch.size());
-  set("wisteria_memory_held_bytes", sources_.memory.held());
-  set("wisteria_memory_budget_bytes", sources_.memory.budget());
-  set("wisteria_receive_buffer_bytes", sources_.buffers.ReservedBytes());
-  set("wisteria_unread_bytes", sources_.buffers.UnreadBytes());
+  core::SetMemoryMetrics(sources_.memory);
+  sources_.buffers.SetMetrics();
   common::SetUsageMetrics(sources_.usage());
 }
 
--- a/source/net/receive_buffers.cc
+++ b/source/net/receive_buffers.cc
@@ -3,6 +3,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "common/metrics.h"
 #include "net/socket_options.h"
 
 namespace wisteriadale::net {
@@ -43,21 +44,19 @@
   connections_.erase(found);
 }
 
-uint64_t receive_buffers::UnreadBytes() const {
-  uint64_t total = 0;
+void receive_buffers::SetMetrics() const {
+  uint64_t reserved = 0;
+  uint64_t unread = 0;
   for (const auto& [fd, bytes] : connections_) {
-    int unread = 0;
-    if (ioctl(fd, FIONREAD, &unread) == 0) {
-      total += static_cast<uint64_t>(unread);
+    int received = 0;
+    reserved += bytes;
+    if (ioctl(fd, FIONREAD, &received) == 0) {
+      unread += static_cast<uint64_t>(received);
     }
   }
-  return total;
-}
-
-uint64_t receive_buffers::ReservedBytes() const {
-  uint64_t total = 0;
-  for (const auto& [fd, bytes] : connections_) total += bytes;
-  return total;
+  common::Metrics().Set("wisteria_receive_buffer_bytes",
+                        static_cast<double>(reserved));
+  common::Metrics().Set("wisteria_unread_bytes", static_cast<double>(unread));
 }
 
 }  // namespace wisteriadale::net
--- a/source/net/receive_buffers.h
+++ b/source/net/receive_buffers.h
@@ -25,11 +25,9 @@
   /// @param fd one that may have been added
   void Remove(int fd);
 
-  /// Asks the kernel, for each connection.
-  /// @return bytes that were received and not read
-  uint64_t UnreadBytes() const;
-  /// @return the sum of all buffers, in bytes
-  uint64_t ReservedBytes() const;
+  /// Sets the sum of the buffers, and what lies in them, as gauges. Asks the
+  /// kernel, for each connection.
+  void SetMetrics() const;
 
  private:
   /// Sets the buffer that connections have until they are accepted.
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -57,17 +57,18 @@
          data.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
 }
 
-/// @return the error for a request that did not arrive whole, is too large or
-/// uses a wrong method, or kOk
+/// @return the error for a request with a wrong method or header, or kOk
 result_code CheckTransport(const net::http_request& request) {
   if (request.method != "POST") return result_code::kMethodNotAllowed;
-  if (request.body_timed_out) return result_code::kSlowCaller;
   if (request.length_missing) return result_code::kLengthRequired;
   if (request.header_too_long) return result_code::kBadRequest;
-  if (request.body_too_large) return result_code::kBodyTooLarge;
   return result_code::kOk;
 }
 
+bool IsPipelineRequest(std::string_view path) {
+  return path.starts_with(kRequestPrefix) && path.ends_with(kRequestSuffix);
+}
+
 /// @param path one that starts with kRequestPrefix and ends with kRequestSuffix
 /// @return the pipeline's name, empty when there is none
 std::string_view PipelineName(std::string_view path) {
@@ -247,10 +248,26 @@
                   ErrorJson(code, detail, fate).dump());
 }
 
+result_code BodyError(const net::http_request& request) {
+  if (request.body_timed_out) return result_code::kSlowCaller;
+  if (request.body_too_large) return result_code::kBodyTooLarge;
+  return request.HasWholeBody() ? result_code::kOk : result_code::kOverloaded;
+}
+
+bool caller_api::Owns(std::string_view path) {
+  return IsPipelineRequest(path) || path.starts_with(kRecentPrefix) ||
+         path.starts_with(kOperationPrefix);
+}
+
+bool caller_api::IsRefusedByHead(const net::http_request& request) const {
+  head_facts facts;
+  return !IsPipelineRequest(request.path) ||
+         CheckHead(request, &facts) != result_code::kOk;
+}
+
 bool caller_api::Handle(const net::http_request& request,
                         const std::shared_ptr<net::http_responder>& responder) {
-  if (request.path.starts_with(kRequestPrefix) &&
-      request.path.ends_with(kRequestSuffix)) {
+  if (IsPipelineRequest(request.path)) {
     StartRequest(request, responder);
     return true;
   }
@@ -281,36 +298,36 @@
   return found;
 }
 
-void caller_api::StartRequest(
-    const net::http_request& request,
-    const std::shared_ptr<net::http_responder>& responder) {
-  const std::shared_ptr<const core::configuration> configuration =
-      configuration_.current();
-  if (!configuration) {
-    SendError(responder.get(), result_code::kNotReady, "");
-    return;
-  }
-  if (!admitting_) {
-    SendError(responder.get(), result_code::kDraining, "");
-    return;
-  }
+result_code caller_api::CheckHead(const net::http_request& request,
+                                  head_facts* facts) const {
+  facts->configuration = configuration_.current();
+  if (!facts->configuration) return result_code::kNotReady;
+  if (!admitting_) return result_code::kDraining;
   if (const result_code fault = CheckTransport(request);
       fault != result_code::kOk) {
-    SendError(responder.get(), fault, "");
-    return;
-  }
-  const core::organisation_entry* organisation =
-      Authenticate(*configuration, request);
-  if (organisation == nullptr) {
-    SendError(responder.get(), result_code::kUnauthorised, "");
-    return;
+    return fault;
   }
-  const core::pipeline_plan* plan =
-      configuration->FindPipeline(PipelineName(request.path));
-  if (plan == nullptr) {
-    SendError(responder.get(), result_code::kUnknownPipeline, "");
+  facts->organisation = Authenticate(*facts->configuration, request);
+  if (facts->organisation == nullptr) return result_code::kUnauthorised;
+  facts->plan = facts->configuration->FindPipeline(PipelineName(request.path));
+  return facts->plan == nullptr ? result_code::kUnknownPipeline
+                                : result_code::kOk;
+}
+
+void caller_api::StartRequest(
+    const net::http_request& request,
+    const std::shared_ptr<net::http_responder>& responder) {
+  head_facts facts;
+  result_code error = CheckHead(request, &facts);
+  if (error == result_code::kOk) error = BodyError(request);
+  if (error != result_code::kOk) {
+    SendError(responder.get(), error, "");
     return;
   }
+  const std::shared_ptr<const core::configuration>& configuration =
+      facts.configuration;
+  const core::organisation_entry* organisation = facts.organisation;
+  const core::pipeline_plan* plan = facts.plan;
   core::request_description description;
   if (const result_code fault =
           ReadRequest(request, *plan, limits_.max_deadline_ms, &description);
--- a/source/router/caller_api.h
+++ b/source/router/caller_api.h
@@ -29,6 +29,12 @@
   bool Handle(const net::http_request& request,
               const std::shared_ptr<net::http_responder>& responder);
 
+  /// @return whether a request with such a path belongs to this interface
+  static bool Owns(std::string_view path);
+  /// @param request without its body
+  /// @return whether a request of this interface is answered without its body
+  bool IsRefusedByHead(const net::http_request& request) const;
+
   /// Refuses new requests from now on; those in flight go on.
   void StopAdmitting() { admitting_ = false; }
   size_t in_flight() const { return in_flight_; }
@@ -39,6 +45,16 @@
  private:
   friend class response_writer;
 
+  /// What the head of a request to a pipeline names.
+  struct head_facts {
+    std::shared_ptr<const core::configuration> configuration;
+    const core::organisation_entry* organisation = nullptr;
+    const core::pipeline_plan* plan = nullptr;
+  };
+  /// Checks all of a request to a pipeline but its body.
+  /// @return kOk, or the code of the first error found
+  common::result_code CheckHead(const net::http_request& request,
+                                head_facts* facts) const;
   void StartRequest(const net::http_request& request,
                     const std::shared_ptr<net::http_responder>& responder);
   /// Asks the admission policy; sends the error when it refuses.
@@ -72,6 +88,9 @@
   std::function<void()> on_idle_;
 };
 
+/// @return the error of a request whose body is not whole, or kOk
+common::result_code BodyError(const net::http_request& request);
+
 /// Sends an error for a request that was not admitted.
 /// @param detail the message; empty: the standard text of the code
 /// @param fate the field `outcome`: whether the request may have run
--- a/source/router/operator_api.cc
+++ b/source/router/operator_api.cc
@@ -98,13 +98,27 @@
 
 }  // namespace
 
+bool operator_api::Owns(std::string_view path) {
+  return path.starts_with(kPrefix);
+}
+
+bool operator_api::IsRefusedByHead(const net::http_request& request) const {
+  return request.method == "GET" || !Authorised(request);
+}
+
 bool operator_api::Handle(const net::http_request& request,
                           const responder_ptr& responder) {
-  if (!request.path.starts_with(kPrefix)) return false;
+  if (!Owns(request.path)) return false;
   if (!Authorised(request)) {
     SendError(responder.get(), result_code::kUnauthorised, "");
     return true;
   }
+  // The body of a GET means nothing, and is not waited for.
+  const result_code error = BodyError(request);
+  if (request.method != "GET" && error != result_code::kOk) {
+    SendError(responder.get(), error, "");
+    return true;
+  }
   const std::string_view subpath =
       std::string_view(request.path).substr(sizeof(kPrefix) - 1);
   if (operations_.Handle(subpath, request, responder)) return true;
--- a/source/router/operator_api.h
+++ b/source/router/operator_api.h
@@ -23,6 +23,11 @@
         router_name_(std::move(router_name)),
         key_sha256_(std::move(key_sha256)) {}
 
+  /// @return whether a request with such a path belongs to this interface
+  static bool Owns(std::string_view path);
+  /// @param request without its body
+  /// @return whether a request of this interface is answered without its body
+  bool IsRefusedByHead(const net::http_request& request) const;
   /// @return whether the path belongs to this interface; the request is then
   /// answered
   bool Handle(const net::http_request& request,
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "common/process_usage.h"
 #include "platform/platform_settings.h"
 #include "settings/router_settings.h"
 
@@ -13,12 +14,17 @@
 using common::log_channel;
 using common::log_level;
 
+// Copies of a body while its request is in progress: of the request, its
+// executor and the writer of its response, and on its way to an agent.
+constexpr size_t kBodyCopies = 4;
 // Time to write out the last responses before the loop ends.
 constexpr common::duration kFlushDelay = std::chrono::milliseconds(100);
 
 net::event_loop::options LoopOptions(
     const settings::settings_document& settings) {
   net::event_loop::options options;
+  options.max_connections =
+      static_cast<int>(settings.Integer(settings::kMaxConnections));
   options.dial_timeout =
       common::milliseconds(settings.Integer(settings::kDialTimeoutMs));
   options.client_tls = {settings.Text(settings::kTlsCertificateFile),
@@ -55,6 +61,9 @@
       net::event_loop::Create(LoopOptions(settings));
   if (!loop) return std::nullopt;
   process->loop_ = std::move(*loop);
+  process->bounds_ = std::make_unique<core::process_bounds>(
+      settings::ResourcesOf(settings), process->clock_);
+  process->loop_->buffers().SetPolicy(process->bounds_->receive());
   const std::string trace_file = settings.Text(settings::kTraceFile);
   if (!trace_file.empty()) {
     std::optional<std::unique_ptr<common::span_exporter>> spans =
@@ -129,6 +138,12 @@
   stop_grace_ = common::milliseconds(settings.Integer(settings::kStopGraceMs));
 }
 
+bool router_process::IsRefusedByHead(const net::http_request& request) const {
+  if (caller_api::Owns(request.path)) return callers_->IsRefusedByHead(request);
+  return !operator_api::Owns(request.path) ||
+         operators_->IsRefusedByHead(request);
+}
+
 bool router_process::Listen(const settings::settings_document& settings) {
   net::http_server::options listen;
   listen.address = settings.Text(settings::kListenAddress);
@@ -143,6 +158,12 @@
       common::milliseconds(settings.Integer(settings::kSendStallMs));
   listen.max_pending_bytes =
       static_cast<size_t>(settings.Integer(settings::kMaxPendingBytes));
+  listen.max_connections = bounds_->connections().callers;
+  listen.account = &bounds_->account();
+  listen.body_copies = kBodyCopies;
+  listen.refused_by_head = [this](const net::http_request& request) {
+    return IsRefusedByHead(request);
+  };
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
           *loop_, listen,
@@ -225,6 +246,14 @@
   return !stopping_ && control_->configuration().Ready();
 }
 
+void router_process::SendMetrics(net::http_responder* responder) const {
+  core::SetMemoryMetrics(bounds_->account());
+  loop_->buffers().SetMetrics();
+  common::SetUsageMetrics(common::ReadProcessUsage());
+  responder->Send(200, "text/plain; version=0.0.4",
+                  common::Metrics().PrometheusText());
+}
+
 void router_process::OnHttp(
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
@@ -236,8 +265,7 @@
     responder->Send(Ready() ? 200 : 503, "text/plain",
                     Ready() ? "ready\n" : "not ready\n");
   } else if (request.path == "/metrics") {
-    responder->Send(200, "text/plain; version=0.0.4",
-                    common::Metrics().PrometheusText());
+    SendMetrics(responder.get());
   } else {
     SendError(responder.get(), common::result_code::kNotFound, "");
   }
--- a/source/router/router_process.h
+++ b/source/router/router_process.h
@@ -8,6 +8,7 @@
 #include "common/span_exporter.h"
 #include "core/membership/vm_list_poller.h"
 #include "core/operations/batching_table.h"
+#include "core/overload/process_bounds.h"
 #include "core/policy/policy_provider.h"
 #include "net/http_server.h"
 #include "platform/http_platform.h"
@@ -37,6 +38,9 @@
   void MakePlatform(const settings::settings_document& settings);
   void MakeExecutorDependencies(const settings::settings_document& settings);
   void MakeInterfaces(const settings::settings_document& settings);
+  /// @return whether a request is answered without its body
+  bool IsRefusedByHead(const net::http_request& request) const;
+  void SendMetrics(net::http_responder* responder) const;
   /// @return false, with LastError set, when it cannot listen on the port
   bool Listen(const settings::settings_document& settings);
   void Supervise(const settings::settings_document& settings);
@@ -46,6 +50,7 @@
 
   common::system_clock clock_;
   std::unique_ptr<common::random_source> random_;
+  std::unique_ptr<core::process_bounds> bounds_;  ///< used by loop_
   std::unique_ptr<net::event_loop> loop_;
   std::unique_ptr<common::span_exporter> spans_;  ///< null without a trace file
   core::hello_message hello_;
--- a/source/settings/common_settings.cc
+++ b/source/settings/common_settings.cc
@@ -125,4 +125,35 @@
     1,
     "Abort when an invariant does not hold (for tests)."};
 
+const setting kMaxConnections = {
+    "/net/max_connections",
+    setting_type::kInteger,
+    "4096",
+    64,
+    1000000,
+    "Maximum number of open descriptors of the process."};
+const setting kReservedDescriptors = {
+    "/net/reserved_descriptors",
+    setting_type::kInteger,
+    "200",
+    0,
+    1000000,
+    "Part of /net/max_connections that is for files, not for connections; at "
+    "least 32 must be left."};
+const setting kCapacityMemoryMb = {
+    "/capacity/memory_mb",
+    setting_type::kNumber,
+    "256",
+    64,
+    1000000,
+    "Memory that this VM gives the process, in MB; bounds the bytes that it "
+    "holds for callers and targets."};
+
+common::process_resources ResourcesOf(const settings_document& settings) {
+  return {settings.Number(kCapacityMemoryMb),
+          settings.Integer(kMaxConnections) -
+              settings.Integer(kReservedDescriptors),
+          common::ReadProcessUsage().descriptor_limit};
+}
+
 }  // namespace wisteriadale::settings
--- a/source/settings/common_settings.h
+++ b/source/settings/common_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/process_usage.h"
 #include "settings/settings_document.h"
 
 namespace wisteriadale::settings {
@@ -24,5 +25,11 @@
 extern const setting kTraceFile;
 extern const setting kRandomSeed;
 extern const setting kInvariantsFatal;
+extern const setting kMaxConnections;
+extern const setting kReservedDescriptors;
+extern const setting kCapacityMemoryMb;
+
+/// @return what the settings and the operating system give this process
+common::process_resources ResourcesOf(const settings_document& settings);
 
 }  // namespace wisteriadale::settings
--- a/source/settings/gateway_settings.cc
+++ b/source/settings/gateway_settings.cc
@@ -94,22 +94,6 @@
     600,
     "Time from the signal that stops the process to the one that kills it, in "
     "seconds."};
-const setting kMaxConnections = {
-    "/net/max_connections",
-    setting_type::kInteger,
-    "4096",
-    64,
-    1000000,
-    "Maximum number of open descriptors of the process."};
-const setting kReservedDescriptors = {
-    "/net/reserved_descriptors",
-    setting_type::kInteger,
-    "200",
-    0,
-    1000000,
-    "Part of /net/max_connections that is for files, not for connections; at "
-    "least 32 must be left."};
-
 const setting kCapacityCores = {
     "/capacity/cores",
     setting_type::kNumber,
@@ -124,15 +108,6 @@
                                    0.1,
                                    1000000,
                                    "Bandwidth of this VM's link, in Mbit/s."};
-const setting kCapacityMemoryMb = {
-    "/capacity/memory_mb",
-    setting_type::kNumber,
-    "256",
-    64,
-    1000000,
-    "Memory that this VM gives the process, in MB; bounds the bytes that it "
-    "holds for callers and targets."};
-
 const setting kStagesQueuePolicy = {
     "/stages/queue_policy",
     setting_type::kText,
--- a/source/settings/gateway_settings.h
+++ b/source/settings/gateway_settings.h
@@ -17,11 +17,8 @@
 extern const setting kRepeatSlack;
 extern const setting kRepeatWindowS;
 extern const setting kStopGraceS;
-extern const setting kMaxConnections;
-extern const setting kReservedDescriptors;
 extern const setting kCapacityCores;
 extern const setting kCapacityLinkMbps;
-extern const setting kCapacityMemoryMb;
 extern const setting kStagesQueuePolicy;
 
 /// @return the settings of wisteria-gateway
