Let callers that stop within a request make room for others

What callers saw: 450 connections whose heads do not end, before a gateway with descriptors for 138 callers: every other caller is turned away until the header timeout, 10 s there (an ordinary request got no response at all).

Cause: at the limit of connections only one without a request gave way to a new one. Now one that has sent nothing for a second within a request does, too; it has not run. Requests in progress and unread responses are kept as before.

--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -128,17 +128,19 @@
   void ReportGivenUp() const {
     if (stream_) stream_->Observe().ReportGivenUp();
   }
-  /// @return whether the connection may be closed to admit another
+  /// @return whether the connection may be closed to admit another: nothing is
+  /// owed to its caller, who has sent nothing for some time, be it within a
+  /// request
   bool Replaceable(common::time_point now) const {
-    return stream_ && !busy() && now - last_activity_ > kMinIdleTime &&
-           stream_->Owed().total() == 0 && input_.empty() &&
-           !stream_->HasUnreadData();
+    return stream_ && !exchange_ && now - last_activity_ > kMinIdleTime &&
+           stream_->Owed().total() == 0 && !stream_->HasUnreadData() &&
+           (parser_ != nullptr || input_.empty());
   }
   /// @return sorts connections by what their callers would miss
   std::pair<bool, common::time_point> Worth() const {
     return {requests_ > 0, last_activity_};
   }
-  /// Closes an idle connection, to free its descriptor.
+  /// Closes a replaceable connection, to free its descriptor.
   void Replace() {
     stream_->CloseNow();
     Drop();
--- a/source/unit_tests/net/connection_limit_test.cc
+++ b/source/unit_tests/net/connection_limit_test.cc
@@ -84,6 +84,27 @@
   CHECK(open != nullptr && !open->CallerDisconnected());
 }
 
+TEST(ConnectionLimit, NewCallerTakesThePlaceOfOneThatStopsWithinARequest) {
+  for (const std::string_view part :
+       {"GET / HTTP/1.1\r\nHos",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc"}) {
+    server->SetMaxConnections(2);
+    fakes::raw_socket& used = Connect("/");
+    fakes::raw_socket& stopped = Connect("");
+    stopped.Send(part);
+    RunLoop();
+    fakes::raw_socket& rejected = Connect("");
+    CHECK(!Answers(rejected));
+    clock.now += std::chrono::milliseconds(1500);
+    CHECK(Answers(used));
+    fakes::raw_socket& next = Connect("");
+    CHECK(Answers(next));
+    CHECK(stopped.Closed());
+    callers.clear();
+    RunLoop();
+  }
+}
+
 TEST(ConnectionLimit, NewCallerIsRejectedWhileNobodyHasBeenIdleForLong) {
   server->SetMaxConnections(2);
   fakes::raw_socket& first = Connect("");
