Say what took the room when a connection gives way

What operators saw: memory_given_up names the connection that gave way and the sum, so that a crowd of uploads can not be told from one that reads nothing, nor from requests in progress at slow targets. The line and the gauge wisteria_memory_held_for_bytes{what} now have the three parts. The port for links has a limit of connections that have not become channels, and its part in the account.

Evidence: MemoryAccount.WhatTakesTheRoomIsTold.

--- a/source/common/byte_account.h
+++ b/source/common/byte_account.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "common/clock.h"
@@ -13,6 +14,8 @@
   kResponse,  ///< a response that its caller has not read
 };
 
+inline constexpr size_t kHeldForCount = 3;
+
 /// What one holder holds.
 struct holding {
   held_for what = held_for::kIncoming;
--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -52,8 +52,8 @@
 void memory_account::Set(common::byte_holder& holder,
                          const common::holding& held) {
   const auto found = holders_.find(&holder);
-  if (found != holders_.end()) held_ -= found->second.held.bytes;
-  held_ += held.bytes;
+  if (found != holders_.end()) Subtract(found->second.held);
+  Add(held);
   if (held.bytes > 0) {
     holders_.insert_or_assign(&holder, entry{&holder, held});
   } else if (found != holders_.end()) {
@@ -62,6 +62,16 @@
   if (held.bytes == 0 && turn_.holder == &holder) turn_ = {};
 }
 
+void memory_account::Add(const common::holding& held) {
+  held_ += held.bytes;
+  held_for_.at(static_cast<size_t>(held.what)) += held.bytes;
+}
+
+void memory_account::Subtract(const common::holding& held) {
+  held_ -= held.bytes;
+  held_for_.at(static_cast<size_t>(held.what)) -= held.bytes;
+}
+
 bool memory_account::MayGrow(const common::byte_holder& holder) {
   if (!Pressed()) return true;
   const common::time_point now = clock_.Now();
@@ -132,6 +142,25 @@
   return chosen;
 }
 
+void memory_account::Report(const common::holding& held, step why,
+                            common::time_point now) {
+  const std::string_view name = kStepNames.at(static_cast<size_t>(why));
+  const auto held_for = [this](common::held_for what) {
+    return static_cast<int64_t>(HeldFor(what));
+  };
+  common::Metrics().Count("wisteria_memory_given_up_total", {{"why", name}});
+  common::LogEvent(common::log_event::kMemoryGivenUp, "",
+                   {{"why", name},
+                    {"bytes", static_cast<int64_t>(held.bytes)},
+                    {"silent_ms", common::ToMillis(now - held.progress_at)},
+                    {"age_ms", common::ToMillis(now - held.since)},
+                    {"held", static_cast<int64_t>(held_)},
+                    {"incoming", held_for(common::held_for::kIncoming)},
+                    {"requests", held_for(common::held_for::kRequest)},
+                    {"responses", held_for(common::held_for::kResponse)},
+                    {"budget", static_cast<int64_t>(options_.budget)}});
+}
+
 void memory_account::MakeRoom() {
   const common::time_point now = clock_.Now();
   while (Pressed()) {
@@ -143,16 +172,7 @@
       }
       return;
     }
-    const common::holding held = holders_.at(next).held;
-    const std::string_view name = kStepNames.at(static_cast<size_t>(why));
-    common::Metrics().Count("wisteria_memory_given_up_total", {{"why", name}});
-    common::LogEvent(common::log_event::kMemoryGivenUp, "",
-                     {{"why", name},
-                      {"bytes", static_cast<int64_t>(held.bytes)},
-                      {"silent_ms", common::ToMillis(now - held.progress_at)},
-                      {"age_ms", common::ToMillis(now - held.since)},
-                      {"held", static_cast<int64_t>(held_)},
-                      {"budget", static_cast<int64_t>(options_.budget)}});
+    Report(holders_.at(next).held, why, now);
     // Forgotten first: giving way may be put off to the event loop.
     Set(*next, {});
     next->GiveWay();
@@ -162,6 +182,14 @@
 void SetMemoryMetrics(const memory_account& account) {
   common::Metrics().Set("wisteria_memory_held_bytes",
                         static_cast<double>(account.held()));
+  const auto set = [&account](std::string_view name, common::held_for what) {
+    common::Metrics().Set("wisteria_memory_held_for_bytes",
+                          static_cast<double>(account.HeldFor(what)),
+                          {{"what", name}});
+  };
+  set("incoming", common::held_for::kIncoming);
+  set("requests", common::held_for::kRequest);
+  set("responses", common::held_for::kResponse);
   common::Metrics().Set("wisteria_memory_budget_bytes",
                         static_cast<double>(account.budget()));
 }
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <unordered_map>
 
@@ -57,6 +58,10 @@
 
   bool Exceeded() const { return held_ > options_.budget; }
   uint64_t held() const { return held_; }
+  /// @return the part of held that is held for this
+  uint64_t HeldFor(common::held_for what) const {
+    return held_for_.at(static_cast<size_t>(what));
+  }
   uint64_t budget() const { return options_.budget; }
 
  private:
@@ -73,6 +78,10 @@
   /// stalls makes room for others that wait, too
   uint64_t LimitOf(step at, common::time_point now) const;
   step StepOf(const common::holding& held, common::time_point now) const;
+  /// Logs and counts that a holder gives way.
+  void Report(const common::holding& held, step why, common::time_point now);
+  void Add(const common::holding& held);
+  void Subtract(const common::holding& held);
   /// @return the next holder to give way, or null
   common::byte_holder* Next(common::time_point now, step* why) const;
 
@@ -85,6 +94,7 @@
 
   std::unordered_map<const common::byte_holder*, entry> holders_;
   uint64_t held_ = 0;
+  std::array<uint64_t, common::kHeldForCount> held_for_{};
   /// The holder that may grow though there is no room.
   struct turn {
     const common::byte_holder* holder = nullptr;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -305,6 +305,9 @@
   listen.address = gateways->address;
   listen.port = gateways->port;
   listen.max_body_bytes = kMaxOperatorBodyBytes;
+  // Those that have become channels do not count.
+  listen.max_connections = bounds_->connections().operators;
+  listen.account = &bounds_->account();
   std::optional<std::unique_ptr<net::http_server>> server =
       net::http_server::Create(
           *loop_, listen,
--- a/source/unit_tests/core/overload/memory_account_test.cc
+++ b/source/unit_tests/core/overload/memory_account_test.cc
@@ -48,6 +48,16 @@
   CHECK(!stalled.gave_way);
 }
 
+TEST(MemoryAccount, WhatTakesTheRoomIsTold) {
+  fake_holder holder;
+  Hold(&holder, held_for::kIncoming, 3, seconds(1), seconds(0));
+  LONGS_EQUAL(3 * kMegabyte, account->HeldFor(held_for::kIncoming));
+  Hold(&holder, held_for::kRequest, 6, seconds(1), seconds(0));
+  LONGS_EQUAL(0, account->HeldFor(held_for::kIncoming));
+  LONGS_EQUAL(6 * kMegabyte, account->HeldFor(held_for::kRequest));
+  LONGS_EQUAL(account->held(), account->HeldFor(held_for::kRequest));
+}
+
 TEST(MemoryAccount, TheLongestSilentRequestGivesWayFirst) {
   fake_holder silent;
   fake_holder longest;
