--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -190,10 +190,7 @@
                           std::unique_ptr<tcp_stream>* stream,
                           std::string_view rest) const {
   if (!on_channel_ || !IsChannelHandshake(head)) return false;
-  const std::shared_ptr<channel> accepted =
-      AcceptChannel(loop_, std::move(*stream), head);
-  on_channel_(accepted);
-  StartChannel(*accepted, rest);
+  AcceptChannel(loop_, std::move(*stream), head, rest, on_channel_);
   return true;
 }
 
--- a/source/net/stream_channel.cc
+++ b/source/net/stream_channel.cc
@@ -152,9 +152,9 @@
          head.Find("Sec-WebSocket-Key") != nullptr;
 }
 
-std::shared_ptr<channel> AcceptChannel(event_loop& loop,
-                                       std::unique_ptr<tcp_stream> stream,
-                                       const message_head& head) {
+void AcceptChannel(event_loop& loop, std::unique_ptr<tcp_stream> stream,
+                   const message_head& head, std::string_view rest,
+                   const channel_acceptor& accept) {
   stream->Write(
       std::string("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n"
                   "Connection: Upgrade\r\nSec-WebSocket-Accept: ")
@@ -165,11 +165,8 @@
   const std::shared_ptr<stream_channel> accepted =
       std::make_shared<stream_channel>(loop, std::move(stream));
   LiveChannels().emplace(accepted.get(), accepted);
-  return accepted;
-}
-
-void StartChannel(channel& accepted, std::string_view rest) {
-  if (!rest.empty()) static_cast<stream_channel&>(accepted).OnData(rest);
+  accept(accepted);
+  if (!rest.empty()) accepted->OnData(rest);
 }
 
 void DropAcceptedHandlers(const event_loop& loop) {
--- a/source/net/stream_channel.h
+++ b/source/net/stream_channel.h
@@ -13,18 +13,14 @@
 bool IsChannelHandshake(const message_head& head);
 
 /// Answers the handshake of a channel, and continues its connection as one. It
-/// lives until it ends or is closed, whether or not the result is kept.
+/// lives until it ends or is closed, whether or not the acceptor keeps it.
 /// @param stream of the handshake
 /// @param head   of the handshake
-std::shared_ptr<channel> AcceptChannel(event_loop& loop,
-                                       std::unique_ptr<tcp_stream> stream,
-                                       const message_head& head);
-
-/// Reads what followed a handshake. To be called once the channel has its
-/// handlers.
-/// @param accepted a result of AcceptChannel
-/// @param rest     bytes of the connection behind the handshake
-void StartChannel(channel& accepted, std::string_view rest);
+/// @param rest   bytes of the connection behind the handshake
+/// @param accept gets the channel before anything is read from it
+void AcceptChannel(event_loop& loop, std::unique_ptr<tcp_stream> stream,
+                   const message_head& head, std::string_view rest,
+                   const channel_acceptor& accept);
 
 /// Drops the handlers of all accepted channels of a loop that is about to be
 /// destroyed, as the objects they refer to may already be destroyed.
