Say 'unknown' of an operation whose request is refused for its body

What callers saw: a router refuses a booking whose body does not arrive, is too large or has to give way with the outcome not_run. A caller that retries an operation, as its first connection broke, would take that for the operation's and could order it again under another key, though the first request may have run it. Refusals by admission say unknown in that case.

Evidence: bad_input, slow booking: not_run before.

--- a/scenarios/bad_input.lua
+++ b/scenarios/bad_input.lua
@@ -62,6 +62,13 @@
 slow:wait_for("slow_caller", 5000)
 slow:wait_closed()
 
+-- An earlier request may have run the operation, so that "not run" is not known.
+local slow_booking = connect(port)
+slow_booking:send("POST /v1/pipelines/booking/requests HTTP/1.1\r\n" .. kHeaders ..
+                      "Idempotency-Key: again\r\nContent-Length: 40\r\n\r\n{")
+slow_booking:wait_for('"outcome":"unknown"', 5000)
+slow_booking:wait_closed()
+
 local half_closed = connect(port)
 half_closed:send(post("Content-Length: 40\r\n", "{"))
 half_closed:shutdown()
--- a/source/router/caller_api.cc
+++ b/source/router/caller_api.cc
@@ -318,12 +318,17 @@
     const net::http_request& request,
     const std::shared_ptr<net::http_responder>& responder) {
   head_facts facts;
-  result_code error = CheckHead(request, &facts);
-  if (error == result_code::kOk) error = BodyError(request);
-  if (error != result_code::kOk) {
+  if (const result_code error = CheckHead(request, &facts);
+      error != result_code::kOk) {
     SendError(responder.get(), error, "");
     return;
   }
+  if (const result_code error = BodyError(request); error != result_code::kOk) {
+    // An earlier request may have run an operation with this key.
+    SendError(responder.get(), error, "",
+              facts.plan->HasNonIdempotentStage() ? "unknown" : "not_run");
+    return;
+  }
   const std::shared_ptr<const core::configuration>& configuration =
       facts.configuration;
   const core::organisation_entry* organisation = facts.organisation;
