Count messages of channels that arrive, and bound the channels of a router

Cause: a connection that becomes a channel leaves the server's account and its limit of connections. Its message counts now, and gives way if it stalls, else after everything else, as peers within the system send such messages.

--- a/source/common/byte_account.h
+++ b/source/common/byte_account.h
@@ -12,9 +12,10 @@
   kIncoming,  ///< a request that is being read
   kRequest,   ///< a request in progress
   kResponse,  ///< a response that its caller has not read
+  kMessage,   ///< a message of a channel that is being read
 };
 
-inline constexpr size_t kHeldForCount = 3;
+inline constexpr size_t kHeldForCount = 4;
 
 /// What one holder holds.
 struct holding {
--- a/source/core/overload/connection_limits.h
+++ b/source/core/overload/connection_limits.h
@@ -9,6 +9,7 @@
 struct connection_limits {
   size_t callers = 0;
   size_t operators = 0;
+  size_t channels = 0;  ///< of other processes, where callers could open them
 };
 
 /// Fewest descriptors that a gateway can work with.
--- a/source/core/overload/memory_account.cc
+++ b/source/core/overload/memory_account.cc
@@ -29,8 +29,8 @@
 // So long after one was refused, others are taken to wait for room.
 constexpr common::duration kRefusalMemory = std::chrono::seconds(1);
 
-constexpr std::array<std::string_view, 3> kStepNames = {
-    "stalled_request", "stalled_response", "newest_request"};
+constexpr std::array<std::string_view, 4> kStepNames = {
+    "stalled_request", "stalled_response", "newest_request", "newest_message"};
 
 }  // namespace
 
@@ -100,17 +100,18 @@
 
 uint64_t memory_account::LimitOf(step at, common::time_point now) const {
   const bool others_wait = OthersWait(now);
-  return others_wait && at != step::kNewestRequest ? options_.budget / 2
-                                                   : options_.budget;
+  return others_wait && at < step::kNewestRequest ? options_.budget / 2
+                                                  : options_.budget;
 }
 
 memory_account::step memory_account::StepOf(const common::holding& held,
                                             common::time_point now) const {
   const common::duration silent = now - held.progress_at;
-  if (held.what == common::held_for::kIncoming) {
+  const bool message = held.what == common::held_for::kMessage;
+  if (message || held.what == common::held_for::kIncoming) {
     if (silent >= options_.body_stall) return step::kStalledRequest;
-    return held.bytes >= options_.small_bytes ? step::kNewestRequest
-                                              : step::kNone;
+    if (held.bytes < options_.small_bytes) return step::kNone;
+    return message ? step::kNewestMessage : step::kNewestRequest;
   }
   const common::duration stall =
       OthersWait(now) ? options_.body_stall : options_.response_stall;
@@ -129,7 +130,7 @@
     const common::holding& held = each.held;
     const step at = StepOf(held, now);
     if (at == step::kNone || at > *why) continue;
-    const bool newest = at == step::kNewestRequest;
+    const bool newest = at >= step::kNewestRequest;
     const common::time_point time = newest ? held.since : held.progress_at;
     const bool earlier_step = at < *why;
     if (!earlier_step && (newest ? time <= chosen_time : time >= chosen_time)) {
@@ -158,6 +159,7 @@
                     {"incoming", held_for(common::held_for::kIncoming)},
                     {"requests", held_for(common::held_for::kRequest)},
                     {"responses", held_for(common::held_for::kResponse)},
+                    {"messages", held_for(common::held_for::kMessage)},
                     {"budget", static_cast<int64_t>(options_.budget)}});
 }
 
@@ -190,6 +192,7 @@
   set("incoming", common::held_for::kIncoming);
   set("requests", common::held_for::kRequest);
   set("responses", common::held_for::kResponse);
+  set("messages", common::held_for::kMessage);
   common::Metrics().Set("wisteria_memory_budget_bytes",
                         static_cast<double>(account.budget()));
 }
--- a/source/core/overload/memory_account.h
+++ b/source/core/overload/memory_account.h
@@ -34,7 +34,8 @@
 /// When more is held than the budget allows, holders give way in this sequence:
 /// requests whose callers have stopped sending, the longest silent first;
 /// responses whose callers have stopped reading; then the request that is being
-/// read since the shortest time, as it loses least. Requests in progress are
+/// read since the shortest time, as it loses least; last a message of a
+/// channel, as peers within the system use these. Requests in progress are
 /// kept: they may have run.
 ///
 /// Responses are read on from targets while less than half of the budget is
@@ -66,7 +67,13 @@
 
  private:
   /// Step in the sequence in which holders give way; 0 is the first.
-  enum class step { kStalledRequest, kStalledResponse, kNewestRequest, kNone };
+  enum class step {
+    kStalledRequest,
+    kStalledResponse,
+    kNewestRequest,
+    kNewestMessage,
+    kNone
+  };
 
   /// @return whether the caller has taken nothing for some time
   bool IsStalled(const common::holding& held, common::time_point now) const {
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "common/metrics.h"
-#include "net/stream_channel.h"
 
 namespace wisteriadale::net {
 namespace {
@@ -190,7 +189,11 @@
                           std::unique_ptr<tcp_stream>* stream,
                           std::string_view rest) const {
   if (!on_channel_ || !IsChannelHandshake(head)) return false;
-  AcceptChannel(loop_, std::move(*stream), head, rest, on_channel_);
+  if (channels_->open >= channels_->max_open) {
+    common::Metrics().Count("wisteria_channels_refused_total");
+    return false;
+  }
+  AcceptChannel(loop_, std::move(*stream), head, rest, channels_, on_channel_);
   return true;
 }
 
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -12,6 +12,7 @@
 #include "net/event_loop.h"
 #include "net/http1_server.h"
 #include "net/http_message.h"
+#include "net/stream_channel.h"
 
 namespace wisteriadale::net {
 
@@ -60,6 +61,8 @@
     size_t max_pending_bytes = 4 << 20;
     /// Connections, without channels; see http1_server::SetMaxConnections.
     size_t max_connections = std::numeric_limits<size_t>::max();
+    /// Accepted channels; a handshake beyond them is a request like others.
+    size_t max_channels = std::numeric_limits<size_t>::max();
     /// Copies of a body that the process holds while its request is in
     /// progress.
     size_t body_copies = 2;
@@ -90,7 +93,11 @@
       : loop_(loop),
         limits_(std::move(chosen)),
         on_request_(std::move(on_request)),
-        on_channel_(std::move(on_channel)) {}
+        on_channel_(std::move(on_channel)),
+        channels_(std::make_shared<channel_group>()) {
+    channels_->max_open = limits_.max_channels;
+    channels_->account = limits_.account;
+  }
 
   void OnRequest(const std::shared_ptr<http1_exchange>& started) const;
   bool IsRefusedByHead(const message_head& head) const;
@@ -102,6 +109,7 @@
   options limits_;
   http_handler on_request_;
   channel_acceptor on_channel_;
+  std::shared_ptr<channel_group> channels_;
   std::unique_ptr<http1_server> server_;
 };
 
--- a/source/net/stream_channel.cc
+++ b/source/net/stream_channel.cc
@@ -32,10 +32,16 @@
 class stream_channel final
     : public channel,
       public tcp_handler,
+      public common::byte_holder,
       public std::enable_shared_from_this<stream_channel> {
  public:
-  stream_channel(event_loop& loop, std::unique_ptr<tcp_stream> stream)
-      : loop_(loop), stream_(std::move(stream)), peer_(stream_->peer()) {
+  stream_channel(event_loop& loop, std::unique_ptr<tcp_stream> stream,
+                 std::shared_ptr<channel_group> group)
+      : loop_(loop),
+        stream_(std::move(stream)),
+        group_(std::move(group)),
+        peer_(stream_->peer()) {
+    ++group_->open;
     stream_->SetHandler(*this);
     stream_->SetStallTimeout(kStallTimeout);
   }
@@ -80,7 +86,11 @@
         }};
     const websocket_reader::outcome outcome =
         reader_.Read(data, handlers, [this] { return stream_ != nullptr; });
-    if (outcome == websocket_reader::outcome::kOpen || !stream_) return;
+    if (!stream_) return;
+    if (outcome == websocket_reader::outcome::kOpen) {
+      UpdateHeld();
+      return;
+    }
     if (outcome == websocket_reader::outcome::kMalformed) {
       common::Metrics().Count("wisteria_channels_malformed_total");
     }
@@ -96,6 +106,12 @@
     if (handler) handler();
   }
 
+  void GiveWay() override {
+    if (!stream_) return;
+    stream_->Abort();
+    OnEnd(stream_end::kReset);
+  }
+
   /// Drops all handlers; none is called afterwards.
   void DropHandlers() {
     on_message_ = nullptr;
@@ -125,7 +141,22 @@
     if (frames_.capacity() > kMaxWriteBytes) frames_.shrink_to_fit();
   }
 
+  /// Tells the account what is held of a message that has not arrived whole.
+  void UpdateHeld() {
+    const size_t held = reader_.held();
+    if (group_->account == nullptr || (held == 0 && held_ == 0)) return;
+    const common::time_point now = clock_.Now();
+    if (held_ == 0 || held < held_) message_since_ = now;
+    held_ = held;
+    group_->account->Set(
+        *this, {common::held_for::kMessage, held_, message_since_, now});
+    group_->account->MakeRoom();
+  }
+
   void Forget() {
+    if (!stream_) return;
+    --group_->open;
+    if (group_->account != nullptr) group_->account->Set(*this, {});
     stream_.reset();
     frames_.clear();
     LiveChannels().erase(this);
@@ -133,6 +164,10 @@
 
   event_loop& loop_;
   std::unique_ptr<tcp_stream> stream_;  ///< null once the channel has ended
+  std::shared_ptr<channel_group> group_;
+  common::system_clock clock_;
+  size_t held_ = 0;  ///< bytes of a message, as the account knows them
+  common::time_point message_since_{};
   std::string peer_;
   websocket_reader reader_{kMaxMessageBytes};
   std::string frames_;  ///< encoded, to be written in the loop's next turn
@@ -154,6 +189,7 @@
 
 void AcceptChannel(event_loop& loop, std::unique_ptr<tcp_stream> stream,
                    const message_head& head, std::string_view rest,
+                   const std::shared_ptr<channel_group>& group,
                    const channel_acceptor& accept) {
   stream->Write(
       std::string("HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n"
@@ -163,7 +199,7 @@
           .append(kChannelProtocol)
           .append("\r\n\r\n"));
   const std::shared_ptr<stream_channel> accepted =
-      std::make_shared<stream_channel>(loop, std::move(stream));
+      std::make_shared<stream_channel>(loop, std::move(stream), group);
   LiveChannels().emplace(accepted.get(), accepted);
   accept(accepted);
   if (!rest.empty()) accepted->OnData(rest);
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -159,6 +159,7 @@
   listen.max_pending_bytes =
       static_cast<size_t>(settings.Integer(settings::kMaxPendingBytes));
   listen.max_connections = bounds_->connections().callers;
+  listen.max_channels = bounds_->connections().channels;
   listen.account = &bounds_->account();
   listen.body_copies = kBodyCopies;
   listen.refused_by_head = [this](const net::http_request& request) {
--- a/source/unit_tests/core/overload/memory_account_test.cc
+++ b/source/unit_tests/core/overload/memory_account_test.cc
@@ -48,6 +48,22 @@
   CHECK(!stalled.gave_way);
 }
 
+TEST(MemoryAccount, MessagesOfPeersGiveWayLastUnlessTheyStall) {
+  fake_holder request;
+  fake_holder message;
+  Hold(&request, held_for::kIncoming, 6, seconds(3), seconds(0));
+  Hold(&message, held_for::kMessage, 6, seconds(1), seconds(0));
+  account->MakeRoom();
+  CHECK(request.gave_way);
+  CHECK(!message.gave_way);
+  fake_holder other;
+  Hold(&other, held_for::kIncoming, 6, seconds(3), seconds(0));
+  Hold(&message, held_for::kMessage, 6, seconds(1), seconds(1));
+  account->MakeRoom();
+  CHECK(message.gave_way);
+  CHECK(!other.gave_way);
+}
+
 TEST(MemoryAccount, WhatTakesTheRoomIsTold) {
   fake_holder holder;
   Hold(&holder, held_for::kIncoming, 3, seconds(1), seconds(0));
--- a/source/unit_tests/core/overload/receive_room_test.cc
+++ b/source/unit_tests/core/overload/receive_room_test.cc
@@ -35,8 +35,8 @@
 TEST(ReceiveRoom, ConnectionsThatEndLeaveTheirRoomToOthers) {
   core::receive_room room(options);
   const size_t first = room.Reserve();
-  std::vector<size_t> others;
-  for (int i = 0; i < 1000; ++i) others.push_back(room.Reserve());
+  std::vector<size_t> others(1000);
+  for (size_t& bytes : others) bytes = room.Reserve();
   for (const size_t bytes : others) room.Release(bytes);
   room.Release(first);
   LONGS_EQUAL(0, room.reserved());
