Let a peer that stops within a TLS record cost nothing

Found on reading, before anybody met it: seven bytes of a handshake made the loop turn without end, a whole core for each such caller.

Cause: SSL_has_pending also tells of a part of a record, of which nothing can be read until the socket is readable again. SSL_pending tells of what can be read.

Evidence: TlsSession.APeerThatStopsWithinARecordCostsNothing fails without it.

--- a/source/net/tls_session.cc
+++ b/source/net/tls_session.cc
@@ -65,7 +65,8 @@
   return -1;
 }
 
-bool tls_session::HasBuffered() const { return SSL_has_pending(session_) == 1; }
+// Not SSL_has_pending: a part of a record is readable when the socket is.
+bool tls_session::HasBuffered() const { return SSL_pending(session_) > 0; }
 
 void tls_session::Finish() {
   if (broken_ || SSL_is_init_finished(session_) == 0) return;
--- a/source/unit_tests/net/tls_session_test.cc
+++ b/source/unit_tests/net/tls_session_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <ctime>
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -35,7 +36,10 @@
         folder_ + "/key -out " + folder_ + "/certificate 2>/dev/null";
     made_ = std::system(command.c_str()) == 0;
   }
-  ~certificate() { std::filesystem::remove_all(folder_); }
+  ~certificate() {
+    std::error_code ignored;
+    static_cast<void>(std::filesystem::remove_all(folder_, ignored));
+  }
   certificate(const certificate&) = delete;
   certificate& operator=(const certificate&) = delete;
 
@@ -167,6 +171,21 @@
   }));
 }
 
+// A part of a record lies in the session, but nothing can be read from it.
+TEST(TlsSession, APeerThatStopsWithinARecordCostsNothing) {
+  fakes::raw_socket stopped;
+  CHECK(stopped.Connect(server->port()));
+  constexpr std::string_view kPartOfHandshake("\x16\x03\x01\x02\x00\x01\x00",
+                                              7);
+  stopped.Send(kPartOfHandshake);
+  fakes::RunUntil(*loop, std::chrono::milliseconds(50), [] { return false; });
+  const std::clock_t started = std::clock();
+  fakes::RunUntil(*loop, std::chrono::milliseconds(400), [] { return false; });
+  const double busy_seconds =
+      static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+  CHECK(busy_seconds < 0.2);
+}
+
 TEST(TlsSession, FilesThatCannotBeUsedAreReported) {
   net::http_server::options options;
   options.tls = {"/nowhere/certificate", "/nowhere/key", ""};
