Answer no pings of a channel's peer that reads nothing

Found on reading, before anybody met it: a peer that sends pings and reads nothing makes the process hold an answer to each, without a bound.

Evidence: Channel.AnswersToPingsThatNobodyReadsAreBounded fails without it: more than 1 MB is pending.

--- a/source/net/stream_channel.cc
+++ b/source/net/stream_channel.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr size_t kMaxMessageBytes = size_t{8} << 20;
+// Pings are not answered while the peer lacks so many bytes.
+constexpr size_t kMaxPendingForPong = size_t{64} * 1024;
 // Frames up to this size are collected for one write.
 constexpr size_t kMaxWriteBytes = size_t{64} * 1024;
 
@@ -81,6 +83,7 @@
           if (handler) handler(message);
         },
         [this](std::string_view payload) {
+          if (PendingBytes() > kMaxPendingForPong) return;
           AppendPong(payload, &frames_);
           WriteSoon();
         }};
--- a/source/unit_tests/net/channel_test.cc
+++ b/source/unit_tests/net/channel_test.cc
@@ -165,6 +165,28 @@
   CHECK(fakes::RunUntil(*loop, kLimit, [&] { return closed; }));
 }
 
+TEST(Channel, AnswersToPingsThatNobodyReadsAreBounded) {
+  constexpr size_t kMaxPendingBytes = size_t{1} << 20;
+  const std::unique_ptr<net::event_loop> loop = MakeLoop();
+  channel_server server(*loop);
+  const fakes::raw_socket peer;
+  CHECK(peer.Connect(server.server->port()));
+  SendHandshake(peer);
+  CHECK(fakes::RunUntil(*loop, kLimit,
+                        [&] { return server.accepted != nullptr; }));
+  std::string pings;
+  for (int i = 0; i < 1000; ++i) {
+    // Masked, with a mask of zeros.
+    pings.append("\x89\xfd").append(4, '\0').append(125, 'x');
+  }
+  size_t sent = 0;
+  CHECK(fakes::RunUntil(*loop, kLimit, [&] {
+    sent += peer.SendSome(std::string_view(pings).substr(sent % pings.size()));
+    return sent > 100 * pings.size();
+  }));
+  CHECK(server.accepted->PendingBytes() < kMaxPendingBytes);
+}
+
 TEST(Channel, MessagesOfAllSizesArriveInOrderAtBothEnds) {
   const std::unique_ptr<net::event_loop> loop = MakeLoop();
   channel_server server(*loop);
