--- a/source/unit_tests/net/tls_session_test.cc
+++ b/source/unit_tests/net/tls_session_test.cc
@@ -66,7 +66,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    connected_ = connect(fd_, reinterpret_cast<sockaddr*>(&address),
+                         sizeof(address)) == 0;
     fcntl(fd_, F_SETFL, O_NONBLOCK);
     SSL_set_mode(session_, SSL_MODE_ENABLE_PARTIAL_WRITE |
                                SSL_MODE_ACCEPT_MOVING_WRITE_BUFFER);
@@ -81,6 +82,7 @@
   tls_client(const tls_client&) = delete;
   tls_client& operator=(const tls_client&) = delete;
 
+  bool connected() const { return connected_; }
   void Send(std::string_view data) { outgoing_.append(data); }
   /// Writes and reads what is possible now.
   /// @return all bytes received so far
@@ -101,6 +103,7 @@
   int fd_;
   SSL_CTX* context_;
   SSL* session_;
+  bool connected_ = false;
   std::string outgoing_;
   std::string received_;
 };
@@ -141,6 +144,7 @@
 
 TEST(TlsSession, LargeBodiesArriveWholeBothWays) {
   tls_client client(server->port());
+  CHECK(client.connected());
   const std::string body = Numbers(kLargeBytes);
   for (int i = 0; i < 2; ++i) {
     client.Send("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: " +
