Let workers of the second review crash, and gateways restart

A worker can end with its connections reset or fall silent; gateways keep their addresses over a restart.

--- a/review/parts-2/stand_in.h
+++ b/review/parts-2/stand_in.h
@@ -512,12 +512,37 @@
   }
   ~worker() {
     ending_ = true;
-    beats_.join();
+    if (beats_.joinable()) beats_.join();
   }
   const text& id() const { return id_; }
   text address() const {
     return "127.0.0.1:" + std::to_string(listener_.port());
   }
+  bool dead() const { return dead_; }
+
+  /// Ends as a process that crashes: its connections are reset, nothing
+  /// listens, and nobody writes its entry any more. May be called by its
+  /// action.
+  void crash() {
+    if (dead_.exchange(true)) return;
+    ending_ = true;
+    std::thread([this] { listener_.shut(); }).detach();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const int fd : open_) {
+      const linger now{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+      shutdown(fd, SHUT_RD);
+    }
+  }
+  /// Falls silent: its connections stay open, nothing is answered any more, and
+  /// nobody writes its entry.
+  void fall_silent() {
+    dark_ = true;
+    dead_ = true;
+    ending_ = true;
+  }
+  /// The platform removes its entry.
+  void drop_entry() { rows_.drop("servers", id_); }
 
   text signature(const message& request) const {
     return "3e1b." + id_ + "." + request.get("X-Wisteriadale-Request-Id");
@@ -542,9 +567,24 @@
   }
 
   void serve(connection& with) {
-    while (true) {
+    const int fd = with.fd();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      open_.push_back(fd);
+    }
+    serve_requests(with);
+    if (dark_) sleep_ms(120000);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      std::erase(open_, fd);
+    }
+    if (dead_) with.reset();
+  }
+
+  void serve_requests(connection& with) {
+    while (!dead_) {
       const message request = with.read(false, now_ms() + 60000);
-      if (!request.complete) return;
+      if (!request.complete || dead_) return;
       const text expected = request.get("X-Wisteriadale-Expect-Instance");
       if (!expected.empty() && expected != id_) {
         if (!with.send("HTTP/1.1 421 Misdirected Request\r\n"
@@ -567,6 +607,10 @@
   int64_t born_;
   int64_t sequence_ = 0;
   std::atomic<bool> ending_ = false;
+  std::atomic<bool> dead_ = false;
+  std::atomic<bool> dark_ = false;
+  std::mutex mutex_;
+  std::vector<int> open_;
   listener listener_;
   std::thread beats_;
 };
@@ -627,6 +671,8 @@
   }
 }
 
+inline std::vector<int> other_seeds;  ///< links of other gateways
+
 /// Fills the template of the deploy file, with the figures of Hekkeform drift.
 inline text settings_of(const gateway& g, int store_port) {
   std::ifstream file("deploy/gateway.json.template");
@@ -637,6 +683,8 @@
   const auto at = [](int port) {
     return "\"127.0.0.1:" + std::to_string(port) + "\"";
   };
+  text seeds = at(g.links);
+  for (const int port : other_seeds) seeds += "," + at(port);
   const std::map<text, text> values = {{"node", "\"" + g.name + "\""},
                                        {"zone", "\"vestland-a\""},
                                        {"listen.front", at(g.callers)},
@@ -646,7 +694,7 @@
                                        {"bounds.config-apply-ms", "2000"},
                                        {"bounds.drain-ms", "2000"},
                                        {"heartbeat-ms", "1200"},
-                                       {"seeds", "[" + at(g.links) + "]"},
+                                       {"seeds", "[" + seeds + "]"},
                                        {"bounds.retry-budget-ratio", "0.2"},
                                        {"bounds.budget-slack", "58"},
                                        {"bounds.budget-window-s", "10"},
@@ -676,22 +724,18 @@
   cannot_run("the gateway is not ready");
 }
 
-inline gateway start_gateway(const text& name, const store& rows) {
-  gateway g;
-  g.name = name;
-  g.callers = free_port();
-  g.operators = free_port();
-  g.links = free_port();
-  const text settings = work_folder + "/" + name + ".json";
-  std::ofstream(settings) << settings_of(g, rows.port());
-  const text log = work_folder + "/" + name + ".log";
+/// Starts the process of a gateway, with the command of the deploy file.
+inline void start_process(gateway* g, const store& rows) {
+  const text settings = work_folder + "/" + g->name + ".json";
+  std::ofstream(settings) << settings_of(*g, rows.port());
+  const text log = work_folder + "/" + g->name + ".log";
   const text variable = "WISTERIADALE_NODE_FILE=" + settings;
   if (access("target/bin/wisteria-gateway", X_OK) != 0) {
     cannot_run("target/bin/wisteria-gateway is not built");
   }
-  g.pid = fork();
-  if (g.pid == 0) {
-    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+  g->pid = fork();
+  if (g->pid == 0) {
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, 1);
     dup2(out, 2);
     const char* arguments[] = {"target/bin/wisteria-gateway", nullptr};
@@ -700,7 +744,27 @@
            const_cast<char**>(variables));
     _exit(127);
   }
-  started.push_back(g.pid);
+  started.push_back(g->pid);
+}
+
+inline void kill_process(gateway* g) {
+  kill(g->pid, SIGKILL);
+  waitpid(g->pid, nullptr, 0);
+  std::erase(started, g->pid);
+}
+
+inline gateway make_gateway(const text& name) {
+  gateway g;
+  g.name = name;
+  g.callers = free_port();
+  g.operators = free_port();
+  g.links = free_port();
+  return g;
+}
+
+inline gateway start_gateway(const text& name, const store& rows) {
+  gateway g = make_gateway(name);
+  start_process(&g, rows);
   wait_until_ready(g);
   record("%s is ready", name.c_str());
   return g;
@@ -735,6 +799,8 @@
   return bytes + "\r\n" + body;
 }
 
+inline text more_services;  ///< of the manifest
+
 /// A manifest with the routes of the small deployment that the cases use.
 inline text manifest(int version, const text& routes) {
   return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
@@ -744,7 +810,8 @@
          "{"
          "\"slots\":48,\"kv-capacity-tokens\":583197}},{\"name\":\"ordre\","
          "\"health-path\":\"/healthz\",\"max-connections\":310,\"protocol\":"
-         "\"h1\",\"tls\":false}],\"limits\":{\"max-header-bytes\":16384,"
+         "\"h1\",\"tls\":false}" +
+         more_services + "],\"limits\":{\"max-header-bytes\":16384,"
          "\"max-body-bytes\":4194304,\"header-timeout-ms\":10000,"
          "\"idle-timeout-ms\":30000},\"tenants\":[{\"name\":\"bozi300\","
          "\"api-keys\":[\"" +
