Close a kept connection with the response that ends in a stop

Cause: whether a connection closes was decided as a head was written. A response that had begun before the stop kept its connection open until the next check for idle ones, and requests that came meanwhile were started. Requests pipelined behind a response were started, or dropped without an answer.

The server looks at the stop again as a response ends: the connection closes, and complete requests that were read behind it are refused as not run. A head that is held back says Connection: close if the stop has begun before it is sent. Routers use the same server and close kept connections once they admit nothing more.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -56,7 +56,9 @@
   }
   if (!FindRoute() || !FindOrganisation()) return;
   if (exchange_->fault() != net::body_fault::kNone) {
-    RespondNotRun("its body was not read");
+    RespondNotRun(exchange_->fault() == net::body_fault::kStopping
+                      ? "this gateway stops"
+                      : "its body was not read");
     return;
   }
   ParsePromptHeaders();
--- a/source/net/http1_connection.cc
+++ b/source/net/http1_connection.cc
@@ -155,10 +155,21 @@
       }
       return;
     }
-    StartExchange(body_fault::kNone);
+    StartExchange(refuses_requests_ ? body_fault::kStopping
+                                    : body_fault::kNone);
   }
 }
 
+bool http1_server::connection::HoldsRequest() const {
+  if (input_.empty()) return false;
+  const std::unique_ptr<http1_parser> parser =
+      http1_parser::ForRequest(server_->limits_.message);
+  std::string body;
+  size_t consumed = 0;
+  return parser->Parse(input_, &consumed, &body) == http1_error::kNone &&
+         parser->complete();
+}
+
 void http1_server::connection::OnHead() {
   if (server_->head_check_ && server_->head_check_(parser_->head())) {
     StartExchange(body_fault::kRefusedByHead);
@@ -175,11 +186,14 @@
     return;
   }
   if (fault == body_fault::kNone && Upgraded()) return;
-  const bool keep_alive = head.keep_alive && fault == body_fault::kNone;
+  // What follows an incomplete body cannot be told from the body.
+  const bool body_read =
+      fault == body_fault::kNone || fault == body_fault::kStopping;
+  const bool keep_alive = head.keep_alive && body_read;
   const std::shared_ptr<exchange> started = std::make_shared<exchange>(
       weak_from_this(), stream_.get(), head,
-      fault == body_fault::kNone ? std::move(body_) : std::string(), fault,
-      request_start_, keep_alive, server_->body_copies_);
+      body_read ? std::move(body_) : std::string(), fault, request_start_,
+      keep_alive, server_->body_copies_);
   body_.clear();
   parser_.reset();
   exchange_ = started;
@@ -204,7 +218,11 @@
   exchange_.reset();
   UpdateHeld();
   last_activity_ = server_->clock_.Now();
-  if (!keep_alive) {
+  // The caller of a response that began before the stop was not told that the
+  // connection closes. What it sent behind it would be cut at the end of the
+  // stop, so that it is refused instead.
+  refuses_requests_ = server_->closing_;
+  if (!keep_alive || (refuses_requests_ && !HoldsRequest())) {
     Drop();
     return;
   }
--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -169,6 +169,8 @@
   }
 
   void Drop();
+  /// @return whether a complete request waits behind the one in progress
+  bool HoldsRequest() const;
   /// Rejects the request that is being read; one whose head is known is passed
   /// to the server's handler if that handles faults.
   void RejectOrPassOn(body_fault fault, const error_status& reply);
@@ -205,6 +207,8 @@
   common::time_point accepted_at_;
   common::time_point last_activity_;
   bool head_examined_ = false;  ///< of the request that is being read
+  /// The requests that were read behind the last response are only refused.
+  bool refuses_requests_ = false;
   taking_watch taking_;         ///< of what this process holds
   taking_watch acknowledging_;  ///< of what the kernel holds, too
 };
@@ -245,8 +249,6 @@
     }
     const bool has_length = framing.how == body_framing::kLength ||
                             (framing.how == body_framing::kNone && !no_body_);
-    const std::shared_ptr<connection> owner = owner_.lock();
-    if (owner && owner->server_->closing_) keep_alive_ = false;
     if (framing_ == body_framing::kUntilClose) {
       keep_alive_ = false;
       stream_->SetResetOnClose(true);
@@ -266,19 +268,13 @@
       AppendNumber(framing.length, 10, &out);
       out.append("\r\n");
     }
-    if (!keep_alive_) {
-      out.append("Connection: close\r\n");
-    } else if (head_.minor_version == 0) {
-      out.append("Connection: keep-alive\r\n");
-    }
-    out.append("\r\n");
     head_text_ = std::move(out);
   }
 
   void SendBody(std::string_view data) override {
     if (stream_ == nullptr || !head_sent_ || finished_) return;
     if (no_body_ || data.empty()) return;
-    std::string out = std::exchange(head_text_, {});
+    std::string out = TakeHeadText();
     if (framing_ == body_framing::kChunked) {
       AppendNumber(data.size(), 16, &out);
       out.append("\r\n").append(data).append("\r\n");
@@ -294,7 +290,7 @@
   void Finish() override {
     if (stream_ == nullptr || !head_sent_ || finished_) return;
     finished_ = true;
-    std::string out = std::exchange(head_text_, {});
+    std::string out = TakeHeadText();
     if (framing_ == body_framing::kChunked) out.append("0\r\n\r\n");
     if (!out.empty()) stream_->Write(out);
     stream_->SetResetOnClose(false);
@@ -362,6 +358,25 @@
   }
 
  private:
+  /// @return the head with its last headers, as it is about to be sent; empty
+  /// if it was sent before
+  std::string TakeHeadText() {
+    std::string head = std::exchange(head_text_, {});
+    if (head.empty()) return head;
+    // The server may have begun to stop since the response was started.
+    const std::shared_ptr<connection> owner = owner_.lock();
+    if (owner && owner->server_->closing_ && !owner->HoldsRequest()) {
+      keep_alive_ = false;
+    }
+    if (!keep_alive_) {
+      head.append("Connection: close\r\n");
+    } else if (head_.minor_version == 0) {
+      head.append("Connection: keep-alive\r\n");
+    }
+    head.append("\r\n");
+    return head;
+  }
+
   std::weak_ptr<connection> owner_;
   tcp_stream* stream_;
   std::string peer_;
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -25,13 +25,16 @@
   uint64_t length = 0;  ///< in bytes, with body_framing::kLength
 };
 
-/// Why the body of a request was not read to its end.
+/// Why a request must not run.
 enum class body_fault {
-  kNone,           ///< it was
+  kNone,           ///< it may
   kRefusedByHead,  ///< the head check of the server refuses the request
   kTooLarge,       ///< it is over the limit, or announced to be
   kTimedOut,       ///< it did not arrive in time
   kNoRoom,         ///< the process holds too much for others
+  /// It was read whole, behind a response on a connection that closes now as
+  /// the server stops.
+  kStopping,
 };
 
 /// A request, and its response. Calls are ignored after the caller has
@@ -43,8 +46,8 @@
   virtual const std::string& body() const = 0;
   /// @return the body, which is empty from then on
   virtual std::string TakeBody() = 0;
-  /// @return why the body is not complete: the request must not run then, and
-  /// its response ends the connection
+  /// @return why the request must not run; if its body is not complete, its
+  /// response ends the connection
   virtual body_fault fault() const = 0;
   /// @return when the first byte of the request arrived
   virtual common::time_point received_at() const = 0;
@@ -165,7 +168,9 @@
   void SetTls(std::unique_ptr<tls_server_context> tls) {
     tls_ = std::move(tls);
   }
-  /// From now on closes each connection after its current response.
+  /// From now on closes each connection after its current response. Complete
+  /// requests that were read behind it are passed to the handler with
+  /// body_fault::kStopping.
   void DisableKeepAlive() { closing_ = true; }
   /// Accepts the connections of the backlog and closes the listener: later ones
   /// are refused.
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -84,6 +84,9 @@
   http_server& operator=(const http_server&) = delete;
 
   uint16_t port() const { return server_->port(); }
+  /// See http1_server::DisableKeepAlive. Requests that were read before their
+  /// connection closes are passed to the handler like others.
+  void DisableKeepAlive() { server_->DisableKeepAlive(); }
   /// @return what callers have not acknowledged
   undelivered_responses Undelivered() const { return server_->Undelivered(); }
 
--- a/source/router/router_process.cc
+++ b/source/router/router_process.cc
@@ -216,6 +216,7 @@
       "caller_api", [] {},
       [this](const std::function<void()>& on_stopped) {
         callers_->StopAdmitting();
+        server_->DisableKeepAlive();
         callers_->NotifyWhenIdle(on_stopped);
       });
   root_ = std::make_unique<common::supervisor>("router", clock_, *loop_,
--- a/source/unit_tests/net/http1_server_test.cc
+++ b/source/unit_tests/net/http1_server_test.cc
@@ -146,6 +146,103 @@
 }
 
 // The chunk framing of a request was kept without limit.
+TEST_GROUP(Http1ServerKeptConnection) {
+  static constexpr std::string_view kRequest =
+      "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  common::system_clock clock;
+  std::optional<std::unique_ptr<net::event_loop>> loop =
+      net::event_loop::Create({});
+  std::unique_ptr<net::http1_server> server;
+  fakes::raw_socket caller;
+  std::shared_ptr<net::http1_exchange> first;
+  size_t stopped_requests = 0;
+  size_t other_requests = 0;
+
+  void setup() override {
+    server = net::http1_server::Create(
+        **loop, clock, {"127.0.0.1", 0}, {},
+        [this](const std::shared_ptr<net::http1_exchange>& exchange) {
+          if (!first) {
+            first = exchange;
+          } else if (exchange->fault() == net::body_fault::kStopping) {
+            ++stopped_requests;
+            exchange->Send(503, "Service Unavailable", {}, "not run");
+          } else {
+            ++other_requests;
+            exchange->Send(200, "OK", {}, "run");
+          }
+        });
+    CHECK(server != nullptr);
+    CHECK(caller.Connect(server->port()));
+    caller.Send(kRequest);
+    CHECK(Until([this] { return first != nullptr; }));
+  }
+  template <typename condition>
+  bool Until(condition holds) {
+    return fakes::RunUntil(**loop, std::chrono::seconds(2), holds);
+  }
+  /// Starts a response and sends a part of it.
+  void BeginResponse() const {
+    first->SendHead(200, "OK", {}, {net::body_framing::kChunked, 0});
+    first->SendBody("part");
+  }
+  bool WasRead(std::string_view text) {
+    return Until(
+        [this, text] { return caller.Read().find(text) != std::string::npos; });
+  }
+  size_t Answers() {
+    const std::string& all = caller.Read();
+    size_t count = 0;
+    for (size_t at = all.find("HTTP/1.1 "); at != std::string::npos;
+         at = all.find("HTTP/1.1 ", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+};
+
+// A request behind a response whose head had allowed it was started in a stop,
+// and cut at the end of the stop.
+TEST(Http1ServerKeptConnection, ClosesWithTheResponseThatEndsInAStop) {
+  BeginResponse();
+  CHECK(WasRead("part"));
+  server->DisableKeepAlive();
+  first->Finish();
+  CHECK(WasRead("0\r\n\r\n"));
+  caller.Send(kRequest);
+  CHECK(Until([this] { return caller.Closed(); }));
+  LONGS_EQUAL(0, other_requests);
+  LONGS_EQUAL(0, stopped_requests);
+}
+
+// Requests that were read whole behind such a response were started, or dropped
+// without an answer.
+TEST(Http1ServerKeptConnection, RefusesRequestsThatWereReadBeforeItsEnd) {
+  BeginResponse();
+  server->DisableKeepAlive();
+  caller.Send(kRequest);
+  caller.Send(kRequest);
+  caller.Send("GET / HTTP/1.1\r\nHo");
+  fakes::RunUntil(**loop, std::chrono::milliseconds(100), [] { return false; });
+  first->Finish();
+  CHECK(Until([this] { return caller.Closed(); }));
+  LONGS_EQUAL(0, other_requests);
+  LONGS_EQUAL(2, stopped_requests);
+  LONGS_EQUAL(3, Answers());
+}
+
+// The head that is held back for the first part of the body said nothing of a
+// stop that had begun meanwhile.
+TEST(Http1ServerKeptConnection, AHeadThatWasNotSentTellsOfTheStop) {
+  first->SendHead(200, "OK", {}, {net::body_framing::kChunked, 0});
+  server->DisableKeepAlive();
+  first->SendBody("part");
+  CHECK(WasRead("part"));
+  CHECK(WasRead("Connection: close\r\n"));
+  first->Finish();
+  CHECK(Until([this] { return caller.Closed(); }));
+}
+
 TEST(Http1Server, PartsWithoutEndAreRejectedWithTheirStatus) {
   struct expectation {
     const char* begin;
