Keep the counts of crashes in the store

Cause: crash_suspects lived in the memory of the gateways and was passed between those that run. Rows leave the store with the answer or the end of the suspicion, by the store's clock.

The store's client writes several rows in one call. Gateways that join hear the counts before the routes. The counts move from gateway_process to gateway/crash_links.

--- a/source/common/event_log.cc
+++ b/source/common/event_log.cc
@@ -58,6 +58,8 @@
                                                           "answered",
                                                           "cancelled",
                                                           "crash_suspected",
+                                                          "suspects_read",
+                                                          "suspects_written",
                                                           "quarantined",
                                                           "memory_given_up",
                                                           "message_too_large"};
--- a/source/common/event_log.h
+++ b/source/common/event_log.h
@@ -61,6 +61,8 @@
   kAnswered,
   kCancelled,
   kCrashSuspected,   ///< a target was lost while it ran a request
+  kSuspectsRead,     ///< the counts of suspects were read from the store
+  kSuspectsWritten,  ///< changed counts of suspects were written to the store
   kQuarantined,      ///< a request is refused because it crashes targets
   kMemoryGivenUp,    ///< a connection gave way, as too many bytes are held
   kMessageTooLarge,  ///< a part of a message exceeds its size limit
--- a/source/core/ports/deployment_codec.h
+++ b/source/core/ports/deployment_codec.h
@@ -44,6 +44,7 @@
   std::string gateways_table;  ///< written by the gateways themselves
   /// Keys of the routes' table that begin so name an evacuated data centre.
   std::string evacuation_prefix;
+  std::string suspects_table;  ///< written by the gateways; see suspect_rows
 };
 
 /// Encodes and decodes the formats of the surrounding deployment.
--- a/source/core/ports/row_store.h
+++ b/source/core/ports/row_store.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -41,10 +43,21 @@
   }
 };
 
+/// A row to write, or to remove.
+struct row_change {
+  std::string key;
+  std::optional<std::string> value;  ///< nothing: removes the row
+};
+
+/// Most changes that one call may make.
+inline constexpr size_t kMaxRowChanges = 100;
+
 struct row_store_result {
   row_store_status status = row_store_status::kNoResponse;
   std::vector<stored_row> rows;
   store_point at;  ///< where the store was at the time of the response
+  /// The store's own steady clock; nothing: not stated.
+  std::optional<common::milliseconds> clock;
 };
 
 using row_store_handler = std::function<void(const row_store_result&)>;
@@ -62,12 +75,11 @@
   virtual void ReadChanges(std::string_view table, uint64_t after,
                            common::milliseconds wait,
                            row_store_handler handler) = 0;
-  /// Writes a row unconditionally.
-  virtual void Put(std::string_view table, std::string_view key,
-                   std::string_view value, row_store_handler handler) = 0;
-  /// Removes a row.
-  virtual void Remove(std::string_view table, std::string_view key,
-                      row_store_handler handler) = 0;
+  /// Writes and removes rows of a table unconditionally: all of them, or none.
+  /// @param changes at most kMaxRowChanges
+  virtual void Write(std::string_view table,
+                     std::span<const row_change> changes,
+                     row_store_handler handler) = 0;
 };
 
 }  // namespace wisteriadale::core
--- a/source/core/quarantine/crash_suspects.cc
+++ b/source/core/quarantine/crash_suspects.cc
@@ -111,12 +111,28 @@
   return reports;
 }
 
-void crash_suspects::Record(const std::string& digest, uint32_t crashes) {
-  EvictExpired();
-  if (entries_.size() >= options_.max_suspects && !entries_.contains(digest)) {
-    common::Metrics().Count("wisteria_suspects_not_kept_total");
+std::optional<crash_state> crash_suspects::StateOf(
+    std::string_view digest) const {
+  const auto found = entries_.find(digest);
+  if (found == entries_.end()) return std::nullopt;
+  const entry& known = found->second;
+  if (KeptUntil(known) <= clock_.Now()) return std::nullopt;
+  return crash_state{known.crashes, known.until, KeptUntil(known)};
+}
+
+void crash_suspects::Restore(const crash_report& report,
+                             common::time_point until) {
+  const entry restored = {report.crashes, until, clock_.Now()};
+  if (KeptUntil(restored) <= clock_.Now()) return;
+  const auto found = entries_.find(report.digest);
+  if (found != entries_.end() && found->second.crashes >= report.crashes) {
     return;
   }
+  if (MakeRoomFor(report.digest)) entries_[report.digest] = restored;
+}
+
+void crash_suspects::Record(const std::string& digest, uint32_t crashes) {
+  if (!MakeRoomFor(digest)) return;
   const common::time_point now = clock_.Now();
   entries_[digest] = {crashes, now + DurationFor(crashes), now};
   if (crashes < options_.crashes_to_refuse) return;
@@ -127,16 +143,23 @@
                     {"for_ms", common::ToMillis(DurationFor(crashes))}});
 }
 
-void crash_suspects::EvictExpired() {
+bool crash_suspects::MakeRoomFor(std::string_view digest) {
   const common::time_point now = clock_.Now();
-  std::erase_if(entries_, [&](const auto& each) {
-    const entry& known = each.second;
-    // The count outlives the refusal, so that the next crash prolongs it.
-    const common::duration kept = known.crashes < options_.crashes_to_refuse
-                                      ? common::duration(0)
-                                      : options_.max_refusal;
-    return known.until + kept <= now;
+  std::erase_if(entries_, [this, now](const auto& each) {
+    return KeptUntil(each.second) <= now;
   });
+  if (entries_.size() < options_.max_suspects || entries_.contains(digest)) {
+    return true;
+  }
+  common::Metrics().Count("wisteria_suspects_not_kept_total");
+  return false;
+}
+
+common::time_point crash_suspects::KeptUntil(const entry& known) const {
+  // The count outlives the refusal, so that the next crash prolongs it.
+  return known.crashes < options_.crashes_to_refuse
+             ? known.until
+             : known.until + options_.max_refusal;
 }
 
 }  // namespace wisteriadale::core
--- a/source/core/quarantine/crash_suspects.h
+++ b/source/core/quarantine/crash_suspects.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,13 @@
   bool operator==(const crash_report&) const = default;
 };
 
+/// What is known of a suspect.
+struct crash_state {
+  uint32_t crashes = 0;
+  common::time_point until{};       ///< end of the suspicion, or of the refusal
+  common::time_point kept_until{};  ///< when its count is forgotten
+};
+
 /// Thresholds and durations of refusals.
 struct crash_suspects_options {
   /// Weight of consecutive losses from which a suspect is refused: a single
@@ -81,6 +89,11 @@
   void OnAnswered(std::string_view digest);
   /// Notes that some request was answered, suspect or not.
   void NoteAnswer() { last_answer_ = clock_.Now(); }
+  /// @return what is known of a suspect; nothing: it is none, or no more
+  std::optional<crash_state> StateOf(std::string_view digest) const;
+  /// Takes over a count that was kept elsewhere, if it is higher.
+  /// @param until end of the suspicion, or of the refusal; may have passed
+  void Restore(const crash_report& report, common::time_point until);
   /// Merges another gateway's report.
   void Merge(const crash_report& report);
   /// @param min_crashes lowest count to report
@@ -97,7 +110,9 @@
   void Record(const std::string& digest, uint32_t crashes);
   /// @return whether a loss of a suspect counts
   bool Counts(const entry* known, bool widespread) const;
-  void EvictExpired();
+  /// @return whether there is room for one more suspect
+  bool MakeRoomFor(std::string_view digest);
+  common::time_point KeptUntil(const entry& known) const;
   common::duration DurationFor(uint32_t crashes) const;
 
   crash_suspects_options options_;
--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -193,18 +193,9 @@
       core::caller_retry_options(), clock_);
   admission_ = std::make_unique<core::stage_admission>(
       core::stage_admission_options(), *random_);
-  suspects_ = std::make_unique<core::crash_suspects>(
-      core::crash_suspects_options(), clock_);
-  part_suspects_ = std::make_unique<core::crash_suspects>(
-      core::PartSuspectsOptions(), clock_);
-  for (core::crash_suspects* each : {suspects_.get(), part_suspects_.get()}) {
-    each->SetReportHandler([this](const core::crash_report& report) {
-      links_->Broadcast(report);
-    });
-  }
-  crash_watch_ = std::make_unique<core::crash_watch>(
-      core::crash_watch_options(), *suspects_, *part_suspects_, targets_,
-      clock_);
+  crash_links_ = std::make_unique<crash_links>(
+      *store_, codec_->locations().suspects_table, targets_, *links_, clock_,
+      *loop_, [this] { return ReadsForDataCentre(); });
   statements_ = std::make_unique<core::target_statements>(targets_, clock_);
   evacuation_links_ = std::make_unique<evacuation_links>(
       evacuations_, targets_, *links_, clock_,
@@ -215,7 +206,8 @@
       std::make_unique<stage_router>(name_, *links_, clock_, *loop_);
   dispatcher_ = std::make_unique<stage_dispatcher>(
       *loop_, clock_, *client_, *codec_, routes_, targets_, *retry_budget_,
-      *statements_, *limits_, *slots_, *suspects_, *crash_watch_,
+      *statements_, *limits_, *slots_, crash_links_->requests(),
+      crash_links_->watch(),
       [this](const core::stage_job_outcome& outcome) {
         stage_router_->ReportOutcome(outcome);
       },
@@ -224,13 +216,29 @@
         links_->Broadcast(core::service_load_message{service, load});
       });
   stage_router_->SetDispatcher(*dispatcher_);
-  forwarder_ = std::make_unique<forwarder>(forward_dependencies{
-      *loop_,          clock_,           *random_,       *client_,
-      *codec_,         routes_,          targets_,       *selector_,
-      first_events_,   *retry_budget_,   ejection_,      *suspects_,
-      *part_suspects_, *crash_watch_,    *statements_,   *limits_,
-      *slots_,         *caller_retries_, *stage_router_, *latency_estimator_,
-      *admission_,     stop_admission_});
+  forwarder_ =
+      std::make_unique<forwarder>(forward_dependencies{*loop_,
+                                                       clock_,
+                                                       *random_,
+                                                       *client_,
+                                                       *codec_,
+                                                       routes_,
+                                                       targets_,
+                                                       *selector_,
+                                                       first_events_,
+                                                       *retry_budget_,
+                                                       ejection_,
+                                                       crash_links_->requests(),
+                                                       crash_links_->parts(),
+                                                       crash_links_->watch(),
+                                                       *statements_,
+                                                       *limits_,
+                                                       *slots_,
+                                                       *caller_retries_,
+                                                       *stage_router_,
+                                                       *latency_estimator_,
+                                                       *admission_,
+                                                       stop_admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   fleet_sync_->SetReadHandler(
       [this](const core::store_read& read, common::time_point read_at) {
@@ -290,7 +298,7 @@
     return forwarder_->IsRefusedByHead(head);
   });
   operator_pages_ = std::make_unique<operator_pages>(operator_sources{
-      *links_, *fleet_sync_, *crash_watch_, bounds_->account(),
+      *links_, *fleet_sync_, *crash_links_, bounds_->account(),
       loop_->buffers(), [this] { return Ready(); },
       [this] { return ReadsForDataCentre(); }, [this] { return ReadUsage(); }});
   net::http1_server_limits operator_limits;
@@ -339,8 +347,11 @@
   loop_->SetStopSignalHandler([this] { Stop(); });
   loop_->StartWatchdog();
   loop_->SetReloadSignalHandler([this, read_again] { Reload(read_again); });
-  fleet_sync_->Start();
-  links_->Start();
+  // Before there are routes: a request that is counted is not passed on.
+  crash_links_->Start([this] {
+    fleet_sync_->Start();
+    links_->Start();
+  });
   WriteOwnRow();
   loop_->Schedule(kInitialDiscoveryDelay, [this] { DiscoverGateways(); });
   common::LogEvent(log_event::kStarted, "",
@@ -357,13 +368,14 @@
 void gateway_process::WriteOwnRow() {
   if (writing_own_row_ || stopping_) return;
   writing_own_row_ = true;
-  store_->Put(codec_->locations().gateways_table, name_, link_address_,
-              [this](const core::row_store_result& result) {
-                writing_own_row_ = false;
-                if (result.status == core::row_store_status::kOk) return;
-                common::LogEvent(log_event::kDependencyLost, "",
-                                 {{"dependency", "own row in the store"}});
-              });
+  store_->Write(codec_->locations().gateways_table,
+                {{core::row_change{name_, link_address_}}},
+                [this](const core::row_store_result& result) {
+                  writing_own_row_ = false;
+                  if (result.status == core::row_store_status::kOk) return;
+                  common::LogEvent(log_event::kDependencyLost, "",
+                                   {{"dependency", "own row in the store"}});
+                });
 }
 
 void gateway_process::DiscoverGateways() {
@@ -425,11 +437,13 @@
   links_->AnnounceShutdown();
   // If the row stays, the others keep dialling an address that does not
   // respond, with back-off.
-  store_->Remove(codec_->locations().gateways_table, name_,
-                 [](const core::row_store_result& result) {
-                   if (result.status == core::row_store_status::kOk) return;
-                   common::Metrics().Count("wisteria_own_rows_left_total");
-                 });
+  crash_links_->BeginStop();
+  store_->Write(codec_->locations().gateways_table,
+                {{core::row_change{name_, std::nullopt}}},
+                [](const core::row_store_result& result) {
+                  if (result.status == core::row_store_status::kOk) return;
+                  common::Metrics().Count("wisteria_own_rows_left_total");
+                });
   common::LogProcessUsage(ReadUsage(), "stopping");
   StopWhenIdle();
 }
--- a/source/gateway/gateway_process.h
+++ b/source/gateway/gateway_process.h
@@ -23,6 +23,7 @@
 #include "core/ports/row_store.h"
 #include "core/routes/route_table.h"
 #include "core/stages/stage_latency_estimator.h"
+#include "gateway/crash_links.h"
 #include "gateway/evacuation_links.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_links.h"
@@ -130,15 +131,13 @@
   core::first_event_estimator first_events_{
       core::first_event_estimator_options(), clock_};
   std::unique_ptr<core::target_selector> selector_;
-  std::unique_ptr<core::crash_suspects> suspects_;
-  std::unique_ptr<core::crash_suspects> part_suspects_;
-  std::unique_ptr<core::crash_watch> crash_watch_;
   std::unique_ptr<core::stage_latency_estimator> latency_estimator_;
   std::unique_ptr<core::caller_retry_detector> caller_retries_;
   std::unique_ptr<core::stage_admission> admission_;
   core::stop_admission stop_admission_{core::stop_admission_options(), clock_};
   std::unique_ptr<gateway_links> links_;
   std::unique_ptr<evacuation_links> evacuation_links_;
+  std::unique_ptr<crash_links> crash_links_;
   std::unique_ptr<core::target_statements> statements_;
   std::unique_ptr<core::target_limits> limits_;
   std::unique_ptr<core::cold_targets> cold_targets_;
--- a/source/gateway/gateway_process_messages.cc
+++ b/source/gateway/gateway_process_messages.cc
@@ -11,10 +11,6 @@
 
 // Departures of targets that a gateway is told when it joins.
 constexpr size_t kMaxToldDepartures = 256;
-// Lowest crash count that a gateway that joins is told. Thousands of suspects
-// with a single loss, from each gateway, would fill its link; without them it
-// allows one more loss.
-constexpr uint32_t kMinPassedCrashes = 2;
 
 }  // namespace
 
@@ -51,9 +47,7 @@
     process->OnStoreReadMessage(gateway, read);
   }
   void operator()(const core::crash_report& report) const {
-    (core::IsPartDigest(report.digest) ? process->part_suspects_
-                                       : process->suspects_)
-        ->Merge(report);
+    process->crash_links_->OnReport(report);
   }
   void operator()(const core::routes_request& request) const {
     process->OnRoutesRequest(gateway, request);
@@ -90,6 +84,7 @@
   retry_budget_->SetGateways(links_->RecentGatewayCount());
   // Before the routes, with which a gateway may begin to serve.
   evacuation_links_->OnGatewayJoined(gateway);
+  crash_links_->OnGatewayJoined(gateway);
   if (routes_.current()) {
     links_->Send(gateway, core::routes_message{routes_.edition(), ""});
   }
@@ -100,12 +95,6 @@
     links_->Send(gateway, core::leaving_targets_message{departed.leaving,
                                                         departed.gone});
   }
-  for (const core::crash_suspects* each :
-       {suspects_.get(), part_suspects_.get()}) {
-    for (const core::crash_report& report : each->Reports(kMinPassedCrashes)) {
-      links_->Send(gateway, report);
-    }
-  }
   for (const core::limit_report& report : limits_->Reports()) {
     links_->Send(gateway, report);
   }
@@ -188,7 +177,7 @@
 void gateway_process::OnTargetLeaving(const core::fleet_target& target,
                                       core::leaving_reason why) {
   selector_->hints().Forget(target.entry.id);
-  crash_watch_->OnTargetLeaving(target);
+  crash_links_->watch().OnTargetLeaving(target);
   // An entry that only lapsed may return.
   if (why != core::leaving_reason::kGone) {
     limits_->Forget(target.entry.id, target.entry.started_ms);
--- a/source/gateway/operator_pages.cc
+++ b/source/gateway/operator_pages.cc
@@ -16,7 +16,8 @@
   set("wisteria_link_bytes_pending", sources_.links.PendingBytes());
   set("wisteria_store_reader", sources_.reads_store() ? 1 : 0);
   set("wisteria_targets_age_ms", common::ToMillis(sources_.fleet.TargetsAge()));
-  set("wisteria_crash_watches", sources_.crash_watch.size());
+  set("wisteria_crash_watches", sources_.crashes.watch().size());
+  set("wisteria_suspect_rows", sources_.crashes.rows().size());
   core::SetMemoryMetrics(sources_.memory);
   sources_.buffers.SetMetrics();
   common::SetUsageMetrics(sources_.usage());
--- a/source/gateway/operator_pages.h
+++ b/source/gateway/operator_pages.h
@@ -6,7 +6,7 @@
 #include "common/process_usage.h"
 #include "core/fleet/fleet_sync.h"
 #include "core/overload/memory_account.h"
-#include "core/quarantine/crash_watch.h"
+#include "gateway/crash_links.h"
 #include "gateway/gateway_links.h"
 #include "net/http1_server.h"
 #include "net/receive_buffers.h"
@@ -17,7 +17,7 @@
 struct operator_sources {
   const gateway_links& links;
   const core::fleet_sync& fleet;
-  const core::crash_watch& crash_watch;
+  crash_links& crashes;
   const core::memory_account& memory;
   const net::receive_buffers& buffers;
   std::function<bool()> ready;
--- a/source/platform/http_row_store.cc
+++ b/source/platform/http_row_store.cc
@@ -116,25 +116,26 @@
          });
   }
 
-  void Put(std::string_view table, std::string_view key, std::string_view value,
-           core::row_store_handler handler) override {
+  void Write(std::string_view table, std::span<const core::row_change> changes,
+             core::row_store_handler handler) override {
+    json written = json::array();
+    json removed = json::array();
+    for (const core::row_change& change : changes) {
+      json row = {{"table", table}, {"part", ""}, {"key", change.key}};
+      if (change.value) {
+        row["value"] = net::EncodeBase64(*change.value);
+        written.push_back(std::move(row));
+      } else {
+        removed.push_back(std::move(row));
+      }
+    }
     const json body = {{"precondition", json::array()},
-                       {"set-keys",
-                        {{{"table", table},
-                          {"part", ""},
-                          {"key", key},
-                          {"value", net::EncodeBase64(value)}}}},
-                       {"remove", json::array()}};
-    Write(body, std::move(handler));
-  }
-
-  void Remove(std::string_view table, std::string_view key,
-              core::row_store_handler handler) override {
-    const json body = {
-        {"precondition", json::array()},
-        {"set-keys", json::array()},
-        {"remove", {{{"table", table}, {"part", ""}, {"key", key}}}}};
-    Write(body, std::move(handler));
+                       {"set-keys", std::move(written)},
+                       {"remove", std::move(removed)}};
+    Call("POST", "/v1/rows-tx", body.dump(), timeout_,
+         [handler = std::move(handler)](core::row_store_result& result, bool) {
+           handler(result);
+         });
   }
 
  private:
@@ -182,6 +183,9 @@
         return false;
       }
       result->at.version = body["row-version"].get<uint64_t>();
+      if (body.contains("now-ms") && body["now-ms"].is_number_integer()) {
+        result->clock = common::milliseconds(body["now-ms"].get<int64_t>());
+      }
       *truncated = body.contains("truncated") &&
                    body["truncated"].is_boolean() &&
                    body["truncated"].get<bool>();
@@ -229,13 +233,6 @@
     raw->Start(request);
   }
 
-  void Write(const json& body, core::row_store_handler handler) {
-    Call("POST", "/v1/rows-tx", body.dump(), timeout_,
-         [handler = std::move(handler)](core::row_store_result& result, bool) {
-           handler(result);
-         });
-  }
-
   void ReadPage(const std::string& table, const std::string& from,
                 const std::shared_ptr<core::row_store_result>& all,
                 core::row_store_handler handler) {
@@ -262,7 +259,10 @@
           // Rows may change while pages are read. With the version of the
           // first page, ReadChanges reports every change that a later page may
           // have missed.
-          if (from.empty()) all->at = page.at;
+          if (from.empty()) {
+            all->at = page.at;
+            all->clock = page.clock;
+          }
           const size_t read_before = all->rows.size();
           for (core::stored_row& row : page.rows) {
             if (row.key != from) all->rows.push_back(std::move(row));
--- a/source/platform/platform_codec.cc
+++ b/source/platform/platform_codec.cc
@@ -179,8 +179,9 @@
 
  private:
   core::header_names headers_ = HeaderNames();
-  core::deployment_locations locations_ = {"op", "config", "servers",
-                                           "wisteria-gateways", "evacuate/"};
+  core::deployment_locations locations_ = {"op",        "config",
+                                           "servers",   "wisteria-gateways",
+                                           "evacuate/", "wisteria-suspects"};
 };
 
 }  // namespace
--- a/source/unit_tests/core/fleet/restored_store_cluster.h
+++ b/source/unit_tests/core/fleet/restored_store_cluster.h
@@ -66,7 +66,8 @@
 
  private:
   core::header_names headers_;
-  core::deployment_locations locations_ = {"op", "config", "servers", "own"};
+  core::deployment_locations locations_ = {"op",  "config", "servers",
+                                           "own", "",       ""};
 };
 
 /// A store that can be restored from an older copy of itself.
@@ -148,10 +149,8 @@
                    core::row_store_handler handler) override {
     Call(std::string(table), after, wait, handler);
   }
-  void Put(std::string_view, std::string_view, std::string_view,
-           core::row_store_handler) override {}
-  void Remove(std::string_view, std::string_view,
-              core::row_store_handler) override {}
+  void Write(std::string_view, std::span<const core::row_change>,
+             core::row_store_handler) override {}
 
   bool cut = false;
   uint64_t calls = 0;
--- a/source/unit_tests/platform_standin/row_service.cc
+++ b/source/unit_tests/platform_standin/row_service.cc
@@ -158,7 +158,7 @@
                           const json& body) const {
   json response = body;
   response["row-version"] = version_;
-  response["now-ms"] = 1;
+  response["now-ms"] = common::ToMillis(clock_.Now().time_since_epoch());
   const std::vector<net::http_header> headers = {
       {"Content-Type", "application/json"},
       {"Store-Era", std::to_string(era_)}};
