Count a silent target that returns, or whose entry stays

Callers saw: a request that silences its targets was not refused if each came back under its id and answered others before the store named its later start, or if an outage of the store hid for over 10 s that the target was gone; it went on to crash targets, and sound requests failed with them.

Cause: crash_watch took the answer of the next start for one of the target that had gone silent, and watched an attempt for 10 s.

--- a/source/common/clock.h
+++ b/source/common/clock.h
@@ -32,8 +32,9 @@
   virtual ~clock() = default;
   /// @return the current instant; it also advances while the VM is suspended.
   virtual time_point Now() const = 0;
-  /// @return microseconds since the Unix epoch, for human-readable records.
-  /// Never used to order events.
+  /// @return microseconds since the Unix epoch, for human-readable records and
+  /// beside instants that other machines state. Clocks of machines differ, so
+  /// that it is never used to order events whose order must be right.
   virtual int64_t WallMicros() const = 0;
 };
 
--- a/source/core/fleet/target_directory.cc
+++ b/source/core/fleet/target_directory.cc
@@ -47,6 +47,7 @@
       return true;
     }
     // The target was restarted: nothing learnt about the earlier start applies.
+    target->next_started_ms = entry.started_ms;
     Detach(target, leaving_reason::kReplaced);
     departures_.erase(entry.id);
   }
--- a/source/core/fleet/target_directory.h
+++ b/source/core/fleet/target_directory.h
@@ -56,6 +56,9 @@
   bool leaving = false;  ///< gets no new work; final for this start
   /// It left without notice: its entry was removed, or a later start found.
   bool vanished = false;
+  /// Start of the process that has its id now, in Unix milliseconds; 0: none is
+  /// known.
+  int64_t next_started_ms = 0;
   uint32_t in_flight = 0;
   double outstanding_tokens = 0;  ///< prompt tokens sent and not yet answered
   uint32_t consecutive_failures = 0;
--- a/source/gateway/forward_request_quarantine.cc
+++ b/source/gateway/forward_request_quarantine.cc
@@ -129,7 +129,7 @@
 }
 
 void forward_request::ClearSuspects() {
-  if (!deps_.suspects.empty() || !deps_.crash_watch.empty()) {
+  if (!deps_.suspects.empty() || deps_.crash_watch.has_attempts()) {
     const std::string& digest = Digest();
     deps_.suspects.OnAnswered(digest);
     deps_.crash_watch.OnAnswered(digest);
--- a/source/unit_tests/core/quarantine/crash_watch_test.cc
+++ b/source/unit_tests/core/quarantine/crash_watch_test.cc
@@ -126,6 +126,60 @@
   CHECK(Refuses("bad"));
 }
 
+// A target that is back under its id within a second answers others before the
+// store names its start: its new process was taken for the one that went
+// silent.
+TEST(CrashWatch, AnAnswerOfALaterStartDoesNotShowThatATargetLived) {
+  for (int restart = 0; restart < 3; ++restart) {
+    Drop("t1", "bad");
+    time.Advance(kSecond);
+    core::target_entry again = Entry("t1");
+    again.started_ms = time.WallMicros() / 1000;
+    time.Advance(kSecond);
+    watch.OnTargetAnswered("t1", time.Now());
+    time.Advance(kSecond);
+    targets.Update(again);
+  }
+  CHECK(Refuses("bad"));
+}
+
+TEST(CrashWatch, ATargetThatIsStartedAgainAfterAnAnswerOutlivedTheAttempt) {
+  for (int restart = 0; restart < 3; ++restart) {
+    Drop("t1", "sound");
+    time.Advance(kSecond);
+    watch.OnTargetAnswered("t1", time.Now());
+    time.Advance(kSecond);
+    core::target_entry again = Entry("t1");
+    again.started_ms = time.WallMicros() / 1000;
+    targets.Update(again);
+  }
+  CHECK(requests.empty());
+}
+
+TEST(CrashWatch, AnAnswerElsewhereClearsARequestOfAnAnsweringTarget) {
+  for (int restart = 0; restart < 3; ++restart) {
+    Drop("t1", "sound");
+    core::target_entry again = Entry("t1");
+    again.started_ms = time.WallMicros() / 1000 + 1;
+    time.Advance(kSecond);
+    watch.OnTargetAnswered("t1", time.Now());
+    watch.OnAnswered("sound");
+    targets.Update(again);
+  }
+  CHECK(requests.empty());
+}
+
+// An outage of the store hides for longer than a silence lasts that a target is
+// gone.
+TEST(CrashWatch, AnEntryThatOutlivesItsTargetInAnOutageOfTheStoreCounts) {
+  for (const char* target : {"t1", "t2", "t3"}) {
+    Drop(target, "bad");
+    time.Advance(30 * kSecond);
+    targets.Remove(target);
+  }
+  CHECK(Refuses("bad"));
+}
+
 TEST(CrashWatch, AnAnswerElsewhereClearsARequest) {
   for (const char* target : {"t1", "t2", "t3", "t4"}) Drop(target, "sound");
   watch.OnAnswered("sound");
