Answer a stream of which nothing was sent when its relay ends

Cause: the start of a relay was taken for a response that had begun, though the head is held back until the first part of the body. A head that has not left can now be retracted, and each end of a relay (timeout, stop, lost target, no other target) answers 504 or 502 then.

--- a/source/gateway/forward_request.cc
+++ b/source/gateway/forward_request.cc
@@ -267,8 +267,7 @@
 void forward_request::Terminate() {
   const bool was_sent = call_ && call_->sent();
   EndAttempt(attempt_outcome::kTimedOut);
-  if (relaying_) {
-    exchange_->Abort();
+  if (relaying_ && !AbandonRelay()) {
     Conclude("cut off by a timeout", response_head_.status, "");
     return;
   }
--- a/source/gateway/forward_request.h
+++ b/source/gateway/forward_request.h
@@ -132,6 +132,10 @@
   /// @return whether the response is one that a stream can be resumed with
   bool ContinuesStream() const;
   void RelayBody(std::string_view data);
+  /// Ends the relay of a response that will not be complete.
+  /// @return whether nothing of it was sent, so that the caller is still owed a
+  /// response; else its connection is broken
+  bool AbandonRelay();
   /// Pauses reading from the target while the caller reads too slowly.
   void ApplyBackpressure();
   /// @return whether the response may be read on from the target
--- a/source/gateway/forward_request_attempts.cc
+++ b/source/gateway/forward_request_attempts.cc
@@ -346,8 +346,12 @@
     return;
   }
   if (relaying_) {
-    exchange_->Abort();
-    Conclude("cut", response_head_.status, target);
+    // The body of a failure behind a head that was relayed is not kept.
+    if (AbandonRelay()) {
+      RespondUnknownOutcome("lost at target " + target);
+    } else {
+      Conclude("cut", response_head_.status, target);
+    }
     return;
   }
   switch (next) {
--- a/source/gateway/forward_request_limits.cc
+++ b/source/gateway/forward_request_limits.cc
@@ -154,8 +154,7 @@
 }
 
 void forward_request::RespondNoTarget() {
-  if (relaying_) {
-    exchange_->Abort();
+  if (relaying_ && !AbandonRelay()) {
     Conclude("cut: no other target available", response_head_.status, "");
   } else if (may_have_run_) {
     RespondUnknownOutcome("no other target available");
--- a/source/gateway/forward_request_relay.cc
+++ b/source/gateway/forward_request_relay.cc
@@ -51,6 +51,13 @@
   ApplyBackpressure();
 }
 
+bool forward_request::AbandonRelay() {
+  relaying_ = streaming_events_ = false;
+  if (exchange_->RetractHead()) return true;
+  exchange_->Abort();
+  return false;
+}
+
 void forward_request::ApplyBackpressure() {
   if (resume_timer_ != 0 || MayReadOn()) return;
   if (call_) call_->Pause();
--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -287,6 +287,15 @@
     if (owner) owner->UpdateHeld();
   }
 
+  bool RetractHead() override {
+    if (stream_ == nullptr || head_text_.empty()) return false;
+    head_text_.clear();
+    head_sent_ = no_body_ = false;
+    framing_ = body_framing::kNone;
+    stream_->SetResetOnClose(false);
+    return true;
+  }
+
   void Finish() override {
     if (stream_ == nullptr || !head_sent_ || finished_) return;
     finished_ = true;
--- a/source/net/http1_server.h
+++ b/source/net/http1_server.h
@@ -60,7 +60,12 @@
   virtual void SendHead(int status, std::string_view reason,
                         std::span<const http_header> headers,
                         const response_framing& framing) = 0;
+  /// The head leaves with the first bytes of the body.
   virtual void SendBody(std::string_view data) = 0;
+  /// Takes back a head that has not left yet, so that another response can be
+  /// sent.
+  /// @return whether it did
+  virtual bool RetractHead() = 0;
   /// Completes the response.
   virtual void Finish() = 0;
   /// Breaks the connection, so that the response cannot be taken for complete.
