Let a response give way that waits behind unread ones

Callers saw: large uploads were refused with 503 for as long as a few callers with pipelined uploads read nothing.

Cause: while the kernel holds the unread response before it, a response that has begun may not grow, as its caller has stalled, and did not give way, as it counted as a request in progress. It counts as a response now.

Evidence: Http1ServerUnreadResponse.TheNextResponseGivesWay fails without the change and passes with it.

--- a/source/net/http1_connection.cc
+++ b/source/net/http1_connection.cc
@@ -49,10 +49,14 @@
   held.since = request_start_;
   held.progress_at = taking_.Update(pending, now);
   // Asking the kernel takes time that is only worth it under pressure.
+  bool owes = pending > 0;
   if (held.bytes > 0 && server_->account_->Pressed()) {
-    held.progress_at = acknowledging_.Update(stream_->Owed().total(), now);
+    const size_t owed = stream_->Owed().total();
+    held.progress_at = acknowledging_.Update(owed, now);
+    // The next response waits for a caller that does not read the last one.
+    owes = owes || (owed > 0 && exchange_ && exchange_->HasBuffered());
   }
-  if (pending > 0) {
+  if (owes) {
     held.what = common::held_for::kResponse;
   } else if (exchange_) {
     held.what = common::held_for::kRequest;
--- a/source/net/http1_connection.h
+++ b/source/net/http1_connection.h
@@ -342,6 +342,8 @@
   /// @return bytes that are held for the request and its response, and that
   /// the connection does not know of
   size_t Held() const { return body_copies_ * body_bytes_ + buffered_; }
+  /// @return whether a part of the response is held back
+  bool HasBuffered() const { return buffered_ > 0; }
 
   void SetRequestId(std::string_view id) override {
     if (stream_ != nullptr) stream_->SetRequestId(id);
