--- a/source/gateway/gateway_process.cc
+++ b/source/gateway/gateway_process.cc
@@ -216,29 +216,16 @@
         links_->Broadcast(core::service_load_message{service, load});
       });
   stage_router_->SetDispatcher(*dispatcher_);
-  forwarder_ =
-      std::make_unique<forwarder>(forward_dependencies{*loop_,
-                                                       clock_,
-                                                       *random_,
-                                                       *client_,
-                                                       *codec_,
-                                                       routes_,
-                                                       targets_,
-                                                       *selector_,
-                                                       first_events_,
-                                                       *retry_budget_,
-                                                       ejection_,
-                                                       crash_links_->requests(),
-                                                       crash_links_->parts(),
-                                                       crash_links_->watch(),
-                                                       *statements_,
-                                                       *limits_,
-                                                       *slots_,
-                                                       *caller_retries_,
-                                                       *stage_router_,
-                                                       *latency_estimator_,
-                                                       *admission_,
-                                                       stop_admission_});
+  core::crash_suspects& suspects = crash_links_->requests();
+  core::crash_suspects& part_suspects = crash_links_->parts();
+  core::crash_watch& crash_watch = crash_links_->watch();
+  forwarder_ = std::make_unique<forwarder>(forward_dependencies{
+      *loop_,        clock_,           *random_,       *client_,
+      *codec_,       routes_,          targets_,       *selector_,
+      first_events_, *retry_budget_,   ejection_,      suspects,
+      part_suspects, crash_watch,      *statements_,   *limits_,
+      *slots_,       *caller_retries_, *stage_router_, *latency_estimator_,
+      *admission_,   stop_admission_});
   fleet_sync_->SetRoutesHandler([this] { OnRoutesChanged(); });
   fleet_sync_->SetReadHandler(
       [this](const core::store_read& read, common::time_point read_at) {
@@ -435,9 +422,9 @@
                    {{"requests", static_cast<int64_t>(forwarder_->active())}});
   caller_server_->DisableKeepAlive();
   links_->AnnounceShutdown();
+  crash_links_->BeginStop();
   // If the row stays, the others keep dialling an address that does not
   // respond, with back-off.
-  crash_links_->BeginStop();
   store_->Write(codec_->locations().gateways_table,
                 {{core::row_change{name_, std::nullopt}}},
                 [](const core::row_store_result& result) {
